--- /dev/null
+++ b/src/standins/fakeplatform/main.cpp
@@ -0,0 +1,5 @@
+int
+main()
+{
+  return 0;
+}
