--- /dev/null
+++ b/src/libmedlarkeelnet/httpserver.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "httpmessage.h"
+#include "neterror.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace medlarkeel {
+
+struct HttpServerOptions
+{
+  std::string mAddress = "127.0.0.1";
+  std::uint16_t mPort = 0;
+  std::size_t mBodyLimit = 1U << 20U;    // bytes
+  std::size_t mHeaderLimit = 32U << 10U; // bytes, all headers of a request
+  unsigned mConnectionLimit = 2048;
+  unsigned mIdleTimeout = 30; // seconds
+};
+
+/**
+ * HTTP/1.1 server on ulfius; one thread a connection.
+ */
+class HttpServer
+{
+public:
+  using Handler = std::function<HttpResponse(const HttpRequest&)>;
+
+  /**
+   * Binds and starts to serve.
+   *
+   * @param aOptions Address and limits.
+   * @param aHandler Called on the connection's thread for every request whose
+   *        size is within the limits; may block.
+   * @return The running server, or BindFailed.
+   */
+  static NetResult<std::unique_ptr<HttpServer>> Start(
+    const HttpServerOptions& aOptions,
+    Handler aHandler);
+
+  ~HttpServer();
+
+  /** Closes the listening socket; open connections go on. */
+  void StopAccepting();
+
+  /** Ends the server; blocks until the connections' threads are done. */
+  void Stop();
+
+private:
+  struct State;
+  explicit HttpServer(std::unique_ptr<State> aState);
+
+  std::unique_ptr<State> mState;
+};
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelnet/neterror.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <boost/outcome.hpp>
+
+#include <string>
+
+namespace medlarkeel {
+
+enum class NetErrorKind
+{
+  BindFailed,
+  ConnectFailed,
+  TimedOut,
+  PeerClosed,
+  StoppedByReader,
+  BadReply
+};
+
+/** Error of the layer that holds sockets. */
+struct NetError
+{
+  NetErrorKind mKind = NetErrorKind::ConnectFailed;
+  std::string mDetail;
+};
+
+template<typename T>
+using NetResult = BOOST_OUTCOME_V2_NAMESPACE::
+  result<T, NetError, BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+
+} // namespace medlarkeel
