Add the scheduler of one backend server

The agent needs one place that decides what its backend server takes: strict tiers, earliest due time first inside a tier, shedding from the lowest tier, an estimate of the work ahead against the deadline, a floor share and a cold start limit.

--- /dev/null
+++ b/src/libmedlarkeel/decayinghistogram.cpp
@@ -0,0 +1,70 @@
+#include "decayinghistogram.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace medlarkeel {
+
+namespace {
+
+/** Upper edge of a bucket over that of the one below. */
+constexpr double kGrowth = 1.2;
+/** Weight that older samples keep at each new one. */
+constexpr double kRetention = 0.99;
+/** Weight below which the samples above a value say nothing. */
+constexpr double kLeastWeight = 0.05;
+
+double
+UpperEdge(std::size_t aBucket)
+{
+  return std::pow(kGrowth, static_cast<double>(aBucket));
+}
+
+std::size_t
+BucketOf(double aValue, std::size_t aBuckets)
+{
+  if (aValue <= 1.0) {
+    return 0;
+  }
+  const double exact = std::ceil(std::log(aValue) / std::log(kGrowth));
+  return std::min(aBuckets - 1, static_cast<std::size_t>(exact));
+}
+
+} // namespace
+
+void
+DecayingHistogram::Record(double aValue)
+{
+  for (double& weight : mWeights) {
+    weight *= kRetention;
+  }
+  mWeights[BucketOf(aValue, kBuckets)] += 1.0;
+  mTotal = mTotal * kRetention + 1.0;
+}
+
+std::optional<double>
+DecayingHistogram::Quantile(double aQuantile, double aReached) const
+{
+  if (mTotal < kLeastWeight) {
+    return std::nullopt;
+  }
+  const std::size_t first =
+    aReached > 0.0 ? BucketOf(aReached, kBuckets) : std::size_t{ 0 };
+  double above = 0.0;
+  for (std::size_t bucket = first; bucket < kBuckets; ++bucket) {
+    above += mWeights[bucket];
+  }
+  if (above < kLeastWeight) {
+    return 2.0 * aReached;
+  }
+  double passed = 0.0;
+  for (std::size_t bucket = first; bucket < kBuckets; ++bucket) {
+    passed += mWeights[bucket];
+    if (passed >= aQuantile * above) {
+      return std::max(aReached, UpperEdge(bucket));
+    }
+  }
+  return std::max(aReached, UpperEdge(kBuckets - 1));
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeel/reservationqueue.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "floorshare.h"
+#include "reservation.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <tuple>
+#include <vector>
+
+namespace medlarkeel {
+
+/** A reservation that waits for a slot. */
+struct QueuedReservation
+{
+  Reservation mReservation;
+  TierRank mTier;
+  Timestamp mArrival;
+  /** Orders the queue inside a tier; earlier is served first. */
+  Timestamp mDue;
+  /** Rises with arrival. */
+  std::uint64_t mSequence = 0;
+};
+
+/**
+ * Waiting reservations in the order of service: by tier, then by due time,
+ * then by arrival.
+ */
+class ReservationQueue
+{
+public:
+  bool IsEmpty() const { return mEntries.empty(); }
+  std::size_t Size() const { return mEntries.size(); }
+
+  void Push(QueuedReservation aEntry);
+
+  /** @return Whether an entry was there to be removed. */
+  bool Remove(ReservationId aId);
+
+  /** @return The entry that strict order serves next; the queue isn't empty. */
+  const QueuedReservation& Head() const;
+
+  /** @return The entry that waits longest in a class; null if none waits. */
+  const QueuedReservation* Oldest(const ClassName& aClass) const;
+
+  /** @return Whether a reservation of the class waits. */
+  bool IsWaiting(const ClassName& aClass) const;
+
+  /** @return All entries in the order of service. */
+  std::vector<const QueuedReservation*> InOrder() const;
+
+  /**
+   * @param aFloors Classes with a floor: the oldest entry of each is kept.
+   * @return The newest entry of the lowest tier; null if none may go.
+   */
+  const QueuedReservation* ShedCandidate(const FloorShare& aFloors) const;
+
+  /** @return Entries that take a place of the common queue limit. */
+  std::size_t SizeWithoutFloors(const FloorShare& aFloors) const;
+
+private:
+  struct Order
+  {
+    TierRank mTier;
+    Timestamp mDue;
+    std::uint64_t mSequence = 0;
+
+    friend bool operator<(const Order& aLeft, const Order& aRight)
+    {
+      return std::tie(aLeft.mTier, aLeft.mDue, aLeft.mSequence) <
+             std::tie(aRight.mTier, aRight.mDue, aRight.mSequence);
+    }
+  };
+
+  static Order OrderOf(const QueuedReservation& aEntry);
+
+  std::map<Order, QueuedReservation> mEntries;
+  std::map<ReservationId, Order> mOrders;
+  std::map<ClassName, std::map<std::uint64_t, Order>> mByClass;
+  std::map<TierRank, std::map<std::uint64_t, Order>> mByTier;
+};
+
+} // namespace medlarkeel
