Add range ownership and the team limiter, first usable form

Each team's limit is cut into slices with one owner each by rendezvous hashing over the platform's list; owners lend tokens to the other entries on short leases.

--- /dev/null
+++ b/src/libmedlarkeel/rangeownership.cpp
@@ -0,0 +1,366 @@
+#include "rangeownership.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarkeel {
+
+namespace {
+
+/** Member sets that are kept to tell since when a range is owned. */
+constexpr std::size_t kHistoryLimit = 32;
+
+std::uint64_t
+HashOf(const std::string& aText)
+{
+  return XXH3_64bits(aText.data(), aText.size());
+}
+
+std::uint64_t
+Weight(std::uint64_t aKey, std::uint64_t aMember)
+{
+  return XXH3_64bits_withSeed(&aKey, sizeof(aKey), aMember);
+}
+
+std::uint64_t
+RegionOf(const RegionSpread& aSpread, std::vector<std::uint64_t> aRegions)
+{
+  std::sort(aRegions.begin(),
+            aRegions.end(),
+            [&](std::uint64_t aLeft, std::uint64_t aRight) {
+              return Weight(aSpread.mGroup, aLeft) >
+                     Weight(aSpread.mGroup, aRight);
+            });
+  return aRegions[aSpread.mIndex % aRegions.size()];
+}
+
+/** Finds the member with the highest weight; ties go to the first id. */
+template<typename Members, typename Predicate>
+auto
+Heaviest(const Members& aMembers, std::uint64_t aKey, Predicate aAccept)
+{
+  auto best = aMembers.end();
+  std::uint64_t bestWeight = 0;
+  for (auto member = aMembers.begin(); member != aMembers.end(); ++member) {
+    if (!aAccept(*member)) {
+      continue;
+    }
+    const std::uint64_t weight = Weight(aKey, member->mHash);
+    if (best == aMembers.end() || weight > bestWeight) {
+      best = member;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+RangeKey
+RangeKeyOf(const std::string& aText)
+{
+  return RangeKey{ HashOf(aText), std::nullopt };
+}
+
+RangeOwnership::RangeOwnership(InstanceId aSelf,
+                               OwnershipSettings aSettings,
+                               OwnershipScope aScope)
+  : mSelf(std::move(aSelf))
+  , mSelfHash(HashOf(mSelf.Text()))
+  , mSettings(aSettings)
+  , mScope(std::move(aScope))
+{
+}
+
+Microseconds
+RangeOwnership::TakeoverWait() const
+{
+  return mSettings.mEvidenceLife + mSettings.mListLag + mSettings.mClockDrift;
+}
+
+std::size_t
+RangeOwnership::MemberCount() const
+{
+  return mHistory.empty() ? 0 : mHistory.back().mLive.size();
+}
+
+Timestamp
+RangeOwnership::EvidenceSentAt() const
+{
+  return mHistory.empty() ? Timestamp::min() : mHistory.back().mLastSentAt;
+}
+
+RangeOwnership::MemberSet
+RangeOwnership::MembersOf(const InstanceList& aList) const
+{
+  MemberSet set;
+  for (const InstanceRecord& record : aList.mInstances) {
+    if (record.mRole != mScope.mRole || record.mPool != mScope.mPool) {
+      continue;
+    }
+    const Member member{ HashOf(record.mId.Text()),
+                         HashOf(record.mRegion.Text()),
+                         record.mId };
+    const bool live = record.mState == InstanceState::Live;
+    (live ? set.mLive : set.mLeaving).push_back(member);
+    if (live) {
+      set.mRegions.push_back(member.mRegion);
+    }
+  }
+  const auto byId = [](const Member& aLeft, const Member& aRight) {
+    return aLeft.mId < aRight.mId;
+  };
+  std::sort(set.mLive.begin(), set.mLive.end(), byId);
+  std::sort(set.mLeaving.begin(), set.mLeaving.end(), byId);
+  std::sort(set.mRegions.begin(), set.mRegions.end());
+  set.mRegions.erase(std::unique(set.mRegions.begin(), set.mRegions.end()),
+                     set.mRegions.end());
+  return set;
+}
+
+void
+RangeOwnership::Observe(const InstanceList& aList,
+                        Timestamp aSentAt,
+                        Timestamp aReceivedAt)
+{
+  if (aList.mRevision < mRevision) {
+    NoteLagBreach(aList.mRevision, aSentAt);
+    return;
+  }
+  const bool adjacent = !mHistory.empty() && aList.mRevision - mRevision <= 1;
+  const bool close = !mHistory.empty() &&
+                     aReceivedAt - EvidenceSentAt() <= mSettings.mEvidenceLife;
+  if (!mHistory.empty() && !adjacent && !close) {
+    BreakChain();
+  }
+  if (mHistory.empty() || aList.mRevision != mRevision) {
+    mRevision = aList.mRevision;
+    mRevisionSeenAt = aReceivedAt;
+    Append(MembersOf(aList), aSentAt, aReceivedAt);
+    return;
+  }
+  ObserveRevision(aList.mRevision, aSentAt);
+}
+
+void
+RangeOwnership::ObserveRevision(std::uint64_t aRevision, Timestamp aSentAt)
+{
+  if (mHistory.empty() || aRevision != mRevision) {
+    return;
+  }
+  Timestamp& last = mHistory.back().mLastSentAt;
+  last = std::max(last, aSentAt);
+}
+
+void
+RangeOwnership::Append(MemberSet&& aSet,
+                       Timestamp aSentAt,
+                       Timestamp aReceivedAt)
+{
+  const auto same = [](const std::vector<Member>& aLeft,
+                       const std::vector<Member>& aRight) {
+    return std::equal(aLeft.begin(),
+                      aLeft.end(),
+                      aRight.begin(),
+                      aRight.end(),
+                      [](const Member& aOne, const Member& aOther) {
+                        return aOne.mId == aOther.mId &&
+                               aOne.mRegion == aOther.mRegion;
+                      });
+  };
+  if (!mHistory.empty() && same(mHistory.back().mLive, aSet.mLive) &&
+      same(mHistory.back().mLeaving, aSet.mLeaving)) {
+    Timestamp& last = mHistory.back().mLastSentAt;
+    last = std::max(last, aSentAt);
+    return;
+  }
+  aSet.mFirstSeen = aReceivedAt;
+  aSet.mLastSentAt = aSentAt;
+  mHistory.push_back(std::move(aSet));
+  if (mHistory.size() > kHistoryLimit) {
+    mHistory.erase(mHistory.begin());
+  }
+  ++mGeneration;
+  DropOldTransfers();
+}
+
+void
+RangeOwnership::BreakChain()
+{
+  mHistory.clear();
+  mTransfers.clear();
+  ++mGeneration;
+  ++mChainBreaks;
+}
+
+void
+RangeOwnership::NoteLagBreach(std::uint64_t aRevision, Timestamp aSentAt)
+{
+  const bool behind = aSentAt - mRevisionSeenAt > mSettings.mListLag;
+  if (aRevision < mRevision && behind) {
+    ++mLagBreaches;
+    BreakChain();
+  }
+}
+
+void
+RangeOwnership::DropOldTransfers()
+{
+  for (auto entry = mTransfers.begin(); entry != mTransfers.end();) {
+    const Transfer& transfer = entry->second;
+    const std::size_t last = mHistory.size() - 1;
+    const bool owned = IsOwner(mHistory.back(), transfer.mKey);
+    const bool replaced =
+      owned && FirstSeen(transfer.mKey, last) > transfer.mAt;
+    entry = replaced ? mTransfers.erase(entry) : std::next(entry);
+  }
+}
+
+bool
+RangeOwnership::IsOwner(const MemberSet& aSet, const RangeKey& aKey) const
+{
+  const std::uint64_t region = aKey.mSpread && aSet.mRegions.size() > 1
+                                 ? RegionOf(*aKey.mSpread, aSet.mRegions)
+                                 : 0;
+  const auto best = Heaviest(aSet.mLive, aKey.mHash, [&](const Member& aOne) {
+    return region == 0 || aOne.mRegion == region;
+  });
+  return best != aSet.mLive.end() && best->mId == mSelf;
+}
+
+std::optional<InstanceId>
+RangeOwnership::Owner(const RangeKey& aKey) const
+{
+  if (mHistory.empty() || mHistory.back().mLive.empty()) {
+    return std::nullopt;
+  }
+  const MemberSet& set = mHistory.back();
+  const std::uint64_t region = aKey.mSpread && set.mRegions.size() > 1
+                                 ? RegionOf(*aKey.mSpread, set.mRegions)
+                                 : 0;
+  const auto best = Heaviest(set.mLive, aKey.mHash, [&](const Member& aOne) {
+    return region == 0 || aOne.mRegion == region;
+  });
+  return best->mId;
+}
+
+std::optional<InstanceId>
+RangeOwnership::PreviousOwner(const RangeKey& aKey) const
+{
+  if (mHistory.empty()) {
+    return std::nullopt;
+  }
+  const MemberSet& set = mHistory.back();
+  std::vector<Member> others = set.mLive;
+  others.insert(others.end(), set.mLeaving.begin(), set.mLeaving.end());
+  const std::uint64_t region = aKey.mSpread && set.mRegions.size() > 1
+                                 ? RegionOf(*aKey.mSpread, set.mRegions)
+                                 : 0;
+  const auto best = Heaviest(others, aKey.mHash, [&](const Member& aOne) {
+    return aOne.mId != mSelf && (region == 0 || aOne.mRegion == region);
+  });
+  return best == others.end() ? std::nullopt
+                              : std::optional<InstanceId>(best->mId);
+}
+
+std::optional<std::size_t>
+RangeOwnership::LatestOwned(const RangeKey& aKey) const
+{
+  for (std::size_t index = mHistory.size(); index > 0; --index) {
+    const MemberSet& set = mHistory[index - 1];
+    const Timestamp until = set.mLastSentAt + mSettings.mEvidenceLife;
+    if (set.mLastSentAt < mEvidenceFloor || until <= EvidenceSentAt()) {
+      return std::nullopt;
+    }
+    if (IsOwner(set, aKey)) {
+      return index - 1;
+    }
+  }
+  return std::nullopt;
+}
+
+Timestamp
+RangeOwnership::FirstSeen(const RangeKey& aKey, std::size_t aLast) const
+{
+  std::size_t first = aLast;
+  while (first > 0 && IsOwner(mHistory[first - 1], aKey)) {
+    --first;
+  }
+  return mHistory[first].mFirstSeen;
+}
+
+std::optional<OwnershipSpan>
+RangeOwnership::Span(const RangeKey& aKey) const
+{
+  const std::optional<std::size_t> last = LatestOwned(aKey);
+  if (!last) {
+    return std::nullopt;
+  }
+  const Timestamp firstSeen = FirstSeen(aKey, *last);
+  OwnershipSpan span;
+  span.mSince = firstSeen + TakeoverWait();
+  const auto transfer = mTransfers.find(aKey.mHash);
+  if (transfer != mTransfers.end() && transfer->second.mAt >= firstSeen) {
+    const Timestamp at = transfer->second.mAt;
+    span.mSince = transfer->second.mAdopted ? at : at + TakeoverWait();
+  }
+  if (*last + 1 < mHistory.size()) {
+    span.mLastUntil = mHistory[*last].mLastSentAt + mSettings.mEvidenceLife;
+  }
+  return span;
+}
+
+std::optional<OwnershipHold>
+RangeOwnership::Hold(const OwnershipSpan& aSpan, Timestamp aNow) const
+{
+  const Timestamp sentAt = EvidenceSentAt();
+  const Timestamp until =
+    aSpan.mLastUntil.value_or(sentAt + mSettings.mEvidenceLife);
+  const bool floored = !aSpan.mLastUntil && sentAt < mEvidenceFloor;
+  if (floored || aNow < aSpan.mSince || aNow >= until) {
+    return std::nullopt;
+  }
+  return OwnershipHold{ aSpan.mSince, until };
+}
+
+std::optional<OwnershipHold>
+RangeOwnership::Hold(const RangeKey& aKey, Timestamp aNow) const
+{
+  const std::optional<OwnershipSpan> span = Span(aKey);
+  return span ? Hold(*span, aNow) : std::nullopt;
+}
+
+std::optional<Timestamp>
+RangeOwnership::ExclusiveSince(const RangeKey& aKey, Timestamp aNow) const
+{
+  const std::optional<OwnershipHold> hold = Hold(aKey, aNow);
+  return hold ? std::optional<Timestamp>(hold->mSince) : std::nullopt;
+}
+
+void
+RangeOwnership::Release(const RangeKey& aKey, Timestamp aNow)
+{
+  mTransfers[aKey.mHash] = Transfer{ aKey, aNow, false };
+}
+
+bool
+RangeOwnership::Adopt(const RangeKey& aKey, Timestamp aNow)
+{
+  if (mHistory.empty() || !IsOwner(mHistory.back(), aKey)) {
+    return false;
+  }
+  mTransfers[aKey.mHash] = Transfer{ aKey, aNow, true };
+  return true;
+}
+
+void
+RangeOwnership::ResumeAfterPause(Timestamp aNow)
+{
+  mEvidenceFloor = aNow;
+  ++mGeneration;
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeel/teamlimiter.cpp
@@ -0,0 +1,489 @@
+#include "teamlimiter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarkeel {
+
+namespace {
+
+constexpr Microseconds kSweepInterval = Milliseconds(500);
+/** Teams that one tick looks through for slices to claim. */
+constexpr std::size_t kTeamsPerScan = 64;
+/** Part of a lease's time before its end at which the rest is returned. */
+constexpr int kReturnDivisor = 4;
+
+RangeKey
+SliceKey(const TeamName& aTeam, std::uint32_t aSlice)
+{
+  const std::string& name = aTeam.Text();
+  RangeKey key = RangeKeyOf(name + '/' + std::to_string(aSlice));
+  key.mSpread = RegionSpread{ RangeKeyOf(name).mHash, aSlice };
+  return key;
+}
+
+} // namespace
+
+TeamLimiter::TeamLimiter(InstanceId aSelf,
+                         TeamLimiterSettings aSettings,
+                         std::uint64_t aSeed)
+  : mSelf(aSelf)
+  , mSettings(aSettings)
+  , mRandom(aSeed)
+  , mOwnership(std::move(aSelf), aSettings.mOwnership, OwnershipScope{})
+{
+}
+
+void
+TeamLimiter::SetTeams(const std::vector<TeamLimit>& aTeams, Timestamp aNow)
+{
+  std::unordered_map<TeamName, const TeamLimit*> wanted;
+  for (const TeamLimit& team : aTeams) {
+    wanted[team.mTeam] = &team;
+  }
+  const auto gone = [&](const TeamState* aTeam) {
+    return wanted.count(aTeam->mName) == 0;
+  };
+  mActiveTeams.erase(
+    std::remove_if(mActiveTeams.begin(), mActiveTeams.end(), gone),
+    mActiveTeams.end());
+  for (auto team = mTeams.begin(); team != mTeams.end();) {
+    team = gone(&team->second) ? mTeams.erase(team) : std::next(team);
+  }
+  for (const auto& [name, team] : wanted) {
+    const SlicedLimit limit(*team, mSettings.mSlices);
+    const auto [entry, isNew] = mTeams.try_emplace(name);
+    TeamState& state = entry->second;
+    if (isNew) {
+      state.mName = name;
+      state.mLimit = limit;
+      state.mPrevious = limit;
+      state.mLimitSince = aNow;
+      state.mRaiseAt = aNow;
+    } else if (!(state.mLimit == limit)) {
+      ChangeLimit(state, limit, aNow);
+    }
+  }
+}
+
+void
+TeamLimiter::ChangeLimit(TeamState& aTeam, SlicedLimit aLimit, Timestamp aNow)
+{
+  ActiveTeam& active = Activate(aTeam, aNow);
+  for (SliceView& view : active.mSlices) {
+    OwnLedger(aTeam, view, aNow);
+  }
+  const bool sameSlices = aTeam.mLimit.ActiveSlices() == aLimit.ActiveSlices();
+  aTeam.mPrevious = aTeam.mLimit;
+  aTeam.mLimit = aLimit;
+  aTeam.mLimitSince = aNow;
+  aTeam.mRaiseAt = sameSlices ? aNow : aNow + mSettings.mDocumentSpread;
+  for (std::uint32_t slice = 0; slice < mSettings.mSlices; ++slice) {
+    std::optional<SliceLedger>& ledger = active.mSlices[slice].mLedger;
+    if (ledger) {
+      ledger->ChangeLimit(aLimit.Slice(slice), aNow, aTeam.mRaiseAt);
+    }
+  }
+}
+
+void
+TeamLimiter::ObserveList(const InstanceList& aList,
+                         Timestamp aSentAt,
+                         Timestamp aReceivedAt)
+{
+  mOwnership.Observe(aList, aSentAt, aReceivedAt);
+}
+
+TeamLimiter::TeamState*
+TeamLimiter::Find(const TeamName& aTeam)
+{
+  const auto found = mTeams.find(aTeam);
+  return found == mTeams.end() ? nullptr : &found->second;
+}
+
+TeamLimiter::ActiveTeam&
+TeamLimiter::Activate(TeamState& aTeam, Timestamp aNow)
+{
+  if (aTeam.mActive) {
+    return *aTeam.mActive;
+  }
+  aTeam.mActive = std::make_unique<ActiveTeam>();
+  mActiveTeams.push_back(&aTeam);
+  for (std::uint32_t slice = 0; slice < mSettings.mSlices; ++slice) {
+    SliceView view;
+    view.mKey = SliceKey(aTeam.mName, slice);
+    view.mRetryAt = aNow;
+    Refresh(view);
+    aTeam.mActive->mSlices.push_back(std::move(view));
+  }
+  return *aTeam.mActive;
+}
+
+void
+TeamLimiter::Refresh(SliceView& aView) const
+{
+  aView.mGeneration = mOwnership.Generation();
+  aView.mOwner = mOwnership.Owner(aView.mKey);
+  aView.mSpan = mOwnership.Span(aView.mKey);
+}
+
+TeamLimiter::SliceView&
+TeamLimiter::View(TeamState& aTeam, std::uint32_t aSlice, Timestamp aNow)
+{
+  SliceView& view = Activate(aTeam, aNow).mSlices[aSlice];
+  if (view.mGeneration != mOwnership.Generation()) {
+    Refresh(view);
+  }
+  return view;
+}
+
+SliceLedger
+TeamLimiter::NewLedger(const TeamState& aTeam,
+                       std::uint32_t aSlice,
+                       Timestamp aSince,
+                       Timestamp aNow) const
+{
+  const SliceLimit limit = aTeam.mLimit.Slice(aSlice);
+  SliceLimit early = limit;
+  if (aNow < aTeam.mRaiseAt) {
+    const SliceLimit before = aTeam.mPrevious.Slice(aSlice);
+    early.mPerSecond = std::min(early.mPerSecond, before.mPerSecond);
+  }
+  SliceLedger ledger(early, std::max(aSince, aTeam.mLimitSince));
+  ledger.ChangeLimit(limit, aNow, aTeam.mRaiseAt);
+  return ledger;
+}
+
+SliceLedger*
+TeamLimiter::OwnLedger(TeamState& aTeam, SliceView& aView, Timestamp aNow)
+{
+  if (aView.mGeneration != mOwnership.Generation()) {
+    Refresh(aView);
+  }
+  if (!aView.mSpan) {
+    return nullptr;
+  }
+  const std::optional<OwnershipHold> hold = mOwnership.Hold(*aView.mSpan, aNow);
+  if (!hold) {
+    return nullptr;
+  }
+  if (!aView.mLedger) {
+    const std::uint32_t slice = aView.mKey.mSpread->mIndex;
+    aView.mLedger = NewLedger(aTeam, slice, hold->mSince, aNow);
+  } else if (hold->mSince > aView.mLedger->SettledAt()) {
+    aView.mLedger->RestartAt(hold->mSince);
+  }
+  aView.mLedger->Settle(aNow);
+  return &*aView.mLedger;
+}
+
+bool
+TeamLimiter::SpendOwn(TeamState& aTeam, Timestamp aNow)
+{
+  for (std::uint32_t slice = 0; slice < aTeam.mLimit.ActiveSlices(); ++slice) {
+    SliceLedger* ledger = OwnLedger(aTeam, View(aTeam, slice, aNow), aNow);
+    if (ledger != nullptr && ledger->TakeOne()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+AdmitVerdict
+TeamLimiter::Admit(const TeamName& aTeam, Timestamp aNow, AdmitAttempt aAttempt)
+{
+  TeamState* team = Find(aTeam);
+  if (team == nullptr) {
+    AdmitVerdict unknown;
+    unknown.mCause = ShortageCause::UnknownTeam;
+    return unknown;
+  }
+  TeamAccount& account = Activate(*team, aNow).mAccount;
+  if (aAttempt == AdmitAttempt::First) {
+    account.RecordArrival(aNow);
+  }
+  if (account.SpendHeld(aNow) || SpendOwn(*team, aNow)) {
+    ++mStatistics.mAdmitted;
+    AdmitVerdict admitted;
+    admitted.mAdmitted = true;
+    return admitted;
+  }
+  return CountRefusal(Shortage(*team, aNow, aAttempt));
+}
+
+AdmitVerdict
+TeamLimiter::CountRefusal(AdmitVerdict aVerdict)
+{
+  if (aVerdict.mAskPending) {
+    return aVerdict;
+  }
+  const bool byRate = aVerdict.mCause == ShortageCause::TeamRate;
+  ++(byRate ? mStatistics.mRefusedByRate : mStatistics.mRefusedByShortage);
+  return aVerdict;
+}
+
+bool
+TeamLimiter::MayAsk(const ActiveTeam& aTeam,
+                    std::uint32_t aSlice,
+                    Timestamp aNow) const
+{
+  const SliceView& view = aTeam.mSlices[aSlice];
+  const bool remote = view.mOwner && *view.mOwner != mSelf;
+  return remote && view.mRetryAt <= aNow && !aTeam.mAccount.HasAskAt(aSlice);
+}
+
+AdmitVerdict
+TeamLimiter::Shortage(TeamState& aTeam, Timestamp aNow, AdmitAttempt aAttempt)
+{
+  Timestamp due = aNow + mSettings.mLongestRetry;
+  bool askable = false;
+  bool outOfReach = false;
+  for (std::uint32_t slice = 0; slice < aTeam.mLimit.ActiveSlices(); ++slice) {
+    SliceView& view = View(aTeam, slice, aNow);
+    const SliceLedger* own = OwnLedger(aTeam, view, aNow);
+    if (own != nullptr) {
+      due = std::min(due, own->NextTokenAt());
+    } else if (MayAsk(*aTeam.mActive, slice, aNow)) {
+      askable = true;
+    } else if (view.mOwner == mSelf || !view.mOwner || view.mSilent) {
+      outOfReach = true;
+    } else if (view.mRetryAt > aNow) {
+      due = std::min(due, view.mRetryAt);
+    }
+  }
+  TeamAccount& account = aTeam.mActive->mAccount;
+  if (askable && aAttempt == AdmitAttempt::First) {
+    account.Want(aTeam.mLimit.Burst());
+  }
+  AdmitVerdict verdict;
+  verdict.mAskPending = account.HasAsk() || account.Wanted() > 0;
+  const bool local = verdict.mAskPending || outOfReach;
+  verdict.mCause =
+    local ? ShortageCause::LocalShortage : ShortageCause::TeamRate;
+  verdict.mRetryAfter = std::max(due - aNow, Microseconds(Milliseconds(1)));
+  return verdict;
+}
+
+LimitMessage
+TeamLimiter::NewMessage(const InstanceId& aTo,
+                        LimitMessageKind aKind,
+                        const TeamState& aTeam,
+                        std::uint32_t aSlice)
+{
+  LimitMessage message;
+  message.mFrom = mSelf;
+  message.mTo = aTo;
+  message.mKind = aKind;
+  message.mTeam = aTeam.mName;
+  message.mSlice = aSlice;
+  return message;
+}
+
+void
+TeamLimiter::SendAsk(TeamState& aTeam, Timestamp aNow, Messages& aOut)
+{
+  TeamAccount& account = aTeam.mActive->mAccount;
+  const MicroTokens extra =
+    account.HasLease() && !account.HasAsk() ? account.Prefetch(aNow) : 0;
+  const MicroTokens wanted = account.Wanted();
+  if (wanted + extra < kWholeToken) {
+    return;
+  }
+  const std::uint32_t active = aTeam.mLimit.ActiveSlices();
+  const auto first = static_cast<std::uint32_t>(mRandom() % active);
+  for (std::uint32_t step = 0; step < active; ++step) {
+    const std::uint32_t slice = (first + step) % active;
+    const SliceView& view = View(aTeam, slice, aNow);
+    if (!MayAsk(*aTeam.mActive, slice, aNow)) {
+      continue;
+    }
+    LimitMessage ask =
+      NewMessage(*view.mOwner, LimitMessageKind::Ask, aTeam, slice);
+    ask.mTransferId = mRandom();
+    ask.mTokens = wanted + extra;
+    ask.mShare = wanted;
+    account.AddAsk(PendingAsk{ ask.mTransferId, slice, wanted, aNow });
+    aOut.push_back(std::move(ask));
+    return;
+  }
+  account.GiveUp();
+}
+
+void
+TeamLimiter::SendClaim(TeamState& aTeam,
+                       std::uint32_t aSlice,
+                       Timestamp aNow,
+                       Messages& aOut)
+{
+  SliceView& view = View(aTeam, aSlice, aNow);
+  const bool recent = view.mClaimSentAt != Timestamp::min() &&
+                      aNow - view.mClaimSentAt < mSettings.mSilentBackoff;
+  if (view.mOwner != mSelf || recent || OwnLedger(aTeam, view, aNow)) {
+    return;
+  }
+  const std::optional<InstanceId> previous =
+    mOwnership.PreviousOwner(view.mKey);
+  if (!previous) {
+    return;
+  }
+  LimitMessage claim =
+    NewMessage(*previous, LimitMessageKind::Claim, aTeam, aSlice);
+  claim.mTransferId = mRandom();
+  view.mClaimId = claim.mTransferId;
+  view.mClaimSentAt = aNow;
+  aOut.push_back(std::move(claim));
+}
+
+std::vector<LimitMessage>
+TeamLimiter::Tick(Timestamp aNow)
+{
+  Messages out;
+  ScanForClaims(aNow, out);
+  for (std::size_t index = 0; index < mActiveTeams.size(); ++index) {
+    TickTeam(*mActiveTeams[index], aNow, out);
+  }
+  if (aNow - mSweptAt < kSweepInterval) {
+    return out;
+  }
+  mSweptAt = aNow;
+  const auto idle = [&](TeamState* aTeam) {
+    if (!IsIdle(*aTeam, aNow)) {
+      return false;
+    }
+    aTeam->mActive.reset();
+    return true;
+  };
+  mActiveTeams.erase(
+    std::remove_if(mActiveTeams.begin(), mActiveTeams.end(), idle),
+    mActiveTeams.end());
+  return out;
+}
+
+void
+TeamLimiter::TickTeam(TeamState& aTeam, Timestamp aNow, Messages& aOut)
+{
+  CloseLateAsks(aTeam, aNow);
+  ReturnLeases(aTeam, aNow, aOut);
+  SendAsk(aTeam, aNow, aOut);
+}
+
+void
+TeamLimiter::CloseLateAsks(TeamState& aTeam, Timestamp aNow)
+{
+  TeamAccount& account = aTeam.mActive->mAccount;
+  const Timestamp limit = aNow - mSettings.mAskTimeout;
+  for (const PendingAsk& ask : account.CloseAsksBefore(limit)) {
+    SliceView& view = View(aTeam, ask.mSlice, aNow);
+    view.mRetryAt = aNow + mSettings.mSilentBackoff;
+    view.mSilent = true;
+    account.WantAgain(ask.mWaiting);
+    ++mStatistics.mAskTimeouts;
+  }
+}
+
+void
+TeamLimiter::ReturnLeases(TeamState& aTeam, Timestamp aNow, Messages& aOut)
+{
+  TeamAccount& account = aTeam.mActive->mAccount;
+  const Timestamp limit = aNow + mSettings.mLease / kReturnDivisor;
+  for (const HeldLease& lease : account.DropLeasesBefore(limit)) {
+    if (lease.mExpiresAt <= aNow) {
+      continue;
+    }
+    LimitMessage message =
+      NewMessage(lease.mOwner, LimitMessageKind::Return, aTeam, lease.mSlice);
+    message.mTransferId = lease.mId;
+    message.mTokens = lease.mTokens;
+    aOut.push_back(std::move(message));
+  }
+}
+
+void
+TeamLimiter::ScanForClaims(Timestamp aNow, Messages& aOut)
+{
+  if (mScannedGeneration != mOwnership.Generation()) {
+    mScannedGeneration = mOwnership.Generation();
+    mClaimScan.clear();
+    for (const auto& [name, team] : mTeams) {
+      mClaimScan.push_back(name);
+    }
+  }
+  for (std::size_t count = 0; count < kTeamsPerScan && !mClaimScan.empty();
+       ++count) {
+    TeamState* team = Find(mClaimScan.back());
+    mClaimScan.pop_back();
+    if (team == nullptr) {
+      continue;
+    }
+    const std::uint32_t active = team->mLimit.ActiveSlices();
+    for (std::uint32_t slice = 0; slice < active; ++slice) {
+      const RangeKey key = SliceKey(team->mName, slice);
+      if (mOwnership.Owner(key) == mSelf && !mOwnership.Hold(key, aNow)) {
+        SendClaim(*team, slice, aNow, aOut);
+      }
+    }
+  }
+}
+
+bool
+TeamLimiter::IsIdle(TeamState& aTeam, Timestamp aNow)
+{
+  ActiveTeam& active = *aTeam.mActive;
+  const bool used = aNow - active.mAccount.LastUsed() < mSettings.mIdleAfter ||
+                    active.mAccount.HasAsk() || active.mAccount.HasLease();
+  if (used) {
+    return false;
+  }
+  for (SliceView& view : active.mSlices) {
+    const bool claiming =
+      view.mClaimId != 0 && aNow - view.mClaimSentAt < mSettings.mSilentBackoff;
+    const SliceLedger* own = OwnLedger(aTeam, view, aNow);
+    const bool mayReturn = own == nullptr && view.mLedger && view.mSpan;
+    if (claiming || mayReturn || (own != nullptr && !own->IsFull())) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+TeamLimiter::ResumeAfterPause(Timestamp aNow)
+{
+  mOwnership.ResumeAfterPause(aNow);
+  for (TeamState* team : mActiveTeams) {
+    team->mActive->mAccount.ForgetAsks();
+    for (SliceView& view : team->mActive->mSlices) {
+      view.mClaimId = 0;
+    }
+  }
+}
+
+std::size_t
+TeamLimiter::OwnedSlices(const TeamName& aTeam, Timestamp aNow)
+{
+  TeamState* team = Find(aTeam);
+  if (team == nullptr) {
+    return 0;
+  }
+  std::size_t count = 0;
+  for (std::uint32_t slice = 0; slice < team->mLimit.ActiveSlices(); ++slice) {
+    SliceView& view = View(*team, slice, aNow);
+    count += OwnLedger(*team, view, aNow) != nullptr ? 1 : 0;
+  }
+  return count;
+}
+
+TeamLimiterStatistics
+TeamLimiter::Statistics() const
+{
+  TeamLimiterStatistics statistics = mStatistics;
+  statistics.mActiveTeams = mActiveTeams.size();
+  for (const TeamState* team : mActiveTeams) {
+    for (const SliceView& view : team->mActive->mSlices) {
+      statistics.mLedgers += view.mLedger ? 1 : 0;
+    }
+  }
+  return statistics;
+}
+
+} // namespace medlarkeel
