--- a/src/libmedlarkeel/refusal.cpp
+++ b/src/libmedlarkeel/refusal.cpp
@@ -64,6 +64,29 @@
   return "unknown";
 }
 
+std::optional<RefusalReason>
+ReasonFromCode(std::string_view aCode)
+{
+  for (const ReasonRow& row : kReasons) {
+    if (aCode == row.mCode) {
+      return row.mReason;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Executed>
+ExecutedFromText(std::string_view aText)
+{
+  for (const Executed value :
+       { Executed::No, Executed::Yes, Executed::Unknown }) {
+    if (aText == ExecutedText(value)) {
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
 int
 HttpStatus(RefusalReason aReason)
 {
--- a/src/libmedlarkeel/refusal.h
+++ b/src/libmedlarkeel/refusal.h
@@ -2,7 +2,9 @@
 
 #include "types.h"
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace medlarkeel {
 
@@ -55,6 +57,14 @@
 const char*
 ExecutedText(Executed aExecuted);
 
+/** @return The reason with the given code, if there is one. */
+std::optional<RefusalReason>
+ReasonFromCode(std::string_view aCode);
+
+/** @return The value with the given text, if there is one. */
+std::optional<Executed>
+ExecutedFromText(std::string_view aText);
+
 /** @return The HTTP status that goes with the reason. */
 int
 HttpStatus(RefusalReason aReason);
--- /dev/null
+++ b/src/medlarkeeld/agentservice.cpp
@@ -0,0 +1,27 @@
+#include "agentservice.h"
+
+#include "agentsession.h"
+
+#include <utility>
+
+namespace medlarkeel {
+
+AgentService::AgentService(AgentCore& aCore,
+                           RunCounter& aRuns,
+                           BackendAccess aBackend)
+  : mCore(aCore)
+  , mRuns(aRuns)
+  , mBackend(std::move(aBackend))
+{
+}
+
+grpc::Status
+AgentService::Serve(
+  grpc::ServerContext* aContext,
+  grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>* aStream)
+{
+  AgentSession session(mCore, mRuns, mBackend, *aContext, *aStream);
+  return session.Run();
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/medlarkeeld/agentsession.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "agentservice.h"
+#include "runmailbox.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace medlarkeel {
+
+/** One entry's stream from its reservation to the last frame. */
+class AgentSession
+{
+public:
+  using Stream =
+    grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>;
+
+  AgentSession(AgentCore& aCore,
+               RunCounter& aRuns,
+               const BackendAccess& aBackend,
+               grpc::ServerContext& aContext,
+               Stream& aStream);
+
+  /** Serves the stream to its end. */
+  grpc::Status Run();
+
+private:
+  bool ReadReserve();
+  void Reserve();
+  std::optional<RunGranted> AwaitGrant();
+  std::optional<wire::Commit> ReadCommit(const RunGranted& aGrant);
+  void Execute(const RunGranted& aGrant, const wire::Commit& aCommit);
+  CommittedWork WorkOf(const RunGranted& aGrant,
+                       const wire::Commit& aCommit) const;
+  void Relay(BackendRun& aRun);
+
+  std::optional<RunMessage> NextMessage();
+  bool Send(const RunMessage& aMessage);
+  bool SendRefusal(const Refusal& aRefusal);
+  bool SendChunk(const std::string& aBytes);
+  bool Write(wire::AgentFrame& aFrame);
+
+  AgentCore& mCore;
+  RunCounter& mRuns;
+  const BackendAccess& mBackend;
+  grpc::ServerContext& mContext;
+  Stream& mStream;
+  wire::Reserve mReserve;
+  std::shared_ptr<RunMailbox> mMailbox;
+  ReservationId mReservation;
+  std::uint64_t mOffset = 0;
+};
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/medlarkeeld/backendrun.cpp
@@ -0,0 +1,170 @@
+#include "backendrun.h"
+
+#include <thread>
+#include <utility>
+
+namespace medlarkeel {
+
+namespace {
+
+constexpr int kFirstServerError = 500;
+constexpr Milliseconds kRetryAfterFailure{ 500 };
+
+} // namespace
+
+void
+RunCounter::Add()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  ++mCount;
+}
+
+void
+RunCounter::Remove()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  --mCount;
+  if (mCount == 0) {
+    mIdle.notify_all();
+  }
+}
+
+bool
+RunCounter::WaitUntilIdle(Milliseconds aPatience)
+{
+  std::unique_lock<std::mutex> lock(mMutex);
+  return mIdle.wait_for(lock, aPatience, [this] { return mCount == 0; });
+}
+
+std::size_t
+RunCounter::Count()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mCount;
+}
+
+std::shared_ptr<BackendRun>
+BackendRun::Start(AgentCore& aCore,
+                  RunCounter& aCounter,
+                  const std::string& aBaseUrl,
+                  CommittedWork aWork,
+                  std::shared_ptr<RunMailbox> aMailbox,
+                  OutcomeRecorder aRecorder)
+{
+  std::shared_ptr<BackendRun> run(new BackendRun(
+    aCore, std::move(aWork), std::move(aMailbox), std::move(aRecorder)));
+  aCounter.Add();
+  std::thread([run, aBaseUrl, &aCounter] {
+    run->Execute(aBaseUrl);
+    aCounter.Remove();
+  }).detach();
+  return run;
+}
+
+BackendRun::BackendRun(AgentCore& aCore,
+                       CommittedWork aWork,
+                       std::shared_ptr<RunMailbox> aMailbox,
+                       OutcomeRecorder aRecorder)
+  : mCore(aCore)
+  , mWork(std::move(aWork))
+  , mMailbox(std::move(aMailbox))
+  , mRecorder(std::move(aRecorder))
+{
+}
+
+void
+BackendRun::Abort()
+{
+  if (mWork.mRepeatable) {
+    mAborted = true;
+  }
+}
+
+void
+BackendRun::Execute(const std::string& aBaseUrl)
+{
+  const auto shouldStop = [this] { return mAborted.load(); };
+  Conclude(CallBackend(aBaseUrl, mWork.mRequest, shouldStop, *this));
+}
+
+void
+BackendRun::Conclude(CallEnd aEnd)
+{
+  mOutcome.mEnd = aEnd;
+  mRecorder(mOutcome);
+  mCore.Finish(mWork.mReservation, mWork.mGrant, KindOf(aEnd));
+  if (aEnd == CallEnd::Complete) {
+    mMailbox->Post(RunDone{});
+  } else {
+    mMailbox->Post(RunRefused{ RefusalFor(aEnd) });
+  }
+}
+
+FinishKind
+BackendRun::KindOf(CallEnd aEnd) const
+{
+  if (aEnd == CallEnd::Stopped) {
+    return FinishKind::Cancelled;
+  }
+  const bool answered = aEnd == CallEnd::Complete;
+  return answered && mOutcome.mStatus < kFirstServerError
+           ? FinishKind::Succeeded
+           : FinishKind::Failed;
+}
+
+Refusal
+BackendRun::RefusalFor(CallEnd aEnd) const
+{
+  Refusal refusal;
+  refusal.mReason = aEnd == CallEnd::Stopped ? RefusalReason::Cancelled
+                                             : RefusalReason::BackendFailed;
+  refusal.mExecuted =
+    aEnd == CallEnd::NotRun ? Executed::No : Executed::Unknown;
+  refusal.mRetryAfter = kRetryAfterFailure;
+  refusal.mDetail = aEnd == CallEnd::NotRun
+                      ? "the backend server could not be reached"
+                      : "the backend server's answer broke off";
+  return refusal;
+}
+
+void
+BackendRun::CallAnswered(int aStatus, const std::string& aContentType)
+{
+  mOutcome.mStatus = aStatus;
+  mOutcome.mContentType = aContentType;
+  mMailbox->Post(RunHead{ aStatus, aContentType, false });
+}
+
+bool
+BackendRun::DataArrived(std::string_view aBytes)
+{
+  if (mWork.mKind == PoolKind::Model) {
+    CountTokens(aBytes);
+  }
+  if (!mWork.mRepeatable) {
+    mOutcome.mBody.append(aBytes);
+  }
+  mMailbox->Post(RunData{ std::string(aBytes) });
+  return !mAborted;
+}
+
+void
+BackendRun::CountTokens(std::string_view aBytes)
+{
+  if (!mFirstSeen) {
+    mFirstSeen = true;
+    mCore.RecordFirstToken(mWork.mGrant);
+  }
+  std::uint32_t events = 0;
+  for (const char byte : aBytes) {
+    if (byte == '\n' && mLastByte == '\n') {
+      ++events;
+    }
+    mLastByte = byte;
+  }
+  if (events > 0) {
+    mCore.RecordTokens(mWork.mGrant, events);
+  }
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/medlarkeeld/backendrun.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "agentcore.h"
+#include "backendcall.h"
+#include "runmailbox.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace medlarkeel {
+
+/** Work that an agent has committed to its backend server. */
+struct CommittedWork
+{
+  ReservationId mReservation;
+  GrantId mGrant;
+  PoolKind mKind = PoolKind::Model;
+  bool mRepeatable = true;
+  BackendRequest mRequest;
+};
+
+/** Counts the runs of an agent, so that a shutdown can wait for them. */
+class RunCounter
+{
+public:
+  void Add();
+  void Remove();
+
+  /** @return Whether no run was left within the time. */
+  bool WaitUntilIdle(Milliseconds aPatience);
+
+  std::size_t Count();
+
+private:
+  std::mutex mMutex;
+  std::condition_variable mIdle;
+  std::size_t mCount = 0;
+};
+
+/** What a run leaves for later repeats of the same call. */
+struct RunOutcome
+{
+  CallEnd mEnd = CallEnd::NotRun;
+  int mStatus = 0;
+  std::string mContentType;
+  /** Whole body; kept only for work that may not be repeated. */
+  std::string mBody;
+};
+
+/**
+ * One call to the backend server on a thread of its own. The stream that
+ * asked for it may vanish; work that may not be repeated goes on.
+ */
+class BackendRun : private BackendCallObserver
+{
+public:
+  using OutcomeRecorder = std::function<void(const RunOutcome&)>;
+
+  /**
+   * Starts the call.
+   *
+   * @param aRecorder Told of the outcome before the mailbox is.
+   */
+  static std::shared_ptr<BackendRun> Start(
+    AgentCore& aCore,
+    RunCounter& aCounter,
+    const std::string& aBaseUrl,
+    CommittedWork aWork,
+    std::shared_ptr<RunMailbox> aMailbox,
+    OutcomeRecorder aRecorder);
+
+  /** Asks the run to end, unless its work may not be repeated. */
+  void Abort();
+
+private:
+  BackendRun(AgentCore& aCore,
+             CommittedWork aWork,
+             std::shared_ptr<RunMailbox> aMailbox,
+             OutcomeRecorder aRecorder);
+
+  void Execute(const std::string& aBaseUrl);
+  void Conclude(CallEnd aEnd);
+  FinishKind KindOf(CallEnd aEnd) const;
+  Refusal RefusalFor(CallEnd aEnd) const;
+
+  void CallAnswered(int aStatus, const std::string& aContentType) override;
+  bool DataArrived(std::string_view aBytes) override;
+  void CountTokens(std::string_view aBytes);
+
+  AgentCore& mCore;
+  const CommittedWork mWork;
+  std::shared_ptr<RunMailbox> mMailbox;
+  OutcomeRecorder mRecorder;
+  std::atomic<bool> mAborted{ false };
+  RunOutcome mOutcome;
+  bool mFirstSeen = false;
+  char mLastByte = '\0';
+};
+
+} // namespace medlarkeel
