--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -154,7 +154,9 @@
     static_cast<void>(curl_slist_append(result.get(), "Content-Type:"));
   }
   for (const auto& [name, value] : aHeaders) {
-    const std::string line = value.empty() ? name + ";" : name + ": " + value;
+    std::string line = name;
+    line += value.empty() ? ";" : ": ";
+    line += value;
     static_cast<void>(curl_slist_append(result.get(), line.c_str()));
   }
   return result;
--- a/src/libmedlarkeelnet/httpserver.cpp
+++ b/src/libmedlarkeelnet/httpserver.cpp
@@ -144,9 +144,13 @@
     u_map_put(aTarget.map_header, name.c_str(), value.c_str());
   }
   const auto status = static_cast<unsigned>(aSource.mStatus);
+  aTarget.status = aSource.mStatus;
   if (aSource.mStream == nullptr) {
-    ulfius_set_binary_body_response(
-      &aTarget, status, aSource.mBody.data(), aSource.mBody.size());
+    // ulfius would drop the status of an empty body.
+    if (!aSource.mBody.empty()) {
+      ulfius_set_binary_body_response(
+        &aTarget, status, aSource.mBody.data(), aSource.mBody.size());
+    }
     return;
   }
   auto stream = std::make_unique<OutgoingStream>();
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -162,6 +162,22 @@
              "PUT /s/bookings/confirm 7 " + std::string("a\0b", 3));
 }
 
+BOOST_AUTO_TEST_CASE(KeepsStatusOfEmptyResponse)
+{
+  const auto server = StartServer([](const HttpRequest& aRequest) {
+    HttpResponse response;
+    response.mStatus = std::stoi(aRequest.mPath.substr(1));
+    return response;
+  });
+  for (const int status : { 200, 204, 304, 404, 503 }) {
+    const auto reply =
+      SendHttp(CallTo(server->Port(), "/" + std::to_string(status)));
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply.value().mStatus == status);
+    BOOST_TEST(reply.value().mBody.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RefusesOversizedRequestsAndReplies)
 {
   const auto server = StartServer(
@@ -276,6 +292,7 @@
   const auto server = StartServer(StreamingHandler(script, destroyed));
   std::atomic<int> whole{ 0 };
   std::vector<std::thread> callers;
+  callers.reserve(kStreams);
   for (int number = 0; number < kStreams; ++number) {
     callers.emplace_back([&] {
       HttpCall call = CallTo(server->Port(), "/");
