--- a/src/medlarkeeld/admittedrequest.h
+++ b/src/medlarkeeld/admittedrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "environmentdocument.h"
+#include "keyring.h"
 #include "types.h"
 
 #include <cstdint>
@@ -15,9 +16,8 @@
 struct AdmittedRequest
 {
   RequestId mId;
-  /** Empty on a route open to callers without a key. */
-  TeamName mTeam;
-  KeyId mKey;
+  /** Absent on a route open to callers without a key. */
+  std::optional<Authenticated> mCaller;
   Route mRoute;
   ServiceClass mClass;
   PoolKind mPoolKind = PoolKind::Model;
@@ -36,6 +36,9 @@
   std::string mContentType;
   std::string mBody;
   std::function<bool()> mCallerLeft;
+
+  /** @return The team under which the request is metered and counted. */
+  TeamName Team() const;
 };
 
 } // namespace medlarkeel
--- /dev/null
+++ b/src/medlarkeeld/entrycore.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "admittedrequest.h"
+#include "documentview.h"
+#include "fleetview.h"
+#include "instancelist.h"
+#include "rangeownership.h"
+#include "refusal.h"
+#include "replicachooser.h"
+#include "retrybudget.h"
+#include "settings.h"
+#include "types.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace medlarkeel {
+
+/** The agent for the next attempt, or why there is none. */
+struct AgentChoice
+{
+  std::optional<InstanceId> mAgent;
+  std::string mAddress;
+  /** What to answer when no attempt can be made. */
+  Refusal mRefusal;
+};
+
+/** How a request ended. */
+struct RequestOutcome
+{
+  bool mServed = false;
+  bool mAborted = false;
+  Refusal mRefusal;
+  Timestamp mEndedAt;
+  std::optional<Timestamp> mFirstByteAt;
+  std::uint64_t mTokens = 0;
+  int mStatus = 0;
+};
+
+/**
+ * The decisions of one entry behind one mutex: which agent gets a request and
+ * whether a request may go on.
+ */
+class EntryCore
+{
+public:
+  EntryCore(const Settings& aSettings, std::uint64_t aSeed);
+
+  void ApplyDocument(DocumentViewPtr aView);
+  void ApplyList(const InstanceList& aList,
+                 Timestamp aSentAt,
+                 Timestamp aReceivedAt);
+  void ResumeAfterPause();
+
+  /** @return The document in force; null before the first. */
+  DocumentViewPtr View();
+
+  /** Chooses the agent for an attempt; logs what was considered. */
+  AgentChoice ChooseAgent(const AdmittedRequest& aRequest,
+                          const ChoiceRequest& aNeeds);
+
+  /** @return Why the request must not be committed, if so. */
+  std::optional<RefusalReason> ReasonToStop(const AdmittedRequest& aRequest);
+
+  /** @return Why a running request must be cut, if so. */
+  std::optional<RefusalReason> ReasonToCut(const AdmittedRequest& aRequest);
+
+  void RecordSent(const InstanceId& aAgent);
+  void RecordContact(const InstanceId& aAgent, const LoadSnapshot& aLoad);
+  void RecordFirstToken(const ChoiceRequest& aNeeds,
+                        const InstanceId& aAgent,
+                        Microseconds aWait,
+                        Microseconds aPrefill);
+  void RecordFinished(const InstanceId& aAgent, Microseconds aDuration);
+  void RecordFailed(const InstanceId& aAgent);
+  void RecordSilence(const InstanceId& aAgent);
+  void RecordWithdrawn(const InstanceId& aAgent);
+  void RecordDroppedFrame();
+  void RecordOutcome(const AdmittedRequest& aRequest,
+                     const RequestOutcome& aOutcome);
+
+  /** @return Agents that are due for a probe. */
+  std::vector<InstanceRecord> TakeDueProbes();
+
+  RetryBudget& ReservationBudget() { return mReservationBudget; }
+  RetryBudget& RestartBudget() { return mRestartBudget; }
+  /** Guards both budgets. */
+  std::mutex& BudgetMutex() { return mBudgetMutex; }
+
+private:
+  using Lock = std::lock_guard<std::mutex>;
+
+  AgentChoice ChooseOwner(const AdmittedRequest& aRequest);
+  AgentChoice ChooseReplica(const ChoiceRequest& aNeeds);
+
+  const Settings mSettings;
+  std::mutex mMutex;
+  DocumentViewPtr mView;
+  FleetView mFleet;
+  ReplicaChooser mChooser;
+  /** Owners of idempotency keys, by pool. */
+  std::map<PoolName, RangeOwnership> mOwners;
+  std::mutex mBudgetMutex;
+  RetryBudget mReservationBudget;
+  RetryBudget mRestartBudget;
+  std::atomic<std::uint64_t> mDroppedFrames{ 0 };
+};
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/medlarkeeld/requestadmission.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "admittedrequest.h"
+#include "documentview.h"
+#include "httpmessage.h"
+#include "refusal.h"
+#include "teamgate.h"
+
+#include <boost/outcome.hpp>
+
+namespace medlarkeel {
+
+using AdmissionResult = BOOST_OUTCOME_V2_NAMESPACE::
+  result<AdmittedRequest, Refusal, BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+
+/**
+ * Decides whether a caller's request enters: key, route, class and the team's
+ * rate, in this order.
+ *
+ * @param aRequest The request as it came; its key goes no further.
+ * @param aId The request's id.
+ * @param aView The document in force.
+ * @param aGate Meters the team.
+ */
+AdmissionResult
+AdmitRequest(const HttpRequest& aRequest,
+             const RequestId& aId,
+             const DocumentView& aView,
+             TeamGate& aGate);
+
+/** @return A new request id. */
+RequestId
+NewRequestId();
+
+} // namespace medlarkeel
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -199,8 +199,10 @@
   wire::Reserve reserve;
   reserve.set_request_id(mRequest.mId.Text());
   reserve.set_attempt(aAttempt);
-  reserve.set_team(mRequest.mTeam.Text());
-  reserve.set_key_id(mRequest.mKey.Text());
+  reserve.set_team(mRequest.Team().Text());
+  if (mRequest.mCaller) {
+    reserve.set_key_id(mRequest.mCaller->mKeyId.Text());
+  }
   reserve.set_class_name(mRequest.mClass.mName.Text());
   reserve.set_pool(mRequest.mRoute.mPool.Text());
   reserve.set_repeatable(mRequest.mRoute.mRepeatable);
