--- a/tests/core/attemptharness.h
+++ b/tests/core/attemptharness.h
@@ -156,10 +156,18 @@
     return rules;
   }
 
-  /** Mostly in order; sometimes any pending event overtakes. */
+  /** The next of any attempt; sometimes one that overtakes it. */
   std::size_t NextIndex()
   {
-    return mScript.OneIn(6) ? mScript.Below(mPending.size()) : 0;
+    const std::size_t drawn = mScript.Below(mPending.size());
+    if (mScript.OneIn(6)) {
+      return drawn;
+    }
+    const auto first =
+      std::find_if(mPending.begin(), mPending.end(), [&](const Event& aEvent) {
+        return aEvent.mAttempt == mPending[drawn].mAttempt;
+      });
+    return static_cast<std::size_t>(first - mPending.begin());
   }
 
   void Push(Kind aKind,
--- a/tests/core/test_attempttracker.cpp
+++ b/tests/core/test_attempttracker.cpp
@@ -194,6 +194,17 @@
   BOOST_TEST((refuse->mRefusal.mExecuted == Executed::Unknown));
 }
 
+BOOST_AUTO_TEST_CASE(ANotRunAfterTheAnswerBeganIsNotBelieved)
+{
+  Subject subject(false);
+  subject.CommitFirst();
+  subject.mTracker.OnHead(1, 200);
+  const auto actions = subject.mTracker.OnRefused(1, Refusal{}, kStart);
+  const auto* abort = FindAction<AbortAnswer>(actions);
+  BOOST_REQUIRE(abort != nullptr);
+  BOOST_TEST((abort->mRefusal.mExecuted == Executed::Unknown));
+}
+
 BOOST_AUTO_TEST_CASE(TheDeadlineSaysNotRunOnlyBeforeCommit)
 {
   Subject waiting(false);
