--- a/src/libmedlarkeel/documentparser.cpp
+++ b/src/libmedlarkeel/documentparser.cpp
@@ -92,7 +92,8 @@
 IsPath(std::string_view aText)
 {
   if (aText.empty() || aText.front() != '/' ||
-      aText.size() > kMaximumPathLength) {
+      aText.size() > kMaximumPathLength ||
+      (aText.size() > 1 && aText.back() == '/')) {
     return false;
   }
   const std::size_t star = aText.find('*');
@@ -116,7 +117,8 @@
                              IsVersion };
 const TextRule kMethodRule{ "GET, POST, PUT, PATCH or DELETE", IsMethod };
 const TextRule kPathRule{
-  "a path that begins with a slash, without query, escapes or dot segments, "
+  "a path that begins with a slash, without query, escapes, dot segments or a "
+  "slash at the end, "
   "and with a star only as its last segment",
   IsPath
 };
