Keep the server's own time out of the HTTP idle timeout

libmicrohttpd counts the time that a handler or a stream blocks as idleness of the connection and closes it when the response comes: with an idle timeout of 1 s, a handler that took 1.5 s gave the caller no reply at all (the new test failed so). The timeout is now suspended while the server itself works and starts anew afterwards, so that it still drops a caller that stops reading. Exceptions of a handler give a 500 whose outcome is unknown; those of a stream end the connection abnormally.

--- a/src/libmedlarkeelnet/httpserver.cpp
+++ b/src/libmedlarkeelnet/httpserver.cpp
@@ -1,11 +1,14 @@
 #include "httpserver.h"
 
+#include "refusal.h"
+
 #include <ulfius.h>
 
 #include <arpa/inet.h>
 #include <atomic>
 #include <cerrno>
 #include <cstring>
+#include <exception>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,10 +23,39 @@
 constexpr unsigned kListenBacklog = 1024;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kInternalError = 500;
 constexpr int kVersionNotSupported = 505;
 
-/** Descriptor of the connection that the present thread serves. */
-thread_local int sConnectionDescriptor = -1;
+/** The connection that a thread serves. */
+struct ServedConnection
+{
+  MHD_Connection* mHandle = nullptr;
+  int mDescriptor = -1;
+  unsigned mIdleTimeout = 0; // seconds
+};
+
+thread_local ServedConnection sConnection;
+
+/**
+ * Suspends the connection's idle timeout, which would otherwise count the time
+ * that the server itself takes, and close the connection as soon as the
+ * response is there. Afterwards it counts from anew.
+ */
+class BlockingSection
+{
+public:
+  BlockingSection() { SetTimeout(0); }
+  ~BlockingSection() { SetTimeout(sConnection.mIdleTimeout); }
+  BlockingSection(const BlockingSection&) = delete;
+  BlockingSection& operator=(const BlockingSection&) = delete;
+
+private:
+  static void SetTimeout(unsigned aSeconds)
+  {
+    MHD_set_connection_option(
+      sConnection.mHandle, MHD_CONNECTION_OPTION_TIMEOUT, aSeconds);
+  }
+};
 
 /** A streamed body on its way to the caller. */
 struct OutgoingStream
@@ -53,13 +85,25 @@
   return static_cast<ssize_t>(count);
 }
 
+/** @return The next piece; Failed if the source throws. */
+Piece
+NextPiece(BodySource& aSource)
+{
+  const BlockingSection section;
+  try {
+    return aSource.Next();
+  } catch (const std::exception&) {
+    return { PieceKind::Failed, "" };
+  }
+}
+
 /** Stream callback of ulfius; blocks until there is something to send. */
 ssize_t
 FillBlock(void* aStream, std::uint64_t, char* aTarget, std::size_t aLimit)
 {
   auto& stream = *static_cast<OutgoingStream*>(aStream);
   while (stream.mOffset == stream.mPending.size()) {
-    Piece piece = stream.mSource->Next();
+    Piece piece = NextPiece(*stream.mSource);
     if (piece.mKind == PieceKind::End) {
       return U_STREAM_END;
     }
@@ -109,7 +153,7 @@
     result.mBody.assign(static_cast<const char*>(aRequest.binary_body),
                         aRequest.binary_body_length);
   }
-  const int descriptor = sConnectionDescriptor;
+  const int descriptor = sConnection.mDescriptor;
   result.mCallerLeft = [descriptor] { return CallerLeft(descriptor); };
   return result;
 }
@@ -125,14 +169,18 @@
 }
 
 HttpResponse
-LimitResponse(int aStatus, const char* aReason, const char* aTitle)
+ProblemResponse(int aStatus,
+                const char* aReason,
+                const char* aTitle,
+                Executed aExecuted = Executed::No)
 {
   HttpResponse result;
   result.mStatus = aStatus;
   result.mHeaders["Content-Type"] = "application/problem+json";
   result.mBody = std::string(R"({"type":"about:blank","title":")") + aTitle +
                  R"(","status":)" + std::to_string(aStatus) + R"(,"reason":")" +
-                 aReason + R"(","executed":"no"})";
+                 aReason + R"(","executed":")" + ExecutedText(aExecuted) +
+                 "\"}";
   return result;
 }
 
@@ -217,10 +265,13 @@
                                  const char* aUri,
                                  MHD_Connection* aConnection)
 {
-  ++static_cast<State*>(aState)->mRunning;
+  auto* state = static_cast<State*>(aState);
+  ++state->mRunning;
   const MHD_ConnectionInfo* info =
     MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  sConnectionDescriptor = info == nullptr ? -1 : info->connect_fd;
+  sConnection.mHandle = aConnection;
+  sConnection.mDescriptor = info == nullptr ? -1 : info->connect_fd;
+  sConnection.mIdleTimeout = state->mOptions.mIdleTimeout;
   return ulfius_uri_logger(nullptr, aUri);
 }
 
@@ -248,20 +299,26 @@
 HttpServer::State::Answer(const _u_request& aRequest) const
 {
   if (aRequest.binary_body_length > mOptions.mBodyLimit) {
-    return LimitResponse(
+    return ProblemResponse(
       kContentTooLarge, "body-too-large", "Request body too large");
   }
   HttpRequest request = ConvertRequest(aRequest);
   if (HeaderBytes(request.mHeaders) > mOptions.mHeaderLimit) {
-    return LimitResponse(
+    return ProblemResponse(
       kHeadersTooLarge, "headers-too-large", "Request headers too large");
   }
   const bool reads = request.mMethod == "GET" || request.mMethod == "HEAD";
   if (TextOrEmpty(aRequest.http_protocol) == "HTTP/1.0" && !reads) {
-    return LimitResponse(
+    return ProblemResponse(
       kVersionNotSupported, "http-1-1-required", "HTTP/1.1 required");
   }
-  return mHandler(request);
+  const BlockingSection section;
+  try {
+    return mHandler(request);
+  } catch (const std::exception&) {
+    return ProblemResponse(
+      kInternalError, "internal-error", "Internal error", Executed::Unknown);
+  }
 }
 
 bool
