--- a/tests/core/attemptharness.h
+++ b/tests/core/attemptharness.h
@@ -286,7 +286,7 @@
   void Apply(const AttemptActions& aActions)
   {
     for (const AttemptAction& action : aActions) {
-      std::visit([this](const auto& aAction) { Do(aAction); }, action);
+      std::visit([this](const auto& aAction) { this->Do(aAction); }, action);
     }
   }
 
