Serve requests end to end with entry and agent as separate processes

Cause: nothing ran yet. The entry authenticates, routes, meters and chooses; the agent grants, checks the commit and streams the answer of its backend server back. Documents spread from peer to peer, list and document are read from the platform's stand-in. Before: no path. A confirmation sent twice still ran twice: claims are not wired yet. Ruled out: readiness by the first list reading; the limits' takeover wait starts again with each change of the list, so the entry is ready only when the last change is older than that wait.

--- a/src/libmedlarkeel/instancelistparser.cpp
+++ b/src/libmedlarkeel/instancelistparser.cpp
@@ -19,11 +19,10 @@
 {
   InstanceRecord record;
   record.mId = InstanceId(aObject.at("id").get<std::string>());
-  record.mRole = aObject.at("role") == "agent" ? InstanceRole::Agent
-                                               : InstanceRole::Entry;
-  record.mState = TextOf(aObject, "state") == "leaving"
-                    ? InstanceState::Leaving
-                    : InstanceState::Live;
+  record.mRole =
+    aObject.at("role") == "agent" ? InstanceRole::Agent : InstanceRole::Entry;
+  record.mState = TextOf(aObject, "state") == "leaving" ? InstanceState::Leaving
+                                                        : InstanceState::Live;
   record.mZone = ZoneName(aObject.at("zone").get<std::string>());
   record.mRegion = RegionName(aObject.at("region").get<std::string>());
   record.mAddress = aObject.at("address").get<std::string>();
--- a/src/libmedlarkeel/instancelistparser.h
+++ b/src/libmedlarkeel/instancelistparser.h
@@ -16,11 +16,8 @@
 };
 
 template<typename T>
-using InstanceListResult =
-  BOOST_OUTCOME_V2_NAMESPACE::result<T,
-                                     InstanceListError,
-                                     BOOST_OUTCOME_V2_NAMESPACE::policy::
-                                       all_narrow>;
+using InstanceListResult = BOOST_OUTCOME_V2_NAMESPACE::
+  result<T, InstanceListError, BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
 
 /**
  * Reads the platform's list of instances.
--- a/src/libmedlarkeel/jsonreader.h
+++ b/src/libmedlarkeel/jsonreader.h
@@ -91,7 +91,7 @@
 extern const TextRule kNameRule;
 
 template<typename Value>
-struct Choice
+struct NamedValue
 {
   const char* mText;
   Value mValue;
@@ -160,11 +160,11 @@
   template<typename Value>
   void Choose(const char* aKey,
               Presence aPresence,
-              const std::vector<Choice<Value>>& aChoices,
+              const std::vector<NamedValue<Value>>& aChoices,
               Value& aOut)
   {
     std::string expected;
-    for (const Choice<Value>& choice : aChoices) {
+    for (const NamedValue<Value>& choice : aChoices) {
       expected += (expected.empty() ? "\"" : " or \"");
       expected += std::string(choice.mText) + "\"";
     }
@@ -172,7 +172,7 @@
     if (value == nullptr) {
       return;
     }
-    for (const Choice<Value>& choice : aChoices) {
+    for (const NamedValue<Value>& choice : aChoices) {
       if (value->is_string() && *value == choice.mText) {
         aOut = choice.mValue;
         return;
--- a/src/libmedlarkeelnet/wireconversion.cpp
+++ b/src/libmedlarkeelnet/wireconversion.cpp
@@ -16,8 +16,8 @@
 RefusalFrom(const wire::Refused& aRefused)
 {
   Refusal refusal;
-  refusal.mReason = ReasonFromCode(aRefused.reason())
-                      .value_or(RefusalReason::OutcomeUnknown);
+  refusal.mReason =
+    ReasonFromCode(aRefused.reason()).value_or(RefusalReason::OutcomeUnknown);
   refusal.mExecuted =
     ExecutedFromText(aRefused.executed()).value_or(Executed::Unknown);
   refusal.mRetryAfter = Milliseconds(aRefused.retry_after_ms());
@@ -48,4 +48,72 @@
   return load;
 }
 
+void
+FillStamp(const DocumentStamp& aStamp,
+          const std::optional<Microseconds>& aConfirmationAge,
+          wire::ConfigurationStamp& aOut)
+{
+  aOut.set_version(aStamp.mVersion);
+  aOut.set_revision(aStamp.mRevision);
+  aOut.set_hash(aStamp.mHash);
+  if (aConfirmationAge) {
+    aOut.set_confirmation_age_us(
+      static_cast<std::uint64_t>(aConfirmationAge->count()) + 1);
+  }
+}
+
+DocumentStamp
+StampFrom(const wire::ConfigurationStamp& aStamp)
+{
+  return DocumentStamp{ aStamp.version(), aStamp.revision(), aStamp.hash() };
+}
+
+DocumentSource
+SourceFrom(const wire::ConfigurationStamp& aStamp)
+{
+  DocumentSource source;
+  source.mKind = DocumentSourceKind::Peer;
+  source.mConfirmationAge.reset();
+  if (aStamp.confirmation_age_us() > 0) {
+    source.mConfirmationAge = Microseconds(aStamp.confirmation_age_us() - 1);
+  }
+  return source;
+}
+
+void
+FillLimit(const LimitMessage& aMessage, wire::LimitMessage& aOut)
+{
+  aOut.set_from(aMessage.mFrom.Text());
+  aOut.set_to(aMessage.mTo.Text());
+  aOut.set_transfer_id(aMessage.mTransferId);
+  aOut.set_team(aMessage.mTeam.Text());
+  aOut.set_share(aMessage.mShare);
+  aOut.set_tokens(aMessage.mTokens);
+  aOut.set_kind(static_cast<std::uint32_t>(aMessage.mKind));
+  aOut.set_slice(aMessage.mSlice);
+  aOut.set_lease_us(static_cast<std::uint64_t>(aMessage.mLease.count()));
+  aOut.set_retry_us(static_cast<std::uint64_t>(aMessage.mRetry.count()));
+  aOut.set_list_revision(aMessage.mListRevision);
+  aOut.set_list_age_us(static_cast<std::uint64_t>(aMessage.mListAge.count()));
+}
+
+LimitMessage
+LimitFrom(const wire::LimitMessage& aMessage)
+{
+  LimitMessage message;
+  message.mFrom = InstanceId(aMessage.from());
+  message.mTo = InstanceId(aMessage.to());
+  message.mKind = static_cast<LimitMessageKind>(aMessage.kind());
+  message.mTransferId = aMessage.transfer_id();
+  message.mTeam = TeamName(aMessage.team());
+  message.mSlice = aMessage.slice();
+  message.mTokens = aMessage.tokens();
+  message.mShare = aMessage.share();
+  message.mLease = Microseconds(aMessage.lease_us());
+  message.mRetry = Microseconds(aMessage.retry_us());
+  message.mListRevision = aMessage.list_revision();
+  message.mListAge = Microseconds(aMessage.list_age_us());
+  return message;
+}
+
 } // namespace medlarkeel
--- a/src/medlarkeeld/agentchannels.cpp
+++ b/src/medlarkeeld/agentchannels.cpp
@@ -15,8 +15,7 @@
 ChannelOptions()
 {
   grpc::ChannelArguments options;
-  options.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
-                 kReconnectBackoffFirst);
+  options.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectBackoffFirst);
   options.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectBackoffFirst);
   options.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectBackoffMost);
   options.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
--- a/src/medlarkeeld/agentcore.cpp
+++ b/src/medlarkeeld/agentcore.cpp
@@ -32,10 +32,10 @@
 bool
 IsZoneOut(const EnvironmentDocument& aDocument, const ZoneName& aZone)
 {
-  const auto found =
-    std::find_if(aDocument.mZones.begin(),
-                 aDocument.mZones.end(),
-                 [&](const ZoneEntry& aEntry) { return aEntry.mName == aZone; });
+  const auto found = std::find_if(
+    aDocument.mZones.begin(),
+    aDocument.mZones.end(),
+    [&](const ZoneEntry& aEntry) { return aEntry.mName == aZone; });
   return found == aDocument.mZones.end() || found->mState == ZoneState::Out;
 }
 
@@ -107,9 +107,7 @@
 }
 
 void
-AgentCore::Finish(ReservationId aReservation,
-                  GrantId aGrant,
-                  FinishKind aKind)
+AgentCore::Finish(ReservationId aReservation, GrantId aGrant, FinishKind aKind)
 {
   const Lock lock(mMutex);
   mMailboxes.erase(aReservation);
--- /dev/null
+++ b/src/medlarkeeld/agentnode.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "agentcore.h"
+#include "agentservice.h"
+#include "backendrun.h"
+#include "node.h"
+
+namespace medlarkeel {
+
+/** The process beside one backend server. */
+class AgentNode : public Node
+{
+public:
+  explicit AgentNode(const Settings& aSettings);
+
+private:
+  void Wire() override;
+  std::vector<grpc::Service*> Services() override;
+  HttpResponse Handle(const HttpRequest& aRequest) override;
+  void Tick() override;
+  bool Drain(Timestamp aBound) override;
+  void ResumeAfterPause(Microseconds aGap) override;
+  void ApplyList(const InstanceList& aList,
+                 Timestamp aSentAt,
+                 Timestamp aReceivedAt) override;
+  ControlHooks Hooks() override;
+  std::optional<std::string> ReasonNotReady() override;
+
+  AgentCore mCore;
+  RunCounter mRuns;
+  AgentService mService;
+};
+
+} // namespace medlarkeel
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -86,8 +86,7 @@
 void
 AgentSession::Reserve()
 {
-  mReservation =
-    mCore.Reserve(ReservationFrom(mReserve, BootNow()), mMailbox);
+  mReservation = mCore.Reserve(ReservationFrom(mReserve, BootNow()), mMailbox);
 }
 
 std::optional<RunGranted>
@@ -125,8 +124,7 @@
 AgentSession::Execute(const RunGranted& aGrant, const wire::Commit& aCommit)
 {
   const Incarnation incarnation{ aCommit.incarnation() };
-  const auto committed =
-    mCore.Commit(mReservation, aGrant.mGrant, incarnation);
+  const auto committed = mCore.Commit(mReservation, aGrant.mGrant, incarnation);
   if (!committed) {
     SendRefusal(committed.error());
     return;
@@ -159,8 +157,7 @@
   request.mTimeout = kLongestRun;
   if (mReserve.repeatable() && mReserve.deadline_us() > 0) {
     const Microseconds left(mReserve.deadline_us());
-    request.mTimeout =
-      std::chrono::ceil<Milliseconds>(left) + kDeadlineGrace;
+    request.mTimeout = std::chrono::ceil<Milliseconds>(left) + kDeadlineGrace;
   }
   return work;
 }
@@ -210,16 +207,14 @@
   if (const auto* granted = std::get_if<RunGranted>(&aMessage)) {
     const auto valid = granted->mExpires - BootNow();
     frame.mutable_granted()->set_grant_id(granted->mGrant.mValue);
-    frame.mutable_granted()->set_incarnation(
-      mCore.OwnIncarnation().mValue);
+    frame.mutable_granted()->set_incarnation(mCore.OwnIncarnation().mValue);
     frame.mutable_granted()->set_valid_us(
       static_cast<std::uint64_t>(std::max<Microseconds::rep>(
         0, std::chrono::duration_cast<Microseconds>(valid).count())));
   } else if (const auto* refused = std::get_if<RunRefused>(&aMessage)) {
     return SendRefusal(refused->mRefusal);
   } else if (const auto* head = std::get_if<RunHead>(&aMessage)) {
-    frame.mutable_head()->set_status(
-      static_cast<std::uint32_t>(head->mStatus));
+    frame.mutable_head()->set_status(static_cast<std::uint32_t>(head->mStatus));
     frame.mutable_head()->set_content_type(head->mContentType);
     frame.mutable_head()->set_replayed(head->mReplayed);
   } else if (const auto* data = std::get_if<RunData>(&aMessage)) {
--- a/src/medlarkeeld/agentsession.h
+++ b/src/medlarkeeld/agentsession.h
@@ -13,8 +13,7 @@
 class AgentSession
 {
 public:
-  using Stream =
-    grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>;
+  using Stream = grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>;
 
   AgentSession(AgentCore& aCore,
                RunCounter& aRuns,
--- a/src/medlarkeeld/agentstream.cpp
+++ b/src/medlarkeeld/agentstream.cpp
@@ -1,5 +1,7 @@
 #include "agentstream.h"
 
+#include <grpcpp/channel.h>
+
 namespace medlarkeel {
 
 namespace {
--- a/src/medlarkeeld/agentstream.h
+++ b/src/medlarkeeld/agentstream.h
@@ -47,8 +47,7 @@
   grpc::ClientContext mContext;
   std::unique_ptr<wire::Agent::Stub> mStub;
   StreamWatchdog& mWatchdog;
-  std::unique_ptr<
-    grpc::ClientReaderWriter<wire::EntryFrame, wire::AgentFrame>>
+  std::unique_ptr<grpc::ClientReaderWriter<wire::EntryFrame, wire::AgentFrame>>
     mStream;
   StreamWatchdog::Token mToken = 0;
   bool mEnded = false;
--- a/src/medlarkeeld/backendcall.cpp
+++ b/src/medlarkeeld/backendcall.cpp
@@ -45,8 +45,7 @@
 {
   const HeadReader onHead = [&](int aStatus, const HttpHeaders& aHeaders) {
     const auto type = aHeaders.find("Content-Type");
-    aObserver.CallAnswered(aStatus,
-                           type == aHeaders.end() ? "" : type->second);
+    aObserver.CallAnswered(aStatus, type == aHeaders.end() ? "" : type->second);
   };
   const DataReader onData = [&](std::string_view aBytes) {
     return aObserver.DataArrived(aBytes);
--- a/src/medlarkeeld/backendrun.h
+++ b/src/medlarkeeld/backendrun.h
@@ -65,13 +65,12 @@
    *
    * @param aRecorder Told of the outcome before the mailbox is.
    */
-  static std::shared_ptr<BackendRun> Start(
-    AgentCore& aCore,
-    RunCounter& aCounter,
-    const std::string& aBaseUrl,
-    CommittedWork aWork,
-    std::shared_ptr<RunMailbox> aMailbox,
-    OutcomeRecorder aRecorder);
+  static std::shared_ptr<BackendRun> Start(AgentCore& aCore,
+                                           RunCounter& aCounter,
+                                           const std::string& aBaseUrl,
+                                           CommittedWork aWork,
+                                           std::shared_ptr<RunMailbox> aMailbox,
+                                           OutcomeRecorder aRecorder);
 
   /** Asks the run to end, unless its work may not be repeated. */
   void Abort();
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -120,8 +120,8 @@
   if (owners == mOwners.end()) {
     return choice;
   }
-  const RangeKey key = RangeKeyOf(aRequest.Team().Text() + "/" +
-                                  aRequest.mIdempotencyKey.Text());
+  const RangeKey key =
+    RangeKeyOf(aRequest.Team().Text() + "/" + aRequest.mIdempotencyKey.Text());
   const auto owner = owners->second.Owner(key);
   const auto candidates =
     mFleet.AllCandidates(aRequest.mRoute.mPool, BootNow());
@@ -161,8 +161,7 @@
 EntryCore::ReasonToCut(const AdmittedRequest& aRequest)
 {
   const DocumentViewPtr view = View();
-  const bool cuts =
-    view->Document().mWithdrawnStreams == WithdrawnStreams::Cut;
+  const bool cuts = view->Document().mWithdrawnStreams == WithdrawnStreams::Cut;
   if (cuts && !KeyStands(view, aRequest)) {
     return RefusalReason::KeyWithdrawn;
   }
@@ -197,7 +196,7 @@
 EntryCore::RecordFinished(const InstanceId& aAgent, Microseconds aDuration)
 {
   const Lock lock(mMutex);
-  mChooser.RecordFinished(aAgent, aDuration, BootNow());
+  mChooser.RecordFinished(aAgent, aDuration);
 }
 
 void
@@ -230,12 +229,25 @@
 
 void
 EntryCore::RecordOutcome(const AdmittedRequest& aRequest,
-                         const RequestOutcome& aOutcome)
+                         const RequestEnd& aOutcome)
 {
   static_cast<void>(aRequest);
   static_cast<void>(aOutcome);
 }
 
+std::optional<std::string>
+EntryCore::ReasonNotReady()
+{
+  const Lock lock(mMutex);
+  if (!mFleet.IsValidated()) {
+    return "no list of instances";
+  }
+  if (!mFleet.IsZoneIn(mSettings.mZone)) {
+    return "the availability zone is out";
+  }
+  return std::nullopt;
+}
+
 std::vector<InstanceRecord>
 EntryCore::TakeDueProbes()
 {
--- a/src/medlarkeeld/entrycore.h
+++ b/src/medlarkeeld/entrycore.h
@@ -29,7 +29,7 @@
 };
 
 /** How a request ended. */
-struct RequestOutcome
+struct RequestEnd
 {
   bool mServed = false;
   bool mAborted = false;
@@ -80,7 +80,10 @@
   void RecordWithdrawn(const InstanceId& aAgent);
   void RecordDroppedFrame();
   void RecordOutcome(const AdmittedRequest& aRequest,
-                     const RequestOutcome& aOutcome);
+                     const RequestEnd& aOutcome);
+
+  /** @return Why callers should go to another entry, if so. */
+  std::optional<std::string> ReasonNotReady();
 
   /** @return Agents that are due for a probe. */
   std::vector<InstanceRecord> TakeDueProbes();
--- /dev/null
+++ b/src/medlarkeeld/entrynode.cpp
@@ -0,0 +1,143 @@
+#include "entrynode.h"
+
+#include "bootclock.h"
+#include "refusalresponse.h"
+#include "relaysource.h"
+#include "requestadmission.h"
+
+#include <thread>
+#include <utility>
+
+namespace medlarkeel {
+
+namespace {
+
+constexpr Milliseconds kDrainPoll{ 20 };
+/** Time in which the balancer notices that the entry is not ready. */
+constexpr Milliseconds kBalancerNotice{ 500 };
+constexpr Milliseconds kRetryWithoutDocument{ 1000 };
+
+TeamLimiterSettings
+LimiterSettingsFrom(const Settings& aSettings)
+{
+  TeamLimiterSettings limiter;
+  limiter.mOwnership.mEvidenceLife = aSettings.mControl.mEvidenceValid;
+  limiter.mOwnership.mListLag = aSettings.mControl.mListLagBound;
+  return limiter;
+}
+
+} // namespace
+
+EntryNode::EntryNode(const Settings& aSettings)
+  : Node(aSettings)
+  , mCore(aSettings, mIncarnation.mValue)
+  , mGate(aSettings.mInstanceId,
+          LimiterSettingsFrom(aSettings),
+          mIncarnation.mValue,
+          [this](const std::vector<LimitMessage>& aMessages) {
+            mControl->SendLimits(aMessages);
+          })
+{
+}
+
+void
+EntryNode::Wire()
+{
+  mConfiguration.AddListener([this](const DocumentViewPtr& aView) {
+    mGate.ApplyDocument(*aView);
+    mCore.ApplyDocument(aView);
+  });
+}
+
+std::vector<grpc::Service*>
+EntryNode::Services()
+{
+  return {};
+}
+
+HttpResponse
+EntryNode::Handle(const HttpRequest& aRequest)
+{
+  const RequestId id = NewRequestId();
+  const DocumentViewPtr view = mCore.View();
+  if (!view) {
+    Refusal refusal;
+    refusal.mReason = RefusalReason::ConfigurationUnknown;
+    refusal.mRetryAfter = kRetryWithoutDocument;
+    return RefusalResponse(refusal, id);
+  }
+  auto admitted = AdmitRequest(aRequest, id, *view, mGate);
+  if (!admitted) {
+    return RefusalResponse(admitted.error(), id);
+  }
+  return RespondTo(RelayEnvironment{ mCore, mChannels, mWatchdog },
+                   std::move(admitted.value()));
+}
+
+void
+EntryNode::Tick()
+{
+  mGate.Tick();
+  for (const InstanceRecord& agent : mCore.TakeDueProbes()) {
+    mControl->Probe(agent);
+  }
+}
+
+bool
+EntryNode::Drain(Timestamp aBound)
+{
+  std::this_thread::sleep_for(kBalancerNotice);
+  mHttp->StopAccepting();
+  while (mHttp->RunningRequests() > 0 && BootNow() < aBound) {
+    std::this_thread::sleep_for(kDrainPoll);
+    Tick();
+  }
+  return mHttp->RunningRequests() == 0;
+}
+
+void
+EntryNode::ResumeAfterPause(Microseconds aGap)
+{
+  static_cast<void>(aGap);
+  mGate.ResumeAfterPause();
+  mCore.ResumeAfterPause();
+}
+
+void
+EntryNode::ApplyList(const InstanceList& aList,
+                     Timestamp aSentAt,
+                     Timestamp aReceivedAt)
+{
+  mGate.ApplyList(aList, aSentAt, aReceivedAt);
+  mCore.ApplyList(aList, aSentAt, aReceivedAt);
+}
+
+ControlHooks
+EntryNode::Hooks()
+{
+  ControlHooks hooks;
+  hooks.mOnLimit = [this](const LimitMessage& aMessage) {
+    return mGate.Receive(aMessage);
+  };
+  hooks.mOnLoad = [this](const InstanceId& aAgent, const LoadSnapshot& aLoad) {
+    mCore.RecordContact(aAgent, aLoad);
+  };
+  return hooks;
+}
+
+std::optional<std::string>
+EntryNode::ReasonNotReady()
+{
+  if (mShuttingDown) {
+    return "shutting down";
+  }
+  if (!mCore.View()) {
+    return "no document";
+  }
+  if (!mGate.IsWithinReach()) {
+    return "the teams' limits are not within reach yet";
+  }
+  return mCore.ReasonNotReady();
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/medlarkeeld/node.cpp
@@ -0,0 +1,187 @@
+#include "node.h"
+
+#include "bootclock.h"
+#include "operatorpages.h"
+
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server_builder.h>
+
+#include <csignal>
+#include <cstdio>
+#include <ctime>
+
+namespace medlarkeel {
+
+namespace {
+
+constexpr long kTickNanoseconds = 20'000'000;
+constexpr Milliseconds kPauseLimit{ 1000 };
+constexpr int kMostMessageBytes = 16 << 20;
+
+sigset_t
+EndSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+/** @return Whether an end signal came within one tick. */
+bool
+WaitForEndSignal()
+{
+  const sigset_t signals = EndSignals();
+  const timespec tick{ 0, kTickNanoseconds };
+  return sigtimedwait(&signals, nullptr, &tick) > 0;
+}
+
+} // namespace
+
+void
+BlockEndSignals()
+{
+  const sigset_t signals = EndSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+Node::Node(const Settings& aSettings)
+  : mSettings(aSettings)
+  , mIncarnation(NewIncarnation())
+  , mPauses(kPauseLimit)
+{
+}
+
+Node::~Node() = default;
+
+int
+Node::Run()
+{
+  if (!Start()) {
+    return 1;
+  }
+  Loop();
+  return Shutdown();
+}
+
+bool
+Node::Start()
+{
+  mControl = std::make_unique<ControlPlane>(
+    mSettings, mIncarnation, mChannels, mConfiguration, Hooks());
+  mPeerService = std::make_unique<PeerService>(*mControl);
+  Wire();
+  mConfiguration.AddListener(
+    [this](const DocumentViewPtr&) { mDocumentChanged = true; });
+  if (!StartGrpc() || !StartHttp()) {
+    return false;
+  }
+  mWatcher = std::make_unique<PlatformWatcher>(
+    mSettings,
+    mConfiguration,
+    [this](const InstanceList& aList, Timestamp aSentAt, Timestamp aReceived) {
+      mControl->ApplyList(aList);
+      ApplyList(aList, aSentAt, aReceived);
+    });
+  return true;
+}
+
+bool
+Node::StartGrpc()
+{
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(EndpointText(mSettings.mGrpcListen),
+                           grpc::InsecureServerCredentials(),
+                           &port);
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.SetMaxReceiveMessageSize(kMostMessageBytes);
+  builder.RegisterService(mPeerService.get());
+  for (grpc::Service* service : Services()) {
+    builder.RegisterService(service);
+  }
+  mGrpc = builder.BuildAndStart();
+  if (!mGrpc || port == 0) {
+    std::fprintf(stderr,
+                 "medlarkeeld: can't listen on %s\n",
+                 EndpointText(mSettings.mGrpcListen).c_str());
+    return false;
+  }
+  return true;
+}
+
+bool
+Node::StartHttp()
+{
+  HttpServerOptions options;
+  options.mAddress = mSettings.mHttpListen.mAddress;
+  options.mPort = mSettings.mHttpListen.mPort;
+  options.mBodyLimit = mSettings.mLimits.mBodyLimitBytes;
+  options.mConnectionLimit =
+    static_cast<unsigned>(mSettings.mLimits.mConnectionLimit);
+  auto server = HttpServer::Start(
+    options, [this](const HttpRequest& aRequest) { return Serve(aRequest); });
+  if (!server) {
+    std::fprintf(stderr,
+                 "medlarkeeld: can't listen on %s: %s\n",
+                 EndpointText(mSettings.mHttpListen).c_str(),
+                 server.error().mDetail.c_str());
+    return false;
+  }
+  mHttp = std::move(server.value());
+  return true;
+}
+
+HttpResponse
+Node::Serve(const HttpRequest& aRequest)
+{
+  NodePages pages;
+  pages.mReasonNotReady = ReasonNotReady();
+  if (auto page = OperatorPage(aRequest, pages)) {
+    return std::move(*page);
+  }
+  return Handle(aRequest);
+}
+
+void
+Node::Loop()
+{
+  while (!WaitForEndSignal()) {
+    const Timestamp now = BootNow();
+    if (const auto gap = mPauses.Observe(now)) {
+      ResumeAfterPause(*gap);
+      mControl->AnnounceDocument();
+    }
+    GossipWhenDue(now);
+    Tick();
+  }
+}
+
+void
+Node::GossipWhenDue(Timestamp aNow)
+{
+  if (mDocumentChanged.exchange(false)) {
+    mControl->AnnounceDocument();
+  }
+  if (aNow >= mNextGossip) {
+    mNextGossip = aNow + mSettings.mControl.mGossip;
+    mControl->ExchangeWithNextPeer();
+  }
+}
+
+int
+Node::Shutdown()
+{
+  mShuttingDown = true;
+  const Timestamp bound = BootNow() + mSettings.mShutdownBound;
+  const bool drained = Drain(bound);
+  mWatcher.reset();
+  mHttp->Stop();
+  mGrpc->Shutdown(std::chrono::system_clock::now());
+  mGrpc->Wait();
+  return drained ? 0 : 1;
+}
+
+} // namespace medlarkeel
--- a/src/medlarkeeld/peermessenger.cpp
+++ b/src/medlarkeeld/peermessenger.cpp
@@ -2,6 +2,8 @@
 
 #include "bootclock.h"
 
+#include <grpcpp/channel.h>
+
 #include <utility>
 
 namespace medlarkeel {
@@ -79,8 +81,7 @@
 void
 PeerMessenger::Exchange(const OutgoingMessage& aMessage)
 {
-  const auto stub =
-    wire::Peer::NewStub(mChannels.ChannelTo(aMessage.mAddress));
+  const auto stub = wire::Peer::NewStub(mChannels.ChannelTo(aMessage.mAddress));
   grpc::ClientContext context;
   context.set_deadline(std::chrono::system_clock::now() + kAnswerTime);
   wire::PeerMessage answer;
--- a/src/medlarkeeld/peermessenger.h
+++ b/src/medlarkeeld/peermessenger.h
@@ -29,8 +29,8 @@
 {
 public:
   /** Told of each answer and of when its request was sent. */
-  using AnswerHandler = std::function<
-    void(const InstanceId&, const wire::PeerMessage&, Timestamp)>;
+  using AnswerHandler =
+    std::function<void(const InstanceId&, const wire::PeerMessage&, Timestamp)>;
   /** Told of each peer that didn't answer in time. */
   using SilenceHandler = std::function<void(const InstanceId&)>;
 
--- a/src/medlarkeeld/refusalresponse.cpp
+++ b/src/medlarkeeld/refusalresponse.cpp
@@ -21,8 +21,8 @@
 ProblemText(const Refusal& aRefusal, const RequestId& aRequest)
 {
   nlohmann::json problem;
-  problem["type"] = std::string("urn:medlarkeel:refusal:") +
-                    ReasonCode(aRefusal.mReason);
+  problem["type"] =
+    std::string("urn:medlarkeel:refusal:") + ReasonCode(aRefusal.mReason);
   problem["title"] = ReasonCode(aRefusal.mReason);
   problem["status"] = HttpStatus(aRefusal.mReason);
   problem["detail"] = aRefusal.mDetail;
@@ -31,8 +31,7 @@
   if (aRefusal.mRetryAfter.count() > 0) {
     problem["retryAfterMs"] = aRefusal.mRetryAfter.count();
   }
-  return problem.dump(
-    -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 HttpResponse
--- a/src/medlarkeeld/requestadmission.cpp
+++ b/src/medlarkeeld/requestadmission.cpp
@@ -69,7 +69,7 @@
   {
     using Step = std::optional<Refusal> (Admission::*)();
     static constexpr std::array<Step, 6> kSteps{
-      &Admission::Authenticate, &Admission::ReadChat,   &Admission::FindRoute,
+      &Admission::Authenticate, &Admission::ReadChat, &Admission::FindRoute,
       &Admission::ReadKey,      &Admission::FillCall, &Admission::Meter
     };
     for (const Step step : kSteps) {
@@ -168,8 +168,8 @@
     }
     mRequest.mContentType = Header(mHttp, "Content-Type");
     mRequest.mBody = mHttp.mBody;
-    mRequest.mBodyHash = Sha256Hex(mHttp.mMethod + " " + mHttp.mPath + "\n" +
-                                   mHttp.mBody);
+    mRequest.mBodyHash =
+      Sha256Hex(mHttp.mMethod + " " + mHttp.mPath + "\n" + mHttp.mBody);
     mRequest.mCallerLeft = mHttp.mCallerLeft;
     return std::nullopt;
   }
@@ -184,8 +184,7 @@
                              verdict.mCause == ShortageCause::TeamRate
                                ? "the team is at its rate"
                                : "the team's rate is not available here now");
-    refusal.mRetryAfter =
-      std::chrono::ceil<Milliseconds>(verdict.mRetryAfter);
+    refusal.mRetryAfter = std::chrono::ceil<Milliseconds>(verdict.mRetryAfter);
     return refusal;
   }
 
--- a/src/medlarkeeld/requestadmission.h
+++ b/src/medlarkeeld/requestadmission.h
@@ -10,8 +10,10 @@
 
 namespace medlarkeel {
 
-using AdmissionResult = BOOST_OUTCOME_V2_NAMESPACE::
-  result<AdmittedRequest, Refusal, BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+using AdmissionResult = BOOST_OUTCOME_V2_NAMESPACE::result<
+  AdmittedRequest,
+  Refusal,
+  BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
 
 /**
  * Decides whether a caller's request enters: key, route, class and the team's
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -340,16 +340,15 @@
     Enqueue(mTracker.OnCallerGone());
   } else if (mRequest.mDeadline && BootNow() > *mRequest.mDeadline) {
     Enqueue(mTracker.OnDeadline());
-  } else if (const auto reason =
-               mEnvironment.mCore.ReasonToCut(mRequest)) {
+  } else if (const auto reason = mEnvironment.mCore.ReasonToCut(mRequest)) {
     Enqueue(mTracker.Terminate(*reason));
   }
 }
 
-RequestOutcome
+RequestEnd
 RequestRelay::OutcomeOf(RelayStep::Kind aKind, const Refusal& aRefusal) const
 {
-  RequestOutcome outcome;
+  RequestEnd outcome;
   outcome.mServed = aKind == RelayStep::Kind::Finished;
   outcome.mAborted = aKind == RelayStep::Kind::Aborted;
   outcome.mRefusal = aRefusal;
--- a/src/medlarkeeld/requestrelay.h
+++ b/src/medlarkeeld/requestrelay.h
@@ -85,8 +85,7 @@
   void HandleDone(const wire::Done& aDone);
   void HandleLost();
   void CheckCallerAndDeadline();
-  RequestOutcome OutcomeOf(RelayStep::Kind aKind,
-                           const Refusal& aRefusal) const;
+  RequestEnd OutcomeOf(RelayStep::Kind aKind, const Refusal& aRefusal) const;
 
   RelayEnvironment mEnvironment;
   const AdmittedRequest mRequest;
--- a/src/medlarkeeld/streamwatchdog.cpp
+++ b/src/medlarkeeld/streamwatchdog.cpp
@@ -28,8 +28,7 @@
 }
 
 StreamWatchdog::Token
-StreamWatchdog::Watch(grpc::ClientContext* aContext,
-                      Milliseconds aSilenceBound)
+StreamWatchdog::Watch(grpc::ClientContext* aContext, Milliseconds aSilenceBound)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   const Token token = mNextToken++;
--- a/src/medlarkeeld/teamgate.cpp
+++ b/src/medlarkeeld/teamgate.cpp
@@ -30,9 +30,8 @@
   AdmitVerdict verdict = mLimiter.Admit(aTeam, arrived);
   while (!verdict.mAdmitted && verdict.mAskPending) {
     mSender(mLimiter.Tick(BootNow()));
-    const Milliseconds left =
-      std::chrono::duration_cast<Milliseconds>(arrived + kAskPatience -
-                                               BootNow());
+    const Milliseconds left = std::chrono::duration_cast<Milliseconds>(
+      arrived + kAskPatience - BootNow());
     if (left.count() <= 0 ||
         mAnswered.wait_for(lock, left) == std::cv_status::timeout) {
       break;
@@ -56,6 +55,11 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   mLimiter.ObserveList(aList, aSentAt, aReceivedAt);
+  const std::uint64_t generation = mLimiter.Ownership().Generation();
+  if (!mOwnersKnownAt || generation != mGeneration) {
+    mOwnersKnownAt = aReceivedAt;
+    mGeneration = generation;
+  }
 }
 
 std::vector<LimitMessage>
@@ -90,6 +94,17 @@
   mLimiter.ResumeAfterPause(BootNow());
 }
 
+bool
+TeamGate::IsWithinReach()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mLimiter.Statistics().mAdmitted > 0) {
+    return true;
+  }
+  return mOwnersKnownAt &&
+         BootNow() >= *mOwnersKnownAt + mLimiter.Ownership().TakeoverWait();
+}
+
 TeamLimiterStatistics
 TeamGate::Statistics()
 {
--- a/src/medlarkeeld/teamgate.h
+++ b/src/medlarkeeld/teamgate.h
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace medlarkeel {
@@ -42,12 +43,18 @@
 
   void ResumeAfterPause();
 
+  /** @return Whether the fleet's tokens are within reach: tokens were owned or
+   *          lent here, or the wait for an ownership is over. */
+  bool IsWithinReach();
+
   TeamLimiterStatistics Statistics();
 
 private:
   std::mutex mMutex;
   std::condition_variable mAnswered;
   TeamLimiter mLimiter;
+  std::uint64_t mGeneration = 0;
+  std::optional<Timestamp> mOwnersKnownAt;
   const Sender mSender;
 };
 
--- a/tests/core/test_chatrequest.cpp
+++ b/tests/core/test_chatrequest.cpp
@@ -34,7 +34,10 @@
   const std::string deep(2000, '[');
   const std::string large(5000, ' ');
   for (const std::string& body :
-       { std::string(), std::string("[]"), deep, large,
+       { std::string(),
+         std::string("[]"),
+         deep,
+         large,
          std::string(R"({"messages":[{"content":"x"}]})"),
          std::string(R"({"model":"m"})"),
          std::string(R"({"model":"m","messages":[3]})"),
