--- a/tests/core/test_documentparser.cpp
+++ b/tests/core/test_documentparser.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
+#include <chrono>
 #include <set>
 
 namespace medlarkeel {
@@ -148,6 +149,35 @@
               Paths{ "$", "$.zones", "$.classes", "$.pools", "$.routes" }));
 }
 
+BOOST_AUTO_TEST_CASE(DocumentOfTheTargetSizeIsReadWhole)
+{
+  Json value = SmallDocument();
+  const Json key = value["teams"][0]["keys"][0];
+  const Json pool = value["pools"][0];
+  value["teams"] = Json::array();
+  for (int index = 0; index < 3600; ++index) {
+    Json team{ { "name", "team-" + std::to_string(index) },
+               { "rate", 1.5 },
+               { "burst", 5 },
+               { "keys", { key } } };
+    team["keys"][0]["id"] = "key" + std::to_string(index);
+    value["teams"].push_back(team);
+  }
+  for (int index = 0; index < 10; ++index) {
+    value["pools"].push_back(pool);
+    value["pools"].back()["name"] = "model-" + std::to_string(index);
+  }
+  const std::string text = value.dump();
+  const auto before = std::chrono::steady_clock::now();
+  const DocumentResult result = ParseEnvironmentDocument(text);
+  const std::chrono::duration<double, std::milli> spent =
+    std::chrono::steady_clock::now() - before;
+  BOOST_TEST_MESSAGE("3,600 teams with a key each: "
+                     << text.size() << " bytes, " << spent.count() << " ms");
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(result.value().mTeams.size() == 3600U);
+}
+
 RC_BOOST_PROP(DamagedTextNeverEndsTheProcess, ())
 {
   std::string text = SmallDocument().dump();
