--- a/src/libmedlarkeel/documentstore.cpp
+++ b/src/libmedlarkeel/documentstore.cpp
@@ -89,6 +89,9 @@
     Confirm(aSource, aAsked);
     return StampOutcome::Same;
   }
+  if (own == aStamp) {
+    return StampOutcome::Same;
+  }
   return aStamp < own ? StampOutcome::SourceIsOlder
                       : StampOutcome::SourceIsNewer;
 }
