--- a/src/libmedlarkeel/decayinghistogram.cpp
+++ b/src/libmedlarkeel/decayinghistogram.cpp
@@ -8,14 +8,14 @@
 namespace {
 
 /** Upper edge of a bucket over that of the one below. */
-constexpr double kGrowth = 1.2;
+constexpr double kGrowth = 1.1;
 /** Weight that older samples keep at each new one. */
 constexpr double kRetention = 0.99;
 /** Weight below which the samples above a value say nothing. */
 constexpr double kLeastWeight = 0.05;
 
 double
-UpperEdge(std::size_t aBucket)
+LowerEdge(std::size_t aBucket)
 {
   return std::pow(kGrowth, static_cast<double>(aBucket));
 }
@@ -26,7 +26,7 @@
   if (aValue <= 1.0) {
     return 0;
   }
-  const double exact = std::ceil(std::log(aValue) / std::log(kGrowth));
+  const double exact = std::floor(std::log(aValue) / std::log(kGrowth));
   return std::min(aBuckets - 1, static_cast<std::size_t>(exact));
 }
 
@@ -61,10 +61,10 @@
   for (std::size_t bucket = first; bucket < kBuckets; ++bucket) {
     passed += mWeights[bucket];
     if (passed >= aQuantile * above) {
-      return std::max(aReached, UpperEdge(bucket));
+      return std::max(aReached, LowerEdge(bucket));
     }
   }
-  return std::max(aReached, UpperEdge(kBuckets - 1));
+  return std::max(aReached, LowerEdge(kBuckets - 1));
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/decayinghistogram.h
+++ b/src/libmedlarkeel/decayinghistogram.h
@@ -21,13 +21,13 @@
    *
    * @param aQuantile In [0, 1].
    * @param aReached Lower bound that the quantity is known to exceed.
-   * @return The quantile, or nothing without samples. Where no sample lies
-   *         above aReached, twice aReached.
+   * @return The lower edge of the quantile's bucket, or nothing without
+   *         samples. Where no sample lies above aReached, twice aReached.
    */
   std::optional<double> Quantile(double aQuantile, double aReached = 0.0) const;
 
 private:
-  static constexpr std::size_t kBuckets = 96;
+  static constexpr std::size_t kBuckets = 160;
 
   std::array<double, kBuckets> mWeights{};
   double mTotal = 0.0;
