Test the load bound of prefix affinity where the saving alone would not stop it

With 16 requests at the server the longer wait outweighed the saved prefill by itself: the test passed with the bound taken out. With 6 it fails without.

--- a/tests/core/test_replicachooser.cpp
+++ b/tests/core/test_replicachooser.cpp
@@ -152,7 +152,7 @@
   const Choice cached = chooser.Choose(request, candidates, kNow);
   BOOST_TEST((cached.mReason == ChoiceReason::CachedPrefix));
 
-  for (int count = 0; count < 16; ++count) {
+  for (int count = 0; count < 6; ++count) {
     chooser.RecordSent(*first.mChosen, kNow);
   }
   counts = CountChoices(chooser, request, candidates);
