Add the event catalogue and the log of numbered events

To add an event: one line in the enumeration, one in the table, then run test_libmedlarkeel and copy build/plain/EVENTS.md to docs/EVENTS.md.

--- /dev/null
+++ b/src/libmedlarkeel/eventcatalogue.cpp
@@ -0,0 +1,160 @@
+#include "eventcatalogue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace medlarkeel {
+
+namespace {
+
+using Level = EventLevel;
+
+constexpr EventEntry kEntries[] = {
+  { Event::Started, "started", Level::Info, "The process serves." },
+  { Event::Stopped, "stopped", Level::Info, "The process ends." },
+  { Event::SettingsRejected,
+    "settings-rejected",
+    Level::Error,
+    "The settings can't be used; the process ends." },
+  { Event::ShutdownStep,
+    "shutdown-step",
+    Level::Info,
+    "The graceful shutdown reached its next step." },
+  { Event::PauseNoticed,
+    "pause-noticed",
+    Level::Warning,
+    "The process didn't run for a while and checks what it knows anew." },
+  { Event::DocumentAccepted,
+    "document-accepted",
+    Level::Info,
+    "An environment document is in force on this node." },
+  { Event::DocumentRejected,
+    "document-rejected",
+    Level::Error,
+    "An environment document has errors; the one before stays in force." },
+  { Event::DocumentStale,
+    "document-stale",
+    Level::Warning,
+    "The document in force couldn't be confirmed within the bound." },
+  { Event::ListObserved,
+    "list-observed",
+    Level::Info,
+    "The platform's list of instances changed." },
+  { Event::ZoneChanged,
+    "zone-changed",
+    Level::Warning,
+    "An availability zone was taken out of service or came back." },
+  { Event::RequestRouted,
+    "request-routed",
+    Level::Info,
+    "A backend server was chosen, out of which candidates and why." },
+  { Event::RequestRefused,
+    "request-refused",
+    Level::Warning,
+    "The caller got a refusal; it says whether the request was run." },
+  { Event::RequestCancelled,
+    "request-cancelled",
+    Level::Info,
+    "The caller left or a key was withdrawn; the work was cancelled." },
+  { Event::StreamFailed,
+    "stream-failed",
+    Level::Error,
+    "An answer was cut after its first byte; the caller saw an error." },
+  { Event::RequestCompleted,
+    "request-completed",
+    Level::Info,
+    "The caller got the whole answer." },
+  { Event::ReservationGranted,
+    "reservation-granted",
+    Level::Info,
+    "The agent granted a slot." },
+  { Event::ReservationRefused,
+    "reservation-refused",
+    Level::Warning,
+    "The agent took no reservation; nothing was run." },
+  { Event::ReservationShed,
+    "reservation-shed",
+    Level::Warning,
+    "A queued reservation gave way to a higher tier; nothing was run." },
+  { Event::CommitRefused,
+    "commit-refused",
+    Level::Warning,
+    "A commit came too late or from an older grant; nothing was run." },
+  { Event::ClaimDecided,
+    "claim-decided",
+    Level::Info,
+    "What became of a call that may run at most once." },
+  { Event::PlacementOrdered,
+    "placement-ordered",
+    Level::Info,
+    "An order went to the backend server, with its fencing number." },
+  { Event::ShareMoved,
+    "share-moved",
+    Level::Info,
+    "A part of a team's rate moved between nodes." },
+  { Event::BreakerOpened,
+    "breaker-opened",
+    Level::Warning,
+    "An agent failed too often; it gets no requests for a while." },
+  { Event::BreakerClosed,
+    "breaker-closed",
+    Level::Info,
+    "An agent answered its trial request; it gets requests again." }
+};
+
+} // namespace
+
+const std::vector<EventEntry>&
+EventCatalogue()
+{
+  static const std::vector<EventEntry> sEntries(std::begin(kEntries),
+                                                std::end(kEntries));
+  return sEntries;
+}
+
+const EventEntry&
+DescribeEvent(Event aEvent)
+{
+  const std::vector<EventEntry>& entries = EventCatalogue();
+  const auto place = std::find_if(
+    entries.begin(), entries.end(), [aEvent](const EventEntry& aEntry) {
+      return aEntry.mEvent == aEvent;
+    });
+  static const EventEntry sUnlisted{
+    Event{}, "unlisted", EventLevel::Error, "Missing from the catalogue."
+  };
+  return place == entries.end() ? sUnlisted : *place;
+}
+
+const char*
+EventLevelText(EventLevel aLevel)
+{
+  switch (aLevel) {
+    case EventLevel::Info:
+      return "info";
+    case EventLevel::Warning:
+      return "warning";
+    case EventLevel::Error:
+      return "error";
+  }
+  return "";
+}
+
+std::string
+RenderEventCatalogue()
+{
+  std::string result = "# Events of the log\n\n"
+                       "Each log line is one JSON object with `time`, `event` "
+                       "(the number), `name`, `level`,\n`node` and the "
+                       "event's own fields. Numbers are never reused.\n\n"
+                       "| event | name | level | meaning |\n"
+                       "|---|---|---|---|\n";
+  for (const EventEntry& entry : EventCatalogue()) {
+    result += "| " + std::to_string(static_cast<int>(entry.mEvent)) + " | " +
+              entry.mName + " | " + EventLevelText(entry.mLevel) + " | " +
+              entry.mMeaning + " |\n";
+  }
+  return result;
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace medlarkeel {
+
+/**
+ * Numbered events of the log. A number is never reused; docs/EVENTS.md is
+ * rendered from the catalogue.
+ */
+enum class Event
+{
+  Started = 100,
+  Stopped = 101,
+  SettingsRejected = 102,
+  ShutdownStep = 103,
+  PauseNoticed = 104,
+
+  DocumentAccepted = 200,
+  DocumentRejected = 201,
+  DocumentStale = 202,
+
+  ListObserved = 300,
+  ZoneChanged = 301,
+
+  RequestRouted = 400,
+  RequestRefused = 401,
+  RequestCancelled = 402,
+  StreamFailed = 403,
+  RequestCompleted = 404,
+
+  ReservationGranted = 500,
+  ReservationRefused = 501,
+  ReservationShed = 502,
+  CommitRefused = 503,
+  ClaimDecided = 504,
+
+  PlacementOrdered = 600,
+
+  ShareMoved = 700,
+
+  BreakerOpened = 800,
+  BreakerClosed = 801
+};
+
+enum class EventLevel
+{
+  Info,
+  Warning,
+  Error
+};
+
+/** What the catalogue says about one event. */
+struct EventEntry
+{
+  Event mEvent;
+  const char* mName;
+  EventLevel mLevel;
+  const char* mMeaning;
+};
+
+/** @return All events, in the order of their numbers. */
+const std::vector<EventEntry>&
+EventCatalogue();
+
+/** @return The entry of an event; one named "unlisted" if it has none. */
+const EventEntry&
+DescribeEvent(Event aEvent);
+
+/** @return "info", "warning" or "error". */
+const char*
+EventLevelText(EventLevel aLevel);
+
+/** @return The catalogue as the Markdown text of docs/EVENTS.md. */
+std::string
+RenderEventCatalogue();
+
+} // namespace medlarkeel
