Claim that nothing was sent only when libcurl sent no byte

The agent answers 'not run' for ConnectFailed, so the kind must be certain: it now depends on the bytes that libcurl sent, not on its error code, which also stood for failures inside libcurl in the middle of a call.

--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -45,6 +45,7 @@
   bool mHeadDelivered = false;
   bool mStopped = false;
   bool mIdleTooLong = false;
+  bool mNothingSent = false;
   SteadyClock::time_point mLastByte = SteadyClock::now();
 };
 
@@ -222,7 +223,7 @@
   int running = 1;
   while (running > 0) {
     if (curl_multi_perform(aMulti, &running) != CURLM_OK) {
-      return CURLE_FAILED_INIT;
+      return CURLE_GOT_NOTHING;
     }
     if (running > 0 && MustStop(aTransfer)) {
       return CURLE_ABORTED_BY_CALLBACK;
@@ -233,7 +234,7 @@
   }
   int left = 0;
   const CURLMsg* message = curl_multi_info_read(aMulti, &left);
-  return message == nullptr ? CURLE_FAILED_INIT : message->data.result;
+  return message == nullptr ? CURLE_GOT_NOTHING : message->data.result;
 }
 
 NetErrorKind
@@ -242,16 +243,13 @@
   if (aTransfer.mStopped) {
     return NetErrorKind::StoppedByReader;
   }
+  if (aTransfer.mNothingSent) {
+    return NetErrorKind::ConnectFailed;
+  }
   if (aTransfer.mIdleTooLong) {
     return NetErrorKind::TimedOut;
   }
   switch (aCode) {
-    case CURLE_COULDNT_CONNECT:
-    case CURLE_COULDNT_RESOLVE_HOST:
-    case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
-    case CURLE_FAILED_INIT:
-      return NetErrorKind::ConnectFailed;
     case CURLE_OPERATION_TIMEDOUT:
       return NetErrorKind::TimedOut;
     case CURLE_WEIRD_SERVER_REPLY:
@@ -261,6 +259,15 @@
   }
 }
 
+/** @return Whether it is certain that the server saw nothing of the call. */
+bool
+NothingSent(CURL* aEasy, const HttpCall& aCall)
+{
+  long bytes = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_REQUEST_SIZE, &bytes);
+  return bytes == 0 && !aCall.mReuseConnection;
+}
+
 /** @return Whether the protocol itself marks where the body ends. */
 bool
 HasMarkedEnd(const Transfer& aTransfer)
@@ -307,6 +314,7 @@
   SetCallbacks(easy.get(), transfer);
   curl_multi_add_handle(multi, easy.get());
   const CURLcode code = Run(multi, transfer);
+  transfer.mNothingSent = NothingSent(easy.get(), aCall);
   curl_multi_remove_handle(multi, easy.get());
   return Conclude(code, transfer);
 }
--- a/src/libmedlarkeelnet/httpclient.h
+++ b/src/libmedlarkeelnet/httpclient.h
@@ -27,7 +27,8 @@
   std::size_t mReplyLimit = 16U << 20U;
   /** Allows a connection of an earlier call of this thread. Only for calls that
    * may run twice: libcurl sends a request again when a reused connection
-   * closes before the reply's first byte. */
+   * closes before the reply's first byte. Errors of such a call never claim
+   * that nothing was sent. */
   bool mReuseConnection = false;
   /** Asked every 50 ms while nothing arrives; true ends the call. */
   std::function<bool()> mShouldStop;
--- a/src/libmedlarkeelnet/neterror.h
+++ b/src/libmedlarkeelnet/neterror.h
@@ -9,7 +9,9 @@
 enum class NetErrorKind
 {
   BindFailed,
+  /** The peer has seen nothing of the call. */
   ConnectFailed,
+  /** The call was sent; whether the peer acted on it is unknown. */
   TimedOut,
   PeerClosed,
   StoppedByReader,
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -338,6 +338,28 @@
   BOOST_TEST(server.mRequests == 2);
 }
 
+BOOST_AUTO_TEST_CASE(ConnectFailedMeansThatNothingWasSent)
+{
+  // Not listening after bind: the port refuses connections.
+  const int refusing = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* place = reinterpret_cast<sockaddr*>(&address);
+  socklen_t size = sizeof address;
+  BOOST_REQUIRE(bind(refusing, place, size) == 0);
+  BOOST_REQUIRE(getsockname(refusing, place, &size) == 0);
+  const std::uint16_t port = ntohs(address.sin_port);
+  BOOST_TEST(
+    (SendHttp(CallTo(port, "/")).error().mKind == NetErrorKind::ConnectFailed));
+  // Listening but never accepting: the request is sent and stays unread.
+  BOOST_REQUIRE(listen(refusing, 8) == 0);
+  HttpCall call = CallTo(port, "/");
+  call.mTimeout = std::chrono::milliseconds(200);
+  BOOST_TEST((SendHttp(call).error().mKind == NetErrorKind::TimedOut));
+  close(refusing);
+}
+
 BOOST_AUTO_TEST_CASE(ClosedPortAndTakenPortAreErrors)
 {
   HttpServerOptions options;
