--- a/src/libmedlarkeelnet/httpmessage.h
+++ b/src/libmedlarkeelnet/httpmessage.h
@@ -21,11 +21,14 @@
 using HttpHeaders = std::map<std::string, std::string, LessIgnoringCase>;
 using HttpQuery = std::map<std::string, std::string>;
 
-/** A request as a handler sees it; the path is without the query. */
+/** A request as a handler sees it. */
 struct HttpRequest
 {
   std::string mMethod;
+  /** Path without the query; escapes are as the caller sent them. */
   std::string mPath;
+  /** Path and query as the caller sent them. */
+  std::string mTarget;
   HttpHeaders mHeaders;
   HttpQuery mQuery;
   std::string mBody;
--- a/src/libmedlarkeelnet/httpserver.cpp
+++ b/src/libmedlarkeelnet/httpserver.cpp
@@ -32,6 +32,7 @@
   MHD_Connection* mHandle = nullptr;
   int mDescriptor = -1;
   unsigned mIdleTimeout = 0; // seconds
+  std::string mTarget;
 };
 
 thread_local ServedConnection sConnection;
@@ -147,6 +148,7 @@
   HttpRequest result;
   result.mMethod = TextOrEmpty(aRequest.http_verb);
   result.mPath = TextOrEmpty(aRequest.url_path);
+  result.mTarget = sConnection.mTarget;
   result.mHeaders = CopyMap<HttpHeaders>(aRequest.map_header);
   result.mQuery = CopyMap<HttpQuery>(aRequest.map_url);
   if (aRequest.binary_body_length > 0) {
@@ -272,6 +274,7 @@
   sConnection.mHandle = aConnection;
   sConnection.mDescriptor = info == nullptr ? -1 : info->connect_fd;
   sConnection.mIdleTimeout = state->mOptions.mIdleTimeout;
+  sConnection.mTarget = TextOrEmpty(aUri);
   return ulfius_uri_logger(nullptr, aUri);
 }
 
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -151,10 +151,11 @@
     response.mStatus = 201;
     response.mHeaders["X-Seen"] = aRequest.mHeaders.at("x-own");
     response.mBody = aRequest.mMethod + " " + aRequest.mPath + " " +
-                     aRequest.mQuery.at("after") + " " + aRequest.mBody;
+                     aRequest.mQuery.at("after") + " " + aRequest.mTarget +
+                     " " + aRequest.mBody;
     return response;
   });
-  HttpCall call = CallTo(server->Port(), "/s/bookings/confirm?after=7&x=a%20b");
+  HttpCall call = CallTo(server->Port(), "/s/book%69ngs?after=7&x=a%20b");
   call.mMethod = "PUT";
   call.mHeaders["X-Own"] = "value";
   call.mBody = std::string("a\0b", 3);
@@ -163,7 +164,8 @@
   BOOST_TEST(reply.value().mStatus == 201);
   BOOST_TEST(reply.value().mHeaders.at("x-seen") == "value");
   BOOST_TEST(reply.value().mBody ==
-             "PUT /s/bookings/confirm 7 " + std::string("a\0b", 3));
+             "PUT /s/book%69ngs 7 /s/book%69ngs?after=7&x=a%20b " +
+               std::string("a\0b", 3));
 }
 
 BOOST_AUTO_TEST_CASE(KeepsStatusOfEmptyResponse)
