--- /dev/null
+++ b/tests/processes/fleet.cpp
@@ -0,0 +1,252 @@
+#include "fleet.h"
+
+#include "sha256.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdio>
+
+namespace medlarkeel {
+
+namespace {
+
+constexpr const char* kRegion = "gt-occidente";
+constexpr std::size_t kLogTail = 3000; // bytes
+
+nlohmann::json
+FleetDocument(const CallerKey& aKey)
+{
+  auto document = nlohmann::json::parse(R"({
+    "version": 0, "environment": "test",
+    "zones": [{"name": "xela-a", "region": "gt-occidente", "state": "in"},
+              {"name": "xela-b", "region": "gt-occidente", "state": "in"}],
+    "classes": [
+      {"name": "confirmation", "tier": 0, "attainment": 0.99},
+      {"name": "draft", "tier": 2, "attainment": 0.95},
+      {"name": "bulk", "tier": 6, "attainment": 0.5, "floorShare": 0.05}],
+    "pools": [
+      {"name": "proclamation", "kind": "model", "concurrency": 8,
+       "coldStartConcurrency": 8, "queueLimit": 600,
+       "honoursFencing": true},
+      {"name": "bookings", "kind": "service", "concurrency": 32,
+       "coldStartConcurrency": 32, "queueLimit": 64,
+       "honoursFencing": false}],
+    "teams": [
+      {"name": "market", "rate": 5000, "burst": 10000, "keys": []}],
+    "routes": [
+      {"method": "POST", "path": "/v1/chat/completions",
+       "pool": "proclamation", "class": "draft", "open": false,
+       "repeatable": true},
+      {"method": "POST", "path": "/s/bookings/confirmations",
+       "pool": "bookings", "class": "confirmation", "open": false,
+       "repeatable": false},
+      {"method": "GET", "path": "/s/bookings/*", "pool": "bookings",
+       "class": "draft", "open": true, "repeatable": true}],
+    "openRate": 100, "openBurst": 100, "withdrawnStreams": "cut"})");
+  document["teams"][0]["keys"].push_back(aKey.Entry());
+  return document;
+}
+
+nlohmann::json
+LocalEndpoint(std::uint16_t aPort)
+{
+  return { { "address", "127.0.0.1" }, { "port", aPort } };
+}
+
+} // namespace
+
+std::string
+CallerKey::Authorization() const
+{
+  return "Bearer mk_" + mId + "_" + mSecret;
+}
+
+nlohmann::json
+CallerKey::Entry() const
+{
+  const std::string salt = "salt-of-" + mId;
+  return { { "id", mId },
+           { "salt", salt },
+           { "secretHash", Sha256Hex(salt + mSecret) } };
+}
+
+Fleet::Fleet()
+  : mDocument(FleetDocument(mKey))
+{
+  mProcesses["platform"] = &mHarness.Start(
+    "platform",
+    "fakeplatform",
+    { "--port=" + std::to_string(mPlatformPort), "--list_lag_ms=200" });
+  BOOST_REQUIRE(WaitReady(mPlatformPort, "/stats"));
+  Publish();
+}
+
+void
+Fleet::Publish()
+{
+  mDocument["version"] = mDocument["version"].get<int>() + 1;
+  BOOST_REQUIRE(SendJson(mPlatformPort, "PUT", "/configuration", mDocument) ==
+                200);
+}
+
+nlohmann::json
+Fleet::SettingsOf(const std::string& aId,
+                  const std::string& aRole,
+                  const std::string& aZone,
+                  std::uint16_t aHttpPort)
+{
+  return { { "role", aRole },
+           { "instanceId", aId },
+           { "zone", aZone },
+           { "region", kRegion },
+           { "httpListen", LocalEndpoint(aHttpPort) },
+           { "grpcListen", LocalEndpoint(ProcessHarness::FreePort()) },
+           { "platform", LocalEndpoint(mPlatformPort) },
+           { "control",
+             { { "configurationPollMs", 300 },
+               { "listPollMs", 300 },
+               { "gossipMs", 300 },
+               { "listLagBoundMs", 500 },
+               { "evidenceValidMs", 3000 },
+               { "confirmationBoundMs", 5000 } } },
+           { "shutdownBoundMs", 20000 } };
+}
+
+ChildProcess&
+Fleet::StartDaemon(const std::string& aId,
+                   const nlohmann::json& aSettings,
+                   const std::string& aPool)
+{
+  const std::string path = mHarness.WriteFile(aId + ".json", aSettings.dump(2));
+  ChildProcess& process =
+    mHarness.Start(aId, "medlarkeeld", { "--settings=" + path });
+  mProcesses[aId] = &process;
+  const auto& listen = aSettings["grpcListen"];
+  const std::string address =
+    "127.0.0.1:" + std::to_string(listen["port"].get<int>());
+  BOOST_REQUIRE(SendJson(mPlatformPort,
+                         "PUT",
+                         "/instances/" + aId,
+                         { { "role", aSettings["role"] },
+                           { "zone", aSettings["zone"] },
+                           { "region", kRegion },
+                           { "address", address },
+                           { "pool", aPool } }) == 200);
+  return process;
+}
+
+EntryProcess&
+Fleet::AddEntry(const std::string& aZone)
+{
+  auto entry = std::make_unique<EntryProcess>();
+  entry->mId = "entry-" + std::to_string(mEntries.size() + 1);
+  entry->mPort = ProcessHarness::FreePort();
+  entry->mProcess = &StartDaemon(
+    entry->mId, SettingsOf(entry->mId, "entry", aZone, entry->mPort), "");
+  mEntries.push_back(std::move(entry));
+  return *mEntries.back();
+}
+
+BackendPair&
+Fleet::AddPair(const std::string& aProgram,
+               const std::string& aPool,
+               const std::string& aKind,
+               std::vector<std::string> aArguments,
+               const std::string& aZone)
+{
+  auto pair = std::make_unique<BackendPair>();
+  pair->mId = aPool + "-" + std::to_string(mPairs.size() + 1);
+  pair->mBackendPort = ProcessHarness::FreePort();
+  pair->mAgentHttpPort = ProcessHarness::FreePort();
+  aArguments.push_back("--port=" + std::to_string(pair->mBackendPort));
+  pair->mBackend =
+    &mHarness.Start(pair->mId + "-backend", aProgram, aArguments);
+  mProcesses[pair->mId + "-backend"] = pair->mBackend;
+  BOOST_REQUIRE(WaitReady(pair->mBackendPort, "/stats"));
+  nlohmann::json settings =
+    SettingsOf(pair->mId, "agent", aZone, pair->mAgentHttpPort);
+  settings["backendServer"] = LocalEndpoint(pair->mBackendPort);
+  settings["backendServer"]["pool"] = aPool;
+  settings["backendServer"]["kind"] = aKind;
+  pair->mAgent = &StartDaemon(pair->mId, settings, aPool);
+  mPairs.push_back(std::move(pair));
+  return *mPairs.back();
+}
+
+BackendPair&
+Fleet::AddEngine(const std::vector<std::string>& aArguments,
+                 const std::string& aZone)
+{
+  return AddPair("fakeengine", "proclamation", "model", aArguments, aZone);
+}
+
+BackendPair&
+Fleet::AddService(const std::vector<std::string>& aArguments,
+                  const std::string& aZone)
+{
+  return AddPair("fakeservice", "bookings", "service", aArguments, aZone);
+}
+
+void
+Fleet::RequireReady()
+{
+  bool ready = true;
+  for (const auto& pair : mPairs) {
+    ready = ready && WaitReady(pair->mAgentHttpPort, "/readyz");
+  }
+  for (const auto& entry : mEntries) {
+    ready = ready && WaitReady(entry->mPort, "/readyz");
+  }
+  if (!ready) {
+    PrintLogs();
+  }
+  BOOST_REQUIRE(ready);
+}
+
+void
+Fleet::Unlist(const std::string& aId) const
+{
+  SendJson(mPlatformPort, "DELETE", "/instances/" + aId, {});
+}
+
+void
+Fleet::SetState(const std::string& aId, const std::string& aState) const
+{
+  SendJson(mPlatformPort, "PUT", "/instances/" + aId, { { "state", aState } });
+}
+
+HttpCall
+Fleet::Chat(const std::string& aMarker, std::size_t aTokens) const
+{
+  HttpCall call = ChatCall(mEntries.front()->mPort, aMarker, aTokens);
+  call.mHeaders["Authorization"] = mKey.Authorization();
+  return call;
+}
+
+HttpCall
+Fleet::Confirm(const std::string& aId, const std::string& aIdempotencyKey) const
+{
+  HttpCall call;
+  call.mMethod = "POST";
+  call.mUrl = LocalUrl(mEntries.front()->mPort, "/s/bookings/confirmations");
+  call.mTimeout = std::chrono::seconds(30);
+  call.mHeaders["Authorization"] = mKey.Authorization();
+  call.mHeaders["Content-Type"] = "application/json";
+  if (!aIdempotencyKey.empty()) {
+    call.mHeaders["Idempotency-Key"] = aIdempotencyKey;
+  }
+  call.mBody = nlohmann::json({ { "id", aId } }).dump();
+  return call;
+}
+
+void
+Fleet::PrintLogs() const
+{
+  for (const auto& [name, process] : mProcesses) {
+    const std::string log = process->Log();
+    const std::size_t begin = log.size() > kLogTail ? log.size() - kLogTail : 0;
+    std::printf("--- %s\n%s\n", name.c_str(), log.c_str() + begin);
+  }
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/processes/fleet.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "processharness.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace medlarkeel {
+
+/** A caller key of the fleet's document. */
+struct CallerKey
+{
+  std::string mId;
+  std::string mSecret;
+
+  /** @return The value of the Authorization header. */
+  std::string Authorization() const;
+  nlohmann::json Entry() const;
+};
+
+/** One backend server with the agent beside it. */
+struct BackendPair
+{
+  std::string mId;
+  ChildProcess* mBackend = nullptr;
+  ChildProcess* mAgent = nullptr;
+  std::uint16_t mBackendPort = 0;
+  std::uint16_t mAgentHttpPort = 0;
+};
+
+struct EntryProcess
+{
+  std::string mId;
+  ChildProcess* mProcess = nullptr;
+  std::uint16_t mPort = 0;
+};
+
+/**
+ * A small environment of real processes: the platform's stand-in, entries, and
+ * backend servers with their agents in the availability zones xela-a and
+ * xela-b.
+ */
+class Fleet
+{
+public:
+  Fleet();
+
+  /** @return The document to be; change it, then Publish it. */
+  nlohmann::json& Document() { return mDocument; }
+
+  /** Gives the document the next version and hands it to the platform. */
+  void Publish();
+
+  EntryProcess& AddEntry(const std::string& aZone = "xela-a");
+  BackendPair& AddEngine(const std::vector<std::string>& aArguments = {},
+                         const std::string& aZone = "xela-a");
+  BackendPair& AddService(const std::vector<std::string>& aArguments = {},
+                          const std::string& aZone = "xela-a");
+
+  /** Waits until all processes are ready; fails the test otherwise. */
+  void RequireReady();
+
+  /** Takes an instance out of the platform's list. */
+  void Unlist(const std::string& aId) const;
+  void SetState(const std::string& aId, const std::string& aState) const;
+
+  const CallerKey& Key() const { return mKey; }
+  std::uint16_t PlatformPort() const { return mPlatformPort; }
+
+  /** @return A chat call with the fleet's key. */
+  HttpCall Chat(const std::string& aMarker, std::size_t aTokens) const;
+
+  /** @return A call of the operation that may run at most once. */
+  HttpCall Confirm(const std::string& aId,
+                   const std::string& aIdempotencyKey) const;
+
+  /** Prints the end of every process's log. */
+  void PrintLogs() const;
+
+private:
+  BackendPair& AddPair(const std::string& aProgram,
+                       const std::string& aPool,
+                       const std::string& aKind,
+                       std::vector<std::string> aArguments,
+                       const std::string& aZone);
+  nlohmann::json SettingsOf(const std::string& aId,
+                            const std::string& aRole,
+                            const std::string& aZone,
+                            std::uint16_t aHttpPort);
+  ChildProcess& StartDaemon(const std::string& aId,
+                            const nlohmann::json& aSettings,
+                            const std::string& aPool);
+
+  ProcessHarness mHarness;
+  CallerKey mKey{ "alfa1", "s3cretOfAlfa1" };
+  std::uint16_t mPlatformPort = ProcessHarness::FreePort();
+  nlohmann::json mDocument;
+  // Lists, so that references stay valid.
+  std::vector<std::unique_ptr<BackendPair>> mPairs;
+  std::vector<std::unique_ptr<EntryProcess>> mEntries;
+  std::map<std::string, ChildProcess*> mProcesses;
+};
+
+} // namespace medlarkeel
