--- a/src/medlarkeeld/agentcore.cpp
+++ b/src/medlarkeeld/agentcore.cpp
@@ -1,6 +1,7 @@
 #include "agentcore.h"
 
 #include "bootclock.h"
+#include "claimrange.h"
 
 #include <algorithm>
 #include <set>
@@ -13,6 +14,7 @@
 
 /** Several tick intervals. */
 constexpr Milliseconds kPauseLimit{ 1000 };
+constexpr Milliseconds kRetryClaim{ 1000 };
 
 std::optional<RefusalReason>
 ReasonToRefuse(const AgentConditions& aConditions)
@@ -29,6 +31,54 @@
   return std::nullopt;
 }
 
+OwnershipSettings
+OwnershipFrom(const Settings& aSettings)
+{
+  OwnershipSettings ownership;
+  ownership.mEvidenceLife = aSettings.mControl.mEvidenceValid;
+  ownership.mListLag = aSettings.mControl.mListLagBound;
+  return ownership;
+}
+
+void
+PostAnswer(const StoredAnswer& aAnswer, RunMailbox& aMailbox)
+{
+  aMailbox.Post(RunHead{ aAnswer.mStatus, aAnswer.mContentType, true });
+  aMailbox.Post(RunData{ aAnswer.mBody });
+  aMailbox.Post(RunDone{});
+}
+
+/** Turns a verdict other than Run and Replay into the caller's refusal. */
+Refusal
+ClaimRefusal(const ClaimDecision& aDecision)
+{
+  Refusal refusal;
+  refusal.mExecuted = aDecision.mExecuted;
+  switch (aDecision.mVerdict) {
+    case ClaimVerdict::Mismatch:
+      refusal.mReason = RefusalReason::IdempotencyMismatch;
+      refusal.mDetail = "the idempotency key was used with another body";
+      break;
+    case ClaimVerdict::StillRunning:
+      refusal.mReason = RefusalReason::StillRunning;
+      refusal.mRetryAfter = kRetryClaim;
+      refusal.mDetail = "the first call with this key is still running";
+      break;
+    case ClaimVerdict::NotOwner:
+    case ClaimVerdict::Run:
+      refusal.mReason = RefusalReason::NoBackendServer;
+      refusal.mRetryAfter = kRetryClaim;
+      refusal.mDetail = "no backend server can vouch for the key now";
+      break;
+    default:
+      refusal.mReason = RefusalReason::OutcomeUnknown;
+      refusal.mDetail = "the key may have been run before; check before "
+                        "sending the call with a new key";
+      break;
+  }
+  return refusal;
+}
+
 bool
 IsZoneOut(const EnvironmentDocument& aDocument, const ZoneName& aZone)
 {
@@ -60,6 +110,10 @@
   , mIncarnation(aIncarnation)
   , mScheduler(aIncarnation)
   , mPauses(kPauseLimit)
+  , mOwnership(aSettings.mInstanceId,
+               OwnershipFrom(aSettings),
+               OwnershipScope{ InstanceRole::Agent, mPool })
+  , mClaims(aSettings.mInstanceId, aIncarnation, BootNow())
 {
   const Lock lock(mMutex);
   UpdateAccepting(BootNow());
@@ -77,10 +131,35 @@
   return aReservation.mId;
 }
 
+bool
+AgentCore::IsNewCall(const ClaimCall& aCall,
+                     const std::shared_ptr<RunMailbox>& aMailbox)
+{
+  const Lock lock(mMutex);
+  const Timestamp now = ObserveClock();
+  const ClaimDecision decision =
+    mClaims.Look(aCall.mKey, aCall.mBody, EvidenceFor(aCall.mKey, now));
+  switch (decision.mVerdict) {
+    case ClaimVerdict::Run:
+      return true;
+    case ClaimVerdict::Replay:
+      PostAnswer(*decision.mAnswer, *aMailbox);
+      return false;
+    case ClaimVerdict::StillRunning:
+      mWaitingRepeats.emplace(aCall.mKey,
+                              std::make_pair(aCall.mBody, aMailbox));
+      return false;
+    default:
+      aMailbox->Post(RunRefused{ ClaimRefusal(decision) });
+      return false;
+  }
+}
+
 CommitResult
 AgentCore::Commit(ReservationId aReservation,
                   GrantId aGrant,
-                  Incarnation aIncarnation)
+                  Incarnation aIncarnation,
+                  const std::optional<ClaimCall>& aCall)
 {
   const Lock lock(mMutex);
   const Timestamp now = ObserveClock();
@@ -88,10 +167,55 @@
   if (!committed) {
     mMailboxes.erase(aReservation);
     CarryOut(mScheduler.Tick(now));
+    return committed;
+  }
+  if (aCall) {
+    const ClaimDecision decision =
+      mClaims.Claim(aCall->mKey, aCall->mBody, EvidenceFor(aCall->mKey, now));
+    if (decision.mVerdict != ClaimVerdict::Run) {
+      mMailboxes.erase(aReservation);
+      CarryOut(mScheduler.Finish(aGrant, FinishKind::Cancelled, now));
+      return ClaimRefusal(decision);
+    }
   }
   return committed;
 }
 
+void
+AgentCore::RecordAnswer(const ClaimKey& aKey, StoredAnswer aAnswer)
+{
+  const Lock lock(mMutex);
+  mClaims.RecordAnswer(aKey, std::move(aAnswer));
+  AnswerWaiting(aKey);
+}
+
+void
+AgentCore::RecordUnknown(const ClaimKey& aKey)
+{
+  const Lock lock(mMutex);
+  mClaims.RecordUnknown(aKey);
+  AnswerWaiting(aKey);
+}
+
+void
+AgentCore::RecordNotRun(const ClaimKey& aKey)
+{
+  const Lock lock(mMutex);
+  mClaims.RecordNotRun(aKey);
+  AnswerWaiting(aKey);
+}
+
+std::optional<IdempotencyKey>
+AgentCore::IssueTicket()
+{
+  const Lock lock(mMutex);
+  const Timestamp now = ObserveClock();
+  if (ReasonToRefuse(mConditions)) {
+    return std::nullopt;
+  }
+  return mClaims.IssueTicket(now);
+}
+
 void
 AgentCore::RecordFirstToken(GrantId aGrant)
 {
@@ -144,11 +268,18 @@
 }
 
 void
-AgentCore::ApplyListing(InstanceState aState)
+AgentCore::ApplyList(const InstanceList& aList,
+                     Timestamp aSentAt,
+                     Timestamp aReceivedAt)
 {
   const Lock lock(mMutex);
   const Timestamp now = ObserveClock();
-  mConditions.mListedLeaving = aState == InstanceState::Leaving;
+  mOwnership.Observe(aList, aSentAt, aReceivedAt);
+  for (const InstanceRecord& record : aList.mInstances) {
+    if (record.mId == mSelf) {
+      mConditions.mListedLeaving = record.mState == InstanceState::Leaving;
+    }
+  }
   UpdateAccepting(now);
 }
 
@@ -199,12 +330,43 @@
   const Timestamp now = BootNow();
   if (const auto gap = mPauses.Observe(now)) {
     mConditions.mMustRevalidate = true;
+    mOwnership.ResumeAfterPause(now);
     CarryOut(mScheduler.ResumeAfterPause(*gap, now));
     UpdateAccepting(now);
   }
   return now;
 }
 
+ClaimEvidence
+AgentCore::EvidenceFor(const ClaimKey& aKey, Timestamp aNow) const
+{
+  const RangeKey range = ClaimRange(aKey);
+  ClaimEvidence evidence;
+  evidence.mNow = aNow;
+  evidence.mWallNow = WallTime(WallNow());
+  evidence.mIsOwner = mOwnership.Owner(range) == mSelf;
+  evidence.mExclusiveSince = mOwnership.ExclusiveSince(range, aNow);
+  return evidence;
+}
+
+void
+AgentCore::AnswerWaiting(const ClaimKey& aKey)
+{
+  const Timestamp now = BootNow();
+  const auto [first, last] = mWaitingRepeats.equal_range(aKey);
+  for (auto waiting = first; waiting != last; ++waiting) {
+    const auto& [body, mailbox] = waiting->second;
+    const ClaimDecision decision =
+      mClaims.Look(aKey, body, EvidenceFor(aKey, now));
+    if (decision.mVerdict == ClaimVerdict::Replay) {
+      PostAnswer(*decision.mAnswer, *mailbox);
+    } else {
+      mailbox->Post(RunRefused{ ClaimRefusal(decision) });
+    }
+  }
+  mWaitingRepeats.erase(first, last);
+}
+
 void
 AgentCore::UpdateAccepting(Timestamp aNow)
 {
--- a/src/medlarkeeld/agentcore.h
+++ b/src/medlarkeeld/agentcore.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "backendscheduler.h"
+#include "claimtable.h"
 #include "environmentdocument.h"
 #include "loadreport.h"
+#include "instancelist.h"
 #include "pausedetector.h"
+#include "rangeownership.h"
 #include "refusal.h"
 #include "runmailbox.h"
 #include "settings.h"
@@ -14,6 +17,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <utility>
 
 namespace medlarkeel {
 
@@ -27,6 +31,13 @@
   bool mMustRevalidate = false;
 };
 
+/** A call that may not be repeated, as its claim names it. */
+struct ClaimCall
+{
+  ClaimKey mKey;
+  BodyHash mBody;
+};
+
 /**
  * The decisions of one agent behind one mutex: what the backend server beside
  * it takes. Carries out the scheduler's actions by posting to the mailboxes
@@ -49,14 +60,38 @@
   ReservationId Reserve(Reservation aReservation,
                         std::shared_ptr<RunMailbox> aMailbox);
 
+  /**
+   * Decides on a call by its claim alone: answers a repeat from the record or
+   * refuses it.
+   *
+   * @param aMailbox Gets the answer, at once or when the first run ends.
+   * @return Whether the call is new and may go on to reserve.
+   */
+  bool IsNewCall(const ClaimCall& aCall,
+                 const std::shared_ptr<RunMailbox>& aMailbox);
+
   /**
    * Starts the work of a grant.
    *
-   * @return A refusal "not run" when the grant is void.
+   * @param aCall The claim to record, for a call that may not be repeated and
+   *        has an idempotency key.
+   * @return A refusal when the grant is void or the claim forbids the run.
    */
   CommitResult Commit(ReservationId aReservation,
                       GrantId aGrant,
-                      Incarnation aIncarnation);
+                      Incarnation aIncarnation,
+                      const std::optional<ClaimCall>& aCall);
+
+  /** Keeps the answer of a claimed call for its repeats. */
+  void RecordAnswer(const ClaimKey& aKey, StoredAnswer aAnswer);
+  /** Records that a claimed call may have run without an answer. */
+  void RecordUnknown(const ClaimKey& aKey);
+  /** Records that nothing of a claimed call reached the backend server. */
+  void RecordNotRun(const ClaimKey& aKey);
+
+  /** @return A new key that only this agent accepts; nothing while it takes no
+   *          new work. */
+  std::optional<IdempotencyKey> IssueTicket();
 
   void RecordFirstToken(GrantId aGrant);
   void RecordTokens(GrantId aGrant, std::uint32_t aCount);
@@ -70,8 +105,10 @@
   /** Takes a document that has come into force. */
   void ApplyDocument(const EnvironmentDocument& aDocument);
 
-  /** Takes the own state as the platform lists it. */
-  void ApplyListing(InstanceState aState);
+  /** Takes a reading of the platform's list. */
+  void ApplyList(const InstanceList& aList,
+                 Timestamp aSentAt,
+                 Timestamp aReceivedAt);
 
   /** Ends the need for validation after a pause. */
   void RecordValidation(Timestamp aEvidenceSentAt);
@@ -91,6 +128,8 @@
   using Lock = std::lock_guard<std::mutex>;
 
   Timestamp ObserveClock();
+  ClaimEvidence EvidenceFor(const ClaimKey& aKey, Timestamp aNow) const;
+  void AnswerWaiting(const ClaimKey& aKey);
   void UpdateAccepting(Timestamp aNow);
   void CarryOut(const SchedulerActions& aActions);
   void Post(ReservationId aReservation, RunMessage aMessage);
@@ -106,6 +145,11 @@
   PauseDetector mPauses;
   AgentConditions mConditions;
   std::map<ReservationId, std::shared_ptr<RunMailbox>> mMailboxes;
+  RangeOwnership mOwnership;
+  ClaimTable mClaims;
+  /** Repeats that wait for the first run's end. */
+  std::multimap<ClaimKey, std::pair<BodyHash, std::shared_ptr<RunMailbox>>>
+    mWaitingRepeats;
   std::uint64_t mLastReservation = 0;
 };
 
--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -2,7 +2,6 @@
 
 #include "bootclock.h"
 
-#include <algorithm>
 #include <thread>
 
 namespace medlarkeel {
@@ -82,16 +81,7 @@
                      Timestamp aSentAt,
                      Timestamp aReceivedAt)
 {
-  static_cast<void>(aSentAt);
-  static_cast<void>(aReceivedAt);
-  const auto& instances = aList.mInstances;
-  const auto own = std::find_if(
-    instances.begin(), instances.end(), [this](const InstanceRecord& aRecord) {
-      return aRecord.mId == mSettings.mInstanceId;
-    });
-  if (own != instances.end()) {
-    mCore.ApplyListing(own->mState);
-  }
+  mCore.ApplyList(aList, aSentAt, aReceivedAt);
 }
 
 ControlHooks
--- a/src/medlarkeeld/agentservice.cpp
+++ b/src/medlarkeeld/agentservice.cpp
@@ -24,4 +24,17 @@
   return session.Run();
 }
 
+grpc::Status
+AgentService::IssueTicket(grpc::ServerContext* aContext,
+                          const wire::TicketRequest* aRequest,
+                          wire::TicketReply* aReply)
+{
+  static_cast<void>(aContext);
+  static_cast<void>(aRequest);
+  if (const auto key = mCore.IssueTicket()) {
+    aReply->set_key(key->Text());
+  }
+  return grpc::Status::OK;
+}
+
 } // namespace medlarkeel
--- a/src/medlarkeeld/agentservice.h
+++ b/src/medlarkeeld/agentservice.h
@@ -28,6 +28,10 @@
     grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>* aStream)
     override;
 
+  grpc::Status IssueTicket(grpc::ServerContext* aContext,
+                           const wire::TicketRequest* aRequest,
+                           wire::TicketReply* aReply) override;
+
 private:
   AgentCore& mCore;
   RunCounter& mRuns;
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -58,6 +58,11 @@
     return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT,
                         "the first frame must be a reservation");
   }
+  const auto call = CallOf();
+  if (call && !mCore.IsNewCall(*call, mMailbox)) {
+    Relay();
+    return grpc::Status::OK;
+  }
   Reserve();
   const auto grant = AwaitGrant();
   if (!grant) {
@@ -83,6 +88,19 @@
   return true;
 }
 
+std::optional<ClaimCall>
+AgentSession::CallOf() const
+{
+  if (mReserve.repeatable() || mReserve.idempotency_key().empty()) {
+    return std::nullopt;
+  }
+  ClaimCall call;
+  call.mKey.mTeam = TeamName(mReserve.team());
+  call.mKey.mKey = IdempotencyKey(mReserve.idempotency_key());
+  call.mBody = BodyHash(mReserve.body_hash());
+  return call;
+}
+
 void
 AgentSession::Reserve()
 {
@@ -124,7 +142,9 @@
 AgentSession::Execute(const RunGranted& aGrant, const wire::Commit& aCommit)
 {
   const Incarnation incarnation{ aCommit.incarnation() };
-  const auto committed = mCore.Commit(mReservation, aGrant.mGrant, incarnation);
+  const auto call = CallOf();
+  const auto committed =
+    mCore.Commit(mReservation, aGrant.mGrant, incarnation, call);
   if (!committed) {
     SendRefusal(committed.error());
     return;
@@ -134,8 +154,36 @@
                                      mBackend.mBaseUrl,
                                      WorkOf(aGrant, aCommit),
                                      mMailbox,
-                                     [](const RunOutcome&) {});
-  Relay(*run);
+                                     RecorderFor(call));
+  if (!Relay()) {
+    run->Abort();
+  }
+}
+
+BackendRun::OutcomeRecorder
+AgentSession::RecorderFor(const std::optional<ClaimCall>& aCall) const
+{
+  if (!aCall) {
+    return [](const RunOutcome&) {};
+  }
+  const ClaimKey key = aCall->mKey;
+  AgentCore& core = mCore;
+  return [&core, key](const RunOutcome& aOutcome) {
+    switch (aOutcome.mEnd) {
+      case CallEnd::Complete:
+        core.RecordAnswer(key,
+                          StoredAnswer{ aOutcome.mStatus,
+                                        aOutcome.mContentType,
+                                        aOutcome.mBody });
+        break;
+      case CallEnd::NotRun:
+        core.RecordNotRun(key);
+        break;
+      default:
+        core.RecordUnknown(key);
+        break;
+    }
+  };
 }
 
 CommittedWork
@@ -162,21 +210,18 @@
   return work;
 }
 
-void
-AgentSession::Relay(BackendRun& aRun)
+bool
+AgentSession::Relay()
 {
   while (const auto message = NextMessage()) {
-    if (!Send(*message)) {
-      break;
-    }
-    if (std::holds_alternative<RunRefused>(*message)) {
-      break;
+    if (!Send(*message) || std::holds_alternative<RunRefused>(*message)) {
+      return false;
     }
     if (std::holds_alternative<RunDone>(*message)) {
-      return;
+      return true;
     }
   }
-  aRun.Abort();
+  return false;
 }
 
 std::optional<RunMessage>
--- a/src/medlarkeeld/agentsession.h
+++ b/src/medlarkeeld/agentsession.h
@@ -26,13 +26,17 @@
 
 private:
   bool ReadReserve();
+  std::optional<ClaimCall> CallOf() const;
   void Reserve();
   std::optional<RunGranted> AwaitGrant();
   std::optional<wire::Commit> ReadCommit(const RunGranted& aGrant);
   void Execute(const RunGranted& aGrant, const wire::Commit& aCommit);
   CommittedWork WorkOf(const RunGranted& aGrant,
                        const wire::Commit& aCommit) const;
-  void Relay(BackendRun& aRun);
+  BackendRun::OutcomeRecorder RecorderFor(
+    const std::optional<ClaimCall>& aCall) const;
+  /** @return Whether the relayed answer came to its end. */
+  bool Relay();
 
   std::optional<RunMessage> NextMessage();
   bool Send(const RunMessage& aMessage);
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -1,6 +1,7 @@
 #include "entrycore.h"
 
 #include "bootclock.h"
+#include "claimrange.h"
 
 #include <algorithm>
 #include <utility>
