Cover all agents evenly by the subsets of the entries

Changed: what doesn't divide evenly moves on from entry to entry, and the bound is rounded down.

An unchanged set of zone states no longer selects anew.

--- a/src/libmedlarkeel/fleetview.cpp
+++ b/src/libmedlarkeel/fleetview.cpp
@@ -71,6 +71,7 @@
 FleetView::SetZones(const std::vector<ZoneEntry>& aZones, Timestamp aNow)
 {
   const bool isFirst = mZones.empty();
+  bool isChanged = aZones.size() != mZones.size();
   std::map<ZoneName, Zone> zones;
   for (const ZoneEntry& entry : aZones) {
     Zone zone;
@@ -78,6 +79,8 @@
     const auto known = mZones.find(entry.mName);
     const bool wasIn =
       known != mZones.end() && known->second.mState == ZoneState::In;
+    isChanged = isChanged || known == mZones.end() ||
+                known->second.mState != entry.mState;
     if (wasIn) {
       zone.mReturnedAt = known->second.mReturnedAt;
     } else if (!isFirst && entry.mState == ZoneState::In) {
@@ -86,7 +89,9 @@
     zones.emplace(entry.mName, zone);
   }
   mZones = std::move(zones);
-  SelectSubsets();
+  if (isChanged) {
+    SelectSubsets();
+  }
 }
 
 void
--- a/src/libmedlarkeel/subsetselector.cpp
+++ b/src/libmedlarkeel/subsetselector.cpp
@@ -16,9 +16,8 @@
 struct ZoneStratum
 {
   std::vector<InstanceId> mAgents;
-  std::size_t mQuota = 0;
-  /** What the quota lost by rounding down; times the number of agents. */
-  std::size_t mRemainder = 0;
+  /** One quota per entry, in the order of the entries. */
+  std::vector<std::size_t> mQuotas;
 };
 
 std::vector<ZoneStratum>
@@ -36,27 +35,27 @@
   return strata;
 }
 
-/** Shares the size over the zones by the largest remainder. */
+/**
+ * Shares the size over the zones in proportion to their agents. What doesn't
+ * divide evenly moves on from entry to entry, so that over all entries each
+ * zone gets its exact proportion.
+ */
 void
 AssignQuotas(std::vector<ZoneStratum>& aStrata,
              std::size_t aSize,
-             std::size_t aAgentCount)
+             std::size_t aAgentCount,
+             std::size_t aEntryCount)
 {
-  std::size_t given = 0;
-  for (ZoneStratum& stratum : aStrata) {
-    const std::size_t product = aSize * stratum.mAgents.size();
-    stratum.mQuota = product / aAgentCount;
-    stratum.mRemainder = product % aAgentCount;
-    given += stratum.mQuota;
-  }
-  std::vector<std::size_t> order(aStrata.size());
-  std::iota(order.begin(), order.end(), std::size_t{ 0 });
-  std::stable_sort(
-    order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
-      return aStrata[aLeft].mRemainder > aStrata[aRight].mRemainder;
-    });
-  for (std::size_t index = 0; given < aSize; ++index, ++given) {
-    ++aStrata[order[index]].mQuota;
+  for (std::size_t entry = 0; entry < aEntryCount; ++entry) {
+    const std::size_t offset = aAgentCount * entry / aEntryCount;
+    std::size_t agentsBefore = 0;
+    for (ZoneStratum& stratum : aStrata) {
+      const std::size_t agentsAfter = agentsBefore + stratum.mAgents.size();
+      const std::size_t from = (aSize * agentsBefore + offset) / aAgentCount;
+      const std::size_t to = (aSize * agentsAfter + offset) / aAgentCount;
+      stratum.mQuotas.push_back(to - from);
+      agentsBefore = agentsAfter;
+    }
   }
 }
 
@@ -64,20 +63,20 @@
 class StratumSelection
 {
 public:
-  StratumSelection(const ZoneStratum& aStratum, std::size_t aEntryCount)
-    : mStratum(aStratum)
-    , mCover(aStratum.mAgents.size(), 0)
+  explicit StratumSelection(const ZoneStratum& aStratum)
+    : mCover(aStratum.mAgents.size(), 0)
   {
-    const std::size_t selections = aEntryCount * aStratum.mQuota;
-    const std::size_t agents = aStratum.mAgents.size();
-    mBound = (selections + agents - 1) / agents;
+    const std::size_t selections = std::accumulate(
+      aStratum.mQuotas.begin(), aStratum.mQuotas.end(), std::size_t{ 0 });
+    mBound = selections / aStratum.mAgents.size();
     for (const InstanceId& agent : aStratum.mAgents) {
       mHashes.push_back(HashText(agent.Text()));
     }
   }
 
   /** @return Indexes of the agents that the entry selects. */
-  std::vector<std::size_t> SelectFor(std::uint64_t aEntryHash)
+  std::vector<std::size_t> SelectFor(std::uint64_t aEntryHash,
+                                     std::size_t aQuota)
   {
     std::vector<std::size_t> order(mHashes.size());
     std::iota(order.begin(), order.end(), std::size_t{ 0 });
@@ -87,13 +86,12 @@
       scores.push_back(RendezvousScore(aEntryHash, hash));
     }
     std::partial_sort(order.begin(),
-                      order.begin() +
-                        static_cast<std::ptrdiff_t>(mStratum.mQuota),
+                      order.begin() + static_cast<std::ptrdiff_t>(aQuota),
                       order.end(),
                       [&](std::size_t aLeft, std::size_t aRight) {
                         return Precedes(scores, aLeft, aRight);
                       });
-    order.resize(mStratum.mQuota);
+    order.resize(aQuota);
     for (const std::size_t index : order) {
       ++mCover[index];
     }
@@ -119,7 +117,6 @@
     return mCover[aIndex] < mBound ? 0 : mCover[aIndex] - mBound + 1;
   }
 
-  const ZoneStratum& mStratum;
   std::vector<std::size_t> mCover;
   std::vector<std::uint64_t> mHashes;
   std::size_t mBound = 0;
@@ -140,10 +137,11 @@
                   const std::vector<InstanceId>& aEntries,
                   const InstanceId& aSelf)
 {
-  StratumSelection selection(aStratum, aEntries.size());
-  for (const InstanceId& entry : aEntries) {
-    const auto indexes = selection.SelectFor(HashText(entry.Text()));
-    if (entry == aSelf) {
+  StratumSelection selection(aStratum);
+  for (std::size_t entry = 0; entry < aEntries.size(); ++entry) {
+    const auto indexes = selection.SelectFor(HashText(aEntries[entry].Text()),
+                                             aStratum.mQuotas[entry]);
+    if (aEntries[entry] == aSelf) {
       std::vector<InstanceId> selected;
       selected.reserve(indexes.size());
       for (const std::size_t index : indexes) {
@@ -169,8 +167,8 @@
     return selected;
   }
   std::vector<ZoneStratum> strata = Stratify(aInput);
-  AssignQuotas(strata, aInput.mSize, aInput.mAgents.size());
   const std::vector<InstanceId> entries = SortedEntries(aSelf, aInput.mEntries);
+  AssignQuotas(strata, aInput.mSize, aInput.mAgents.size(), entries.size());
   for (const ZoneStratum& stratum : strata) {
     const auto part = SelectFromStratum(stratum, entries, aSelf);
     selected.insert(selected.end(), part.begin(), part.end());
