Measure the scheduler's rules and the ways to tell repeats

The quantile of the own length at which work is refused early and the part that counts as near the end were guesses. bench/scheduler plays 1200 s of confirmations, drafts and reviews against one server.

--- /dev/null
+++ b/bench/scheduler/main.cpp
@@ -0,0 +1,111 @@
+// Prints what the scheduler and the claim table cost and save.
+
+#include "replacement.h"
+#include "serverload.h"
+
+#include <cstdio>
+#include <string>
+
+namespace medlarkeel {
+
+namespace {
+
+constexpr Seconds kDuration{ 1200 };
+constexpr std::uint64_t kSeed = 20261204;
+
+void
+PrintLoad(const std::string& aName, const LoadSettings& aSettings)
+{
+  const LoadOutcome outcome = ServerLoad(kSeed, aSettings).Run(kDuration);
+  std::printf("%-34s", aName.c_str());
+  for (const auto& [name, figures] : outcome.mClasses) {
+    std::printf(" %s %5.1f%% (wait %5.1f s)",
+                name.c_str(),
+                100.0 * figures.mGood / figures.mArrived,
+                std::chrono::duration<double>(figures.mLongestWait).count());
+  }
+  const double all = static_cast<double>(outcome.mGoodTokens) +
+                     static_cast<double>(outcome.mWastedTokens);
+  std::printf(" wasted %4.1f%% good tokens %llu crashes %d\n",
+              100.0 * static_cast<double>(outcome.mWastedTokens) / all,
+              static_cast<unsigned long long>(outcome.mGoodTokens),
+              outcome.mCrashes);
+}
+
+std::string
+Short(double aNumber)
+{
+  return std::to_string(aNumber).substr(0, 4);
+}
+
+void
+PrintLoads()
+{
+  for (const double load : { 0.8, 1.5, 3.0 }) {
+    std::printf("load %.1f\n", load);
+    LoadSettings settings;
+    settings.mLoad = load;
+    settings.mClasses = false;
+    PrintLoad("one queue, first in first out", settings);
+    settings.mClasses = true;
+    settings.mReviewFloor = 0.0;
+    PrintLoad("tiers, no floor", settings);
+    settings.mReviewFloor = 0.05;
+    for (const double quantile : { 0.0, 0.25, 0.5, 0.75 }) {
+      settings.mLimits.mOwnLengthQuantile = quantile;
+      PrintLoad("floor, quantile " + Short(quantile), settings);
+    }
+    settings.mLimits.mOwnLengthQuantile = 0.5;
+    for (const double part : { 0.25, 0.5, 0.75, 1.0 }) {
+      settings.mLimits.mNearEndPart = part;
+      PrintLoad("floor, 0.5, near end " + Short(part), settings);
+    }
+  }
+}
+
+void
+PrintColdStarts()
+{
+  std::printf("engine that crashes above what it bears, load 1.5\n");
+  for (const std::size_t coldStart : { std::size_t{ 1 }, std::size_t{ 8 } }) {
+    LoadSettings settings;
+    settings.mLoad = 1.5;
+    settings.mFragile = true;
+    settings.mColdStart = coldStart;
+    PrintLoad("cold start limit " + std::to_string(coldStart), settings);
+  }
+}
+
+void
+PrintReplacements()
+{
+  std::printf("confirmations while one of three replicas is replaced\n");
+  for (const KeyKind kind : { KeyKind::Ticket,
+                              KeyKind::TicketAtCall,
+                              KeyKind::TimeOrdered,
+                              KeyKind::Opaque }) {
+    const ReplacementOutcome outcome = PlayReplacements(kSeed, kind);
+    std::printf("%-14s calls %d ran %d twice %d refused unknown: not run %d, "
+                "ran %d; no owner %d\n",
+                KeyKindName(kind),
+                outcome.mCalls,
+                outcome.mRan,
+                outcome.mTwice,
+                outcome.mRefusedNotRun,
+                outcome.mRefusedRan,
+                outcome.mNoOwner);
+  }
+}
+
+} // namespace
+
+} // namespace medlarkeel
+
+int
+main()
+{
+  medlarkeel::PrintLoads();
+  medlarkeel::PrintColdStarts();
+  medlarkeel::PrintReplacements();
+  return 0;
+}
--- a/src/libmedlarkeel/backendscheduler.h
+++ b/src/libmedlarkeel/backendscheduler.h
@@ -33,6 +33,12 @@
   Milliseconds mLongPause{ 10000 };
   /** Time between two reviews of queued and running work. */
   Milliseconds mReviewInterval{ 100 };
+  /** Quantile of the own length at which a deadline must still be met. */
+  double mOwnLengthQuantile = 0.5;
+  /** Quantile of the length of the work that goes first. */
+  double mAheadLengthQuantile = 0.5;
+  /** Part of the whole that is left when work is near its end. */
+  double mNearEndPart = 0.25;
 };
 
 using CommitResult = BOOST_OUTCOME_V2_NAMESPACE::
--- a/src/libmedlarkeel/backendscheduler_dispatch.cpp
+++ b/src/libmedlarkeel/backendscheduler_dispatch.cpp
@@ -7,17 +7,6 @@
 
 namespace medlarkeel {
 
-namespace {
-
-/** Quantile of the own length below which a deadline can't be met. */
-constexpr double kOptimisticQuantile = 0.25;
-/** Quantile of the length of work that goes first. */
-constexpr double kTypicalQuantile = 0.5;
-/** Part of the whole that is left when work is near its end. */
-constexpr double kNearEndPart = 0.25;
-
-} // namespace
-
 void
 BackendScheduler::Dispatch(Timestamp aNow, SchedulerActions& aActions)
 {
@@ -79,9 +68,13 @@
 BackendScheduler::WouldBreakDeadline(const QueuedReservation& aFloor,
                                      Timestamp aNow) const
 {
+  if (!mQueue.HasDeadlines()) {
+    return false;
+  }
   const SlotProjection without = Project(aNow, {});
   SlotProjection with = without;
-  with.Place(mEstimator.Total(aFloor.mReservation, kTypicalQuantile));
+  with.Place(
+    mEstimator.Total(aFloor.mReservation, mLimits.mAheadLengthQuantile));
   return ReachableAbove(aFloor.mTier, with) <
          ReachableAbove(aFloor.mTier, without);
 }
@@ -98,7 +91,7 @@
     if (IsReachable(*entry, aProjection.NextStart())) {
       ++reachable;
       aProjection.Place(
-        mEstimator.Total(entry->mReservation, kTypicalQuantile));
+        mEstimator.Total(entry->mReservation, mLimits.mAheadLengthQuantile));
     }
   }
   return reachable;
@@ -113,7 +106,7 @@
     return true;
   }
   const Microseconds length =
-    mEstimator.Total(reservation, kOptimisticQuantile);
+    mEstimator.Total(reservation, mLimits.mOwnLengthQuantile);
   return aStart + length <= *reservation.mDeadline;
 }
 
@@ -124,9 +117,10 @@
   busyUntil.reserve(mSlots.Size());
   for (const auto& [grant, slot] : mSlots.All()) {
     const bool isFree = slot.mCut || aFreed.count(grant) != 0;
-    busyUntil.push_back(
-      isFree ? aNow
-             : aNow + mEstimator.Remaining(slot, aNow, kTypicalQuantile));
+    busyUntil.push_back(isFree
+                          ? aNow
+                          : aNow + mEstimator.Remaining(
+                                     slot, aNow, mLimits.mAheadLengthQuantile));
   }
   return SlotProjection(std::move(busyUntil), mLimit.Limit(), aNow);
 }
@@ -134,6 +128,9 @@
 void
 BackendScheduler::DropUnreachable(Timestamp aNow, SchedulerActions& aActions)
 {
+  if (!mQueue.HasDeadlines()) {
+    return;
+  }
   std::vector<Microseconds> ahead;
   std::vector<const QueuedReservation*> unreachable;
   SlotProjection projection = Project(aNow, {});
@@ -152,7 +149,8 @@
         projection.Place(length);
       }
     }
-    ahead.push_back(mEstimator.Total(entry->mReservation, kTypicalQuantile));
+    ahead.push_back(
+      mEstimator.Total(entry->mReservation, mLimits.mAheadLengthQuantile));
     projection.Place(ahead.back());
   }
   for (const QueuedReservation* entry : unreachable) {
@@ -267,9 +265,10 @@
     return false;
   }
   const Microseconds elapsed = aNow - *aSlot.mCommitted;
-  const Microseconds left = mEstimator.Remaining(aSlot, aNow, kTypicalQuantile);
+  const Microseconds left =
+    mEstimator.Remaining(aSlot, aNow, mLimits.mAheadLengthQuantile);
   const auto whole = static_cast<double>((elapsed + left).count());
-  return static_cast<double>(left.count()) <= kNearEndPart * whole;
+  return static_cast<double>(left.count()) <= mLimits.mNearEndPart * whole;
 }
 
 void
--- a/src/libmedlarkeel/decayinghistogram.cpp
+++ b/src/libmedlarkeel/decayinghistogram.cpp
@@ -35,36 +35,41 @@
 void
 DecayingHistogram::Record(double aValue)
 {
-  for (double& weight : mWeights) {
-    weight *= kRetention;
+  for (std::size_t bucket = mLowest; bucket <= mHighest; ++bucket) {
+    mWeights[bucket] *= kRetention;
   }
-  mWeights[BucketOf(aValue, kBuckets)] += 1.0;
-  mTotal = mTotal * kRetention + 1.0;
+  const std::size_t bucket = BucketOf(aValue, kBuckets);
+  mWeights[bucket] += 1.0;
+  mLowest = std::min(mLowest, bucket);
+  mHighest = std::max(mHighest, bucket);
 }
 
 std::optional<double>
 DecayingHistogram::Quantile(double aQuantile, double aReached) const
 {
-  if (mTotal < kLeastWeight) {
+  if (mLowest > mHighest) {
     return std::nullopt;
   }
-  const std::size_t first =
+  const std::size_t reached =
     aReached > 0.0 ? BucketOf(aReached, kBuckets) : std::size_t{ 0 };
+  const std::size_t first = std::max(mLowest, reached);
   double above = 0.0;
-  for (std::size_t bucket = first; bucket < kBuckets; ++bucket) {
+  for (std::size_t bucket = first; bucket <= mHighest; ++bucket) {
     above += mWeights[bucket];
   }
   if (above < kLeastWeight) {
     return 2.0 * aReached;
   }
   double passed = 0.0;
-  for (std::size_t bucket = first; bucket < kBuckets; ++bucket) {
+  std::size_t chosen = first;
+  for (std::size_t bucket = first; bucket <= mHighest; ++bucket) {
+    chosen = bucket;
     passed += mWeights[bucket];
     if (passed >= aQuantile * above) {
-      return std::max(aReached, LowerEdge(bucket));
+      break;
     }
   }
-  return std::max(aReached, LowerEdge(kBuckets - 1));
+  return std::max(aReached, LowerEdge(chosen));
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/decayinghistogram.h
+++ b/src/libmedlarkeel/decayinghistogram.h
@@ -30,7 +30,9 @@
   static constexpr std::size_t kBuckets = 160;
 
   std::array<double, kBuckets> mWeights{};
-  double mTotal = 0.0;
+  /** Range of the buckets that hold samples. */
+  std::size_t mLowest = kBuckets;
+  std::size_t mHighest = 0;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/reservationqueue.cpp
+++ b/src/libmedlarkeel/reservationqueue.cpp
@@ -29,6 +29,7 @@
 ReservationQueue::Push(QueuedReservation aEntry)
 {
   const Order order = OrderOf(aEntry);
+  mDeadlines += aEntry.mReservation.mDeadline ? 1U : 0U;
   mOrders.emplace(aEntry.mReservation.mId, order);
   mByClass[aEntry.mReservation.mClass].emplace(aEntry.mSequence, order);
   mByTier[aEntry.mTier].emplace(aEntry.mSequence, order);
@@ -44,6 +45,7 @@
   }
   const auto entry = mEntries.find(found->second);
   const std::uint64_t sequence = entry->second.mSequence;
+  mDeadlines -= entry->second.mReservation.mDeadline ? 1U : 0U;
   RemoveFromIndex(mByClass, entry->second.mReservation.mClass, sequence);
   RemoveFromIndex(mByTier, entry->second.mTier, sequence);
   mEntries.erase(entry);
--- a/src/libmedlarkeel/reservationqueue.h
+++ b/src/libmedlarkeel/reservationqueue.h
@@ -33,6 +33,9 @@
   bool IsEmpty() const { return mEntries.empty(); }
   std::size_t Size() const { return mEntries.size(); }
 
+  /** @return Whether any entry has a deadline. */
+  bool HasDeadlines() const { return mDeadlines > 0; }
+
   void Push(QueuedReservation aEntry);
 
   /** @return Whether an entry was there to be removed. */
@@ -76,6 +79,7 @@
   static Order OrderOf(const QueuedReservation& aEntry);
 
   std::map<Order, QueuedReservation> mEntries;
+  std::size_t mDeadlines = 0;
   std::map<ReservationId, Order> mOrders;
   std::map<ClassName, std::map<std::uint64_t, Order>> mByClass;
   std::map<TierRank, std::map<std::uint64_t, Order>> mByTier;
