--- a/src/libmedlarkeelnet/eventlog.cpp
+++ b/src/libmedlarkeelnet/eventlog.cpp
@@ -83,7 +83,11 @@
 {
 }
 
-EventLog::~EventLog() = default;
+EventLog::~EventLog()
+{
+  // Joins the writing thread, which still uses the logger and its sink.
+  mThread.reset();
+}
 
 void
 EventLog::Write(Event aEvent, const EventFields& aFields)
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -249,4 +249,32 @@
   }
 }
 
+std::future<StreamedAnswer>
+BeginStream(const HttpCall& aCall)
+{
+  return std::async(std::launch::async, [aCall] { return ReadStream(aCall); });
+}
+
+bool
+IsWhole(const StreamedAnswer& aAnswer,
+        const std::string& aMarker,
+        std::size_t aTokens)
+{
+  return aAnswer.mStatus == 200 && aAnswer.mCleanEnd && aAnswer.mDone &&
+         aAnswer.mContent == ExpectedContent(aMarker, aTokens);
+}
+
+int
+Statistic(const BackendPair& aPair, const char* aName)
+{
+  return GetJson(aPair.mBackendPort, "/stats").value(aName, 0);
+}
+
+bool
+WaitForStatistic(const BackendPair& aPair, const char* aName, int aLeast)
+{
+  return WaitUntil(std::chrono::seconds(10),
+                   [&] { return Statistic(aPair, aName) >= aLeast; });
+}
+
 } // namespace medlarkeel
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -2,6 +2,7 @@
 
 #include "processharness.h"
 
+#include <future>
 #include <map>
 #include <string>
 #include <vector>
@@ -96,10 +97,27 @@
   CallerKey mKey{ "alfa1", "s3cretOfAlfa1" };
   std::uint16_t mPlatformPort = ProcessHarness::FreePort();
   nlohmann::json mDocument;
-  // Lists, so that references stay valid.
   std::vector<std::unique_ptr<BackendPair>> mPairs;
   std::vector<std::unique_ptr<EntryProcess>> mEntries;
   std::map<std::string, ChildProcess*> mProcesses;
 };
 
+/** Makes a streamed call on a thread of its own. */
+std::future<StreamedAnswer>
+BeginStream(const HttpCall& aCall);
+
+/** @return Whether the answer is the whole one to its own request. */
+bool
+IsWhole(const StreamedAnswer& aAnswer,
+        const std::string& aMarker,
+        std::size_t aTokens);
+
+/** @return A number of the backend server's statistics. */
+int
+Statistic(const BackendPair& aPair, const char* aName);
+
+/** @return Whether the number reached the least within ten seconds. */
+bool
+WaitForStatistic(const BackendPair& aPair, const char* aName, int aLeast);
+
 } // namespace medlarkeel
--- /dev/null
+++ b/tests/processes/test_atmostonce.cpp
@@ -0,0 +1,212 @@
+#include "fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <future>
+#include <thread>
+
+namespace medlarkeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** What a caller knows after a call of the operation. */
+struct Verdict
+{
+  int mStatus = 0;
+  /** "no", "yes" or "unknown"; empty if there is no refusal to read. */
+  std::string mExecuted;
+};
+
+Verdict
+Send(const HttpCall& aCall)
+{
+  Verdict result;
+  const auto reply = SendHttp(aCall);
+  if (!reply.has_value()) {
+    return result;
+  }
+  result.mStatus = reply.value().mStatus;
+  const auto body = nlohmann::json::parse(reply.value().mBody, nullptr, false);
+  if (body.is_object() && result.mStatus != 200) {
+    result.mExecuted = body.value("executed", "");
+  }
+  return result;
+}
+
+std::future<Verdict>
+Begin(const HttpCall& aCall)
+{
+  return std::async(std::launch::async, [aCall] { return Send(aCall); });
+}
+
+int
+Runs(const BackendPair& aService, const std::string& aId)
+{
+  return GetJson(aService.mBackendPort, "/stats")["runsById"].value(aId, 0);
+}
+
+bool
+WaitForRun(const BackendPair& aService, const std::string& aId)
+{
+  return WaitUntil(seconds(10), [&] { return Runs(aService, aId) == 1; });
+}
+
+/** Checks that what a caller was told agrees with what was run. */
+void
+CheckTruth(const Verdict& aVerdict, int aRuns)
+{
+  BOOST_TEST(aRuns <= 1);
+  if (aVerdict.mStatus == 200 || aVerdict.mExecuted == "yes") {
+    BOOST_TEST(aRuns == 1);
+  }
+  if (aVerdict.mExecuted == "no") {
+    BOOST_TEST(aRuns == 0);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(atmostonce)
+
+BOOST_AUTO_TEST_CASE(RepeatWithTheSameKeyGetsTheSameAnswer)
+{
+  Fleet fleet;
+  BackendPair& service = fleet.AddService();
+  fleet.AddEntry();
+  fleet.RequireReady();
+  const HttpCall call = fleet.Confirm("plaza", "0190-key-1");
+  const auto first = SendHttp(call);
+  const auto second = SendHttp(call);
+  BOOST_REQUIRE(first.has_value());
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(first.value().mStatus == 200);
+  BOOST_TEST(second.value().mStatus == 200);
+  BOOST_TEST(first.value().mBody == second.value().mBody);
+  BOOST_TEST(Runs(service, "plaza") == 1);
+  const auto other = Send(fleet.Confirm("other", "0190-key-1"));
+  BOOST_TEST(other.mStatus >= 400);
+  BOOST_TEST(Runs(service, "other") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ServiceThatDiesAfterRunningIsNotCalledAgain)
+{
+  Fleet fleet;
+  BackendPair& service = fleet.AddService({ "--latency_ms=300" });
+  BackendPair& spare = fleet.AddService();
+  fleet.AddEntry();
+  fleet.RequireReady();
+  SendJson(service.mBackendPort, "POST", "/fault", { { "dieAfter", true } });
+  SendJson(spare.mBackendPort, "POST", "/fault", { { "dieAfter", true } });
+  const auto verdict = Send(fleet.Confirm("plaza", "0190-key-1"));
+  BOOST_TEST(verdict.mStatus != 200);
+  BOOST_TEST(verdict.mExecuted == "unknown");
+  const bool oneLives =
+    service.mBackend->IsRunning() || spare.mBackend->IsRunning();
+  BOOST_TEST(oneLives);
+}
+
+BOOST_AUTO_TEST_CASE(AgentKilledDuringTheRunLeavesTheOutcomeUnknown)
+{
+  Fleet fleet;
+  BackendPair& service = fleet.AddService({ "--latency_ms=1500" });
+  fleet.AddEntry();
+  fleet.RequireReady();
+  const HttpCall call = fleet.Confirm("plaza", "0190-key-1");
+  auto verdict = Begin(call);
+  BOOST_TEST(WaitForRun(service, "plaza"));
+  service.mAgent->Kill();
+  const auto told = verdict.get();
+  BOOST_TEST(told.mStatus != 200);
+  BOOST_TEST(told.mExecuted == "unknown");
+  const auto repeated = Send(call);
+  BOOST_TEST(repeated.mStatus != 200);
+  BOOST_TEST(Runs(service, "plaza") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(EntryKilledDuringTheRunThenRepeatedAtAnother)
+{
+  Fleet fleet;
+  BackendPair& service = fleet.AddService({ "--latency_ms=800" });
+  EntryProcess& first = fleet.AddEntry();
+  EntryProcess& second = fleet.AddEntry();
+  fleet.RequireReady();
+  HttpCall call = fleet.Confirm("plaza", "0190-key-1");
+  auto lost = Begin(call);
+  BOOST_TEST(WaitForRun(service, "plaza"));
+  first.mProcess->Kill();
+  BOOST_TEST(lost.get().mStatus == 0);
+  call.mUrl = LocalUrl(second.mPort, "/s/bookings/confirmations");
+  Verdict told;
+  WaitUntil(seconds(10), [&] {
+    told = Send(call);
+    return told.mStatus == 200;
+  });
+  BOOST_TEST(told.mStatus == 200);
+  BOOST_TEST(Runs(service, "plaza") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(EntryStoppedBetweenGrantAndCommit)
+{
+  Fleet fleet;
+  fleet.Document()["pools"][1]["concurrency"] = 1;
+  fleet.Document()["pools"][1]["coldStartConcurrency"] = 1;
+  fleet.Publish();
+  BackendPair& service = fleet.AddService({ "--latency_ms=700" });
+  EntryProcess& entry = fleet.AddEntry();
+  fleet.RequireReady();
+  std::vector<std::future<Verdict>> verdicts;
+  verdicts.reserve(4);
+  for (int number = 0; number < 4; ++number) {
+    const std::string id = "id-" + std::to_string(number);
+    verdicts.push_back(Begin(fleet.Confirm(id, "0190-" + id)));
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  BOOST_TEST(WaitForRun(service, "id-0"));
+  // The next grants reach an entry that can't commit in time.
+  entry.mProcess->Signal(SIGSTOP);
+  std::this_thread::sleep_for(seconds(4));
+  entry.mProcess->Signal(SIGCONT);
+  for (int number = 0; number < 4; ++number) {
+    const auto verdict = verdicts[static_cast<std::size_t>(number)].get();
+    const std::string id = "id-" + std::to_string(number);
+    BOOST_TEST_CONTEXT(id << " status " << verdict.mStatus << " executed "
+                          << verdict.mExecuted)
+    {
+      CheckTruth(verdict, Runs(service, id));
+    }
+  }
+  Verdict later;
+  WaitUntil(seconds(10), [&] {
+    later = Send(fleet.Confirm("later", "0190-later"));
+    return later.mStatus == 200;
+  });
+  BOOST_TEST(later.mStatus == 200);
+  BOOST_TEST(Runs(service, "later") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatLeavesDoesntStopWhatMayNotBeRepeated)
+{
+  Fleet fleet;
+  BackendPair& service = fleet.AddService({ "--latency_ms=600" });
+  fleet.AddEntry();
+  fleet.RequireReady();
+  HttpCall call = fleet.Confirm("plaza", "0190-key-1");
+  call.mShouldStop = [&] { return Runs(service, "plaza") == 1; };
+  BOOST_TEST(!SendHttp(call).has_value());
+  call.mShouldStop = nullptr;
+  Verdict told;
+  WaitUntil(seconds(10), [&] {
+    told = Send(call);
+    return told.mStatus == 200;
+  });
+  BOOST_TEST(told.mStatus == 200);
+  BOOST_TEST(Runs(service, "plaza") == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
