--- a/src/libmedlarkeel/nodestatus.cpp
+++ b/src/libmedlarkeel/nodestatus.cpp
@@ -41,10 +41,10 @@
   { "refusedInsideRate", &TeamCounters::mRefusedInsideRate },
 };
 
-const std::vector<Choice<ZoneState>>&
+const std::vector<NamedValue<ZoneState>>&
 ZoneStates()
 {
-  static const std::vector<Choice<ZoneState>> sStates{
+  static const std::vector<NamedValue<ZoneState>> sStates{
     { "in", ZoneState::In }, { "out", ZoneState::Out }
   };
   return sStates;
--- a/src/medlarkeeld/agentcore.cpp
+++ b/src/medlarkeeld/agentcore.cpp
@@ -79,6 +79,26 @@
   return refusal;
 }
 
+const char*
+ClaimVerdictText(ClaimVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case ClaimVerdict::Run:
+      return "run";
+    case ClaimVerdict::Replay:
+      return "replay";
+    case ClaimVerdict::StillRunning:
+      return "still-running";
+    case ClaimVerdict::Mismatch:
+      return "mismatch";
+    case ClaimVerdict::PossibleRepeat:
+      return "possible-repeat";
+    case ClaimVerdict::NotOwner:
+      break;
+  }
+  return "not-owner";
+}
+
 bool
 IsZoneOut(const EnvironmentDocument& aDocument, const ZoneName& aZone)
 {
@@ -103,13 +123,16 @@
 
 } // namespace
 
-AgentCore::AgentCore(const Settings& aSettings, Incarnation aIncarnation)
+AgentCore::AgentCore(const Settings& aSettings,
+                     Incarnation aIncarnation,
+                     EventLog& aLog)
   : mSelf(aSettings.mInstanceId)
   , mZone(aSettings.mZone)
   , mPool(aSettings.mBackendServer->mPool)
   , mIncarnation(aIncarnation)
   , mScheduler(aIncarnation)
   , mPauses(kPauseLimit)
+  , mLog(aLog)
   , mOwnership(aSettings.mInstanceId,
                OwnershipFrom(aSettings),
                OwnershipScope{ InstanceRole::Agent, mPool })
@@ -121,12 +144,13 @@
 
 ReservationId
 AgentCore::Reserve(Reservation aReservation,
+                   const RequestId& aRequest,
                    std::shared_ptr<RunMailbox> aMailbox)
 {
   const Lock lock(mMutex);
   const Timestamp now = ObserveClock();
   aReservation.mId = ReservationId{ ++mLastReservation };
-  mMailboxes[aReservation.mId] = std::move(aMailbox);
+  mWaiting[aReservation.mId] = Waiting{ std::move(aMailbox), aRequest };
   CarryOut(mScheduler.Reserve(aReservation, now));
   return aReservation.mId;
 }
@@ -139,6 +163,9 @@
   const Timestamp now = ObserveClock();
   const ClaimDecision decision =
     mClaims.Look(aCall.mKey, aCall.mBody, EvidenceFor(aCall.mKey, now));
+  if (decision.mVerdict != ClaimVerdict::Run) {
+    LogClaim(aCall, decision);
+  }
   switch (decision.mVerdict) {
     case ClaimVerdict::Run:
       return true;
@@ -165,15 +192,19 @@
   const Timestamp now = ObserveClock();
   auto committed = mScheduler.Commit(aGrant, aIncarnation, now);
   if (!committed) {
-    mMailboxes.erase(aReservation);
+    mLog.Write(Event::CommitRefused,
+               { { "request", RequestOf(aReservation) },
+                 { "reason", ReasonCode(committed.error().mReason) } });
+    mWaiting.erase(aReservation);
     CarryOut(mScheduler.Tick(now));
     return committed;
   }
   if (aCall) {
     const ClaimDecision decision =
       mClaims.Claim(aCall->mKey, aCall->mBody, EvidenceFor(aCall->mKey, now));
+    LogClaim(*aCall, decision);
     if (decision.mVerdict != ClaimVerdict::Run) {
-      mMailboxes.erase(aReservation);
+      mWaiting.erase(aReservation);
       CarryOut(mScheduler.Finish(aGrant, FinishKind::Cancelled, now));
       return ClaimRefusal(decision);
     }
@@ -234,7 +265,7 @@
 AgentCore::Finish(ReservationId aReservation, GrantId aGrant, FinishKind aKind)
 {
   const Lock lock(mMutex);
-  mMailboxes.erase(aReservation);
+  mWaiting.erase(aReservation);
   CarryOut(mScheduler.Finish(aGrant, aKind, ObserveClock()));
 }
 
@@ -242,7 +273,7 @@
 AgentCore::Abandon(ReservationId aReservation)
 {
   const Lock lock(mMutex);
-  mMailboxes.erase(aReservation);
+  mWaiting.erase(aReservation);
   CarryOut(mScheduler.Cancel(aReservation, ObserveClock()));
 }
 
@@ -349,6 +380,15 @@
   return evidence;
 }
 
+void
+AgentCore::LogClaim(const ClaimCall& aCall, const ClaimDecision& aDecision)
+{
+  mLog.Write(Event::ClaimDecided,
+             { { "team", aCall.mKey.mTeam.Text() },
+               { "idempotencyKey", aCall.mKey.mKey.Text() },
+               { "verdict", ClaimVerdictText(aDecision.mVerdict) } });
+}
+
 void
 AgentCore::AnswerWaiting(const ClaimKey& aKey)
 {
@@ -380,6 +420,9 @@
 {
   for (const SchedulerAction& action : aActions) {
     if (const auto* grant = std::get_if<GrantAction>(&action)) {
+      mLog.Write(Event::ReservationGranted,
+                 { { "request", RequestOf(grant->mId) },
+                   { "grant", grant->mGrant.mValue } });
       Post(grant->mId, RunGranted{ grant->mGrant, grant->mExpires });
     } else if (const auto* refuse = std::get_if<RefuseAction>(&action)) {
       Close(refuse->mId, refuse->mRefusal);
@@ -389,20 +432,32 @@
   }
 }
 
+std::string
+AgentCore::RequestOf(ReservationId aReservation) const
+{
+  const auto found = mWaiting.find(aReservation);
+  return found == mWaiting.end() ? "" : found->second.mRequest.Text();
+}
+
 void
 AgentCore::Post(ReservationId aReservation, RunMessage aMessage)
 {
-  const auto found = mMailboxes.find(aReservation);
-  if (found != mMailboxes.end()) {
-    found->second->Post(std::move(aMessage));
+  const auto found = mWaiting.find(aReservation);
+  if (found != mWaiting.end()) {
+    found->second.mMailbox->Post(std::move(aMessage));
   }
 }
 
 void
 AgentCore::Close(ReservationId aReservation, const Refusal& aRefusal)
 {
+  const bool shed = aRefusal.mReason == RefusalReason::Shed;
+  mLog.Write(shed ? Event::ReservationShed : Event::ReservationRefused,
+             { { "request", RequestOf(aReservation) },
+               { "reason", ReasonCode(aRefusal.mReason) },
+               { "executed", ExecutedText(aRefusal.mExecuted) } });
   Post(aReservation, RunRefused{ aRefusal });
-  mMailboxes.erase(aReservation);
+  mWaiting.erase(aReservation);
 }
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/agentcore.h
+++ b/src/medlarkeeld/agentcore.h
@@ -3,8 +3,9 @@
 #include "backendscheduler.h"
 #include "claimtable.h"
 #include "environmentdocument.h"
-#include "loadreport.h"
+#include "eventlog.h"
 #include "instancelist.h"
+#include "loadreport.h"
 #include "pausedetector.h"
 #include "rangeownership.h"
 #include "refusal.h"
@@ -46,7 +47,10 @@
 class AgentCore
 {
 public:
-  AgentCore(const Settings& aSettings, Incarnation aIncarnation);
+  /** @param aLog Gets a line for each decision; outlives the core. */
+  AgentCore(const Settings& aSettings,
+            Incarnation aIncarnation,
+            EventLog& aLog);
 
   Incarnation OwnIncarnation() const { return mIncarnation; }
 
@@ -58,6 +62,7 @@
    * @return The id of the reservation.
    */
   ReservationId Reserve(Reservation aReservation,
+                        const RequestId& aRequest,
                         std::shared_ptr<RunMailbox> aMailbox);
 
   /**
@@ -135,6 +140,16 @@
   void Post(ReservationId aReservation, RunMessage aMessage);
   void Close(ReservationId aReservation, const Refusal& aRefusal);
 
+  /** A reservation's way back and its request's name in the log. */
+  struct Waiting
+  {
+    std::shared_ptr<RunMailbox> mMailbox;
+    RequestId mRequest;
+  };
+
+  std::string RequestOf(ReservationId aReservation) const;
+  void LogClaim(const ClaimCall& aCall, const ClaimDecision& aDecision);
+
   const InstanceId mSelf;
   const ZoneName mZone;
   const PoolName mPool;
@@ -144,7 +159,8 @@
   BackendScheduler mScheduler;
   PauseDetector mPauses;
   AgentConditions mConditions;
-  std::map<ReservationId, std::shared_ptr<RunMailbox>> mMailboxes;
+  EventLog& mLog;
+  std::map<ReservationId, Waiting> mWaiting;
   RangeOwnership mOwnership;
   ClaimTable mClaims;
   /** Repeats that wait for the first run's end. */
--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -24,8 +24,8 @@
 
 AgentNode::AgentNode(const Settings& aSettings)
   : Node(aSettings)
-  , mCore(aSettings, mIncarnation)
-  , mService(mCore, mRuns, AccessFrom(aSettings))
+  , mCore(aSettings, mIncarnation, mLog)
+  , mService(AgentEnvironment{ mCore, mRuns, mCounters, AccessFrom(aSettings) })
 {
 }
 
--- a/src/medlarkeeld/agentservice.cpp
+++ b/src/medlarkeeld/agentservice.cpp
@@ -6,12 +6,8 @@
 
 namespace medlarkeel {
 
-AgentService::AgentService(AgentCore& aCore,
-                           RunCounter& aRuns,
-                           BackendAccess aBackend)
-  : mCore(aCore)
-  , mRuns(aRuns)
-  , mBackend(std::move(aBackend))
+AgentService::AgentService(AgentEnvironment aEnvironment)
+  : mEnvironment(std::move(aEnvironment))
 {
 }
 
@@ -20,7 +16,7 @@
   grpc::ServerContext* aContext,
   grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>* aStream)
 {
-  AgentSession session(mCore, mRuns, mBackend, *aContext, *aStream);
+  AgentSession session(mEnvironment, *aContext, *aStream);
   return session.Run();
 }
 
@@ -31,7 +27,7 @@
 {
   static_cast<void>(aContext);
   static_cast<void>(aRequest);
-  if (const auto key = mCore.IssueTicket()) {
+  if (const auto key = mEnvironment.mCore.IssueTicket()) {
     aReply->set_key(key->Text());
   }
   return grpc::Status::OK;
--- a/src/medlarkeeld/agentservice.h
+++ b/src/medlarkeeld/agentservice.h
@@ -3,6 +3,7 @@
 #include "agentcore.h"
 #include "backendrun.h"
 #include "medlarkeel.grpc.pb.h"
+#include "nodecounters.h"
 
 #include <grpcpp/support/sync_stream.h>
 
@@ -17,11 +18,20 @@
   PoolKind mKind = PoolKind::Model;
 };
 
+/** What the streams of an agent work with; outlives every stream. */
+struct AgentEnvironment
+{
+  AgentCore& mCore;
+  RunCounter& mRuns;
+  NodeCounters& mCounters;
+  BackendAccess mBackend;
+};
+
 /** Serves the entries' streams: one reservation and at most one run each. */
 class AgentService : public wire::Agent::Service
 {
 public:
-  AgentService(AgentCore& aCore, RunCounter& aRuns, BackendAccess aBackend);
+  explicit AgentService(AgentEnvironment aEnvironment);
 
   grpc::Status Serve(
     grpc::ServerContext* aContext,
@@ -33,9 +43,7 @@
                            wire::TicketReply* aReply) override;
 
 private:
-  AgentCore& mCore;
-  RunCounter& mRuns;
-  const BackendAccess mBackend;
+  const AgentEnvironment mEnvironment;
 };
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -37,14 +37,11 @@
 
 } // namespace
 
-AgentSession::AgentSession(AgentCore& aCore,
-                           RunCounter& aRuns,
-                           const BackendAccess& aBackend,
+AgentSession::AgentSession(const AgentEnvironment& aEnvironment,
                            grpc::ServerContext& aContext,
                            Stream& aStream)
-  : mCore(aCore)
-  , mRuns(aRuns)
-  , mBackend(aBackend)
+  : mEnvironment(aEnvironment)
+  , mCore(aEnvironment.mCore)
   , mContext(aContext)
   , mStream(aStream)
   , mMailbox(std::make_shared<RunMailbox>())
@@ -104,7 +101,9 @@
 void
 AgentSession::Reserve()
 {
-  mReservation = mCore.Reserve(ReservationFrom(mReserve, BootNow()), mMailbox);
+  mReservation = mCore.Reserve(ReservationFrom(mReserve, BootNow()),
+                               RequestId(mReserve.request_id()),
+                               mMailbox);
 }
 
 std::optional<RunGranted>
@@ -149,12 +148,12 @@
     SendRefusal(committed.error());
     return;
   }
-  const auto run = BackendRun::Start(mCore,
-                                     mRuns,
-                                     mBackend.mBaseUrl,
-                                     WorkOf(aGrant, aCommit),
-                                     mMailbox,
-                                     RecorderFor(call));
+  const auto run = BackendRun::Start(
+    RunEnvironment{ mCore, mEnvironment.mRuns, mEnvironment.mCounters },
+    mEnvironment.mBackend.mBaseUrl,
+    WorkOf(aGrant, aCommit),
+    mMailbox,
+    RecorderFor(call));
   if (!Relay()) {
     run->Abort();
   }
@@ -193,7 +192,8 @@
   CommittedWork work;
   work.mReservation = mReservation;
   work.mGrant = aGrant.mGrant;
-  work.mKind = mBackend.mKind;
+  work.mKind = mEnvironment.mBackend.mKind;
+  work.mClass = ClassName(mReserve.class_name());
   work.mRepeatable = mReserve.repeatable();
   BackendRequest& request = work.mRequest;
   request.mMethod = aCommit.method();
--- a/src/medlarkeeld/agentsession.h
+++ b/src/medlarkeeld/agentsession.h
@@ -15,9 +15,7 @@
 public:
   using Stream = grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>;
 
-  AgentSession(AgentCore& aCore,
-               RunCounter& aRuns,
-               const BackendAccess& aBackend,
+  AgentSession(const AgentEnvironment& aEnvironment,
                grpc::ServerContext& aContext,
                Stream& aStream);
 
@@ -44,9 +42,8 @@
   bool SendChunk(const std::string& aBytes);
   bool Write(wire::AgentFrame& aFrame);
 
+  const AgentEnvironment& mEnvironment;
   AgentCore& mCore;
-  RunCounter& mRuns;
-  const BackendAccess& mBackend;
   grpc::ServerContext& mContext;
   Stream& mStream;
   wire::Reserve mReserve;
--- a/src/medlarkeeld/backendrun.cpp
+++ b/src/medlarkeeld/backendrun.cpp
@@ -44,28 +44,28 @@
 }
 
 std::shared_ptr<BackendRun>
-BackendRun::Start(AgentCore& aCore,
-                  RunCounter& aCounter,
+BackendRun::Start(RunEnvironment aEnvironment,
                   const std::string& aBaseUrl,
                   CommittedWork aWork,
                   std::shared_ptr<RunMailbox> aMailbox,
                   OutcomeRecorder aRecorder)
 {
   std::shared_ptr<BackendRun> run(new BackendRun(
-    aCore, std::move(aWork), std::move(aMailbox), std::move(aRecorder)));
-  aCounter.Add();
-  std::thread([run, aBaseUrl, &aCounter] {
+    aEnvironment, std::move(aWork), std::move(aMailbox), std::move(aRecorder)));
+  RunCounter& runs = aEnvironment.mRuns;
+  runs.Add();
+  std::thread([run, aBaseUrl, &runs] {
     run->Execute(aBaseUrl);
-    aCounter.Remove();
+    runs.Remove();
   }).detach();
   return run;
 }
 
-BackendRun::BackendRun(AgentCore& aCore,
+BackendRun::BackendRun(RunEnvironment aEnvironment,
                        CommittedWork aWork,
                        std::shared_ptr<RunMailbox> aMailbox,
                        OutcomeRecorder aRecorder)
-  : mCore(aCore)
+  : mEnvironment(aEnvironment)
   , mWork(std::move(aWork))
   , mMailbox(std::move(aMailbox))
   , mRecorder(std::move(aRecorder))
@@ -92,7 +92,10 @@
 {
   mOutcome.mEnd = aEnd;
   mRecorder(mOutcome);
-  mCore.Finish(mWork.mReservation, mWork.mGrant, KindOf(aEnd));
+  const TokenUse use =
+    aEnd == CallEnd::Complete ? TokenUse::Useful : TokenUse::Wasted;
+  mEnvironment.mCounters.RecordTokens(mWork.mClass, use, mTokens);
+  mEnvironment.mCore.Finish(mWork.mReservation, mWork.mGrant, KindOf(aEnd));
   if (aEnd == CallEnd::Complete) {
     mMailbox->Post(RunDone{});
   } else {
@@ -153,7 +156,7 @@
 {
   if (!mFirstSeen) {
     mFirstSeen = true;
-    mCore.RecordFirstToken(mWork.mGrant);
+    mEnvironment.mCore.RecordFirstToken(mWork.mGrant);
   }
   std::uint32_t events = 0;
   for (const char byte : aBytes) {
@@ -163,7 +166,8 @@
     mLastByte = byte;
   }
   if (events > 0) {
-    mCore.RecordTokens(mWork.mGrant, events);
+    mTokens += events;
+    mEnvironment.mCore.RecordTokens(mWork.mGrant, events);
   }
 }
 
--- a/src/medlarkeeld/backendrun.h
+++ b/src/medlarkeeld/backendrun.h
@@ -2,10 +2,12 @@
 
 #include "agentcore.h"
 #include "backendcall.h"
+#include "nodecounters.h"
 #include "runmailbox.h"
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -18,6 +20,7 @@
 {
   ReservationId mReservation;
   GrantId mGrant;
+  ClassName mClass;
   PoolKind mKind = PoolKind::Model;
   bool mRepeatable = true;
   BackendRequest mRequest;
@@ -41,6 +44,14 @@
   std::size_t mCount = 0;
 };
 
+/** What runs work with; outlives every run. */
+struct RunEnvironment
+{
+  AgentCore& mCore;
+  RunCounter& mRuns;
+  NodeCounters& mCounters;
+};
+
 /** What a run leaves for later repeats of the same call. */
 struct RunOutcome
 {
@@ -65,8 +76,7 @@
    *
    * @param aRecorder Told of the outcome before the mailbox is.
    */
-  static std::shared_ptr<BackendRun> Start(AgentCore& aCore,
-                                           RunCounter& aCounter,
+  static std::shared_ptr<BackendRun> Start(RunEnvironment aEnvironment,
                                            const std::string& aBaseUrl,
                                            CommittedWork aWork,
                                            std::shared_ptr<RunMailbox> aMailbox,
@@ -76,7 +86,7 @@
   void Abort();
 
 private:
-  BackendRun(AgentCore& aCore,
+  BackendRun(RunEnvironment aEnvironment,
              CommittedWork aWork,
              std::shared_ptr<RunMailbox> aMailbox,
              OutcomeRecorder aRecorder);
@@ -90,13 +100,14 @@
   bool DataArrived(std::string_view aBytes) override;
   void CountTokens(std::string_view aBytes);
 
-  AgentCore& mCore;
+  RunEnvironment mEnvironment;
   const CommittedWork mWork;
   std::shared_ptr<RunMailbox> mMailbox;
   OutcomeRecorder mRecorder;
   std::atomic<bool> mAborted{ false };
   RunOutcome mOutcome;
   bool mFirstSeen = false;
+  std::size_t mTokens = 0;
   char mLastByte = '\0';
 };
 
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -42,6 +42,56 @@
   return refusal;
 }
 
+EventFields
+ConsideredFields(const Choice& aChoice)
+{
+  EventFields considered = EventFields::array();
+  for (const ConsideredCandidate& candidate : aChoice.mConsidered) {
+    considered.push_back({ { "id", candidate.mId.Text() },
+                           { "note", CandidateNoteText(candidate.mNote) },
+                           { "score", candidate.mScore },
+                           { "blocks", candidate.mMatchedBlocks } });
+  }
+  return considered;
+}
+
+RequestOutcome
+OutcomeOf(const RequestEnd& aEnd)
+{
+  if (aEnd.mServed) {
+    return RequestOutcome::Completed;
+  }
+  if (aEnd.mRefusal.mReason == RefusalReason::Cancelled) {
+    return RequestOutcome::Cancelled;
+  }
+  return aEnd.mAborted ? RequestOutcome::Failed : RequestOutcome::Refused;
+}
+
+bool
+IsWithin(Microseconds aTime, const std::optional<Milliseconds>& aTarget)
+{
+  return !aTarget || aTime <= *aTarget;
+}
+
+bool
+MetTargets(const AdmittedRequest& aRequest, const RequestEnd& aEnd)
+{
+  constexpr int kFirstServerError = 500;
+  if (!aEnd.mServed || aEnd.mStatus >= kFirstServerError) {
+    return false;
+  }
+  const ServiceClass& level = aRequest.mClass;
+  const Timestamp firstByte = aEnd.mFirstByteAt.value_or(aEnd.mEndedAt);
+  const Microseconds total = aEnd.mEndedAt - aRequest.mArrived;
+  if (!IsWithin(firstByte - aRequest.mArrived, level.mFirstByteTarget) ||
+      !IsWithin(total, level.mCompletionTarget)) {
+    return false;
+  }
+  const auto gaps = static_cast<Microseconds::rep>(aEnd.mEvents);
+  return gaps < 2 || IsWithin((aEnd.mEndedAt - firstByte) / (gaps - 1),
+                              level.mTokenGapTarget);
+}
+
 bool
 KeyStands(const DocumentViewPtr& aView, const AdmittedRequest& aRequest)
 {
@@ -50,8 +100,13 @@
 
 } // namespace
 
-EntryCore::EntryCore(const Settings& aSettings, std::uint64_t aSeed)
+EntryCore::EntryCore(const Settings& aSettings,
+                     std::uint64_t aSeed,
+                     EventLog& aLog,
+                     NodeCounters& aCounters)
   : mSettings(aSettings)
+  , mLog(aLog)
+  , mCounters(aCounters)
   , mFleet(FleetSettingsFrom(aSettings))
   , mChooser(ChooserSettings(), aSeed)
   , mReservationBudget(RetryBudgetSettings())
@@ -109,7 +164,21 @@
   const Lock lock(mMutex);
   const bool hasOwner =
     !aRequest.mRoute.mRepeatable && !aRequest.mIdempotencyKey.IsEmpty();
-  return hasOwner ? ChooseOwner(aRequest) : ChooseReplica(aNeeds);
+  return hasOwner ? ChooseOwner(aRequest) : ChooseReplica(aRequest, aNeeds);
+}
+
+InstanceId
+EntryCore::OwnerOf(const AdmittedRequest& aRequest) const
+{
+  if (const auto ticket = ParseTicket(aRequest.mIdempotencyKey)) {
+    return ticket->mInstance;
+  }
+  const auto owners = mOwners.find(aRequest.mRoute.mPool);
+  if (owners == mOwners.end()) {
+    return InstanceId();
+  }
+  const ClaimKey key{ aRequest.Team(), aRequest.mIdempotencyKey };
+  return owners->second.Owner(ClaimRange(key)).value_or(InstanceId());
 }
 
 AgentChoice
@@ -117,30 +186,59 @@
 {
   AgentChoice choice;
   choice.mRefusal = NoAgentRefusal();
-  const auto owners = mOwners.find(aRequest.mRoute.mPool);
-  if (owners == mOwners.end()) {
-    return choice;
-  }
-  const RangeKey key =
-    RangeKeyOf(aRequest.Team().Text() + "/" + aRequest.mIdempotencyKey.Text());
-  const auto owner = owners->second.Owner(key);
+  const InstanceId owner = OwnerOf(aRequest);
   const auto candidates =
     mFleet.AllCandidates(aRequest.mRoute.mPool, BootNow());
+  EventFields considered = EventFields::array();
   for (const Candidate& candidate : candidates) {
-    if (owner && candidate.mId == *owner) {
+    considered.push_back({ { "id", candidate.mId.Text() } });
+    if (candidate.mId == owner) {
       choice.mAgent = candidate.mId;
       choice.mAddress = candidate.mAddress;
     }
   }
+  mLog.Write(
+    Event::RequestRouted,
+    { { "request", aRequest.mId.Text() },
+      { "team", aRequest.Team().Text() },
+      { "class", aRequest.mClass.mName.Text() },
+      { "considered", std::move(considered) },
+      { "chosen", choice.mAgent ? owner.Text() : "" },
+      { "why", choice.mAgent ? "key-owner" : "owner-not-available" } });
   return choice;
 }
 
 AgentChoice
-EntryCore::ChooseReplica(const ChoiceRequest& aNeeds)
+EntryCore::ChooseReplica(const AdmittedRequest& aRequest,
+                         const ChoiceRequest& aNeeds)
 {
   const Timestamp now = BootNow();
   const Choice chosen =
     mChooser.Choose(aNeeds, mFleet.Candidates(aNeeds.mPool, now), now);
+  mLog.Write(Event::RequestRouted,
+             { { "request", aRequest.mId.Text() },
+               { "team", aRequest.Team().Text() },
+               { "class", aRequest.mClass.mName.Text() },
+               { "considered", ConsideredFields(chosen) },
+               { "chosen", chosen.mChosen ? chosen.mChosen->Text() : "" },
+               { "why", ChoiceReasonText(chosen.mReason) },
+               { "panic", chosen.mPanic } });
+  AgentChoice choice;
+  choice.mRefusal = NoAgentRefusal();
+  choice.mAgent = chosen.mChosen;
+  choice.mAddress = chosen.mAddress;
+  return choice;
+}
+
+AgentChoice
+EntryCore::ChooseIssuer(const PoolName& aPool)
+{
+  const Lock lock(mMutex);
+  ChoiceRequest needs;
+  needs.mPool = aPool;
+  const Timestamp now = BootNow();
+  const Choice chosen =
+    mChooser.Choose(needs, mFleet.Candidates(aPool, now), now);
   AgentChoice choice;
   choice.mRefusal = NoAgentRefusal();
   choice.mAgent = chosen.mChosen;
@@ -230,10 +328,42 @@
 
 void
 EntryCore::RecordOutcome(const AdmittedRequest& aRequest,
-                         const RequestEnd& aOutcome)
+                         const RequestEnd& aEnd)
+{
+  CountedEnd counted;
+  counted.mClass = aRequest.mClass.mName;
+  counted.mTeam = aRequest.Team();
+  counted.mOutcome = OutcomeOf(aEnd);
+  counted.mAttained = MetTargets(aRequest, aEnd);
+  if (!aEnd.mServed) {
+    counted.mRefusal = aEnd.mRefusal;
+  }
+  if (aEnd.mFirstByteAt) {
+    counted.mFirstByte = *aEnd.mFirstByteAt - aRequest.mArrived;
+  }
+  mCounters.RecordEnd(counted);
+  LogEnd(aRequest, aEnd);
+}
+
+void
+EntryCore::LogEnd(const AdmittedRequest& aRequest, const RequestEnd& aEnd)
 {
-  static_cast<void>(aRequest);
-  static_cast<void>(aOutcome);
+  EventFields fields{ { "request", aRequest.mId.Text() },
+                      { "team", aRequest.Team().Text() },
+                      { "class", aRequest.mClass.mName.Text() },
+                      { "us", (aEnd.mEndedAt - aRequest.mArrived).count() } };
+  if (aEnd.mServed) {
+    fields["status"] = aEnd.mStatus;
+    mLog.Write(Event::RequestCompleted, fields);
+    return;
+  }
+  fields["reason"] = ReasonCode(aEnd.mRefusal.mReason);
+  fields["executed"] = ExecutedText(aEnd.mRefusal.mExecuted);
+  fields["detail"] = aEnd.mRefusal.mDetail;
+  const bool cancelled = aEnd.mRefusal.mReason == RefusalReason::Cancelled;
+  const Event failed =
+    aEnd.mAborted ? Event::StreamFailed : Event::RequestRefused;
+  mLog.Write(cancelled ? Event::RequestCancelled : failed, fields);
 }
 
 std::optional<std::string>
--- a/src/medlarkeeld/entrycore.h
+++ b/src/medlarkeeld/entrycore.h
@@ -2,8 +2,10 @@
 
 #include "admittedrequest.h"
 #include "documentview.h"
+#include "eventlog.h"
 #include "fleetview.h"
 #include "instancelist.h"
+#include "nodecounters.h"
 #include "rangeownership.h"
 #include "refusal.h"
 #include "replicachooser.h"
@@ -36,7 +38,7 @@
   Refusal mRefusal;
   Timestamp mEndedAt;
   std::optional<Timestamp> mFirstByteAt;
-  std::uint64_t mTokens = 0;
+  std::uint64_t mEvents = 0;
   int mStatus = 0;
 };
 
@@ -47,7 +49,14 @@
 class EntryCore
 {
 public:
-  EntryCore(const Settings& aSettings, std::uint64_t aSeed);
+  /**
+   * @param aLog Gets a line for each routing decision; outlives the core.
+   * @param aCounters Counts how requests end; outlives the core.
+   */
+  EntryCore(const Settings& aSettings,
+            std::uint64_t aSeed,
+            EventLog& aLog,
+            NodeCounters& aCounters);
 
   void ApplyDocument(DocumentViewPtr aView);
   void ApplyList(const InstanceList& aList,
@@ -62,6 +71,9 @@
   AgentChoice ChooseAgent(const AdmittedRequest& aRequest,
                           const ChoiceRequest& aNeeds);
 
+  /** Chooses an agent of a plain service to issue an idempotency key. */
+  AgentChoice ChooseIssuer(const PoolName& aPool);
+
   /** @return Why the request must not be committed, if so. */
   std::optional<RefusalReason> ReasonToStop(const AdmittedRequest& aRequest);
 
@@ -79,8 +91,7 @@
   void RecordSilence(const InstanceId& aAgent);
   void RecordWithdrawn(const InstanceId& aAgent);
   void RecordDroppedFrame();
-  void RecordOutcome(const AdmittedRequest& aRequest,
-                     const RequestEnd& aOutcome);
+  void RecordOutcome(const AdmittedRequest& aRequest, const RequestEnd& aEnd);
 
   /** @return Why callers should go to another entry, if so. */
   std::optional<std::string> ReasonNotReady();
@@ -97,9 +108,14 @@
   using Lock = std::lock_guard<std::mutex>;
 
   AgentChoice ChooseOwner(const AdmittedRequest& aRequest);
-  AgentChoice ChooseReplica(const ChoiceRequest& aNeeds);
+  AgentChoice ChooseReplica(const AdmittedRequest& aRequest,
+                            const ChoiceRequest& aNeeds);
+  void LogEnd(const AdmittedRequest& aRequest, const RequestEnd& aEnd);
+  InstanceId OwnerOf(const AdmittedRequest& aRequest) const;
 
   const Settings mSettings;
+  EventLog& mLog;
+  NodeCounters& mCounters;
   std::mutex mMutex;
   DocumentViewPtr mView;
   FleetView mFleet;
--- a/src/medlarkeeld/entrynode.cpp
+++ b/src/medlarkeeld/entrynode.cpp
@@ -4,6 +4,9 @@
 #include "refusalresponse.h"
 #include "relaysource.h"
 #include "requestadmission.h"
+#include "ticketrequest.h"
+
+#include <grpcpp/channel.h>
 
 #include <thread>
 #include <utility>
@@ -16,6 +19,7 @@
 /** Time in which the balancer notices that the entry is not ready. */
 constexpr Milliseconds kBalancerNotice{ 500 };
 constexpr Milliseconds kRetryWithoutDocument{ 1000 };
+constexpr std::chrono::milliseconds kTicketTime{ 1000 };
 
 TeamLimiterSettings
 LimiterSettingsFrom(const Settings& aSettings)
@@ -30,7 +34,7 @@
 
 EntryNode::EntryNode(const Settings& aSettings)
   : Node(aSettings)
-  , mCore(aSettings, mIncarnation.mValue)
+  , mCore(aSettings, mIncarnation.mValue, mLog, mCounters)
   , mGate(aSettings.mInstanceId,
           LimiterSettingsFrom(aSettings),
           mIncarnation.mValue,
@@ -66,14 +70,64 @@
     refusal.mRetryAfter = kRetryWithoutDocument;
     return RefusalResponse(refusal, id);
   }
+  if (IsTicketRequest(aRequest)) {
+    return IssueTicket(aRequest, id, *view);
+  }
   auto admitted = AdmitRequest(aRequest, id, *view, mGate);
   if (!admitted) {
-    return RefusalResponse(admitted.error(), id);
+    RecordRejection(id, admitted.error());
+    return RefusalResponse(admitted.error().mRefusal, id);
   }
+  mCounters.RecordAdmitted(admitted.value().Team());
   return RespondTo(RelayEnvironment{ mCore, mChannels, mWatchdog },
                    std::move(admitted.value()));
 }
 
+HttpResponse
+EntryNode::IssueTicket(const HttpRequest& aRequest,
+                       const RequestId& aId,
+                       const DocumentView& aView)
+{
+  const auto pool = PoolOfTicketRequest(aRequest, aView);
+  if (!pool) {
+    return RefusalResponse(pool.error(), aId);
+  }
+  const AgentChoice choice = mCore.ChooseIssuer(pool.value());
+  if (!choice.mAgent) {
+    return RefusalResponse(choice.mRefusal, aId);
+  }
+  const auto stub = wire::Agent::NewStub(mChannels.ChannelTo(choice.mAddress));
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + kTicketTime);
+  wire::TicketReply reply;
+  const auto status = stub->IssueTicket(&context, {}, &reply);
+  if (!status.ok() || reply.key().empty()) {
+    return RefusalResponse(choice.mRefusal, aId);
+  }
+  return TicketResponse(IdempotencyKey(reply.key()));
+}
+
+void
+EntryNode::RecordRejection(const RequestId& aId,
+                           const RejectedRequest& aRejected)
+{
+  const Refusal& refusal = aRejected.mRefusal;
+  if (aRejected.mShortage) {
+    const bool insideRate = *aRejected.mShortage != ShortageCause::TeamRate;
+    mCounters.RecordRateRefusal(
+      aRejected.mClass, aRejected.mTeam, refusal, insideRate);
+  } else {
+    mCounters.RecordEarlyRefusal(refusal);
+  }
+  mLog.Write(Event::RequestRefused,
+             { { "request", aId.Text() },
+               { "team", aRejected.mTeam.Text() },
+               { "class", aRejected.mClass.Text() },
+               { "reason", ReasonCode(refusal.mReason) },
+               { "executed", ExecutedText(refusal.mExecuted) },
+               { "detail", refusal.mDetail } });
+}
+
 void
 EntryNode::Tick()
 {
--- a/src/medlarkeeld/entrynode.h
+++ b/src/medlarkeeld/entrynode.h
@@ -2,6 +2,7 @@
 
 #include "entrycore.h"
 #include "node.h"
+#include "requestadmission.h"
 #include "streamwatchdog.h"
 #include "teamgate.h"
 
@@ -26,6 +27,11 @@
   ControlHooks Hooks() override;
   std::optional<std::string> ReasonNotReady() override;
 
+  void RecordRejection(const RequestId& aId, const RejectedRequest& aRejected);
+  HttpResponse IssueTicket(const HttpRequest& aRequest,
+                           const RequestId& aId,
+                           const DocumentView& aView);
+
   StreamWatchdog mWatchdog;
   EntryCore mCore;
   TeamGate mGate;
--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -2,6 +2,7 @@
 
 #include "bootclock.h"
 #include "operatorpages.h"
+#include "version.h"
 
 #include <grpcpp/security/server_credentials.h>
 #include <grpcpp/server_builder.h>
@@ -50,6 +51,8 @@
 Node::Node(const Settings& aSettings)
   : mSettings(aSettings)
   , mIncarnation(NewIncarnation())
+  , mLog(aSettings.mInstanceId.Text())
+  , mStarted(BootNow())
   , mPauses(kPauseLimit)
 {
 }
@@ -62,6 +65,10 @@
   if (!Start()) {
     return 1;
   }
+  mLog.Write(Event::Started,
+             { { "role", RoleText(mSettings.mRole) },
+               { "zone", mSettings.mZone.Text() },
+               { "version", Version() } });
   Loop();
   return Shutdown();
 }
@@ -73,8 +80,11 @@
     mSettings, mIncarnation, mChannels, mConfiguration, Hooks());
   mPeerService = std::make_unique<PeerService>(*mControl);
   Wire();
-  mConfiguration.AddListener(
-    [this](const DocumentViewPtr&) { mDocumentChanged = true; });
+  mConfiguration.AddListener([this](const DocumentViewPtr& aView) {
+    LogDocument(aView);
+    mCounters.ApplyDocument(aView->Document());
+    mDocumentChanged = true;
+  });
   if (!StartGrpc() || !StartHttp()) {
     return false;
   }
@@ -138,19 +148,52 @@
 Node::Serve(const HttpRequest& aRequest)
 {
   NodePages pages;
-  pages.mReasonNotReady = ReasonNotReady();
+  pages.mReasonNotReady = [this] { return ReasonNotReady(); };
+  pages.mMetrics = [this] { return mCounters.Prometheus().Render(); };
+  pages.mStatus = [this] { return NodeStatusText(Status()); };
   if (auto page = OperatorPage(aRequest, pages)) {
     return std::move(*page);
   }
   return Handle(aRequest);
 }
 
+NodeStatus
+Node::Status()
+{
+  NodeStatus status;
+  status.mId = mSettings.mInstanceId;
+  status.mRole = mSettings.mRole;
+  status.mZone = mSettings.mZone;
+  status.mRegion = mSettings.mRegion;
+  status.mIncarnation = mIncarnation;
+  status.mUptime =
+    std::chrono::duration_cast<Milliseconds>(BootNow() - mStarted);
+  status.mDocument.mStamp = mConfiguration.Stamp();
+  if (const auto age = mConfiguration.ConfirmationAge()) {
+    status.mDocument.mConfirmationAge =
+      std::chrono::duration_cast<Milliseconds>(*age);
+  }
+  if (const auto rejected = mConfiguration.Rejected()) {
+    status.mDocument.mRejectedRevision = rejected->mRevision;
+  }
+  mCounters.Fill(status);
+  return status;
+}
+
+void
+Node::LogDocument(const DocumentViewPtr& aView)
+{
+  mLog.Write(Event::DocumentAccepted,
+             { { "version", aView->Document().mVersion } });
+}
+
 void
 Node::Loop()
 {
   while (!WaitForEndSignal()) {
     const Timestamp now = BootNow();
     if (const auto gap = mPauses.Observe(now)) {
+      mLog.Write(Event::PauseNoticed, { { "gapUs", gap->count() } });
       ResumeAfterPause(*gap);
       mControl->AnnounceDocument();
     }
@@ -175,12 +218,14 @@
 Node::Shutdown()
 {
   mShuttingDown = true;
+  mLog.Write(Event::ShutdownStep, { { "step", "drain" } });
   const Timestamp bound = BootNow() + mSettings.mShutdownBound;
   const bool drained = Drain(bound);
   mWatcher.reset();
   mHttp->Stop();
   mGrpc->Shutdown(std::chrono::system_clock::now());
   mGrpc->Wait();
+  mLog.Write(Event::Stopped, { { "drained", drained } });
   return drained ? 0 : 1;
 }
 
--- a/src/medlarkeeld/node.h
+++ b/src/medlarkeeld/node.h
@@ -3,8 +3,10 @@
 #include "agentchannels.h"
 #include "configurationholder.h"
 #include "controlplane.h"
+#include "eventlog.h"
 #include "httpmessage.h"
 #include "httpserver.h"
+#include "nodecounters.h"
 #include "pausedetector.h"
 #include "platformwatcher.h"
 #include "settings.h"
@@ -51,6 +53,8 @@
 
   const Settings mSettings;
   const Incarnation mIncarnation;
+  EventLog mLog;
+  NodeCounters mCounters;
   AgentChannels mChannels;
   ConfigurationHolder mConfiguration;
   std::unique_ptr<ControlPlane> mControl;
@@ -64,8 +68,11 @@
   void Loop();
   int Shutdown();
   HttpResponse Serve(const HttpRequest& aRequest);
+  NodeStatus Status();
+  void LogDocument(const DocumentViewPtr& aView);
   void GossipWhenDue(Timestamp aNow);
 
+  const Timestamp mStarted;
   PauseDetector mPauses;
   Timestamp mNextGossip;
   std::atomic<bool> mDocumentChanged{ false };
--- a/src/medlarkeeld/operatorpages.cpp
+++ b/src/medlarkeeld/operatorpages.cpp
@@ -4,15 +4,23 @@
 
 namespace {
 
+constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
 HttpResponse
-TextPage(int aStatus, const std::string& aText)
+Page(const char* aType, std::string aText)
 {
   HttpResponse response;
+  response.mHeaders["Content-Type"] = aType;
+  response.mBody = std::move(aText);
+  return response;
+}
+
+HttpResponse
+TextPage(int aStatus, const std::string& aText)
+{
+  HttpResponse response = Page("text/plain", aText + "\n");
   response.mStatus = aStatus;
-  response.mHeaders["Content-Type"] = "text/plain";
-  response.mBody = aText + "\n";
   return response;
 }
 
@@ -22,12 +30,17 @@
 OperatorPage(const HttpRequest& aRequest, const NodePages& aPages)
 {
   if (aRequest.mPath == "/healthz") {
-    return TextPage(200, "ok");
+    return TextPage(kOk, "ok");
   }
   if (aRequest.mPath == "/readyz") {
-    return aPages.mReasonNotReady
-             ? TextPage(kUnavailable, *aPages.mReasonNotReady)
-             : TextPage(200, "ready");
+    const auto reason = aPages.mReasonNotReady();
+    return reason ? TextPage(kUnavailable, *reason) : TextPage(kOk, "ready");
+  }
+  if (aRequest.mPath == "/metrics") {
+    return Page("text/plain; version=0.0.4", aPages.mMetrics());
+  }
+  if (aRequest.mPath == "/status") {
+    return Page("application/json", aPages.mStatus());
   }
   return std::nullopt;
 }
--- a/src/medlarkeeld/operatorpages.h
+++ b/src/medlarkeeld/operatorpages.h
@@ -2,6 +2,7 @@
 
 #include "httpmessage.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -10,7 +11,11 @@
 /** What the operator pages of one process show. */
 struct NodePages
 {
-  std::optional<std::string> mReasonNotReady;
+  std::function<std::optional<std::string>()> mReasonNotReady;
+  /** Text in Prometheus' exposition format. */
+  std::function<std::string()> mMetrics;
+  /** The node's status as JSON. */
+  std::function<std::string()> mStatus;
 };
 
 /** @return The page, or nothing when the path is not one of theirs. */
--- a/src/medlarkeeld/requestadmission.cpp
+++ b/src/medlarkeeld/requestadmission.cpp
@@ -74,7 +74,9 @@
     };
     for (const Step step : kSteps) {
       if (auto refusal = (this->*step)()) {
-        return std::move(*refusal);
+        return RejectedRequest{
+          std::move(*refusal), mRequest.mClass.mName, mRequest.Team(), mShortage
+        };
       }
     }
     return std::move(mRequest);
@@ -180,6 +182,7 @@
     if (verdict.mAdmitted) {
       return std::nullopt;
     }
+    mShortage = verdict.mCause;
     Refusal refusal = Refuse(RefusalReason::TeamRateExceeded,
                              verdict.mCause == ShortageCause::TeamRate
                                ? "the team is at its rate"
@@ -193,6 +196,7 @@
   TeamGate& mGate;
   AdmittedRequest mRequest;
   std::optional<std::string> mModel;
+  std::optional<ShortageCause> mShortage;
 };
 
 } // namespace
--- a/src/medlarkeeld/requestadmission.h
+++ b/src/medlarkeeld/requestadmission.h
@@ -8,11 +8,24 @@
 
 #include <boost/outcome.hpp>
 
+#include <optional>
+
 namespace medlarkeel {
 
+/** A request that was not admitted, with what was found out before. */
+struct RejectedRequest
+{
+  Refusal mRefusal;
+  /** Empty until the route was found. */
+  ClassName mClass;
+  TeamName mTeam;
+  /** Set when the team's rate was the reason. */
+  std::optional<ShortageCause> mShortage;
+};
+
 using AdmissionResult = BOOST_OUTCOME_V2_NAMESPACE::result<
   AdmittedRequest,
-  Refusal,
+  RejectedRequest,
   BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
 
 /**
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -4,6 +4,7 @@
 #include "bootclock.h"
 #include "wireconversion.h"
 
+#include <mutex>
 #include <utility>
 #include <variant>
 
@@ -65,9 +66,9 @@
 RequestRelay::~RequestRelay()
 {
   if (!mEnded) {
-    Enqueue(mTracker.OnCallerGone());
-    while (!mEnded && !mActions.empty()) {
-      CarryOutNext();
+    Track([&] { return mTracker.OnCallerGone(); });
+    while (!mEnded) {
+      Step();
     }
   }
 }
@@ -76,14 +77,28 @@
 RequestRelay::Next()
 {
   while (!mEnded) {
-    auto step = mActions.empty() ? ReadFrame() : CarryOutNext();
-    if (step) {
+    if (auto step = Step()) {
       return *step;
     }
   }
   return *mEnded;
 }
 
+std::optional<RelayStep>
+RequestRelay::Step()
+{
+  if (!mActions.empty()) {
+    return CarryOutNext();
+  }
+  if (mTracker.IsOver()) {
+    Refusal refusal;
+    refusal.mReason = RefusalReason::Cancelled;
+    refusal.mExecuted = mTracker.ExecutedSoFar();
+    return End(RelayStep::Kind::Aborted, refusal);
+  }
+  return ReadFrame();
+}
+
 std::optional<RelayStep>
 RequestRelay::CarryOutNext()
 {
@@ -126,13 +141,21 @@
 }
 
 void
-RequestRelay::Enqueue(AttemptActions aActions)
+RequestRelay::Track(const std::function<AttemptActions()>& aEvent)
 {
-  for (AttemptAction& action : aActions) {
+  const std::lock_guard<std::mutex> lock(mEnvironment.mCore.BudgetMutex());
+  for (AttemptAction& action : aEvent()) {
     mActions.push_back(std::move(action));
   }
 }
 
+std::optional<std::uint64_t>
+RequestRelay::BeginAttempt(const InstanceId& aAgent)
+{
+  const std::lock_guard<std::mutex> lock(mEnvironment.mCore.BudgetMutex());
+  return mTracker.BeginAttempt(aAgent);
+}
+
 void
 RequestRelay::ChooseAgent()
 {
@@ -140,12 +163,12 @@
   const AgentChoice choice =
     mEnvironment.mCore.ChooseAgent(mRequest, mChoiceRequest);
   if (!choice.mAgent) {
-    Enqueue(mTracker.OnNoAgent(choice.mRefusal));
+    Track([&] { return mTracker.OnNoAgent(choice.mRefusal); });
     return;
   }
-  const auto attempt = mTracker.BeginAttempt(*choice.mAgent);
+  const auto attempt = BeginAttempt(*choice.mAgent);
   if (!attempt) {
-    Enqueue(mTracker.OnNoAgent(choice.mRefusal));
+    Track([&] { return mTracker.OnNoAgent(choice.mRefusal); });
     return;
   }
   mAttempt = *attempt;
@@ -162,10 +185,10 @@
 RequestRelay::ConfirmGrant()
 {
   if (const auto reason = mEnvironment.mCore.ReasonToStop(mRequest)) {
-    Enqueue(mTracker.Terminate(*reason));
+    Track([&] { return mTracker.Terminate(*reason); });
     return;
   }
-  Enqueue(mTracker.Commit(BootNow()));
+  Track([&] { return mTracker.Commit(BootNow()); });
 }
 
 void
@@ -222,7 +245,7 @@
 RequestRelay::ReadFrame()
 {
   CheckCallerAndDeadline();
-  if (!mActions.empty()) {
+  if (!mActions.empty() || mTracker.IsOver()) {
     return std::nullopt;
   }
   const auto frame = mStream ? mStream->Read() : std::nullopt;
@@ -266,7 +289,7 @@
   grant.mId = aGranted.grant_id();
   grant.mIncarnation = Incarnation{ aGranted.incarnation() };
   grant.mValidFor = Microseconds(aGranted.valid_us());
-  Enqueue(mTracker.OnGranted(mAttempt, grant, BootNow()));
+  Track([&] { return mTracker.OnGranted(mAttempt, grant, BootNow()); });
 }
 
 void
@@ -279,7 +302,7 @@
   } else {
     mEnvironment.mCore.RecordWithdrawn(mAgent);
   }
-  Enqueue(mTracker.OnRefused(mAttempt, refusal, BootNow()));
+  Track([&] { return mTracker.OnRefused(mAttempt, refusal, BootNow()); });
 }
 
 void
@@ -287,7 +310,7 @@
 {
   mStatus = static_cast<int>(aHead.status());
   mContentType = aHead.content_type();
-  Enqueue(mTracker.OnHead(mAttempt, mStatus));
+  Track([&] { return mTracker.OnHead(mAttempt, mStatus); });
 }
 
 std::optional<RelayStep>
@@ -322,7 +345,8 @@
 {
   mStream.reset();
   mEnvironment.mCore.RecordFinished(mAgent, BootNow() - mCommittedAt);
-  Enqueue(mTracker.OnDone(mAttempt, aDone.total_bytes(), BootNow()));
+  Track(
+    [&] { return mTracker.OnDone(mAttempt, aDone.total_bytes(), BootNow()); });
 }
 
 void
@@ -330,18 +354,18 @@
 {
   mStream.reset();
   mEnvironment.mCore.RecordSilence(mAgent);
-  Enqueue(mTracker.OnAgentLost(mAttempt, BootNow()));
+  Track([&] { return mTracker.OnAgentLost(mAttempt, BootNow()); });
 }
 
 void
 RequestRelay::CheckCallerAndDeadline()
 {
   if (mRequest.mCallerLeft && mRequest.mCallerLeft()) {
-    Enqueue(mTracker.OnCallerGone());
+    Track([&] { return mTracker.OnCallerGone(); });
   } else if (mRequest.mDeadline && BootNow() > *mRequest.mDeadline) {
-    Enqueue(mTracker.OnDeadline());
+    Track([&] { return mTracker.OnDeadline(); });
   } else if (const auto reason = mEnvironment.mCore.ReasonToCut(mRequest)) {
-    Enqueue(mTracker.Terminate(*reason));
+    Track([&] { return mTracker.Terminate(*reason); });
   }
 }
 
@@ -354,7 +378,7 @@
   outcome.mRefusal = aRefusal;
   outcome.mEndedAt = BootNow();
   outcome.mFirstByteAt = mFirstByteAt;
-  outcome.mTokens = mEvents;
+  outcome.mEvents = mEvents;
   outcome.mStatus = mStatus;
   return outcome;
 }
--- a/src/medlarkeeld/requestrelay.h
+++ b/src/medlarkeeld/requestrelay.h
@@ -7,6 +7,7 @@
 #include "httpmessage.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,7 +69,10 @@
   std::optional<RelayStep> CarryOutNext();
   std::optional<RelayStep> CarryOut(const AttemptAction& aAction);
   std::optional<RelayStep> End(RelayStep::Kind aKind, const Refusal& aRefusal);
-  void Enqueue(AttemptActions aActions);
+  std::optional<RelayStep> Step();
+  /** Runs an event of the tracker and queues what it says. */
+  void Track(const std::function<AttemptActions()>& aEvent);
+  std::optional<std::uint64_t> BeginAttempt(const InstanceId& aAgent);
 
   void ChooseAgent();
   void ConfirmGrant();
