--- a/src/libmedlarkeel/nodestatus.cpp
+++ b/src/libmedlarkeel/nodestatus.cpp
@@ -11,6 +11,7 @@
 constexpr IntegerRange kCountRange{ 0,
                                     std::numeric_limits<std::int64_t>::max(),
                                     "" };
+constexpr IntegerRange kTierRange{ 0, 6, "" };
 constexpr NumberRange kShareRange{ 0.0, 1.0, "(share)" };
 constexpr std::size_t kMaximumStatusBytes = 16U << 20U;
 
@@ -116,6 +117,7 @@
 {
   return { { "zone", aChange.mZone.Text() },
            { "state", ZoneStateText(aChange.mState) },
+           { "documentVersion", aChange.mDocumentVersion },
            { "atUnixMs", aChange.mAtUnixMs } };
 }
 
@@ -145,7 +147,7 @@
 {
   ClassStatus status;
   aReader.Name("name", Presence::Required, status.mName);
-  aReader.Number("tier", Presence::Required, kCountRange, status.mTier.mValue);
+  aReader.Number("tier", Presence::Required, kTierRange, status.mTier.mValue);
   aReader.Number(
     "attainment", Presence::Required, kShareRange, status.mAttainmentTarget);
   for (const ClassCounterRow& row : kClassCounters) {
@@ -194,6 +196,10 @@
   aReader.Name("zone", Presence::Required, change.mZone);
   aReader.Choose<ZoneState>(
     "state", Presence::Required, ZoneStates(), change.mState);
+  aReader.Number("documentVersion",
+                 Presence::Required,
+                 kCountRange,
+                 change.mDocumentVersion);
   aReader.Number("atUnixMs", Presence::Required, kCountRange, change.mAtUnixMs);
   return change;
 }
--- a/src/libmedlarkeel/nodestatus.h
+++ b/src/libmedlarkeel/nodestatus.h
@@ -75,6 +75,9 @@
 {
   ZoneName mZone;
   ZoneState mState = ZoneState::In;
+  /** Version of the document that changed it; tells one change on several
+   * nodes from several changes. */
+  std::uint64_t mDocumentVersion = 0;
   /** Wall clock, milliseconds since 1970. */
   std::uint64_t mAtUnixMs = 0;
 };
