--- a/src/libmedlarkeel/settings.cpp
+++ b/src/libmedlarkeel/settings.cpp
@@ -15,16 +15,6 @@
 constexpr IntegerRange kIntervalRange{ 10, 600'000, "milliseconds" };
 constexpr IntegerRange kShutdownRange{ 0, 3'600'000, "milliseconds" };
 
-bool
-IsIpNumber(std::string_view aText)
-{
-  const std::string text(aText);
-  in6_addr parsed{};
-  return text.find('\0') == std::string::npos &&
-         (inet_pton(AF_INET, text.c_str(), &parsed) == 1 ||
-          inet_pton(AF_INET6, text.c_str(), &parsed) == 1);
-}
-
 bool
 IsLogLevel(std::string_view aText)
 {
@@ -167,6 +157,16 @@
 
 } // namespace
 
+bool
+IsIpNumber(std::string_view aText)
+{
+  const std::string text(aText);
+  in6_addr parsed{};
+  return text.find('\0') == std::string::npos &&
+         (inet_pton(AF_INET, text.c_str(), &parsed) == 1 ||
+          inet_pton(AF_INET6, text.c_str(), &parsed) == 1);
+}
+
 std::string
 EndpointText(const Endpoint& aEndpoint)
 {
--- a/src/libmedlarkeel/settings.h
+++ b/src/libmedlarkeel/settings.h
@@ -22,6 +22,10 @@
   std::uint16_t mPort = 0;
 };
 
+/** @return Whether the text is an IPv4 or IPv6 number. */
+bool
+IsIpNumber(std::string_view aText);
+
 /** @return "address:port", with brackets round an IPv6 number. */
 std::string
 EndpointText(const Endpoint& aEndpoint);
