Let the predecessor in the order test keep changing its mind

The wait for the list could be taken out unseen, since a predecessor that had reached its state had nothing to order. Each part of the wait and the clock check now fail the property when taken out (after 14, 14, 34 and 78 cases).

--- a/tests/core/test_orderissuer.cpp
+++ b/tests/core/test_orderissuer.cpp
@@ -76,8 +76,12 @@
   {
     for (mNow = 0; mNow < 30000; mNow += 20) {
       Deliver();
-      if (mNow < kSuccession || Pick(3) == 0) {
-        Drive(mOld, mOldStep, Pick(25) == 0 ? Pick(9000) : 0, mOldBusy);
+      if (Pick(30) == 0) {
+        const std::string adapter(1, static_cast<char>('a' + Pick(4)));
+        mOld.SetDesired({ "v1", "decode", { AdapterName(adapter) } });
+      }
+      if (mNow < kSuccession || Pick(2) == 0) {
+        Drive(mOld, mOldStep, Pick(5) == 0 ? Pick(4000) : 0, mOldBusy);
       }
       if (mNow >= kSuccession) {
         Drive(mNew, mNewStep, 0, mNewBusy);
