Measure an engine that slows with its batch

A limit that grows could take the slower tokens of a larger batch for a slow engine and never get warm.

--- a/bench/scheduler/main.cpp
+++ b/bench/scheduler/main.cpp
@@ -26,10 +26,11 @@
   }
   const double all = static_cast<double>(outcome.mGoodTokens) +
                      static_cast<double>(outcome.mWastedTokens);
-  std::printf(" wasted %4.1f%% good tokens %llu crashes %d\n",
+  std::printf(" wasted %4.1f%% good tokens %llu crashes %d limit %zu\n",
               100.0 * static_cast<double>(outcome.mWastedTokens) / all,
               static_cast<unsigned long long>(outcome.mGoodTokens),
-              outcome.mCrashes);
+              outcome.mCrashes,
+              outcome.mLimit);
 }
 
 std::string
@@ -76,6 +77,19 @@
   }
 }
 
+void
+PrintBatches()
+{
+  std::printf("engine that slows with its batch, cold start at 1, load 0.8\n");
+  for (const double cost : { 0.0, 0.2, 0.4 }) {
+    LoadSettings settings;
+    settings.mLoad = 0.8 / (1.0 + cost * 7.0);
+    settings.mColdStart = 1;
+    settings.mBatchCost = cost;
+    PrintLoad("gap grows by " + Short(cost), settings);
+  }
+}
+
 void
 PrintReplacements()
 {
@@ -106,6 +120,7 @@
 {
   medlarkeel::PrintLoads();
   medlarkeel::PrintColdStarts();
+  medlarkeel::PrintBatches();
   medlarkeel::PrintReplacements();
   return 0;
 }
--- a/bench/scheduler/serverload.cpp
+++ b/bench/scheduler/serverload.cpp
@@ -93,6 +93,7 @@
     Advance();
     Apply(mScheduler.Tick(mNow));
   }
+  mOutcome.mLimit = mScheduler.Load(mNow).mLimit;
   return mOutcome;
 }
 
@@ -164,19 +165,26 @@
     return;
   }
   CrashIfOverloaded();
+  const double others = std::max(0.0, static_cast<double>(mRunning.size()) - 1);
+  const double gap = std::chrono::duration<double>(kTokenGap).count() *
+                     (1.0 + mSettings.mBatchCost * others);
+  const double tokensPerStep =
+    std::chrono::duration<double>(kStep).count() / gap;
   std::vector<std::uint64_t> ended;
   for (auto& [id, request] : mRunning) {
     const auto elapsed = mNow - request.mCommitted - kPrefill;
     if (elapsed >= Microseconds(0) && request.mDone == 0) {
       mScheduler.RecordFirstToken(request.mGrant, mNow);
     }
-    const auto done = static_cast<std::uint32_t>(
-      std::max<std::int64_t>(0, elapsed / kTokenGap + 1));
-    const std::uint32_t upTo = std::min(request.mOutput, done);
+    const auto whole = static_cast<std::uint32_t>(request.mProgress);
+    const std::uint32_t upTo = std::min(request.mOutput, whole);
     if (elapsed >= Microseconds(0) && upTo > request.mDone) {
       mScheduler.RecordTokens(request.mGrant, upTo - request.mDone, mNow);
       request.mDone = upTo;
     }
+    if (elapsed >= Microseconds(0)) {
+      request.mProgress += tokensPerStep;
+    }
     if (request.mCut || request.mDone >= request.mOutput) {
       ended.push_back(id);
     }
--- a/bench/scheduler/serverload.h
+++ b/bench/scheduler/serverload.h
@@ -23,6 +23,8 @@
   std::size_t mColdStart = 8;
   /** Whether the engine starts cold and crashes above what it bears. */
   bool mFragile = false;
+  /** Growth of the time between tokens by each further running request. */
+  double mBatchCost = 0.0;
 };
 
 /** What became of the requests of one class. */
@@ -43,6 +45,8 @@
   /** Tokens of late, cut or lost answers. */
   std::uint64_t mWastedTokens = 0;
   int mCrashes = 0;
+  /** Requests that may run at once, at the end. */
+  std::size_t mLimit = 0;
 };
 
 /** Plays random requests against one scheduler and a model of an engine. */
@@ -62,6 +66,8 @@
     std::optional<Timestamp> mDeadline;
     std::uint32_t mOutput = 0;
     std::uint32_t mDone = 0;
+    /** Tokens, with the part of the next. */
+    double mProgress = 1.0;
     GrantId mGrant;
     Timestamp mCommitted;
     bool mCut = false;
