Prove the team limit over faults and mend a handover past an unseen owner

The random run (kills, restarts under the same id, freezes up to 30 s, cuts, lost list, drains; 5% lost, doubled and late messages) compares every interval with rate x time + burst.

Wrongful refusals came from fixed small slices (a slice with a burst of 1 must be full to give a token) and from leases that outlived their use: slices now need a burst of 5, the slices of one owner are spent as one bucket, and tokens for waiting requests are lent for 0.5 s.

--- a/src/libmedlarkeel/limitmessage.h
+++ b/src/libmedlarkeel/limitmessage.h
@@ -44,7 +44,10 @@
   Microseconds mLease{ 0 };
   /** Grant without enough tokens: when to ask again. */
   Microseconds mRetry{ 0 };
-  /** Grant: revision of the list that the sender last read; 0 for none. */
+  /**
+   * Grant: revision of the list that the sender last read, 0 for none;
+   * Claim: revision since which the sender sees itself as the owner.
+   */
   std::uint64_t mListRevision = 0;
   /** Grant: time since the request for that reading was sent. */
   Microseconds mListAge{ 0 };
--- a/src/libmedlarkeel/rangeownership.cpp
+++ b/src/libmedlarkeel/rangeownership.cpp
@@ -69,7 +69,6 @@
                                OwnershipSettings aSettings,
                                OwnershipScope aScope)
   : mSelf(std::move(aSelf))
-  , mSelfHash(HashOf(mSelf.Text()))
   , mSettings(aSettings)
   , mScope(std::move(aScope))
 {
@@ -175,8 +174,11 @@
       same(mHistory.back().mLeaving, aSet.mLeaving)) {
     Timestamp& last = mHistory.back().mLastSentAt;
     last = std::max(last, aSentAt);
+    mHistory.back().mLastRevision = mRevision;
     return;
   }
+  aSet.mFirstRevision = mRevision;
+  aSet.mLastRevision = mRevision;
   aSet.mFirstSeen = aReceivedAt;
   aSet.mLastSentAt = aSentAt;
   mHistory.push_back(std::move(aSet));
@@ -214,13 +216,14 @@
     const std::size_t last = mHistory.size() - 1;
     const bool owned = IsOwner(mHistory.back(), transfer.mKey);
     const bool replaced =
-      owned && FirstSeen(transfer.mKey, last) > transfer.mAt;
+      owned &&
+      mHistory[FirstOwned(transfer.mKey, last)].mFirstSeen > transfer.mAt;
     entry = replaced ? mTransfers.erase(entry) : std::next(entry);
   }
 }
 
-bool
-RangeOwnership::IsOwner(const MemberSet& aSet, const RangeKey& aKey) const
+const RangeOwnership::Member*
+RangeOwnership::OwnerIn(const MemberSet& aSet, const RangeKey& aKey)
 {
   const std::uint64_t region = aKey.mSpread && aSet.mRegions.size() > 1
                                  ? RegionOf(*aKey.mSpread, aSet.mRegions)
@@ -228,23 +231,23 @@
   const auto best = Heaviest(aSet.mLive, aKey.mHash, [&](const Member& aOne) {
     return region == 0 || aOne.mRegion == region;
   });
-  return best != aSet.mLive.end() && best->mId == mSelf;
+  return best == aSet.mLive.end() ? nullptr : &*best;
+}
+
+bool
+RangeOwnership::IsOwner(const MemberSet& aSet, const RangeKey& aKey) const
+{
+  const Member* owner = OwnerIn(aSet, aKey);
+  return owner != nullptr && owner->mId == mSelf;
 }
 
 std::optional<InstanceId>
 RangeOwnership::Owner(const RangeKey& aKey) const
 {
-  if (mHistory.empty() || mHistory.back().mLive.empty()) {
-    return std::nullopt;
-  }
-  const MemberSet& set = mHistory.back();
-  const std::uint64_t region = aKey.mSpread && set.mRegions.size() > 1
-                                 ? RegionOf(*aKey.mSpread, set.mRegions)
-                                 : 0;
-  const auto best = Heaviest(set.mLive, aKey.mHash, [&](const Member& aOne) {
-    return region == 0 || aOne.mRegion == region;
-  });
-  return best->mId;
+  const Member* owner =
+    mHistory.empty() ? nullptr : OwnerIn(mHistory.back(), aKey);
+  return owner == nullptr ? std::nullopt
+                          : std::optional<InstanceId>(owner->mId);
 }
 
 std::optional<InstanceId>
@@ -254,6 +257,13 @@
     return std::nullopt;
   }
   const MemberSet& set = mHistory.back();
+  const std::size_t last = mHistory.size() - 1;
+  const std::size_t first = IsOwner(set, aKey) ? FirstOwned(aKey, last) : 0;
+  if (first > 0) {
+    const Member* before = OwnerIn(mHistory[first - 1], aKey);
+    return before == nullptr ? std::nullopt
+                             : std::optional<InstanceId>(before->mId);
+  }
   std::vector<Member> others = set.mLive;
   others.insert(others.end(), set.mLeaving.begin(), set.mLeaving.end());
   const std::uint64_t region = aKey.mSpread && set.mRegions.size() > 1
@@ -282,14 +292,48 @@
   return std::nullopt;
 }
 
-Timestamp
-RangeOwnership::FirstSeen(const RangeKey& aKey, std::size_t aLast) const
+std::size_t
+RangeOwnership::FirstOwned(const RangeKey& aKey, std::size_t aLast) const
 {
   std::size_t first = aLast;
   while (first > 0 && IsOwner(mHistory[first - 1], aKey)) {
     --first;
   }
-  return mHistory[first].mFirstSeen;
+  return first;
+}
+
+std::uint64_t
+RangeOwnership::OwnedSinceRevision(const RangeKey& aKey) const
+{
+  if (mHistory.empty() || !IsOwner(mHistory.back(), aKey)) {
+    return 0;
+  }
+  return mHistory[FirstOwned(aKey, mHistory.size() - 1)].mFirstRevision;
+}
+
+bool
+RangeOwnership::MayHandOver(const RangeKey& aKey,
+                            const InstanceId& aHeir,
+                            std::uint64_t aHeirSince) const
+{
+  if (mHistory.empty() || aHeirSince == 0) {
+    return false;
+  }
+  if (IsOwner(mHistory.back(), aKey)) {
+    return aHeirSince == mRevision + 1;
+  }
+  for (std::size_t index = mHistory.size() - 1; index > 0; --index) {
+    const Member* owner = OwnerIn(mHistory[index], aKey);
+    if (owner == nullptr || owner->mId != aHeir) {
+      return false;
+    }
+    const MemberSet& before = mHistory[index - 1];
+    if (IsOwner(before, aKey)) {
+      return before.mLastRevision + 1 == mHistory[index].mFirstRevision &&
+             aHeirSince >= mHistory[index].mFirstRevision;
+    }
+  }
+  return false;
 }
 
 std::optional<OwnershipSpan>
@@ -299,7 +343,7 @@
   if (!last) {
     return std::nullopt;
   }
-  const Timestamp firstSeen = FirstSeen(aKey, *last);
+  const Timestamp firstSeen = mHistory[FirstOwned(aKey, *last)].mFirstSeen;
   OwnershipSpan span;
   span.mSince = firstSeen + TakeoverWait();
   const auto transfer = mTransfers.find(aKey.mHash);
--- a/src/libmedlarkeel/rangeownership.h
+++ b/src/libmedlarkeel/rangeownership.h
@@ -127,11 +127,28 @@
   std::optional<OwnershipHold> Hold(const OwnershipSpan& aSpan,
                                     Timestamp aNow) const;
 
+  /**
+   * @return The revision at which this instance first saw itself as the
+   *         present owner; 0 when it is not the owner by the newest reading.
+   */
+  std::uint64_t OwnedSinceRevision(const RangeKey& aKey) const;
+
+  /**
+   * Tells whether a range may be handed to an heir. This is so only if the
+   * list went from this instance to the heir in one revision: an owner in
+   * between, which neither of them saw, would not know of the handover.
+   *
+   * @param aHeirSince The heir's OwnedSinceRevision().
+   */
+  bool MayHandOver(const RangeKey& aKey,
+                   const InstanceId& aHeir,
+                   std::uint64_t aHeirSince) const;
+
   /** Gives up a range that was handed to its new owner by message. */
   void Release(const RangeKey& aKey, Timestamp aNow);
 
   /**
-   * Takes over a range that its present owner released.
+   * Takes over a range that its present owner released to this instance.
    *
    * @return Whether the newest reading shows this instance as the owner; if
    *         not, nothing is taken over.
@@ -177,9 +194,11 @@
     std::vector<Member> mLive;
     std::vector<Member> mLeaving;
     std::vector<std::uint64_t> mRegions;
+    std::uint64_t mFirstRevision = 0;
+    /** Highest revision that showed the set before it changed. */
+    std::uint64_t mLastRevision = 0;
     Timestamp mFirstSeen;
     Timestamp mLastSentAt;
-    std::uint64_t mSelfHash = 0;
   };
 
   /** A range that changed its owner by message. */
@@ -195,12 +214,12 @@
   void BreakChain();
   void DropOldTransfers();
   void NoteLagBreach(std::uint64_t aRevision, Timestamp aSentAt);
+  static const Member* OwnerIn(const MemberSet& aSet, const RangeKey& aKey);
   bool IsOwner(const MemberSet& aSet, const RangeKey& aKey) const;
   std::optional<std::size_t> LatestOwned(const RangeKey& aKey) const;
-  Timestamp FirstSeen(const RangeKey& aKey, std::size_t aLast) const;
+  std::size_t FirstOwned(const RangeKey& aKey, std::size_t aLast) const;
 
   InstanceId mSelf;
-  std::uint64_t mSelfHash;
   OwnershipSettings mSettings;
   OwnershipScope mScope;
   std::vector<MemberSet> mHistory;
--- a/src/libmedlarkeel/sliceledger.cpp
+++ b/src/libmedlarkeel/sliceledger.cpp
@@ -9,7 +9,6 @@
   , mRaisedRate(aLimit.mPerSecond)
   , mRaiseAt(aSince)
   , mBucket(aSince)
-  , mTurnAt(aSince)
 {
 }
 
@@ -53,22 +52,6 @@
   mBucket.Clamp(Capacity());
 }
 
-bool
-SliceLedger::TakeOne()
-{
-  if (mBucket.Level() < kWholeToken) {
-    return false;
-  }
-  mBucket.Take(kWholeToken);
-  return true;
-}
-
-MicroTokens
-SliceLedger::Available() const
-{
-  return mBucket.Level() - mBucket.Level() % kWholeToken;
-}
-
 void
 SliceLedger::InsertLease(const LeaseRecord& aLease)
 {
@@ -131,21 +114,6 @@
   mBucket.Clamp(Capacity());
 }
 
-Timestamp
-SliceLedger::NextTokenAt() const
-{
-  const MicroTokens missing = kWholeToken - mBucket.Level();
-  return mBucket.SettledAt() + AccrualTime(missing, mLimit.mPerSecond);
-}
-
-Timestamp
-SliceLedger::NextTurn(Timestamp aNow)
-{
-  const Timestamp turn = std::max({ mTurnAt, NextTokenAt(), aNow });
-  mTurnAt = turn + AccrualTime(kWholeToken, mLimit.mPerSecond);
-  return turn;
-}
-
 bool
 SliceLedger::IsFull() const
 {
--- a/src/libmedlarkeel/sliceledger.h
+++ b/src/libmedlarkeel/sliceledger.h
@@ -36,11 +36,8 @@
    */
   void ChangeLimit(SliceLimit aLimit, Timestamp aNow, Timestamp aRaiseAt);
 
-  /** Takes one token if there is one. */
-  bool TakeOne();
-
-  /** @return Whole tokens at hand, in micro-tokens. */
-  MicroTokens Available() const;
+  /** Takes tokens for good; the level must suffice. */
+  void Take(MicroTokens aTokens) { mBucket.Take(aTokens); }
 
   /** Moves tokens to a lease that ends at @p aExpiresAt. */
   void Lend(std::uint64_t aLeaseId, MicroTokens aTokens, Timestamp aExpiresAt);
@@ -54,12 +51,7 @@
   /** Takes over what the previous owner handed over. */
   void Receive(MicroTokens aLevel, MicroTokens aOnLease, Timestamp aLeaseEnd);
 
-  /** @return When the next whole token is due. */
-  Timestamp NextTokenAt() const;
-
-  /** Gives a refused asker its turn, so that each asks for one token. */
-  Timestamp NextTurn(Timestamp aNow);
-
+  MicroTokens PerSecond() const { return mLimit.mPerSecond; }
   MicroTokens OnLease() const { return mOnLease; }
   MicroTokens Level() const { return mBucket.Level(); }
   Timestamp SettledAt() const { return mBucket.SettledAt(); }
@@ -86,7 +78,6 @@
   /** In the order of their ends. */
   std::vector<LeaseRecord> mLeases;
   MicroTokens mOnLease = 0;
-  Timestamp mTurnAt;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/teamlimit.cpp
+++ b/src/libmedlarkeel/teamlimit.cpp
@@ -8,6 +8,8 @@
 
 /** Bound on rates and bursts, so that no sum overflows. */
 constexpr double kLargestLimit = 1e9;
+/** Burst below which a slice is not worth its own bucket. */
+constexpr MicroTokens kSmallestSliceBurst = 5 * kWholeToken;
 
 MicroTokens
 ToMicroTokens(double aTokens)
@@ -30,9 +32,9 @@
   , mBurst(ToMicroTokens(aLimit.mBurst))
   , mSlices(aSlices)
 {
-  const MicroTokens whole = std::max<MicroTokens>(mBurst / kWholeToken, 1);
+  const MicroTokens most = mBurst / kSmallestSliceBurst;
   mActive = static_cast<std::uint32_t>(
-    std::min<MicroTokens>(whole, static_cast<MicroTokens>(mSlices)));
+    std::clamp<MicroTokens>(most, 1, static_cast<MicroTokens>(mSlices)));
 }
 
 SliceLimit
@@ -43,7 +45,7 @@
   }
   SliceLimit slice;
   slice.mPerSecond = Part(mPerSecond, mActive, aIndex);
-  slice.mBurst = Part(mBurst / kWholeToken, mSlices, aIndex) * kWholeToken;
+  slice.mBurst = Part(mBurst / kWholeToken, mActive, aIndex) * kWholeToken;
   if (aIndex == 0) {
     slice.mBurst += mBurst % kWholeToken;
   }
--- a/src/libmedlarkeel/teamlimiter.cpp
+++ b/src/libmedlarkeel/teamlimiter.cpp
@@ -7,21 +7,8 @@
 
 namespace {
 
+/** Time between two searches for idle teams. */
 constexpr Microseconds kSweepInterval = Milliseconds(500);
-/** Teams that one tick looks through for slices to claim. */
-constexpr std::size_t kTeamsPerScan = 64;
-/** Part of a lease's time before its end at which the rest is returned. */
-constexpr int kReturnDivisor = 4;
-
-RangeKey
-SliceKey(const TeamName& aTeam, std::uint32_t aSlice)
-{
-  const std::string& name = aTeam.Text();
-  RangeKey key = RangeKeyOf(name + '/' + std::to_string(aSlice));
-  key.mSpread = RegionSpread{ RangeKeyOf(name).mHash, aSlice };
-  return key;
-}
-
 } // namespace
 
 TeamLimiter::TeamLimiter(InstanceId aSelf,
@@ -101,6 +88,15 @@
   return found == mTeams.end() ? nullptr : &found->second;
 }
 
+RangeKey
+TeamLimiter::KeyOf(const TeamState& aTeam, std::uint32_t aSlice)
+{
+  const std::string& name = aTeam.mName.Text();
+  RangeKey key = RangeKeyOf(name + '/' + std::to_string(aSlice));
+  key.mSpread = RegionSpread{ RangeKeyOf(name).mHash, aSlice };
+  return key;
+}
+
 TeamLimiter::ActiveTeam&
 TeamLimiter::Activate(TeamState& aTeam, Timestamp aNow)
 {
@@ -111,7 +107,7 @@
   mActiveTeams.push_back(&aTeam);
   for (std::uint32_t slice = 0; slice < mSettings.mSlices; ++slice) {
     SliceView view;
-    view.mKey = SliceKey(aTeam.mName, slice);
+    view.mKey = KeyOf(aTeam, slice);
     view.mRetryAt = aNow;
     Refresh(view);
     aTeam.mActive->mSlices.push_back(std::move(view));
@@ -177,16 +173,30 @@
   return &*aView.mLedger;
 }
 
-bool
-TeamLimiter::SpendOwn(TeamState& aTeam, Timestamp aNow)
+SlicePool
+TeamLimiter::Pool(TeamState& aTeam, Timestamp aNow)
 {
+  SlicePool pool;
   for (std::uint32_t slice = 0; slice < aTeam.mLimit.ActiveSlices(); ++slice) {
-    SliceLedger* ledger = OwnLedger(aTeam, View(aTeam, slice, aNow), aNow);
-    if (ledger != nullptr && ledger->TakeOne()) {
-      return true;
+    SliceView& view = View(aTeam, slice, aNow);
+    SliceLedger* ledger = OwnLedger(aTeam, view, aNow);
+    if (ledger == nullptr) {
+      continue;
     }
+    pool.Add(*ledger, mOwnership.Hold(*view.mSpan, aNow)->mUntil);
   }
-  return false;
+  pool.SortByLevel();
+  return pool;
+}
+
+Timestamp
+TeamLimiter::NextTurn(TeamState& aTeam, const SlicePool& aPool, Timestamp aNow)
+{
+  Timestamp& turn = aTeam.mActive->mTurnAt;
+  const Timestamp mine = std::max(turn, aPool.NextTokenAt(aNow));
+  turn = std::min(mine + AccrualTime(kWholeToken, aPool.PerSecond()),
+                  aNow + mSettings.mLongestRetry);
+  return mine;
 }
 
 AdmitVerdict
@@ -202,7 +212,7 @@
   if (aAttempt == AdmitAttempt::First) {
     account.RecordArrival(aNow);
   }
-  if (account.SpendHeld(aNow) || SpendOwn(*team, aNow)) {
+  if (account.SpendHeld(aNow) || Pool(*team, aNow).Spend(kWholeToken)) {
     ++mStatistics.mAdmitted;
     AdmitVerdict admitted;
     admitted.mAdmitted = true;
@@ -222,28 +232,20 @@
   return aVerdict;
 }
 
-bool
-TeamLimiter::MayAsk(const ActiveTeam& aTeam,
-                    std::uint32_t aSlice,
-                    Timestamp aNow) const
-{
-  const SliceView& view = aTeam.mSlices[aSlice];
-  const bool remote = view.mOwner && *view.mOwner != mSelf;
-  return remote && view.mRetryAt <= aNow && !aTeam.mAccount.HasAskAt(aSlice);
-}
-
 AdmitVerdict
 TeamLimiter::Shortage(TeamState& aTeam, Timestamp aNow, AdmitAttempt aAttempt)
 {
   Timestamp due = aNow + mSettings.mLongestRetry;
   bool askable = false;
   bool outOfReach = false;
+  const SlicePool pool = Pool(aTeam, aNow);
+  due = std::min(due, pool.NextTokenAt(aNow));
   for (std::uint32_t slice = 0; slice < aTeam.mLimit.ActiveSlices(); ++slice) {
     SliceView& view = View(aTeam, slice, aNow);
-    const SliceLedger* own = OwnLedger(aTeam, view, aNow);
-    if (own != nullptr) {
-      due = std::min(due, own->NextTokenAt());
-    } else if (MayAsk(*aTeam.mActive, slice, aNow)) {
+    if (OwnLedger(aTeam, view, aNow) != nullptr) {
+      continue;
+    }
+    if (MayAsk(*aTeam.mActive, slice, aNow)) {
       askable = true;
     } else if (view.mOwner == mSelf || !view.mOwner || view.mSilent) {
       outOfReach = true;
@@ -264,76 +266,6 @@
   return verdict;
 }
 
-LimitMessage
-TeamLimiter::NewMessage(const InstanceId& aTo,
-                        LimitMessageKind aKind,
-                        const TeamState& aTeam,
-                        std::uint32_t aSlice)
-{
-  LimitMessage message;
-  message.mFrom = mSelf;
-  message.mTo = aTo;
-  message.mKind = aKind;
-  message.mTeam = aTeam.mName;
-  message.mSlice = aSlice;
-  return message;
-}
-
-void
-TeamLimiter::SendAsk(TeamState& aTeam, Timestamp aNow, Messages& aOut)
-{
-  TeamAccount& account = aTeam.mActive->mAccount;
-  const MicroTokens extra =
-    account.HasLease() && !account.HasAsk() ? account.Prefetch(aNow) : 0;
-  const MicroTokens wanted = account.Wanted();
-  if (wanted + extra < kWholeToken) {
-    return;
-  }
-  const std::uint32_t active = aTeam.mLimit.ActiveSlices();
-  const auto first = static_cast<std::uint32_t>(mRandom() % active);
-  for (std::uint32_t step = 0; step < active; ++step) {
-    const std::uint32_t slice = (first + step) % active;
-    const SliceView& view = View(aTeam, slice, aNow);
-    if (!MayAsk(*aTeam.mActive, slice, aNow)) {
-      continue;
-    }
-    LimitMessage ask =
-      NewMessage(*view.mOwner, LimitMessageKind::Ask, aTeam, slice);
-    ask.mTransferId = mRandom();
-    ask.mTokens = wanted + extra;
-    ask.mShare = wanted;
-    account.AddAsk(PendingAsk{ ask.mTransferId, slice, wanted, aNow });
-    aOut.push_back(std::move(ask));
-    return;
-  }
-  account.GiveUp();
-}
-
-void
-TeamLimiter::SendClaim(TeamState& aTeam,
-                       std::uint32_t aSlice,
-                       Timestamp aNow,
-                       Messages& aOut)
-{
-  SliceView& view = View(aTeam, aSlice, aNow);
-  const bool recent = view.mClaimSentAt != Timestamp::min() &&
-                      aNow - view.mClaimSentAt < mSettings.mSilentBackoff;
-  if (view.mOwner != mSelf || recent || OwnLedger(aTeam, view, aNow)) {
-    return;
-  }
-  const std::optional<InstanceId> previous =
-    mOwnership.PreviousOwner(view.mKey);
-  if (!previous) {
-    return;
-  }
-  LimitMessage claim =
-    NewMessage(*previous, LimitMessageKind::Claim, aTeam, aSlice);
-  claim.mTransferId = mRandom();
-  view.mClaimId = claim.mTransferId;
-  view.mClaimSentAt = aNow;
-  aOut.push_back(std::move(claim));
-}
-
 std::vector<LimitMessage>
 TeamLimiter::Tick(Timestamp aNow)
 {
@@ -367,64 +299,6 @@
   SendAsk(aTeam, aNow, aOut);
 }
 
-void
-TeamLimiter::CloseLateAsks(TeamState& aTeam, Timestamp aNow)
-{
-  TeamAccount& account = aTeam.mActive->mAccount;
-  const Timestamp limit = aNow - mSettings.mAskTimeout;
-  for (const PendingAsk& ask : account.CloseAsksBefore(limit)) {
-    SliceView& view = View(aTeam, ask.mSlice, aNow);
-    view.mRetryAt = aNow + mSettings.mSilentBackoff;
-    view.mSilent = true;
-    account.WantAgain(ask.mWaiting);
-    ++mStatistics.mAskTimeouts;
-  }
-}
-
-void
-TeamLimiter::ReturnLeases(TeamState& aTeam, Timestamp aNow, Messages& aOut)
-{
-  TeamAccount& account = aTeam.mActive->mAccount;
-  const Timestamp limit = aNow + mSettings.mLease / kReturnDivisor;
-  for (const HeldLease& lease : account.DropLeasesBefore(limit)) {
-    if (lease.mExpiresAt <= aNow) {
-      continue;
-    }
-    LimitMessage message =
-      NewMessage(lease.mOwner, LimitMessageKind::Return, aTeam, lease.mSlice);
-    message.mTransferId = lease.mId;
-    message.mTokens = lease.mTokens;
-    aOut.push_back(std::move(message));
-  }
-}
-
-void
-TeamLimiter::ScanForClaims(Timestamp aNow, Messages& aOut)
-{
-  if (mScannedGeneration != mOwnership.Generation()) {
-    mScannedGeneration = mOwnership.Generation();
-    mClaimScan.clear();
-    for (const auto& [name, team] : mTeams) {
-      mClaimScan.push_back(name);
-    }
-  }
-  for (std::size_t count = 0; count < kTeamsPerScan && !mClaimScan.empty();
-       ++count) {
-    TeamState* team = Find(mClaimScan.back());
-    mClaimScan.pop_back();
-    if (team == nullptr) {
-      continue;
-    }
-    const std::uint32_t active = team->mLimit.ActiveSlices();
-    for (std::uint32_t slice = 0; slice < active; ++slice) {
-      const RangeKey key = SliceKey(team->mName, slice);
-      if (mOwnership.Owner(key) == mSelf && !mOwnership.Hold(key, aNow)) {
-        SendClaim(*team, slice, aNow, aOut);
-      }
-    }
-  }
-}
-
 bool
 TeamLimiter::IsIdle(TeamState& aTeam, Timestamp aNow)
 {
--- a/src/libmedlarkeel/teamlimiter.h
+++ b/src/libmedlarkeel/teamlimiter.h
@@ -3,6 +3,7 @@
 #include "limitmessage.h"
 #include "rangeownership.h"
 #include "sliceledger.h"
+#include "slicepool.h"
 #include "teamaccount.h"
 #include "teamlimit.h"
 #include "types.h"
@@ -22,9 +23,11 @@
 {
   OwnershipSettings mOwnership;
   /** Slices into which each team's limit is cut. */
-  std::uint32_t mSlices = 8;
-  /** Longest validity of borrowed tokens. */
+  std::uint32_t mSlices = 4;
+  /** Validity of tokens borrowed in advance. */
   Microseconds mLease = Seconds(2);
+  /** Validity of tokens borrowed for requests that wait. */
+  Microseconds mWaitLease = Milliseconds(500);
   /** Time after which an ask counts as lost. */
   Microseconds mAskTimeout = Milliseconds(300);
   /** Time for which a silent owner is not asked again. */
@@ -150,6 +153,8 @@
   {
     std::vector<SliceView> mSlices;
     TeamAccount mAccount;
+    /** Turn of the next asker that is refused. */
+    Timestamp mTurnAt;
   };
 
   struct TeamState
@@ -176,6 +181,7 @@
   void OnClaim(const LimitMessage&, TeamState&, Timestamp, Messages&);
   void OnHandover(const LimitMessage&, TeamState&, Timestamp, Messages&);
 
+  static RangeKey KeyOf(const TeamState& aTeam, std::uint32_t aSlice);
   TeamState* Find(const TeamName& aTeam);
   ActiveTeam& Activate(TeamState& aTeam, Timestamp aNow);
   SliceView& View(TeamState& aTeam, std::uint32_t aSlice, Timestamp aNow);
@@ -185,7 +191,12 @@
                         std::uint32_t aSlice,
                         Timestamp aSince,
                         Timestamp aNow) const;
-  bool SpendOwn(TeamState& aTeam, Timestamp aNow);
+  SlicePool Pool(TeamState& aTeam, Timestamp aNow);
+  Timestamp NextTurn(TeamState& aTeam, const SlicePool& aPool, Timestamp aNow);
+  void Backoff(ActiveTeam& aTeam,
+               const InstanceId& aOwner,
+               Timestamp aRetryAt,
+               bool aSilent) const;
   AdmitVerdict Shortage(TeamState& aTeam,
                         Timestamp aNow,
                         AdmitAttempt aAttempt);
@@ -194,6 +205,7 @@
               std::uint32_t aSlice,
               Timestamp aNow) const;
   void ChangeLimit(TeamState& aTeam, SlicedLimit aLimit, Timestamp aNow);
+  std::optional<std::uint32_t> SliceToAsk(TeamState& aTeam, Timestamp aNow);
   void SendAsk(TeamState& aTeam, Timestamp aNow, Messages& aOut);
   void SendClaim(TeamState& aTeam,
                  std::uint32_t aSlice,
--- a/src/libmedlarkeel/teamlimitermessages.cpp
+++ b/src/libmedlarkeel/teamlimitermessages.cpp
@@ -49,39 +49,34 @@
                    Timestamp aNow,
                    Messages& aOut)
 {
-  SliceView& view = View(aTeam, aMessage.mSlice, aNow);
   LimitMessage grant =
     NewMessage(aMessage.mFrom, LimitMessageKind::Grant, aTeam, aMessage.mSlice);
   grant.mTransferId = aMessage.mTransferId;
-  SliceLedger* ledger = OwnLedger(aTeam, view, aNow);
-  if (ledger == nullptr) {
+  SlicePool pool = Pool(aTeam, aNow);
+  if (pool.IsEmpty()) {
     grant.mRetry = kNotOwnerRetry;
     aOut.push_back(std::move(grant));
     SendClaim(aTeam, aMessage.mSlice, aNow, aOut);
     return;
   }
-  const OwnershipHold hold = *mOwnership.Hold(*view.mSpan, aNow);
-  grant.mLease = std::min(mSettings.mLease, hold.mUntil - aNow);
   const MicroTokens waiting =
     std::clamp<MicroTokens>(aMessage.mShare, 0, aMessage.mTokens);
-  const std::optional<MicroTokens> repeated =
-    ledger->Lease(aMessage.mTransferId);
-  if (repeated) {
-    grant.mTokens = *repeated;
-  } else {
-    const MicroTokens available = ledger->Available();
+  const Microseconds lease =
+    aMessage.mTokens > waiting ? mSettings.mLease : mSettings.mWaitLease;
+  grant.mLease = std::min(lease, pool.Until() - aNow);
+  grant.mTokens = pool.Lease(aMessage.mTransferId);
+  if (grant.mTokens == 0) {
+    const MicroTokens available = pool.WholeTokens();
     const MicroTokens needed = std::min(available, waiting);
     const MicroTokens spare = (available - needed) / kPrefetchDivisor;
     const MicroTokens extra = std::min(spare, aMessage.mTokens - waiting);
     grant.mTokens = needed + extra - extra % kWholeToken;
-    if (grant.mTokens > 0) {
-      const Timestamp end =
-        aNow + grant.mLease + mSettings.mOwnership.mClockDrift;
-      ledger->Lend(aMessage.mTransferId, grant.mTokens, end);
-    }
+    const Timestamp end =
+      aNow + grant.mLease + mSettings.mOwnership.mClockDrift;
+    pool.Lend(aMessage.mTransferId, grant.mTokens, end);
   }
   if (grant.mTokens < waiting) {
-    const Microseconds turn = ledger->NextTurn(aNow) - aNow;
+    const Microseconds turn = NextTurn(aTeam, pool, aNow) - aNow;
     grant.mRetry = std::min(turn, mSettings.mLongestRetry);
   }
   grant.mListRevision = mOwnership.Revision();
@@ -104,8 +99,6 @@
     mOwnership.ObserveRevision(aMessage.mListRevision,
                                ask->mSentAt - aMessage.mListAge);
   }
-  SliceView& view = View(aTeam, aMessage.mSlice, aNow);
-  view.mSilent = aMessage.mLease == Microseconds(0);
   const Timestamp expiresAt = ask->mSentAt + aMessage.mLease;
   if (aMessage.mTokens > 0 && expiresAt > aNow) {
     account.AddLease(HeldLease{ aMessage.mTransferId,
@@ -114,13 +107,15 @@
                                 aMessage.mTokens,
                                 expiresAt });
   }
+  const bool silent = aMessage.mLease == Microseconds(0);
   if (aMessage.mRetry > Microseconds(0)) {
-    view.mRetryAt = aNow + aMessage.mRetry;
+    const Timestamp retryAt = aNow + aMessage.mRetry;
+    Backoff(*aTeam.mActive, aMessage.mFrom, retryAt, silent);
   }
   if (aMessage.mTokens < ask->mWaiting) {
     account.WantAgain(ask->mWaiting - aMessage.mTokens);
-    SendAsk(aTeam, aNow, aOut);
   }
+  SendAsk(aTeam, aNow, aOut);
 }
 
 void
@@ -129,11 +124,7 @@
                       Timestamp aNow,
                       Messages&)
 {
-  SliceView& view = View(aTeam, aMessage.mSlice, aNow);
-  SliceLedger* ledger = OwnLedger(aTeam, view, aNow);
-  if (ledger != nullptr) {
-    ledger->TakeBack(aMessage.mTransferId, aMessage.mTokens);
-  }
+  Pool(aTeam, aNow).TakeBack(aMessage.mTransferId, aMessage.mTokens);
 }
 
 void
@@ -144,8 +135,9 @@
 {
   SliceView& view = View(aTeam, aMessage.mSlice, aNow);
   SliceLedger* ledger = OwnLedger(aTeam, view, aNow);
-  const bool known = view.mOwner == mSelf || view.mOwner == aMessage.mFrom;
-  if (ledger == nullptr || !known) {
+  const bool allowed =
+    mOwnership.MayHandOver(view.mKey, aMessage.mFrom, aMessage.mListRevision);
+  if (ledger == nullptr || !allowed) {
     return;
   }
   LimitMessage handover = NewMessage(
--- /dev/null
+++ b/tests/core/test_teamlimiter.cpp
@@ -0,0 +1,407 @@
+#include "limitfleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iterator>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace medlarkeel {
+
+namespace {
+
+/** Short bounds, so that a run holds many takeovers. */
+TeamLimiterSettings
+ShortSettings()
+{
+  TeamLimiterSettings settings;
+  settings.mOwnership.mEvidenceLife = Seconds(4);
+  settings.mOwnership.mListLag = Seconds(2);
+  return settings;
+}
+
+FleetNetwork
+PoorNetwork()
+{
+  FleetNetwork network;
+  network.mLoss = 0.05;
+  network.mDouble = 0.05;
+  network.mLate = 0.05;
+  return network;
+}
+
+Microseconds
+ListedAtLeast(const TeamLimiterSettings& aSettings)
+{
+  const OwnershipSettings& ownership = aSettings.mOwnership;
+  return ownership.mEvidenceLife + ownership.mListLag + Seconds(1);
+}
+
+/** Kills, freezes, cuts off, replaces and drains entries at random. */
+class FaultPlan
+{
+public:
+  FaultPlan(LimitFleet& aFleet,
+            TeamLimiterSettings aSettings,
+            std::vector<std::size_t> aEntries)
+    : mFleet(aFleet)
+    , mListed(ListedAtLeast(aSettings))
+    , mEntries(std::move(aEntries))
+  {
+  }
+
+  void Schedule(Microseconds aMean)
+  {
+    mFleet.After(mFleet.Random(aMean * 2), [=] {
+      Strike();
+      Schedule(aMean);
+    });
+  }
+
+private:
+  using Fault = void (FaultPlan::*)(std::size_t);
+
+  void Strike()
+  {
+    static constexpr Fault kFaults[] = {
+      &FaultPlan::Kill,   &FaultPlan::RestartSameId, &FaultPlan::Freeze,
+      &FaultPlan::CutOff, &FaultPlan::LoseList,      &FaultPlan::Drain
+    };
+    const std::size_t victim = mEntries[mFleet.Generator()() % mEntries.size()];
+    if (!mFleet.At(victim).mAlive || mBusy.count(victim) > 0) {
+      return;
+    }
+    mBusy.insert(victim);
+    const std::size_t kind = mFleet.Generator()() % std::size(kFaults);
+    (this->*kFaults[kind])(victim);
+  }
+
+  void Unlist(std::size_t aVictim)
+  {
+    mFleet.List().Remove(mFleet.At(aVictim).mId, mFleet.Now());
+  }
+
+  void Relist(std::size_t aVictim)
+  {
+    mFleet.List().Put(mFleet.At(aVictim).mId,
+                      InstanceState::Live,
+                      mFleet.At(aVictim).mRegion,
+                      mFleet.Now());
+    mFleet.After(mListed, [=] { mBusy.erase(aVictim); });
+  }
+
+  void Replace(std::size_t aVictim, const std::string& aId)
+  {
+    const auto place = std::find(mEntries.begin(), mEntries.end(), aVictim);
+    const std::size_t next = mFleet.Start(aId);
+    *place = next;
+    mBusy.insert(next);
+    mFleet.After(mListed, [=] { mBusy.erase(next); });
+  }
+
+  void Kill(std::size_t aVictim)
+  {
+    mFleet.Kill(aVictim);
+    mFleet.After(mFleet.Random(Seconds(5)), [=] {
+      Unlist(aVictim);
+      Replace(aVictim, "replacement-" + std::to_string(++mReplacements));
+    });
+  }
+
+  void RestartSameId(std::size_t aVictim)
+  {
+    mFleet.Kill(aVictim);
+    Replace(aVictim, mFleet.At(aVictim).mId.Text());
+  }
+
+  void Freeze(std::size_t aVictim)
+  {
+    const Microseconds time = mFleet.Random(Seconds(30));
+    mFleet.Pause(aVictim, time, mFleet.Chance(0.5));
+    UnlistFor(aVictim, time);
+  }
+
+  void CutOff(std::size_t aVictim)
+  {
+    const Microseconds time = mFleet.Random(Seconds(30));
+    mFleet.At(aVictim).mGroup = static_cast<int>(aVictim) + 1;
+    mFleet.At(aVictim).mSeesList = mFleet.Chance(0.5);
+    mFleet.After(time, [=] {
+      mFleet.At(aVictim).mGroup = 0;
+      mFleet.At(aVictim).mSeesList = true;
+    });
+    UnlistFor(aVictim, time);
+  }
+
+  void LoseList(std::size_t aVictim)
+  {
+    const Microseconds time = mFleet.Random(Seconds(30));
+    mFleet.At(aVictim).mSeesList = false;
+    mFleet.After(time, [=] { mFleet.At(aVictim).mSeesList = true; });
+    UnlistFor(aVictim, time);
+  }
+
+  /** Unlists an entry in half of the cases, and lists it again. */
+  void UnlistFor(std::size_t aVictim, Microseconds aTime)
+  {
+    if (mFleet.Chance(0.5)) {
+      mFleet.After(aTime, [=] { mBusy.erase(aVictim); });
+      return;
+    }
+    mFleet.After(mFleet.Random(Seconds(5)), [=] {
+      Unlist(aVictim);
+      mFleet.After(std::max(aTime, mListed), [=] { Relist(aVictim); });
+    });
+  }
+
+  void Drain(std::size_t aVictim)
+  {
+    mFleet.List().Put(mFleet.At(aVictim).mId,
+                      InstanceState::Leaving,
+                      mFleet.At(aVictim).mRegion,
+                      mFleet.Now());
+    mFleet.After(mListed, [=] {
+      mFleet.Kill(aVictim);
+      Unlist(aVictim);
+      Replace(aVictim, "replacement-" + std::to_string(++mReplacements));
+    });
+  }
+
+  LimitFleet& mFleet;
+  Microseconds mListed;
+  std::vector<std::size_t> mEntries;
+  std::set<std::size_t> mBusy;
+  int mReplacements = 0;
+};
+
+/** Tolerance of the floating-point checker. */
+constexpr double kExact = 1e-6;
+constexpr std::uint64_t kSeed = 20261204;
+/** Time after which all slices are owned and full. */
+constexpr Microseconds kSettled = Seconds(30);
+
+const TeamLimit kTeam = { TeamName("team"), 5.0, 20.0 };
+
+/** Share of its rate that a team uses between its bursts. */
+constexpr double kBackgroundLoad = 0.5;
+
+/** Simulated time of a run with faults. */
+constexpr Microseconds kRunTime = Seconds(150);
+
+/** Lets every team ask every entry for more than its burst now and then. */
+void
+ScheduleBursts(LimitFleet& aFleet, const std::vector<TeamLimit>& aTeams)
+{
+  aFleet.After(Seconds(5) + aFleet.Random(Seconds(30)), [&aFleet, aTeams] {
+    for (const TeamLimit& team : aTeams) {
+      aFleet.ArriveEverywhere(team, static_cast<int>(team.mBurst) + 5);
+    }
+    ScheduleBursts(aFleet, aTeams);
+  });
+}
+
+/** @return The worst over-admission of any team in a run with faults. */
+double
+WorstOverAdmission(const TeamLimiterSettings& aSettings, std::uint64_t aSeed)
+{
+  const std::vector<TeamLimit> teams = { { TeamName("greedy"), 5.0, 10.0 },
+                                         { TeamName("bursty"), 2.0, 40.0 },
+                                         { TeamName("small"), 1.0, 2.0 } };
+  LimitFleet fleet(aSettings, PoorNetwork(), aSeed);
+  fleet.SetTeams(teams);
+  for (int index = 0; index < 4; ++index) {
+    fleet.Start("entry-" + std::to_string(index));
+  }
+  FaultPlan faults(fleet, aSettings, { 0, 1, 2, 3 });
+  faults.Schedule(Seconds(8));
+  ScheduleBursts(fleet, teams);
+  fleet.OfferToAll(teams, kBackgroundLoad);
+  fleet.Run(kRunTime);
+  double worst = -1e9;
+  for (const TeamLimit& team : teams) {
+    worst =
+      std::max(worst,
+               OverAdmission(
+                 fleet.Outcome(team.mTeam).mAdmitted, team.mRate, team.mBurst));
+  }
+  return worst;
+}
+
+/** @return The worst over-admission in a few fixed runs. */
+double
+WorstOfSeeds(const TeamLimiterSettings& aSettings)
+{
+  double worst = 0.0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    worst = std::max(worst, WorstOverAdmission(aSettings, seed));
+  }
+  return worst;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(teamlimiter)
+
+RC_BOOST_PROP(NeverAboveRateAndBurstUnderFaults, ())
+{
+  const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1U << 30U);
+  RC_ASSERT(WorstOverAdmission(ShortSettings(), seed) <= kExact);
+}
+
+/** The run must be able to fail: takeover without the wait. */
+BOOST_AUTO_TEST_CASE(RunFindsTakeoverWithoutWait)
+{
+  TeamLimiterSettings settings = ShortSettings();
+  settings.mOwnership.mListLag = -settings.mOwnership.mEvidenceLife;
+  BOOST_TEST(WorstOfSeeds(settings) > kExact);
+}
+
+/** The run must be able to fail: evidence that outlives the heir's wait. */
+BOOST_AUTO_TEST_CASE(RunFindsOwnerWithoutEvidence)
+{
+  TeamLimiterSettings settings = ShortSettings();
+  settings.mOwnership.mEvidenceLife += Seconds(60);
+  settings.mOwnership.mListLag -= Seconds(60);
+  BOOST_TEST(WorstOfSeeds(settings) > kExact);
+}
+
+BOOST_AUTO_TEST_CASE(CheckerSeesASecondBurst)
+{
+  std::vector<Timestamp> times(10, Timestamp(Seconds(50)));
+  BOOST_TEST(OverAdmission(times, 1.0, 10.0) <= kExact);
+  times.resize(15, Timestamp(Seconds(52)));
+  BOOST_TEST(OverAdmission(times, 1.0, 10.0) > 2.9);
+}
+
+BOOST_AUTO_TEST_CASE(LoneEntryAdmitsAsOneBucket)
+{
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams({ kTeam });
+  fleet.Start("a");
+  fleet.Run(kSettled);
+  fleet.ForgetOutcomes();
+  fleet.OfferToAll({ kTeam }, 0.9);
+  fleet.Run(Seconds(100));
+  BOOST_TEST(fleet.Outcome(kTeam.mTeam).mWrongful == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalAtTheRateSaysWhenTheNextTokenIsDue)
+{
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams({ kTeam });
+  fleet.Start("a");
+  fleet.Run(kSettled);
+  TeamLimiter& limiter = *fleet.At(0).mLimiter;
+  const Timestamp now = fleet.Now() + fleet.At(0).mClockOffset;
+  int admitted = 0;
+  while (limiter.Admit(kTeam.mTeam, now).mAdmitted) {
+    ++admitted;
+  }
+  BOOST_TEST(admitted == static_cast<int>(kTeam.mBurst));
+  const AdmitVerdict verdict = limiter.Admit(kTeam.mTeam, now);
+  BOOST_TEST((verdict.mCause == ShortageCause::TeamRate));
+  BOOST_TEST((verdict.mRetryAfter <= Milliseconds(201)));
+  BOOST_TEST(!limiter.Admit(kTeam.mTeam, now + Milliseconds(190)).mAdmitted);
+  const Timestamp due = now + verdict.mRetryAfter;
+  BOOST_TEST(limiter.Admit(kTeam.mTeam, due).mAdmitted);
+}
+
+BOOST_AUTO_TEST_CASE(WholeBurstIsWithinReachOfOneEntry)
+{
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams({ kTeam });
+  for (const char* id : { "a", "b", "c" }) {
+    fleet.Start(id);
+  }
+  fleet.Run(kSettled);
+  fleet.ForgetOutcomes();
+  for (int count = 0; count < static_cast<int>(kTeam.mBurst); ++count) {
+    fleet.Arrive(kTeam, 0);
+  }
+  fleet.Run(Seconds(1));
+  const std::size_t admitted = fleet.Outcome(kTeam.mTeam).mAdmitted.size();
+  BOOST_TEST(admitted == static_cast<std::size_t>(kTeam.mBurst));
+}
+
+BOOST_AUTO_TEST_CASE(ChangedLimitsMintNoSecondBurst)
+{
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams({ kTeam });
+  for (const char* id : { "a", "b", "c" }) {
+    fleet.Start(id);
+  }
+  fleet.Run(kSettled);
+  fleet.ForgetOutcomes();
+  TeamLimit other = kTeam;
+  for (int round = 0; round < 20; ++round) {
+    fleet.ArriveEverywhere(kTeam, 25);
+    fleet.Run(Milliseconds(500));
+    other.mBurst = round % 2 == 0 ? 4.0 : kTeam.mBurst;
+    other.mRate = round % 3 == 0 ? 3.0 : kTeam.mRate;
+    fleet.SetTeams(round % 5 == 4 ? std::vector<TeamLimit>()
+                                  : std::vector<TeamLimit>{ other });
+    fleet.SetTeams({ other });
+  }
+  const TeamOutcome& outcome = fleet.Outcome(kTeam.mTeam);
+  BOOST_TEST(OverAdmission(outcome.mAdmitted, kTeam.mRate, kTeam.mBurst) <=
+             kExact);
+}
+
+BOOST_AUTO_TEST_CASE(DrainHandsSlicesOverWithoutAGap)
+{
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams({ kTeam });
+  for (const char* id : { "a", "b", "c" }) {
+    fleet.Start(id);
+  }
+  fleet.Run(kSettled);
+  for (std::size_t index = 0; index < 2; ++index) {
+    fleet.List().Put(fleet.At(index).mId,
+                     InstanceState::Leaving,
+                     fleet.At(index).mRegion,
+                     fleet.Now());
+    fleet.Run(Seconds(5));
+  }
+  TeamLimiter& last = *fleet.At(2).mLimiter;
+  const Timestamp now = fleet.Now() + fleet.At(2).mClockOffset;
+  const std::size_t slices = SlicedLimit(kTeam, 4).ActiveSlices();
+  BOOST_TEST(last.OwnedSlices(kTeam.mTeam, now) == slices);
+}
+
+/** A team at five times its rate takes nothing from the nine others. */
+BOOST_AUTO_TEST_CASE(GreedyTeamLeavesQuietOnesAlone)
+{
+  std::vector<TeamLimit> teams(10, TeamLimit{ {}, 5.0, 20.0 });
+  for (std::size_t index = 0; index < teams.size(); ++index) {
+    teams[index].mTeam = TeamName("t" + std::to_string(index));
+  }
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams(teams);
+  for (const char* id : { "a", "b", "c" }) {
+    fleet.Start(id);
+  }
+  fleet.Run(kSettled);
+  fleet.ForgetOutcomes();
+  for (const TeamLimit& team : teams) {
+    const bool greedy = team.mTeam == teams.front().mTeam;
+    fleet.Offer(team, team.mRate * (greedy ? 5.0 : 0.5), {});
+  }
+  fleet.Run(Seconds(100));
+  for (const TeamLimit& team : teams) {
+    const TeamOutcome& outcome = fleet.Outcome(team.mTeam);
+    BOOST_TEST(OverAdmission(outcome.mAdmitted, team.mRate, team.mBurst) <=
+               kExact);
+    const bool greedy = team.mTeam == teams.front().mTeam;
+    const double share = static_cast<double>(outcome.mAdmitted.size()) /
+                         static_cast<double>(outcome.mReferenceAdmitted);
+    BOOST_TEST(share >= (greedy ? 0.95 : 0.999));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
