Trust load reports by 0.4 with a half-life of 2 s, and compare with a naive side

The test's naive side profited from the breakers and the ejection of outliers that every strategy of the chooser has.

--- a/src/libmedlarkeel/replicaload.h
+++ b/src/libmedlarkeel/replicaload.h
@@ -13,9 +13,9 @@
 struct LoadModelSettings
 {
   /** Trust in a fresh report against the peers' mean, in [0, 1]. */
-  double mReportTrust = 0.3;
+  double mReportTrust = 0.4;
   /** Age at which a load report counts half and the peers' mean the rest. */
-  Microseconds mReportHalfLife = std::chrono::seconds(1);
+  Microseconds mReportHalfLife = std::chrono::seconds(2);
   /** Age at which an own measurement counts half. */
   Microseconds mMeasurementHalfLife = std::chrono::seconds(10);
   /** Duration of a request before the first one was measured. */
--- a/tests/core/queuemodel.h
+++ b/tests/core/queuemodel.h
@@ -49,6 +49,8 @@
   Seconds mFaultAt{ 20 };
   /** Time in which a cold server's limit grows by one. */
   Microseconds mWarmStep = std::chrono::seconds(4);
+  /** Whether breakers and the ejection of outliers are in force. */
+  bool mEjects = true;
   /** Requests that arrive before this aren't counted. */
   Seconds mCountFrom{ 5 };
 };
@@ -80,6 +82,9 @@
   {
     ChooserSettings settings;
     settings.mStrategy = aStrategy;
+    if (!aScenario.mEjects) {
+      settings.mOutlier.mPanicShare = 0.0;
+    }
     for (std::size_t entry = 0; entry < aScenario.mEntries; ++entry) {
       mEntries.push_back(
         std::make_unique<ReplicaChooser>(settings, aSeed + entry));
