--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -81,6 +81,17 @@
   Publish();
 }
 
+void
+Fleet::SetConcurrency(const std::string& aPool, int aWarm, int aCold)
+{
+  for (nlohmann::json& pool : mDocument["pools"]) {
+    if (pool["name"] == aPool) {
+      pool["concurrency"] = aWarm;
+      pool["coldStartConcurrency"] = aCold;
+    }
+  }
+}
+
 void
 Fleet::Publish()
 {
@@ -174,17 +185,19 @@
 }
 
 BackendPair&
-Fleet::AddEngine(const std::vector<std::string>& aArguments,
-                 const std::string& aZone)
+Fleet::AddEngine(std::vector<std::string> aArguments, const std::string& aZone)
 {
-  return AddPair("fakeengine", "proclamation", "model", aArguments, aZone);
+  // Long enough for every call to get as many tokens as it asks for.
+  aArguments.emplace_back("--tokens=1000");
+  return AddPair(
+    "fakeengine", "proclamation", "model", std::move(aArguments), aZone);
 }
 
 BackendPair&
-Fleet::AddService(const std::vector<std::string>& aArguments,
-                  const std::string& aZone)
+Fleet::AddService(std::vector<std::string> aArguments, const std::string& aZone)
 {
-  return AddPair("fakeservice", "bookings", "service", aArguments, aZone);
+  return AddPair(
+    "fakeservice", "bookings", "service", std::move(aArguments), aZone);
 }
 
 void
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -50,13 +50,16 @@
   /** @return The document to be; change it, then Publish it. */
   nlohmann::json& Document() { return mDocument; }
 
+  /** Sets how many requests a backend server of the pool runs at once. */
+  void SetConcurrency(const std::string& aPool, int aWarm, int aCold);
+
   /** Gives the document the next version and hands it to the platform. */
   void Publish();
 
   EntryProcess& AddEntry(const std::string& aZone = "xela-a");
-  BackendPair& AddEngine(const std::vector<std::string>& aArguments = {},
+  BackendPair& AddEngine(std::vector<std::string> aArguments = {},
                          const std::string& aZone = "xela-a");
-  BackendPair& AddService(const std::vector<std::string>& aArguments = {},
+  BackendPair& AddService(std::vector<std::string> aArguments = {},
                           const std::string& aZone = "xela-a");
 
   /** Waits until all processes are ready; fails the test otherwise. */
--- a/tests/processes/test_answers.cpp
+++ b/tests/processes/test_answers.cpp
@@ -110,8 +110,7 @@
   constexpr std::size_t kStreams = 400;
   constexpr std::size_t kTokens = 20;
   Fleet fleet;
-  fleet.Document()["pools"][0]["concurrency"] = 64;
-  fleet.Document()["pools"][0]["coldStartConcurrency"] = 64;
+  fleet.SetConcurrency("proclamation", 64, 64);
   fleet.Publish();
   const std::vector<std::string> options{ "--slots=64",
                                           "--first_token_ms=20",
--- a/tests/processes/test_atmostonce.cpp
+++ b/tests/processes/test_atmostonce.cpp
@@ -152,8 +152,7 @@
 BOOST_AUTO_TEST_CASE(EntryStoppedBetweenGrantAndCommit)
 {
   Fleet fleet;
-  fleet.Document()["pools"][1]["concurrency"] = 1;
-  fleet.Document()["pools"][1]["coldStartConcurrency"] = 1;
+  fleet.SetConcurrency("bookings", 1, 1);
   fleet.Publish();
   BackendPair& service = fleet.AddService({ "--latency_ms=700" });
   EntryProcess& entry = fleet.AddEntry();
--- a/tests/processes/test_operations.cpp
+++ b/tests/processes/test_operations.cpp
@@ -49,7 +49,7 @@
 {
   Fleet fleet;
   BackendPair& engine = fleet.AddEngine({ "--slots=4", "--token_gap_ms=20" });
-  fleet.Document()["pools"][0]["concurrency"] = 4;
+  fleet.SetConcurrency("proclamation", 4, 4);
   fleet.Publish();
   EntryProcess& entry = fleet.AddEntry();
   fleet.RequireReady();
@@ -75,7 +75,7 @@
   Fleet fleet;
   BackendPair& engine = fleet.AddEngine({ "--slots=4", "--token_gap_ms=20" });
   BackendPair& other = fleet.AddEngine({ "--slots=4", "--token_gap_ms=20" });
-  fleet.Document()["pools"][0]["concurrency"] = 4;
+  fleet.SetConcurrency("proclamation", 4, 4);
   fleet.Publish();
   fleet.AddEntry();
   fleet.RequireReady();
@@ -102,8 +102,7 @@
 {
   Fleet fleet;
   const CallerKey second{ "beta2", "s3cretOfBeta2" };
-  fleet.Document()["pools"][0]["concurrency"] = 1;
-  fleet.Document()["pools"][0]["coldStartConcurrency"] = 1;
+  fleet.SetConcurrency("proclamation", 1, 1);
   fleet.Document()["teams"][0]["keys"].push_back(second.Entry());
   fleet.Publish();
   BackendPair& engine = fleet.AddEngine({ "--slots=1", "--token_gap_ms=50" });
@@ -164,7 +163,7 @@
 BOOST_AUTO_TEST_CASE(ColdEngineSurvivesABurst)
 {
   Fleet fleet;
-  fleet.Document()["pools"][0]["coldStartConcurrency"] = 2;
+  fleet.SetConcurrency("proclamation", 8, 2);
   fleet.Publish();
   BackendPair& engine = fleet.AddEngine(
     { "--cold_seconds=60", "--cold_slots=2", "--token_gap_ms=5" });
@@ -260,8 +259,7 @@
 BOOST_AUTO_TEST_CASE(HigherTierGoesFirstAndLowestStillFinishes)
 {
   Fleet fleet;
-  fleet.Document()["pools"][0]["concurrency"] = 1;
-  fleet.Document()["pools"][0]["coldStartConcurrency"] = 1;
+  fleet.SetConcurrency("proclamation", 1, 1);
   auto bulk = fleet.Document()["routes"][0];
   bulk["class"] = "bulk";
   fleet.Document()["routes"].push_back(bulk);
