Keep a cold start's limit for the time that the document states

Cause: the process test ColdEngineSurvivesABurst lost its engine: after two successes the limit grew to 3 while the engine bore 2 for another minute. Success in a cold start doesn't show that it is over. Ruled out: slower growth (any growth passes what a cold engine bears, only later) and the engine's load report (lags). The pool's coldStartMs now states the shortest cold start; growth on success begins after it. Without the figure growth is as before.

--- a/src/libmedlarkeel/backendscheduler.cpp
+++ b/src/libmedlarkeel/backendscheduler.cpp
@@ -52,6 +52,7 @@
   mEstimator.SetKind(aPool.mKind);
   mFloors.SetShares(aClasses);
   mLimit.SetBounds(aPool.mColdStartConcurrency, aPool.mConcurrency);
+  mLimit.SetColdTime(aPool.mColdStartTime, aNow);
   SchedulerActions actions;
   Review(aNow, actions);
   return actions;
--- a/src/libmedlarkeel/coldstartlimit.cpp
+++ b/src/libmedlarkeel/coldstartlimit.cpp
@@ -19,6 +19,15 @@
     mLimit, static_cast<double>(mColdStart), static_cast<double>(mWarm));
 }
 
+void
+ColdStartLimit::SetColdTime(Microseconds aTime, Timestamp aNow)
+{
+  mColdTime = aTime;
+  if (!mColdSince) {
+    mColdSince = aNow;
+  }
+}
+
 std::size_t
 ColdStartLimit::Limit() const
 {
@@ -30,12 +39,14 @@
 {
   mLimit = static_cast<double>(mColdStart);
   mLastDecrease = aNow;
+  mColdSince = aNow;
 }
 
 void
 ColdStartLimit::RecordSuccess(Timestamp aStarted, bool aFull)
 {
-  if (!aFull || aStarted <= mLastDecrease) {
+  const bool isCold = mColdSince && aStarted < *mColdSince + mColdTime;
+  if (!aFull || isCold || aStarted <= mLastDecrease) {
     return;
   }
   const auto window = static_cast<double>(Limit());
--- a/src/libmedlarkeel/coldstartlimit.h
+++ b/src/libmedlarkeel/coldstartlimit.h
@@ -3,13 +3,14 @@
 #include "types.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace medlarkeel {
 
 /**
  * Requests that one backend server may run at once. Begins at the document's
- * figure for a cold start, grows by one for each full window of successes
- * and halves on a failure or on latency.
+ * figure for a cold start and keeps it for the document's time; then grows by
+ * one for each full window of successes and halves on a failure or on latency.
  */
 class ColdStartLimit
 {
@@ -20,6 +21,12 @@
    */
   void SetBounds(std::size_t aColdStart, std::size_t aWarm);
 
+  /**
+   * @param aTime How long a cold start lasts at least; nothing grows before.
+   * @param aNow The first call takes it as the begin of a cold start.
+   */
+  void SetColdTime(Microseconds aTime, Timestamp aNow);
+
   /** @return Requests that may run at once. */
   std::size_t Limit() const;
 
@@ -42,6 +49,8 @@
   std::size_t mColdStart = 1;
   std::size_t mWarm = 1;
   double mLimit = 1.0;
+  Microseconds mColdTime{ 0 };
+  std::optional<Timestamp> mColdSince;
   Timestamp mLastDecrease = Timestamp::min();
 };
 
--- a/src/libmedlarkeel/documentdiff.cpp
+++ b/src/libmedlarkeel/documentdiff.cpp
@@ -91,6 +91,10 @@
     [](const Pool& aPool) {
       return std::to_string(aPool.mColdStartConcurrency);
     } },
+  { "coldStartMs",
+    [](const Pool& aPool) {
+      return std::to_string(aPool.mColdStartTime.count());
+    } },
   { "queueLimit",
     [](const Pool& aPool) { return std::to_string(aPool.mQueueLimit); } },
   { "honoursFencing",
--- a/src/libmedlarkeel/documentparser.cpp
+++ b/src/libmedlarkeel/documentparser.cpp
@@ -177,6 +177,8 @@
                 Presence::Required,
                 kConcurrencyRange,
                 pool.mColdStartConcurrency);
+  reader.Duration(
+    "coldStartMs", Presence::Optional, kTargetRange, pool.mColdStartTime);
   reader.Number(
     "queueLimit", Presence::Required, kQueueRange, pool.mQueueLimit);
   reader.Flag("honoursFencing", Presence::Required, pool.mHonoursFencing);
--- a/src/libmedlarkeel/environmentdocument.h
+++ b/src/libmedlarkeel/environmentdocument.h
@@ -57,6 +57,8 @@
   std::size_t mConcurrency = 8;
   /** Requests that a backend server in a cold start runs at once. */
   std::size_t mColdStartConcurrency = 1;
+  /** How long a cold start lasts at least. */
+  Milliseconds mColdStartTime{ 0 };
   /** Reservations that may wait at one backend server. */
   std::size_t mQueueLimit = 64;
   /** Whether its backend servers refuse orders with an old fencing token. */
