Check lost work and foreign answers in the random schedules

The schedules told the scheduler of each crash; half of them now let it find out by lost work. Replayed answers are compared with the operation they belong to. Seen to fail: lost work ignored (first case), the first answer given to all (first case).

--- a/tests/core/schedulerworld.cpp
+++ b/tests/core/schedulerworld.cpp
@@ -196,15 +196,24 @@
 void
 SchedulerWorld::Restart()
 {
-  mSuccesses = 0;
-  Apply(mScheduler.BackendRestarted(mNow));
+  const bool isTold = Chance(50);
+  if (isTold) {
+    mSuccesses = 0;
+    mColdStart = mNow;
+    Apply(mScheduler.BackendRestarted(mNow));
+  }
   std::vector<std::uint64_t> lost = In(State::Committed);
   const std::vector<std::uint64_t> cut = In(State::Cut);
   lost.insert(lost.end(), cut.begin(), cut.end());
   for (const std::uint64_t id : lost) {
     Tracked& tracked = mAll.at(id);
+    if (!isTold && mColdStart < tracked.mCommitted) {
+      mSuccesses = 0;
+      mColdStart = mNow;
+    }
     tracked.mState = State::Ended;
-    Apply(mScheduler.Finish(tracked.mGrant, FinishKind::Failed, mNow));
+    const FinishKind kind = isTold ? FinishKind::Failed : FinishKind::Lost;
+    Apply(mScheduler.Finish(tracked.mGrant, kind, mNow));
   }
 }
 
--- a/tests/core/schedulerworld.h
+++ b/tests/core/schedulerworld.h
@@ -93,7 +93,9 @@
   Timestamp mNow{};
   std::map<std::uint64_t, Tracked> mAll;
   std::uint64_t mLastId = 0;
+  /** Successes since the last cold start. */
   std::size_t mSuccesses = 0;
+  Timestamp mColdStart = Timestamp::min();
   std::map<std::string, int> mCounts;
   /** Dispatches of others since a class was served or began to wait. */
   std::map<ClassName, std::uint64_t> mPassedBy;
--- a/tests/core/test_claimtable.cpp
+++ b/tests/core/test_claimtable.cpp
@@ -103,7 +103,7 @@
 {
 public:
   using Decide = std::function<
-    ClaimVerdict(Replica&, const ClaimKey&, const ClaimEvidence&)>;
+    ClaimDecision(Replica&, const ClaimKey&, const ClaimEvidence&)>;
 
   ReplicaSchedule(std::uint64_t aSeed, Decide aDecide)
     : mRandom(aSeed)
@@ -130,6 +130,9 @@
     return most;
   }
 
+  /** @return Repeats that got the answer to another operation. */
+  int ForeignAnswers() const { return mForeignAnswers; }
+
 private:
   static constexpr std::int64_t kTakeover = 15000;
   static constexpr std::int64_t kRepeatWindow = 60000;
@@ -229,9 +232,12 @@
   void Act(Replica& aReplica, const PendingCall& aCall)
   {
     Operation& operation = mOperations[aCall.mOperation];
-    const ClaimVerdict verdict =
+    const ClaimDecision decision =
       mDecide(aReplica, operation.mKey, aCall.mEvidence);
-    if (verdict == ClaimVerdict::Run) {
+    const std::string& own = operation.mKey.mKey.Text();
+    mForeignAnswers +=
+      decision.mAnswer && decision.mAnswer->mBody != own ? 1 : 0;
+    if (decision.mVerdict == ClaimVerdict::Run) {
       ++operation.mRuns;
       aReplica.mRunning.push_back(aCall.mOperation);
     }
@@ -247,7 +253,8 @@
     if (Pick(4) == 0) {
       aReplica.mTable->RecordUnknown(key);
     } else {
-      aReplica.mTable->RecordAnswer(key, { 200, "text/plain", "booked" });
+      aReplica.mTable->RecordAnswer(key,
+                                    { 200, "text/plain", key.mKey.Text() });
     }
   }
 
@@ -290,18 +297,19 @@
   std::uint64_t mIncarnation = 0;
   std::vector<Replica> mReplicas;
   std::vector<Operation> mOperations;
+  int mForeignAnswers = 0;
 };
 
-ClaimVerdict
+ClaimDecision
 DecideByTable(Replica& aReplica,
               const ClaimKey& aKey,
               const ClaimEvidence& aEvidence)
 {
-  return aReplica.mTable->Claim(aKey, BodyHash("body"), aEvidence).mVerdict;
+  return aReplica.mTable->Claim(aKey, BodyHash("body"), aEvidence);
 }
 
 /** Takes every key without a record for a first call. */
-ClaimVerdict
+ClaimDecision
 DecideNaively(Replica& aReplica,
               const ClaimKey& aKey,
               const ClaimEvidence& aEvidence)
@@ -309,11 +317,12 @@
   ClaimEvidence trusting = aEvidence;
   trusting.mIsOwner = true;
   trusting.mExclusiveSince = aEvidence.mNow - Seconds(100000);
-  const ClaimVerdict verdict =
-    aReplica.mTable->Claim(aKey, BodyHash("body"), trusting).mVerdict;
-  const bool isKnown =
-    verdict == ClaimVerdict::StillRunning || verdict == ClaimVerdict::Replay;
-  return isKnown ? verdict : ClaimVerdict::Run;
+  ClaimDecision decision =
+    aReplica.mTable->Claim(aKey, BodyHash("body"), trusting);
+  const bool isKnown = decision.mVerdict == ClaimVerdict::StillRunning ||
+                       decision.mVerdict == ClaimVerdict::Replay;
+  decision.mVerdict = isKnown ? decision.mVerdict : ClaimVerdict::Run;
+  return decision;
 }
 
 } // namespace
@@ -381,7 +390,9 @@
 {
   const bool holds = rc::check("runs at most once", [](std::uint64_t aSeed) {
     for (std::uint64_t schedule = 0; schedule < 8; ++schedule) {
-      RC_ASSERT(ReplicaSchedule(aSeed + schedule, DecideByTable).Run(600) <= 1);
+      ReplicaSchedule replicas(aSeed + schedule, DecideByTable);
+      RC_ASSERT(replicas.Run(600) <= 1);
+      RC_ASSERT(replicas.ForeignAnswers() == 0);
     }
   });
   BOOST_TEST(holds);
