Roll versions out over a pool in turns

Each agent followed a new version as soon as it was drained, so that a pool could be without any server. Agents now take turns by rank, worked out from the list without messages. The ranking is shared with the adapters' placement.

--- a/src/libmedlarkeel/adapterplacement.cpp
+++ b/src/libmedlarkeel/adapterplacement.cpp
@@ -1,65 +1,22 @@
 #include "adapterplacement.h"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
+#include "agentranking.h"
 
 #include <algorithm>
-#include <cstdint>
-#include <string>
 #include <utility>
 #include <vector>
 
 namespace medlarkeel {
 
-namespace {
-
-struct RankedAgent
-{
-  std::uint64_t mScore = 0;
-  InstanceId mId;
-};
-
-std::uint64_t
-Score(const AdapterName& aAdapter, const InstanceId& aId)
-{
-  const std::string text = aAdapter.Text() + '\0' + aId.Text();
-  return XXH64(text.data(), text.size(), 0);
-}
-
-bool
-IsHigher(const RankedAgent& aLeft, const RankedAgent& aRight)
-{
-  if (aLeft.mScore != aRight.mScore) {
-    return aLeft.mScore > aRight.mScore;
-  }
-  return aLeft.mId < aRight.mId;
-}
-
-} // namespace
-
 std::set<InstanceId>
 AdapterHolders(const AdapterName& aAdapter,
                const PoolName& aPool,
                const InstanceList& aList,
                std::size_t aCopies)
 {
-  std::vector<RankedAgent> agents;
-  for (const InstanceRecord& record : aList.mInstances) {
-    const bool isMember =
-      record.mRole == InstanceRole::Agent && record.mPool == aPool;
-    if (isMember && record.mState == InstanceState::Live) {
-      agents.push_back({ Score(aAdapter, record.mId), record.mId });
-    }
-  }
-  std::sort(agents.begin(), agents.end(), IsHigher);
-  std::set<InstanceId> holders;
-  for (const RankedAgent& agent : agents) {
-    if (holders.size() == aCopies) {
-      break;
-    }
-    holders.insert(agent.mId);
-  }
-  return holders;
+  std::vector<InstanceId> agents = RankAgents(aAdapter.Text(), aPool, aList);
+  agents.resize(std::min(agents.size(), aCopies));
+  return std::set<InstanceId>(agents.begin(), agents.end());
 }
 
 AdapterPlacement::AdapterPlacement(InstanceId aOwn, PlacementLimits aLimits)
