--- a/tests/core/limitfleet.h
+++ b/tests/core/limitfleet.h
@@ -89,19 +89,20 @@
 class ReferenceBucket
 {
 public:
+  /** Starts with an empty bucket at the given time. */
   ReferenceBucket(double aRate, double aBurst, Timestamp aStart)
     : mRate(aRate)
     , mBurst(aBurst)
-    , mLevel(aBurst)
     , mAt(aStart)
   {
   }
 
   bool Admit(Timestamp aNow)
   {
-    const double elapsed = std::chrono::duration<double>(aNow - mAt).count();
+    const Timestamp at = std::max(aNow, mAt);
+    const double elapsed = std::chrono::duration<double>(at - mAt).count();
     mLevel = std::min(mBurst, mLevel + mRate * elapsed);
-    mAt = aNow;
+    mAt = at;
     if (mLevel < 1.0) {
       return false;
     }
@@ -112,7 +113,7 @@
 private:
   double mRate;
   double mBurst;
-  double mLevel;
+  double mLevel = 0.0;
   Timestamp mAt;
 };
 
@@ -233,11 +234,13 @@
     mNow = end;
   }
 
+  /** Sets from when on the all-knowing buckets accrue tokens. */
+  void SetReferenceStart(Timestamp aStart) { mReferenceStart = aStart; }
+
   /** Stops counting outcomes of all requests so far. */
   void ForgetOutcomes()
   {
     mOutcomes.clear();
-    mReferences.clear();
     mMessages = 0;
     mBytes = 0;
   }
@@ -248,7 +251,8 @@
     TeamOutcome& outcome = mOutcomes[aTeam.mTeam];
     ++outcome.mArrived;
     auto& reference =
-      mReferences.try_emplace(aTeam.mTeam, aTeam.mRate, aTeam.mBurst, mNow)
+      mReferences
+        .try_emplace(aTeam.mTeam, aTeam.mRate, aTeam.mBurst, mReferenceStart)
         .first->second;
     Request request{ aTeam.mTeam, mNow, reference.Admit(mNow) };
     outcome.mReferenceAdmitted += request.mReference ? 1 : 0;
@@ -291,9 +295,6 @@
     std::exponential_distribution<double> gap(aPerSecond / 1e6);
     const auto wait = static_cast<std::int64_t>(gap(mRandom));
     After(Microseconds(wait + 1), [=] {
-      if (!mOffering) {
-        return;
-      }
       const std::vector<std::size_t> live = Reachable(aEntries);
       if (!live.empty()) {
         Arrive(aTeam, live[mRandom() % live.size()]);
@@ -310,8 +311,6 @@
     }
   }
 
-  void StopOffers() { mOffering = false; }
-
   void Kill(std::size_t aIndex) { mEntries[aIndex]->mAlive = false; }
 
   /** Freezes an entry; it wakes late and may or may not notice. */
@@ -488,7 +487,7 @@
   std::priority_queue<Event> mEvents;
   std::uint64_t mSequence = 0;
   Timestamp mNow{ Seconds(100) };
-  bool mOffering = true;
+  Timestamp mReferenceStart{ Seconds(0) };
   std::map<TeamName, TeamOutcome> mOutcomes;
   std::map<TeamName, ReferenceBucket> mReferences;
   std::map<std::size_t, std::vector<Request>> mWaiting;
--- a/tests/core/test_teamlimiter.cpp
+++ b/tests/core/test_teamlimiter.cpp
@@ -372,6 +372,97 @@
   BOOST_TEST(last.OwnedSlices(kTeam.mTeam, now) == slices);
 }
 
+/** Two limiters whose messages the test carries by hand. */
+struct HandCarriedPair
+{
+  HandCarriedPair()
+  {
+    for (TeamLimiter* limiter : { &mOld, &mNew }) {
+      limiter->SetTeams({ kTeam }, mNow);
+    }
+    List({ "old" });
+    mNow += mOld.Ownership().TakeoverWait();
+    List({ "old" });
+    mNow += Seconds(20);
+    List({ "old" });
+  }
+
+  void List(const std::vector<std::string>& aIds)
+  {
+    LaggingList list;
+    for (const std::string& id : aIds) {
+      list.Put(InstanceId(id), InstanceState::Live, RegionName("r"), mNow);
+    }
+    const InstanceList reading = list.Latest();
+    mOld.ObserveList(reading, mNow, mNow);
+    mNew.ObserveList(reading, mNow, mNow);
+  }
+
+  int Drain(TeamLimiter& aLimiter) const
+  {
+    int admitted = 0;
+    while (aLimiter.Admit(kTeam.mTeam, mNow).mAdmitted) {
+      ++admitted;
+    }
+    return admitted;
+  }
+
+  Timestamp mNow{ Seconds(1000) };
+  TeamLimiter mOld{ InstanceId("old"), ShortSettings(), 1 };
+  TeamLimiter mNew{ InstanceId("new"), ShortSettings(), 2 };
+};
+
+BOOST_AUTO_TEST_CASE(DoubledGrantCountsOnce)
+{
+  HandCarriedPair pair;
+  BOOST_TEST(pair.mNew.Admit(kTeam.mTeam, pair.mNow).mAskPending);
+  const auto asks = pair.mNew.Tick(pair.mNow);
+  BOOST_REQUIRE(asks.size() == 1U);
+  const auto grants = pair.mOld.Receive(asks.front(), pair.mNow);
+  const auto repeated = pair.mOld.Receive(asks.front(), pair.mNow);
+  BOOST_REQUIRE(grants.size() == 1U);
+  pair.mNew.Receive(grants.front(), pair.mNow);
+  pair.mNew.Receive(grants.front(), pair.mNow);
+  pair.mNew.Receive(repeated.front(), pair.mNow);
+  BOOST_TEST(pair.Drain(pair.mNew) == 1);
+  BOOST_TEST(pair.Drain(pair.mOld) == static_cast<int>(kTeam.mBurst) - 1);
+}
+
+BOOST_AUTO_TEST_CASE(LateGrantIsWorthNothing)
+{
+  HandCarriedPair pair;
+  pair.mNew.Admit(kTeam.mTeam, pair.mNow);
+  const auto asks = pair.mNew.Tick(pair.mNow);
+  BOOST_REQUIRE(asks.size() == 1U);
+  const auto grants = pair.mOld.Receive(asks.front(), pair.mNow);
+  pair.mNow += Seconds(1);
+  pair.mNew.Receive(grants.front(), pair.mNow);
+  BOOST_TEST(pair.Drain(pair.mNew) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(DoubledHandoverCountsOnce)
+{
+  HandCarriedPair pair;
+  pair.List({ "old", "new" });
+  std::vector<LimitMessage> handovers;
+  for (const LimitMessage& claim : pair.mNew.Tick(pair.mNow)) {
+    for (const LimitMessage& answer : pair.mOld.Receive(claim, pair.mNow)) {
+      handovers.push_back(answer);
+    }
+  }
+  BOOST_REQUIRE(!handovers.empty());
+  int admitted = 0;
+  for (int round = 0; round < 2; ++round) {
+    for (const LimitMessage& handover : handovers) {
+      pair.mNew.Receive(handover, pair.mNow);
+    }
+    admitted += pair.Drain(pair.mNew);
+  }
+  BOOST_TEST(admitted > 0);
+  admitted += pair.Drain(pair.mOld);
+  BOOST_TEST(admitted == static_cast<int>(kTeam.mBurst));
+}
+
 /** A team at five times its rate takes nothing from the nine others. */
 BOOST_AUTO_TEST_CASE(GreedyTeamLeavesQuietOnesAlone)
 {
