Reserve at a second agent while the first one's grant is outstanding

Parallel reservations had been charged to the retry budget, whose share of 0.2 was too small for them and which they would have emptied. Without a budget (the default) none is begun.

Tests: the first of two grants wins and the loser is cancelled, a late grant of the loser isn't taken, the budget bounds them; the generated orders of events hold with two open reservations; one reservation misses the level in the model where two meet it.

--- a/bench/choice/main.cpp
+++ b/bench/choice/main.cpp
@@ -42,6 +42,9 @@
 /** Round robin without breakers and without the ejection of outliers. */
 constexpr const char* kNaive = "round-robin without ejection";
 
+/** A request that has to wait reserves at a second server as well. */
+constexpr const char* kLateBinding = "affinity with a second reservation";
+
 std::vector<std::string>
 ComparedStrategies()
 {
@@ -49,6 +52,7 @@
   names.erase(std::remove(names.begin(), names.end(), "key-owner"),
               names.end());
   names.emplace_back(kNaive);
+  names.emplace_back(kLateBinding);
   return names;
 }
 
@@ -78,8 +82,10 @@
       for (const int lag : { 0, 1000 }) {
         for (const std::string& strategy : ComparedStrategies()) {
           row.mScenario.mEjects = strategy != kNaive;
-          const std::string name =
-            strategy == kNaive ? "round-robin" : strategy;
+          row.mScenario.mReservations = strategy == kLateBinding ? 2 : 1;
+          const std::string name = strategy == kNaive         ? "round-robin"
+                                   : strategy == kLateBinding ? "affinity"
+                                                              : strategy;
           row.mScenario.mEntries = entries;
           row.mScenario.mReportLag = Milliseconds(lag);
           QueueResult mean;
@@ -88,6 +94,7 @@
             mean.mAttainment += result.mAttainment / kSeeds;
             mean.mMeanFirstToken += result.mMeanFirstToken / kSeeds;
             mean.mHitShare += result.mHitShare / kSeeds;
+            mean.mReservations += result.mReservations / kSeeds;
           }
           results.push_back({ { "scenario", row.mName },
                               { "entries", entries },
@@ -96,7 +103,8 @@
                               { "strategy", strategy },
                               { "attainment", mean.mAttainment },
                               { "first_token_s", mean.mMeanFirstToken },
-                              { "hit_share", mean.mHitShare } });
+                              { "hit_share", mean.mHitShare },
+                              { "reservations", mean.mReservations } });
         }
       }
     }
--- a/src/libmedlarkeel/attempttracker.cpp
+++ b/src/libmedlarkeel/attempttracker.cpp
@@ -52,10 +52,12 @@
 
 AttemptTracker::AttemptTracker(AttemptRules aRules,
                                RetryBudget& aReservationBudget,
-                               RetryBudget& aRestartBudget)
+                               RetryBudget& aRestartBudget,
+                               RetryBudget* aParallelBudget)
   : mRules(std::move(aRules))
   , mReservationBudget(aReservationBudget)
   , mRestartBudget(aRestartBudget)
+  , mParallelBudget(aParallelBudget)
 {
 }
 
@@ -79,13 +81,13 @@
          mAttempts[aAttempt - 1].mPhase == Phase::Committed;
 }
 
-bool
-AttemptTracker::HasOpenReservation() const
+std::size_t
+AttemptTracker::OpenReservations() const
 {
-  return std::any_of(
+  return static_cast<std::size_t>(std::count_if(
     mAttempts.begin(), mAttempts.end(), [](const Attempt& aAttempt) {
       return aAttempt.mPhase == Phase::Reserving;
-    });
+    }));
 }
 
 bool
@@ -94,25 +96,28 @@
   return mRules.mDeadline && aNow >= *mRules.mDeadline;
 }
 
+bool
+AttemptTracker::MayReserveBeside() const
+{
+  return mParallelBudget != nullptr && mState == RequestState::Reserving &&
+         !mRules.mOwnerOnly && mAttempts.size() < mRules.mMaxAttempts &&
+         OpenReservations() < mRules.mMaxOpenReservations &&
+         mParallelBudget->Balance() >= 1.0;
+}
+
 std::optional<std::uint64_t>
 AttemptTracker::BeginAttempt(const InstanceId& aAgent)
 {
-  const bool isOpen =
-    mState == RequestState::Choosing || mState == RequestState::Reserving;
-  const auto waiting = std::count_if(
-    mAttempts.begin(), mAttempts.end(), [](const Attempt& aAttempt) {
-      return aAttempt.mPhase == Phase::Reserving;
-    });
-  if (!isOpen || mAttempts.size() >= mRules.mMaxAttempts ||
-      static_cast<std::size_t>(waiting) >= mRules.mMaxOpenReservations) {
-    return std::nullopt;
-  }
-  if (waiting > 0 && !mReservationBudget.TryTakeRetry()) {
+  if (mState == RequestState::Reserving) {
+    if (!MayReserveBeside() || !mParallelBudget->TryTakeRetry()) {
+      return std::nullopt;
+    }
+  } else if (mState != RequestState::Choosing ||
+             mAttempts.size() >= mRules.mMaxAttempts) {
     return std::nullopt;
   }
   if (mAttempts.empty()) {
-    mReservationBudget.RecordFirstAttempt();
-    mRestartBudget.RecordFirstAttempt();
+    RecordFirstAttempt();
   }
   Attempt attempt;
   attempt.mAgent = aAgent;
@@ -121,6 +126,16 @@
   return mAttempts.size();
 }
 
+void
+AttemptTracker::RecordFirstAttempt()
+{
+  mReservationBudget.RecordFirstAttempt();
+  mRestartBudget.RecordFirstAttempt();
+  if (mParallelBudget != nullptr) {
+    mParallelBudget->RecordFirstAttempt();
+  }
+}
+
 AttemptActions
 AttemptTracker::OnNoAgent(const Refusal& aRefusal)
 {
@@ -198,7 +213,7 @@
   if (aRefusal.mExecuted != Executed::No) {
     return End(aRefusal, true);
   }
-  if (HasOpenReservation()) {
+  if (OpenReservations() > 0) {
     return {};
   }
   const bool mayTry = IsWorthAnotherAgent(aRefusal.mReason) &&
--- a/src/libmedlarkeel/attempttracker.h
+++ b/src/libmedlarkeel/attempttracker.h
@@ -47,7 +47,7 @@
   /** Reservations and commits together that may be begun. */
   std::uint64_t mMaxAttempts = 4;
   /** Reservations that may wait at once. */
-  std::size_t mMaxOpenReservations = 1;
+  std::size_t mMaxOpenReservations = 2;
 };
 
 /** A grant as the agent sent it. */
@@ -144,14 +144,23 @@
    * @param aRules What binds the request.
    * @param aReservationBudget Pays for reservations after the first.
    * @param aRestartBudget Pays for commits after the first.
+   * @param aParallelBudget Pays for reservations beside one that waits; null
+   *        when there are to be none.
    */
   AttemptTracker(AttemptRules aRules,
                  RetryBudget& aReservationBudget,
-                 RetryBudget& aRestartBudget);
+                 RetryBudget& aRestartBudget,
+                 RetryBudget* aParallelBudget = nullptr);
 
   /**
-   * Begins an attempt with a reservation. One beside a reservation that still
-   * waits is paid for like a retry.
+   * @return Whether a reservation may be begun beside one that waits. The first
+   *         grant is taken and the other reservation cancelled.
+   */
+  bool MayReserveBeside() const;
+
+  /**
+   * Begins an attempt with a reservation, the first one, the next one after
+   * ChooseAgent, or one beside another that still waits.
    *
    * @param aAgent The chosen agent.
    * @return The attempt's number, or nothing when none may be begun now.
@@ -279,8 +288,9 @@
 
   Attempt* Find(std::uint64_t aAttempt);
   bool IsCurrent(std::uint64_t aAttempt) const;
-  bool HasOpenReservation() const;
+  std::size_t OpenReservations() const;
   bool IsPastDeadline(Timestamp aNow) const;
+  void RecordFirstAttempt();
   void CancelAll(bool aCancelCommitted, AttemptActions& aActions);
   AttemptActions AfterUncommittedEnd(const Refusal& aRefusal, Timestamp aNow);
   AttemptActions AfterCommittedEnd(const Refusal& aRefusal, Timestamp aNow);
@@ -289,6 +299,7 @@
   AttemptRules mRules;
   RetryBudget& mReservationBudget;
   RetryBudget& mRestartBudget;
+  RetryBudget* mParallelBudget;
   RequestState mState = RequestState::Choosing;
   /** Attempt n is at index n - 1. */
   std::vector<Attempt> mAttempts;
--- a/tests/core/attemptharness.h
+++ b/tests/core/attemptharness.h
@@ -99,7 +99,7 @@
   AttemptHarness(std::vector<std::uint8_t> aBytes, bool aRepeatable)
     : mScript(std::move(aBytes))
     , mRepeatable(aRepeatable)
-    , mRelay(Rules(aRepeatable), mReservations, mRestarts)
+    , mRelay(Rules(aRepeatable), mReservations, mRestarts, &mParallel)
   {
   }
 
@@ -152,7 +152,6 @@
     AttemptRules rules;
     rules.mRequest = RequestId("own");
     rules.mRepeatable = aRepeatable;
-    rules.mMaxOpenReservations = 2;
     return rules;
   }
 
@@ -321,6 +320,7 @@
   bool mRepeatable;
   RetryBudget mReservations{ RetryBudgetSettings{} };
   RetryBudget mRestarts{ RetryBudgetSettings{} };
+  RetryBudget mParallel{ RetryBudgetSettings{} };
   Relay mRelay;
   Timestamp mNow{ Seconds(100) };
   std::vector<Event> mPending;
@@ -337,7 +337,7 @@
 class NaiveRelay
 {
 public:
-  NaiveRelay(const AttemptRules&, RetryBudget&, RetryBudget&) {}
+  NaiveRelay(const AttemptRules&, RetryBudget&, RetryBudget&, RetryBudget*) {}
 
   std::optional<std::uint64_t> BeginAttempt(const InstanceId&)
   {
--- a/tests/core/queuemodel.h
+++ b/tests/core/queuemodel.h
@@ -2,6 +2,7 @@
 
 #include "prefixhasher.h"
 #include "replicachooser.h"
+#include "retrybudget.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -49,6 +50,10 @@
   Seconds mFaultAt{ 20 };
   /** Time in which a cold server's limit grows by one. */
   Microseconds mWarmStep = std::chrono::seconds(4);
+  /** Servers at which a request that has to wait is queued at once. */
+  std::size_t mReservations = 1;
+  /** Share of requests that the budget of an entry allows a second one. */
+  double mParallelShare = 0.5;
   /** Whether breakers and the ejection of outliers are in force. */
   bool mEjects = true;
   /** Requests that arrive before this aren't counted. */
@@ -62,6 +67,8 @@
   double mMeanFirstToken = 0.0;
   double mHitShare = 0.0;
   int mCounted = 0;
+  /** Reservations sent for each request, on average. */
+  double mReservations = 0.0;
   /** Misses of the cache that led to forgetting a server's blocks. */
   int mForgotten = 0;
 };
@@ -88,6 +95,8 @@
     for (std::size_t entry = 0; entry < aScenario.mEntries; ++entry) {
       mEntries.push_back(
         std::make_unique<ReplicaChooser>(settings, aSeed + entry));
+      mBudgets.emplace_back(
+        RetryBudgetSettings{ aScenario.mParallelShare, 10.0 });
     }
     for (std::size_t prefix = 0; prefix < aScenario.mPrefixes; ++prefix) {
       const std::string text(aScenario.mPrefixBlocks * kPrefixBlockBytes,
@@ -112,6 +121,8 @@
     mResult.mAttainment = mMet / counted;
     mResult.mMeanFirstToken = mFirstTokens / counted;
     mResult.mHitShare = mHits / counted;
+    mResult.mReservations =
+      static_cast<double>(mSentReservations) / std::max(1, mArrived);
     return mResult;
   }
 
@@ -133,6 +144,9 @@
   {
     std::size_t mEntry = 0;
     std::size_t mServer = 0;
+    /** Servers where it is queued. */
+    std::vector<std::size_t> mReserved;
+    bool mIsStarted = false;
     std::size_t mPrefix = 0;
     ChoiceRequest mRequest;
     Timestamp mArrival;
@@ -233,7 +247,7 @@
       }
       const Report& report = mReports[aEntry * mServers.size() + index];
       Candidate candidate;
-      candidate.mId = InstanceId("agent-" + std::to_string(index));
+      candidate.mId = IdOf(index);
       candidate.mPool = PoolName("model");
       candidate.mSameZone = Zone(index) == aEntry % mScenario.mZones;
       candidate.mSameRegion = true;
@@ -253,7 +267,9 @@
   void Arrive()
   {
     auto job = std::make_shared<Job>();
+    ++mArrived;
     job->mEntry = mRandom() % mEntries.size();
+    mBudgets[job->mEntry].RecordFirstAttempt();
     const std::size_t first = mRandom() % mScenario.mPrefixes;
     const std::size_t second = mRandom() % mScenario.mPrefixes;
     job->mPrefix = std::min(first, second);
@@ -265,14 +281,13 @@
     for (std::size_t block = 0; block < mScenario.mOwnBlocks; ++block) {
       job->mRequest.mPromptBlocks.push_back(mRandom());
     }
-    ReplicaChooser& chooser = *mEntries[job->mEntry];
-    const Choice choice =
-      chooser.Choose(job->mRequest, Candidates(job->mEntry), mNow);
-    if (choice.mChosen) {
-      chooser.RecordSent(*choice.mChosen, mNow);
-      job->mServer = std::stoul(choice.mChosen->Text().substr(6));
-      mServers[job->mServer].mQueue.push_back(job);
-      StartWaiting(job->mServer);
+    for (std::size_t count = 0;
+         count < mScenario.mReservations && !job->mIsStarted;
+         ++count) {
+      if (count > 0 && !mBudgets[job->mEntry].TryTakeRetry()) {
+        break;
+      }
+      Reserve(job);
     }
     const Timestamp next = mNow + Exponential(1e6 / mScenario.mRate);
     if (next < Timestamp{} + mScenario.mDuration) {
@@ -280,6 +295,25 @@
     }
   }
 
+  void Reserve(const std::shared_ptr<Job>& aJob)
+  {
+    ReplicaChooser& chooser = *mEntries[aJob->mEntry];
+    ChoiceRequest request = aJob->mRequest;
+    for (const std::size_t server : aJob->mReserved) {
+      request.mExclusions.push_back(IdOf(server));
+    }
+    const Choice choice =
+      chooser.Choose(request, Candidates(aJob->mEntry), mNow);
+    if (choice.mChosen) {
+      chooser.RecordSent(*choice.mChosen, mNow);
+      const std::size_t server = std::stoul(choice.mChosen->Text().substr(6));
+      aJob->mReserved.push_back(server);
+      mServers[server].mQueue.push_back(aJob);
+      ++mSentReservations;
+      StartWaiting(server);
+    }
+  }
+
   void StartWaiting(std::size_t aServer)
   {
     Server& server = mServers[aServer];
@@ -287,10 +321,24 @@
       const auto job = server.mQueue.front();
       server.mQueue.pop_front();
       ++server.mRunning;
+      job->mServer = aServer;
+      job->mIsStarted = true;
+      CancelOthers(job);
       Start(job);
     }
   }
 
+  void CancelOthers(const std::shared_ptr<Job>& aJob)
+  {
+    for (const std::size_t other : aJob->mReserved) {
+      if (other != aJob->mServer) {
+        auto& queue = mServers[other].mQueue;
+        queue.erase(std::remove(queue.begin(), queue.end(), aJob), queue.end());
+        mEntries[aJob->mEntry]->RecordWithdrawn(IdOf(other));
+      }
+    }
+  }
+
   void Start(const std::shared_ptr<Job>& aJob)
   {
     Server& server = mServers[aJob->mServer];
@@ -322,7 +370,7 @@
   {
     const auto wait = mNow - aJob.mArrival;
     const CacheEvidence evidence = mEntries[aJob.mEntry]->RecordFirstToken(
-      aJob.mRequest, IdOf(aJob), wait, mNow - aJob.mStarted, mNow);
+      aJob.mRequest, IdOf(aJob.mServer), wait, mNow - aJob.mStarted, mNow);
     TakeReport(aJob);
     if (aJob.mArrival < Timestamp{} + mScenario.mCountFrom) {
       return;
@@ -337,14 +385,15 @@
   void Finish(const Job& aJob)
   {
     --mServers[aJob.mServer].mRunning;
-    mEntries[aJob.mEntry]->RecordFinished(IdOf(aJob), mNow - aJob.mStarted);
+    mEntries[aJob.mEntry]->RecordFinished(IdOf(aJob.mServer),
+                                          mNow - aJob.mStarted);
     TakeReport(aJob);
     StartWaiting(aJob.mServer);
   }
 
-  static InstanceId IdOf(const Job& aJob)
+  static InstanceId IdOf(std::size_t aServer)
   {
-    return InstanceId("agent-" + std::to_string(aJob.mServer));
+    return InstanceId("agent-" + std::to_string(aServer));
   }
 
   /** A reply carries the server's load as it was a while ago. */
@@ -360,12 +409,15 @@
   std::mt19937_64 mRandom;
   std::vector<Server> mServers;
   std::vector<std::unique_ptr<ReplicaChooser>> mEntries;
+  std::vector<RetryBudget> mBudgets;
   std::vector<std::vector<std::uint64_t>> mPrefixHashes;
   std::vector<Report> mReports;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> mEvents;
   std::uint64_t mOrder = 0;
   Timestamp mNow;
   QueueResult mResult;
+  int mArrived = 0;
+  std::size_t mSentReservations = 0;
   double mMet = 0.0;
   double mHits = 0.0;
   double mFirstTokens = 0.0;
--- a/tests/core/test_attempttracker.cpp
+++ b/tests/core/test_attempttracker.cpp
@@ -33,10 +33,11 @@
 {
   RetryBudget mReservations{ RetryBudgetSettings{} };
   RetryBudget mRestarts{ RetryBudgetSettings{} };
+  RetryBudget mParallel{ RetryBudgetSettings{ 0.5, 1.0 } };
   AttemptTracker mTracker;
 
   explicit Subject(bool aRepeatable)
-    : mTracker(Rules(aRepeatable), mReservations, mRestarts)
+    : mTracker(Rules(aRepeatable), mReservations, mRestarts, &mParallel)
   {
   }
 
@@ -158,6 +159,36 @@
   BOOST_TEST(FindAction<ConfirmGrant>(actions) == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(OfTwoReservationsTheFirstGrantWinsAndTheOtherIsCancelled)
+{
+  Subject subject(false);
+  subject.mTracker.BeginAttempt(InstanceId("a"));
+  BOOST_TEST(subject.mTracker.MayReserveBeside());
+  BOOST_TEST(subject.mTracker.BeginAttempt(InstanceId("b")).has_value());
+  BOOST_TEST(!subject.mTracker.BeginAttempt(InstanceId("c")));
+  const auto actions = subject.mTracker.OnGranted(2, kGrant, kStart);
+  const auto* cancel = FindAction<CancelAttempt>(actions);
+  BOOST_REQUIRE(cancel != nullptr);
+  BOOST_TEST(cancel->mAttempt == 1u);
+  BOOST_TEST(FindAction<ConfirmGrant>(actions)->mAttempt == 2u);
+  BOOST_TEST(FindAction<SendCommit>(subject.mTracker.Commit(kStart)) !=
+             nullptr);
+  const auto late = subject.mTracker.OnGranted(1, kGrant, kStart);
+  BOOST_TEST(FindAction<ConfirmGrant>(late) == nullptr);
+  BOOST_TEST(subject.mTracker.CommitCount() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ParallelReservationsStayWithinTheirBudget)
+{
+  Subject subject(true);
+  BOOST_TEST(subject.mParallel.TryTakeRetry());
+  subject.mTracker.BeginAttempt(InstanceId("a"));
+  BOOST_TEST(!subject.mTracker.MayReserveBeside());
+  BOOST_TEST(!subject.mTracker.BeginAttempt(InstanceId("b")));
+  const auto actions = subject.mTracker.OnAgentLost(1, kStart);
+  BOOST_TEST(FindAction<ChooseAgent>(actions) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(AGrantHeldThroughAPauseIsNotUsed)
 {
   Subject subject(false);
--- a/tests/core/test_choicequality.cpp
+++ b/tests/core/test_choicequality.cpp
@@ -63,6 +63,19 @@
   BOOST_TEST(naive.mAttainment < kLevel);
 }
 
+BOOST_AUTO_TEST_CASE(ASecondReservationMakesUpForReportsThatLag)
+{
+  QueueScenario scenario = SmallScenario(36.0);
+  scenario.mEntries = 12;
+  scenario.mSlowServers = 1;
+  const QueueResult one = RunOurs(scenario);
+  scenario.mReservations = 2;
+  const QueueResult two = RunOurs(scenario);
+  BOOST_TEST(one.mAttainment < kLevel);
+  BOOST_TEST(two.mAttainment >= kLevel);
+  BOOST_TEST(two.mReservations <= 1.0 + scenario.mParallelShare + 0.2);
+}
+
 BOOST_AUTO_TEST_CASE(CachesLostWithoutASignalAreFoundOutAndForgotten)
 {
   QueueScenario scenario = SmallScenario(30.0);
