Judge a server by three waits

Cause: a single first token over three times the peers' median ejected a server for 30 s. With the little traffic of today's fleets one long prompt would do.

Test: one long wait ejects nobody (it did before).

--- a/src/libmedlarkeel/replicaload.cpp
+++ b/src/libmedlarkeel/replicaload.cpp
@@ -58,21 +58,32 @@
                         const LoadModelSettings& aSettings,
                         Timestamp aNow)
 {
-  if (!RecentWait(aSettings, aNow)) {
+  if (!IsWaitRecent(aSettings, aNow)) {
     mWait.reset();
+    mWaitSamples = 0;
   }
+  ++mWaitSamples;
   Average(mWait, ToDouble(aWait));
   mWaitAt = aNow;
 }
 
-std::optional<double>
-ReplicaLoad::RecentWait(const LoadModelSettings& aSettings,
-                        Timestamp aNow) const
+bool
+ReplicaLoad::IsWaitRecent(const LoadModelSettings& aSettings,
+                          Timestamp aNow) const
 {
   const double age = ToDouble(aNow - mWaitAt);
   const double limit =
     kForgottenAfterHalfLives * ToDouble(aSettings.mMeasurementHalfLife);
-  return mWait && age <= limit ? mWait : std::nullopt;
+  return mWait.has_value() && age <= limit;
+}
+
+std::optional<double>
+ReplicaLoad::RecentWait(const LoadModelSettings& aSettings,
+                        Timestamp aNow) const
+{
+  const bool counts =
+    IsWaitRecent(aSettings, aNow) && mWaitSamples >= aSettings.mMinimumSamples;
+  return counts ? mWait : std::nullopt;
 }
 
 void
--- a/src/libmedlarkeel/replicaload.h
+++ b/src/libmedlarkeel/replicaload.h
@@ -18,6 +18,8 @@
   Microseconds mReportHalfLife = std::chrono::seconds(2);
   /** Age at which an own measurement counts half. */
   Microseconds mMeasurementHalfLife = std::chrono::seconds(10);
+  /** Own measurements that it takes to judge a server by them. */
+  int mMinimumSamples = 3;
   /** Duration of a request before the first one was measured. */
   Microseconds mInitialDuration = std::chrono::seconds(2);
   /** Requests at once of a server that hasn't reported its limit. */
@@ -78,13 +80,15 @@
                         double aMeanOthers,
                         const LoadModelSettings& aSettings) const;
 
-  /** @return The moving average of waits, if one was measured lately. */
+  /** @return The moving average of waits, if enough were measured lately. */
   std::optional<double> RecentWait(const LoadModelSettings& aSettings,
                                    Timestamp aNow) const;
 
   std::size_t InFlight() const { return mInFlight; }
 
 private:
+  bool IsWaitRecent(const LoadModelSettings& aSettings, Timestamp aNow) const;
+
   std::size_t mInFlight = 0;
   /** Requests that the last report counted beyond the own ones. */
   std::optional<double> mOthers;
@@ -93,6 +97,7 @@
   std::optional<Timestamp> mReportAt;
   std::optional<double> mDuration;
   std::optional<double> mWait;
+  int mWaitSamples = 0;
   Timestamp mWaitAt;
 };
 
--- a/tests/core/test_replicachooser.cpp
+++ b/tests/core/test_replicachooser.cpp
@@ -199,6 +199,19 @@
   BOOST_TEST(counts[candidates[0].mId] > 0);
 }
 
+BOOST_AUTO_TEST_CASE(OneLongWaitEjectsNobody)
+{
+  ReplicaChooser chooser = MakeChooser("affinity");
+  const auto candidates = MakeCandidates(4);
+  for (const Candidate& candidate : candidates) {
+    const bool isLong = candidate.mId == candidates[1].mId;
+    const auto wait = isLong ? Seconds(3) : Milliseconds(200);
+    chooser.RecordFirstToken(MakeRequest(), candidate.mId, wait, wait, kNow);
+  }
+  const Choice choice = chooser.Choose(MakeRequest(), candidates, kNow);
+  BOOST_TEST((choice.mConsidered[1].mNote == CandidateNote::Eligible));
+}
+
 BOOST_AUTO_TEST_CASE(AServerFarSlowerThanItsPeersIsLeftAloneForATime)
 {
   ReplicaChooser chooser = MakeChooser("affinity");
@@ -206,7 +219,9 @@
   for (const Candidate& candidate : candidates) {
     const bool isSlow = candidate.mId == candidates[1].mId;
     const auto wait = isSlow ? Seconds(3) : Milliseconds(200);
-    chooser.RecordFirstToken(MakeRequest(), candidate.mId, wait, wait, kNow);
+    for (int count = 0; count < LoadModelSettings{}.mMinimumSamples; ++count) {
+      chooser.RecordFirstToken(MakeRequest(), candidate.mId, wait, wait, kNow);
+    }
   }
   auto counts = CountChoices(chooser, MakeRequest(), candidates);
   BOOST_TEST(counts[candidates[1].mId] == 0);
