Let the owner of an idempotency key give it up to another agent

Cause: while the owner's zone is out it takes no new work, so all calls of its range were refused for as long as the zone was out. Ruled out: a second owner by the document's zone states (a stale document would make two owners) and a broadcast to all agents (a replacement unknown to some breaks it). The owner, alone and with evidence, records the key as given up; the asker runs it within five seconds or not at all. Also: lost work is reported as lost, a key issued in a newer document than the agent's is not taken as withdrawn, the repeat window is the document's, and an abandoned stream no longer counts as in flight.

--- a/src/libmedlarkeel/claimtable.cpp
+++ b/src/libmedlarkeel/claimtable.cpp
@@ -104,6 +104,12 @@
   }
 }
 
+void
+ClaimTable::SetRepeatWindow(Milliseconds aWindow)
+{
+  mLimits.mRepeatWindow = aWindow;
+}
+
 IdempotencyKey
 ClaimTable::IssueTicket(Timestamp aNow)
 {
@@ -140,6 +146,9 @@
 ClaimTable::DecideUnknown(const ClaimKey& aKey,
                           const ClaimEvidence& aEvidence) const
 {
+  if (aEvidence.mIsVouched) {
+    return Verdict(ClaimVerdict::Run, Executed::No);
+  }
   const auto ticket = ParseTicket(aKey.mKey);
   if (ticket) {
     const bool isFresh = IsOwnTicket(*ticket) &&
--- a/src/libmedlarkeel/claimtable.h
+++ b/src/libmedlarkeel/claimtable.h
@@ -45,6 +45,11 @@
    * nothing while that isn't certain.
    */
   std::optional<Timestamp> mExclusiveSince;
+  /**
+   * Whether the owner has just stated that the key has never run and that it
+   * gives the key up to this process alone.
+   */
+  bool mIsVouched = false;
 };
 
 /** The back end's answer, kept for repeats. */
@@ -81,7 +86,7 @@
 struct ClaimLimits
 {
   /** Longest time after its first call that an opaque key is repeated. */
-  Seconds mRepeatWindow{ 3600 };
+  Milliseconds mRepeatWindow{ 3600 * 1000 };
   /** Largest difference between a caller's clock and this instance's. */
   Milliseconds mClockSkew{ 5000 };
   std::size_t mAnswerBytes = std::size_t{ 16 } << 20U;
@@ -127,6 +132,9 @@
   /** Forgets a claim of which nothing has reached the back end. */
   void RecordNotRun(const ClaimKey& aKey);
 
+  /** Sets how long after its first call an opaque key is repeated. */
+  void SetRepeatWindow(Milliseconds aWindow);
+
   /** @return A new key that only this process accepts. */
   IdempotencyKey IssueTicket(Timestamp aNow);
 
@@ -170,7 +178,7 @@
 
   const InstanceId mInstance;
   const Incarnation mIncarnation;
-  const ClaimLimits mLimits;
+  ClaimLimits mLimits;
   Records mRecords;
   /** Records whose answer is kept. */
   AgeIndex mAnswered;
--- a/src/libmedlarkeel/documentdiff.cpp
+++ b/src/libmedlarkeel/documentdiff.cpp
@@ -95,6 +95,10 @@
     [](const Pool& aPool) {
       return std::to_string(aPool.mColdStartTime.count());
     } },
+  { "repeatWindowMs",
+    [](const Pool& aPool) {
+      return std::to_string(aPool.mRepeatWindow.count());
+    } },
   { "queueLimit",
     [](const Pool& aPool) { return std::to_string(aPool.mQueueLimit); } },
   { "honoursFencing",
--- a/src/libmedlarkeel/documentparser.cpp
+++ b/src/libmedlarkeel/documentparser.cpp
@@ -179,6 +179,8 @@
                 pool.mColdStartConcurrency);
   reader.Duration(
     "coldStartMs", Presence::Optional, kTargetRange, pool.mColdStartTime);
+  reader.Duration(
+    "repeatWindowMs", Presence::Optional, kTargetRange, pool.mRepeatWindow);
   reader.Number(
     "queueLimit", Presence::Required, kQueueRange, pool.mQueueLimit);
   reader.Flag("honoursFencing", Presence::Required, pool.mHonoursFencing);
--- a/src/libmedlarkeel/environmentdocument.h
+++ b/src/libmedlarkeel/environmentdocument.h
@@ -59,6 +59,8 @@
   std::size_t mColdStartConcurrency = 1;
   /** How long a cold start lasts at least. */
   Milliseconds mColdStartTime{ 0 };
+  /** How long after its first call callers repeat an idempotency key. */
+  Milliseconds mRepeatWindow{ 60000 };
   /** Reservations that may wait at one backend server. */
   std::size_t mQueueLimit = 64;
   /** Whether its backend servers refuse orders with an old fencing token. */
--- a/src/medlarkeeld/admittedrequest.h
+++ b/src/medlarkeeld/admittedrequest.h
@@ -25,6 +25,8 @@
   std::optional<Timestamp> mDeadline;
   IdempotencyKey mIdempotencyKey;
   std::string mBodyHash;
+  /** Version of the document that admitted it. */
+  std::uint64_t mDocumentVersion = 0;
   /** Whether the caller asked for server-sent events. */
   bool mStream = false;
   std::uint32_t mPromptTokens = 0;
--- a/src/medlarkeeld/agentcore.cpp
+++ b/src/medlarkeeld/agentcore.cpp
@@ -4,6 +4,7 @@
 #include "claimrange.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 #include <variant>
@@ -15,6 +16,8 @@
 /** Several tick intervals. */
 constexpr Milliseconds kPauseLimit{ 1000 };
 constexpr Milliseconds kRetryClaim{ 1000 };
+/** Shorter than any takeover, so that no heir decides on the key meanwhile. */
+constexpr Milliseconds kVouchLife{ 5000 };
 
 std::optional<RefusalReason>
 ReasonToRefuse(const AgentConditions& aConditions)
@@ -144,17 +147,98 @@
 
 ReservationId
 AgentCore::Reserve(Reservation aReservation,
-                   const RequestId& aRequest,
+                   const RequestOrigin& aOrigin,
                    std::shared_ptr<RunMailbox> aMailbox)
 {
   const Lock lock(mMutex);
   const Timestamp now = ObserveClock();
   aReservation.mId = ReservationId{ ++mLastReservation };
-  mWaiting[aReservation.mId] = Waiting{ std::move(aMailbox), aRequest };
+  mWaiting[aReservation.mId] = Waiting{ std::move(aMailbox), aOrigin.mRequest };
+  if (IsKeyWithdrawn(aReservation, aOrigin)) {
+    Refusal refusal;
+    refusal.mReason = RefusalReason::KeyWithdrawn;
+    Close(aReservation.mId, refusal);
+    return aReservation.mId;
+  }
   CarryOut(mScheduler.Reserve(aReservation, now));
   return aReservation.mId;
 }
 
+bool
+AgentCore::IsKeyWithdrawn(const Reservation& aReservation,
+                          const RequestOrigin& aOrigin) const
+{
+  const bool knowsAsMuch = mDocumentVersion >= aOrigin.mDocumentVersion;
+  return knowsAsMuch && !aReservation.mKey.IsEmpty() &&
+         mKeys.count({ aReservation.mTeam, aReservation.mKey }) == 0;
+}
+
+std::optional<VouchTarget>
+AgentCore::OwnerToAsk(const ClaimCall& aCall)
+{
+  const Lock lock(mMutex);
+  const Timestamp now = ObserveClock();
+  const ClaimDecision decision =
+    mClaims.Look(aCall.mKey, aCall.mBody, EvidenceFor(aCall.mKey, now));
+  const auto ticket = ParseTicket(aCall.mKey.mKey);
+  const bool isForeignTicket = ticket && ticket->mInstance != mSelf;
+  const bool isUndecided =
+    decision.mVerdict == ClaimVerdict::NotOwner ||
+    (isForeignTicket && decision.mVerdict == ClaimVerdict::PossibleRepeat);
+  if (!isUndecided) {
+    return std::nullopt;
+  }
+  const std::optional<InstanceId> owner =
+    isForeignTicket ? ticket->mInstance : OtherOwner(aCall.mKey);
+  if (!owner || *owner == mSelf) {
+    return std::nullopt;
+  }
+  const auto address = mAddresses.find(*owner);
+  if (address == mAddresses.end()) {
+    return std::nullopt;
+  }
+  return VouchTarget{ *owner, address->second };
+}
+
+std::optional<InstanceId>
+AgentCore::OtherOwner(const ClaimKey& aKey) const
+{
+  const RangeKey range = ClaimRange(aKey);
+  const auto owner = mOwnership.Owner(range);
+  return owner == mSelf ? mOwnership.PreviousOwner(range) : owner;
+}
+
+VouchDecision
+AgentCore::Vouch(const ClaimCall& aCall)
+{
+  const Lock lock(mMutex);
+  const Timestamp now = ObserveClock();
+  const ClaimDecision decision =
+    mClaims.Claim(aCall.mKey, aCall.mBody, EvidenceFor(aCall.mKey, now));
+  LogClaim(aCall, decision);
+  VouchDecision vouch;
+  if (decision.mVerdict == ClaimVerdict::Run) {
+    mClaims.RecordUnknown(aCall.mKey);
+    vouch.mVouched = true;
+  } else if (decision.mVerdict == ClaimVerdict::Replay) {
+    vouch.mAnswer = decision.mAnswer;
+  } else {
+    vouch.mRefusal = ClaimRefusal(decision);
+  }
+  return vouch;
+}
+
+void
+AgentCore::RecordVouch(const ClaimKey& aKey, Timestamp aAskedAt)
+{
+  const Lock lock(mMutex);
+  for (auto vouch = mVouched.begin(); vouch != mVouched.end();) {
+    const bool isOver = aAskedAt > vouch->second + kVouchLife;
+    vouch = isOver ? mVouched.erase(vouch) : std::next(vouch);
+  }
+  mVouched[aKey] = aAskedAt;
+}
+
 bool
 AgentCore::IsNewCall(const ClaimCall& aCall,
                      const std::shared_ptr<RunMailbox>& aMailbox)
@@ -208,6 +292,7 @@
       CarryOut(mScheduler.Finish(aGrant, FinishKind::Cancelled, now));
       return ClaimRefusal(decision);
     }
+    mVouched.erase(aCall->mKey);
   }
   return committed;
 }
@@ -284,14 +369,17 @@
   const Timestamp now = ObserveClock();
   mConditions.mDocumentKnown = true;
   mConditions.mZoneOut = IsZoneOut(aDocument, mZone);
+  mDocumentVersion = aDocument.mVersion;
   for (const Pool& pool : aDocument.mPools) {
     if (pool.mName == mPool) {
       CarryOut(mScheduler.SetPool(pool, aDocument.mClasses, now));
+      mClaims.SetRepeatWindow(pool.mRepeatWindow);
     }
   }
-  const auto valid = ValidKeys(aDocument);
+  const auto before = std::exchange(mKeys, ValidKeys(aDocument));
   const auto isWithdrawn = [&](const TeamName& aTeam, const KeyId& aKey) {
-    return !aKey.IsEmpty() && valid.count({ aTeam, aKey }) == 0;
+    return before.count({ aTeam, aKey }) > 0 &&
+           mKeys.count({ aTeam, aKey }) == 0;
   };
   CarryOut(
     mScheduler.WithdrawKeys(isWithdrawn, aDocument.mWithdrawnStreams, now));
@@ -306,7 +394,9 @@
   const Lock lock(mMutex);
   const Timestamp now = ObserveClock();
   mOwnership.Observe(aList, aSentAt, aReceivedAt);
+  mAddresses.clear();
   for (const InstanceRecord& record : aList.mInstances) {
+    mAddresses[record.mId] = record.mAddress;
     if (record.mId == mSelf) {
       mConditions.mListedLeaving = record.mState == InstanceState::Leaving;
     }
@@ -377,6 +467,9 @@
   evidence.mWallNow = WallTime(WallNow());
   evidence.mIsOwner = mOwnership.Owner(range) == mSelf;
   evidence.mExclusiveSince = mOwnership.ExclusiveSince(range, aNow);
+  const auto vouch = mVouched.find(aKey);
+  evidence.mIsVouched =
+    vouch != mVouched.end() && aNow <= vouch->second + kVouchLife;
   return evidence;
 }
 
--- a/src/medlarkeeld/agentcore.h
+++ b/src/medlarkeeld/agentcore.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace medlarkeel {
@@ -32,6 +33,24 @@
   bool mMustRevalidate = false;
 };
 
+/** The agent that can vouch for an idempotency key. */
+struct VouchTarget
+{
+  InstanceId mOwner;
+  /** IP number and port. */
+  std::string mAddress;
+};
+
+/** What the owner of an idempotency key says to another agent. */
+struct VouchDecision
+{
+  /** Whether the key has never run and is the asker's now. */
+  bool mVouched = false;
+  /** The answer of the run that was; null when there is none. */
+  std::shared_ptr<const StoredAnswer> mAnswer;
+  Refusal mRefusal;
+};
+
 /** A call that may not be repeated, as its claim names it. */
 struct ClaimCall
 {
@@ -39,6 +58,14 @@
   BodyHash mBody;
 };
 
+/** Where a reservation comes from. */
+struct RequestOrigin
+{
+  RequestId mRequest;
+  /** Version of the document that the entry acted on. */
+  std::uint64_t mDocumentVersion = 0;
+};
+
 /**
  * The decisions of one agent behind one mutex: what the backend server beside
  * it takes. Carries out the scheduler's actions by posting to the mailboxes
@@ -58,13 +85,30 @@
    * Queues, grants or refuses a reservation; the verdict is posted.
    *
    * @param aReservation Its id is set here.
+   * @param aOrigin The request and the document that its entry acted on.
    * @param aMailbox Where messages about the reservation go.
    * @return The id of the reservation.
    */
   ReservationId Reserve(Reservation aReservation,
-                        const RequestId& aRequest,
+                        const RequestOrigin& aOrigin,
                         std::shared_ptr<RunMailbox> aMailbox);
 
+  /**
+   * @return The owner to ask about a call that can't be decided here: the
+   *         availability zone of the owner is out, or the owner is leaving.
+   */
+  std::optional<VouchTarget> OwnerToAsk(const ClaimCall& aCall);
+
+  /** Gives a key up to the asker if it has never run; called at the owner. */
+  VouchDecision Vouch(const ClaimCall& aCall);
+
+  /**
+   * Notes that the owner gave a key up to this agent.
+   *
+   * @param aAskedAt When the owner was asked; the statement soon expires.
+   */
+  void RecordVouch(const ClaimKey& aKey, Timestamp aAskedAt);
+
   /**
    * Decides on a call by its claim alone: answers a repeat from the record or
    * refuses it.
@@ -147,7 +191,10 @@
     RequestId mRequest;
   };
 
+  std::optional<InstanceId> OtherOwner(const ClaimKey& aKey) const;
   std::string RequestOf(ReservationId aReservation) const;
+  bool IsKeyWithdrawn(const Reservation& aReservation,
+                      const RequestOrigin& aOrigin) const;
   void LogClaim(const ClaimCall& aCall, const ClaimDecision& aDecision);
 
   const InstanceId mSelf;
@@ -166,6 +213,12 @@
   /** Repeats that wait for the first run's end. */
   std::multimap<ClaimKey, std::pair<BodyHash, std::shared_ptr<RunMailbox>>>
     mWaitingRepeats;
+  /** Keys that their owners gave up to this agent, and when. */
+  std::map<ClaimKey, Timestamp> mVouched;
+  std::map<InstanceId, std::string> mAddresses;
+  /** Callers' keys of the document in force. */
+  std::set<std::pair<TeamName, KeyId>> mKeys;
+  std::uint64_t mDocumentVersion = 0;
   std::uint64_t mLastReservation = 0;
 };
 
--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -25,7 +25,11 @@
 AgentNode::AgentNode(const Settings& aSettings)
   : Node(aSettings)
   , mCore(aSettings, mIncarnation, mLog)
-  , mService(AgentEnvironment{ mCore, mRuns, mCounters, AccessFrom(aSettings) })
+  , mService(AgentEnvironment{ mCore,
+                               mRuns,
+                               mCounters,
+                               mChannels,
+                               AccessFrom(aSettings) })
 {
 }
 
--- a/src/medlarkeeld/agentservice.cpp
+++ b/src/medlarkeeld/agentservice.cpp
@@ -1,6 +1,7 @@
 #include "agentservice.h"
 
 #include "agentsession.h"
+#include "wireconversion.h"
 
 #include <utility>
 
@@ -33,4 +34,29 @@
   return grpc::Status::OK;
 }
 
+grpc::Status
+AgentService::Vouch(grpc::ServerContext* aContext,
+                    const wire::VouchRequest* aRequest,
+                    wire::VouchReply* aReply)
+{
+  static_cast<void>(aContext);
+  ClaimCall call;
+  call.mKey.mTeam = TeamName(aRequest->team());
+  call.mKey.mKey = IdempotencyKey(aRequest->idempotency_key());
+  call.mBody = BodyHash(aRequest->body_hash());
+  const VouchDecision decision = mEnvironment.mCore.Vouch(call);
+  if (decision.mVouched) {
+    aReply->set_verdict(wire::VouchReply::VOUCHED);
+  } else if (decision.mAnswer) {
+    aReply->set_verdict(wire::VouchReply::ANSWERED);
+    aReply->mutable_head()->set_status(
+      static_cast<std::uint32_t>(decision.mAnswer->mStatus));
+    aReply->mutable_head()->set_content_type(decision.mAnswer->mContentType);
+    aReply->set_body(decision.mAnswer->mBody);
+  } else {
+    FillRefused(decision.mRefusal, *aReply->mutable_refusal());
+  }
+  return grpc::Status::OK;
+}
+
 } // namespace medlarkeel
--- a/src/medlarkeeld/agentservice.h
+++ b/src/medlarkeeld/agentservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agentchannels.h"
 #include "agentcore.h"
 #include "backendrun.h"
 #include "medlarkeel.grpc.pb.h"
@@ -24,6 +25,7 @@
   AgentCore& mCore;
   RunCounter& mRuns;
   NodeCounters& mCounters;
+  AgentChannels& mChannels;
   BackendAccess mBackend;
 };
 
@@ -42,6 +44,10 @@
                            const wire::TicketRequest* aRequest,
                            wire::TicketReply* aReply) override;
 
+  grpc::Status Vouch(grpc::ServerContext* aContext,
+                     const wire::VouchRequest* aRequest,
+                     wire::VouchReply* aReply) override;
+
 private:
   const AgentEnvironment mEnvironment;
 };
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -3,6 +3,8 @@
 #include "bootclock.h"
 #include "wireconversion.h"
 
+#include <grpcpp/channel.h>
+
 #include <utility>
 #include <variant>
 
@@ -16,6 +18,7 @@
 constexpr Milliseconds kCancelPoll{ 50 };
 /** Bound of a run without a deadline. */
 constexpr Milliseconds kLongestRun{ 3600 * 1000 };
+constexpr std::chrono::milliseconds kVouchTime{ 1000 };
 /** Time that work past its deadline may still take to end. */
 constexpr Milliseconds kDeadlineGrace{ 1000 };
 
@@ -35,6 +38,24 @@
   return reservation;
 }
 
+std::optional<wire::VouchReply>
+AskToVouch(const std::shared_ptr<grpc::Channel>& aChannel,
+           const ClaimCall& aCall)
+{
+  const auto stub = wire::Agent::NewStub(aChannel);
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + kVouchTime);
+  wire::VouchRequest request;
+  request.set_team(aCall.mKey.mTeam.Text());
+  request.set_idempotency_key(aCall.mKey.mKey.Text());
+  request.set_body_hash(aCall.mBody.Text());
+  wire::VouchReply reply;
+  if (!stub->Vouch(&context, request, &reply).ok()) {
+    return std::nullopt;
+  }
+  return reply;
+}
+
 } // namespace
 
 AgentSession::AgentSession(const AgentEnvironment& aEnvironment,
@@ -56,6 +77,9 @@
                         "the first frame must be a reservation");
   }
   const auto call = CallOf();
+  if (call && !AskOwner(*call)) {
+    return grpc::Status::OK;
+  }
   if (call && !mCore.IsNewCall(*call, mMailbox)) {
     Relay();
     return grpc::Status::OK;
@@ -98,12 +122,39 @@
   return call;
 }
 
+bool
+AgentSession::AskOwner(const ClaimCall& aCall)
+{
+  const auto target = mCore.OwnerToAsk(aCall);
+  if (!target) {
+    return true;
+  }
+  const Timestamp asked = BootNow();
+  const auto reply =
+    AskToVouch(mEnvironment.mChannels.ChannelTo(target->mAddress), aCall);
+  if (!reply || reply->verdict() == wire::VouchReply::REFUSED) {
+    return true;
+  }
+  if (reply->verdict() == wire::VouchReply::VOUCHED) {
+    mCore.RecordVouch(aCall.mKey, asked);
+    return true;
+  }
+  Send(RunHead{ static_cast<int>(reply->head().status()),
+                reply->head().content_type(),
+                true });
+  SendChunk(reply->body());
+  Send(RunDone{});
+  return false;
+}
+
 void
 AgentSession::Reserve()
 {
-  mReservation = mCore.Reserve(ReservationFrom(mReserve, BootNow()),
-                               RequestId(mReserve.request_id()),
-                               mMailbox);
+  mReservation =
+    mCore.Reserve(ReservationFrom(mReserve, BootNow()),
+                  RequestOrigin{ RequestId(mReserve.request_id()),
+                                 mReserve.configuration().version() },
+                  mMailbox);
 }
 
 std::optional<RunGranted>
--- a/src/medlarkeeld/agentsession.h
+++ b/src/medlarkeeld/agentsession.h
@@ -25,6 +25,8 @@
 private:
   bool ReadReserve();
   std::optional<ClaimCall> CallOf() const;
+  /** @return Whether the call is still to be served. */
+  bool AskOwner(const ClaimCall& aCall);
   void Reserve();
   std::optional<RunGranted> AwaitGrant();
   std::optional<wire::Commit> ReadCommit(const RunGranted& aGrant);
--- a/src/medlarkeeld/backendrun.cpp
+++ b/src/medlarkeeld/backendrun.cpp
@@ -109,10 +109,11 @@
   if (aEnd == CallEnd::Stopped) {
     return FinishKind::Cancelled;
   }
-  const bool answered = aEnd == CallEnd::Complete;
-  return answered && mOutcome.mStatus < kFirstServerError
-           ? FinishKind::Succeeded
-           : FinishKind::Failed;
+  if (aEnd != CallEnd::Complete) {
+    return FinishKind::Lost;
+  }
+  return mOutcome.mStatus < kFirstServerError ? FinishKind::Succeeded
+                                              : FinishKind::Failed;
 }
 
 Refusal
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -2,6 +2,7 @@
 
 #include "bootclock.h"
 #include "claimrange.h"
+#include "rendezvous.h"
 
 #include <algorithm>
 #include <utility>
@@ -42,6 +43,40 @@
   return refusal;
 }
 
+/**
+ * Finds the owner of a key, or the agent that every entry takes in its place:
+ * it asks the owner before it runs the call.
+ */
+const Candidate*
+OwnerOrSubstitute(const std::vector<Candidate>& aCandidates,
+                  const InstanceId& aOwner)
+{
+  const Candidate* best = nullptr;
+  std::uint64_t bestScore = 0;
+  const std::uint64_t owner = HashText(aOwner.Text());
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.mId == aOwner) {
+      return &candidate;
+    }
+    const std::uint64_t score =
+      RendezvousScore(owner, HashText(candidate.mId.Text()));
+    if (best == nullptr || score > bestScore) {
+      best = &candidate;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+const char*
+OwnerChoiceText(const Candidate* aChosen, const InstanceId& aOwner)
+{
+  if (aChosen == nullptr) {
+    return "no-candidate";
+  }
+  return aChosen->mId == aOwner ? "key-owner" : "substitute-of-key-owner";
+}
+
 EventFields
 ConsideredFields(const Choice& aChoice)
 {
@@ -192,19 +227,19 @@
   EventFields considered = EventFields::array();
   for (const Candidate& candidate : candidates) {
     considered.push_back({ { "id", candidate.mId.Text() } });
-    if (candidate.mId == owner) {
-      choice.mAgent = candidate.mId;
-      choice.mAddress = candidate.mAddress;
-    }
   }
-  mLog.Write(
-    Event::RequestRouted,
-    { { "request", aRequest.mId.Text() },
-      { "team", aRequest.Team().Text() },
-      { "class", aRequest.mClass.mName.Text() },
-      { "considered", std::move(considered) },
-      { "chosen", choice.mAgent ? owner.Text() : "" },
-      { "why", choice.mAgent ? "key-owner" : "owner-not-available" } });
+  const Candidate* chosen = OwnerOrSubstitute(candidates, owner);
+  if (chosen != nullptr) {
+    choice.mAgent = chosen->mId;
+    choice.mAddress = chosen->mAddress;
+  }
+  mLog.Write(Event::RequestRouted,
+             { { "request", aRequest.mId.Text() },
+               { "team", aRequest.Team().Text() },
+               { "class", aRequest.mClass.mName.Text() },
+               { "considered", std::move(considered) },
+               { "chosen", chosen != nullptr ? chosen->mId.Text() : "" },
+               { "why", OwnerChoiceText(chosen, owner) } });
   return choice;
 }
 
--- a/src/medlarkeeld/requestadmission.cpp
+++ b/src/medlarkeeld/requestadmission.cpp
@@ -63,6 +63,7 @@
   {
     mRequest.mId = aId;
     mRequest.mArrived = BootNow();
+    mRequest.mDocumentVersion = aView.Document().mVersion;
   }
 
   AdmissionResult Run()
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -136,6 +136,10 @@
 RequestRelay::End(RelayStep::Kind aKind, const Refusal& aRefusal)
 {
   mEnded = RelayStep{ aKind, {}, aRefusal };
+  if (mStream) {
+    mStream.reset();
+    mEnvironment.mCore.RecordWithdrawn(mAgent);
+  }
   mEnvironment.mCore.RecordOutcome(mRequest, OutcomeOf(aKind, aRefusal));
   return mEnded;
 }
@@ -233,6 +237,7 @@
   reserve.set_max_tokens(mRequest.mMaxTokens);
   reserve.set_idempotency_key(mRequest.mIdempotencyKey.Text());
   reserve.set_body_hash(mRequest.mBodyHash);
+  reserve.mutable_configuration()->set_version(mRequest.mDocumentVersion);
   if (mRequest.mDeadline) {
     const auto left = *mRequest.mDeadline - BootNow();
     reserve.set_deadline_us(
