--- a/src/libmedlarkeel/readerchoice.cpp
+++ b/src/libmedlarkeel/readerchoice.cpp
@@ -40,12 +40,14 @@
   if (self == nullptr) {
     return false;
   }
-  const auto ownOrder = std::make_pair(ReaderScore(aSelf), aSelf.Text());
+  const std::uint64_t ownScore = ReaderScore(aSelf);
   const auto goesFirst = [&](const InstanceRecord& aOther) {
-    return aOther.mState == InstanceState::Live &&
-           aOther.mRegion == self->mRegion &&
-           std::make_pair(ReaderScore(aOther.mId), aOther.mId.Text()) >
-             ownOrder;
+    if (aOther.mState != InstanceState::Live ||
+        aOther.mRegion != self->mRegion) {
+      return false;
+    }
+    const std::uint64_t score = ReaderScore(aOther.mId);
+    return score > ownScore || (score == ownScore && aOther.mId < aSelf);
   };
   const auto before =
     std::count_if(aList.mInstances.begin(), aList.mInstances.end(), goesFirst);
