--- a/tests/core/test_documentstore.cpp
+++ b/tests/core/test_documentstore.cpp
@@ -149,7 +149,7 @@
   const std::vector<Publication> all = Publications();
   std::vector<DocumentStore> nodes(kNodes);
   const auto steps =
-    *rc::gen::resize(kMostRepeats,
+    *rc::gen::resize(2 * kMostRepeats,
                      rc::gen::container<std::vector<std::size_t>>(
                        rc::gen::inRange<std::size_t>(0, kNodes * all.size())));
   std::optional<DocumentStamp> greatest;
