--- a/src/libmedlarkeel/jsonreader.h
+++ b/src/libmedlarkeel/jsonreader.h
@@ -90,7 +90,7 @@
 extern const TextRule kNameRule;
 
 template<typename Value>
-struct Choice
+struct NamedValue
 {
   const char* mText;
   Value mValue;
@@ -159,18 +159,18 @@
   template<typename Value>
   void Choose(const char* aKey,
               Presence aPresence,
-              const std::vector<Choice<Value>>& aChoices,
+              const std::vector<NamedValue<Value>>& aChoices,
               Value& aOut)
   {
     const nlohmann::json* value = Find(aKey);
-    for (const Choice<Value>& choice : aChoices) {
+    for (const NamedValue<Value>& choice : aChoices) {
       if (value != nullptr && value->is_string() && *value == choice.mText) {
         aOut = choice.mValue;
         return;
       }
     }
     std::string expected;
-    for (const Choice<Value>& choice : aChoices) {
+    for (const NamedValue<Value>& choice : aChoices) {
       expected += (expected.empty() ? "\"" : " or \"");
       expected += std::string(choice.mText) + "\"";
     }
--- a/src/medlarkeeld/agentservice.cpp
+++ b/src/medlarkeeld/agentservice.cpp
@@ -6,12 +6,8 @@
 
 namespace medlarkeel {
 
-AgentService::AgentService(AgentCore& aCore,
-                           RunCounter& aRuns,
-                           BackendAccess aBackend)
-  : mCore(aCore)
-  , mRuns(aRuns)
-  , mBackend(std::move(aBackend))
+AgentService::AgentService(AgentEnvironment aEnvironment)
+  : mEnvironment(std::move(aEnvironment))
 {
 }
 
@@ -20,8 +16,21 @@
   grpc::ServerContext* aContext,
   grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>* aStream)
 {
-  AgentSession session(mCore, mRuns, mBackend, *aContext, *aStream);
+  AgentSession session(mEnvironment, *aContext, *aStream);
   return session.Run();
 }
 
+grpc::Status
+AgentService::IssueTicket(grpc::ServerContext* aContext,
+                          const wire::TicketRequest* aRequest,
+                          wire::TicketReply* aReply)
+{
+  static_cast<void>(aContext);
+  static_cast<void>(aRequest);
+  if (const auto key = mEnvironment.mCore.IssueTicket()) {
+    aReply->set_key(key->Text());
+  }
+  return grpc::Status::OK;
+}
+
 } // namespace medlarkeel
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -37,14 +37,11 @@
 
 } // namespace
 
-AgentSession::AgentSession(AgentCore& aCore,
-                           RunCounter& aRuns,
-                           const BackendAccess& aBackend,
+AgentSession::AgentSession(const AgentEnvironment& aEnvironment,
                            grpc::ServerContext& aContext,
                            Stream& aStream)
-  : mCore(aCore)
-  , mRuns(aRuns)
-  , mBackend(aBackend)
+  : mEnvironment(aEnvironment)
+  , mCore(aEnvironment.mCore)
   , mContext(aContext)
   , mStream(aStream)
   , mMailbox(std::make_shared<RunMailbox>())
@@ -58,6 +55,11 @@
     return grpc::Status(grpc::StatusCode::INVALID_ARGUMENT,
                         "the first frame must be a reservation");
   }
+  const auto call = CallOf();
+  if (call && !mCore.IsNewCall(*call, mMailbox)) {
+    Relay();
+    return grpc::Status::OK;
+  }
   Reserve();
   const auto grant = AwaitGrant();
   if (!grant) {
@@ -83,11 +85,25 @@
   return true;
 }
 
+std::optional<ClaimCall>
+AgentSession::CallOf() const
+{
+  if (mReserve.repeatable() || mReserve.idempotency_key().empty()) {
+    return std::nullopt;
+  }
+  ClaimCall call;
+  call.mKey.mTeam = TeamName(mReserve.team());
+  call.mKey.mKey = IdempotencyKey(mReserve.idempotency_key());
+  call.mBody = BodyHash(mReserve.body_hash());
+  return call;
+}
+
 void
 AgentSession::Reserve()
 {
-  mReservation =
-    mCore.Reserve(ReservationFrom(mReserve, BootNow()), mMailbox);
+  mReservation = mCore.Reserve(ReservationFrom(mReserve, BootNow()),
+                               RequestId(mReserve.request_id()),
+                               mMailbox);
 }
 
 std::optional<RunGranted>
@@ -125,19 +141,48 @@
 AgentSession::Execute(const RunGranted& aGrant, const wire::Commit& aCommit)
 {
   const Incarnation incarnation{ aCommit.incarnation() };
+  const auto call = CallOf();
   const auto committed =
-    mCore.Commit(mReservation, aGrant.mGrant, incarnation);
+    mCore.Commit(mReservation, aGrant.mGrant, incarnation, call);
   if (!committed) {
     SendRefusal(committed.error());
     return;
   }
-  const auto run = BackendRun::Start(mCore,
-                                     mRuns,
-                                     mBackend.mBaseUrl,
-                                     WorkOf(aGrant, aCommit),
-                                     mMailbox,
-                                     [](const RunOutcome&) {});
-  Relay(*run);
+  const auto run = BackendRun::Start(
+    RunEnvironment{ mCore, mEnvironment.mRuns, mEnvironment.mCounters },
+    mEnvironment.mBackend.mBaseUrl,
+    WorkOf(aGrant, aCommit),
+    mMailbox,
+    RecorderFor(call));
+  if (!Relay()) {
+    run->Abort();
+  }
+}
+
+BackendRun::OutcomeRecorder
+AgentSession::RecorderFor(const std::optional<ClaimCall>& aCall) const
+{
+  if (!aCall) {
+    return [](const RunOutcome&) {};
+  }
+  const ClaimKey key = aCall->mKey;
+  AgentCore& core = mCore;
+  return [&core, key](const RunOutcome& aOutcome) {
+    switch (aOutcome.mEnd) {
+      case CallEnd::Complete:
+        core.RecordAnswer(key,
+                          StoredAnswer{ aOutcome.mStatus,
+                                        aOutcome.mContentType,
+                                        aOutcome.mBody });
+        break;
+      case CallEnd::NotRun:
+        core.RecordNotRun(key);
+        break;
+      default:
+        core.RecordUnknown(key);
+        break;
+    }
+  };
 }
 
 CommittedWork
@@ -147,7 +192,8 @@
   CommittedWork work;
   work.mReservation = mReservation;
   work.mGrant = aGrant.mGrant;
-  work.mKind = mBackend.mKind;
+  work.mKind = mEnvironment.mBackend.mKind;
+  work.mClass = ClassName(mReserve.class_name());
   work.mRepeatable = mReserve.repeatable();
   BackendRequest& request = work.mRequest;
   request.mMethod = aCommit.method();
@@ -159,27 +205,23 @@
   request.mTimeout = kLongestRun;
   if (mReserve.repeatable() && mReserve.deadline_us() > 0) {
     const Microseconds left(mReserve.deadline_us());
-    request.mTimeout =
-      std::chrono::ceil<Milliseconds>(left) + kDeadlineGrace;
+    request.mTimeout = std::chrono::ceil<Milliseconds>(left) + kDeadlineGrace;
   }
   return work;
 }
 
-void
-AgentSession::Relay(BackendRun& aRun)
+bool
+AgentSession::Relay()
 {
   while (const auto message = NextMessage()) {
-    if (!Send(*message)) {
-      break;
-    }
-    if (std::holds_alternative<RunRefused>(*message)) {
-      break;
+    if (!Send(*message) || std::holds_alternative<RunRefused>(*message)) {
+      return false;
     }
     if (std::holds_alternative<RunDone>(*message)) {
-      return;
+      return true;
     }
   }
-  aRun.Abort();
+  return false;
 }
 
 std::optional<RunMessage>
@@ -210,16 +252,14 @@
   if (const auto* granted = std::get_if<RunGranted>(&aMessage)) {
     const auto valid = granted->mExpires - BootNow();
     frame.mutable_granted()->set_grant_id(granted->mGrant.mValue);
-    frame.mutable_granted()->set_incarnation(
-      mCore.OwnIncarnation().mValue);
+    frame.mutable_granted()->set_incarnation(mCore.OwnIncarnation().mValue);
     frame.mutable_granted()->set_valid_us(
       static_cast<std::uint64_t>(std::max<Microseconds::rep>(
         0, std::chrono::duration_cast<Microseconds>(valid).count())));
   } else if (const auto* refused = std::get_if<RunRefused>(&aMessage)) {
     return SendRefusal(refused->mRefusal);
   } else if (const auto* head = std::get_if<RunHead>(&aMessage)) {
-    frame.mutable_head()->set_status(
-      static_cast<std::uint32_t>(head->mStatus));
+    frame.mutable_head()->set_status(static_cast<std::uint32_t>(head->mStatus));
     frame.mutable_head()->set_content_type(head->mContentType);
     frame.mutable_head()->set_replayed(head->mReplayed);
   } else if (const auto* data = std::get_if<RunData>(&aMessage)) {
--- a/src/medlarkeeld/agentsession.h
+++ b/src/medlarkeeld/agentsession.h
@@ -13,12 +13,9 @@
 class AgentSession
 {
 public:
-  using Stream =
-    grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>;
+  using Stream = grpc::ServerReaderWriter<wire::AgentFrame, wire::EntryFrame>;
 
-  AgentSession(AgentCore& aCore,
-               RunCounter& aRuns,
-               const BackendAccess& aBackend,
+  AgentSession(const AgentEnvironment& aEnvironment,
                grpc::ServerContext& aContext,
                Stream& aStream);
 
@@ -27,13 +24,17 @@
 
 private:
   bool ReadReserve();
+  std::optional<ClaimCall> CallOf() const;
   void Reserve();
   std::optional<RunGranted> AwaitGrant();
   std::optional<wire::Commit> ReadCommit(const RunGranted& aGrant);
   void Execute(const RunGranted& aGrant, const wire::Commit& aCommit);
   CommittedWork WorkOf(const RunGranted& aGrant,
                        const wire::Commit& aCommit) const;
-  void Relay(BackendRun& aRun);
+  BackendRun::OutcomeRecorder RecorderFor(
+    const std::optional<ClaimCall>& aCall) const;
+  /** @return Whether the relayed answer came to its end. */
+  bool Relay();
 
   std::optional<RunMessage> NextMessage();
   bool Send(const RunMessage& aMessage);
@@ -41,9 +42,8 @@
   bool SendChunk(const std::string& aBytes);
   bool Write(wire::AgentFrame& aFrame);
 
+  const AgentEnvironment& mEnvironment;
   AgentCore& mCore;
-  RunCounter& mRuns;
-  const BackendAccess& mBackend;
   grpc::ServerContext& mContext;
   Stream& mStream;
   wire::Reserve mReserve;
--- a/src/medlarkeeld/requestadmission.cpp
+++ b/src/medlarkeeld/requestadmission.cpp
@@ -69,12 +69,14 @@
   {
     using Step = std::optional<Refusal> (Admission::*)();
     static constexpr std::array<Step, 6> kSteps{
-      &Admission::Authenticate, &Admission::ReadChat,   &Admission::FindRoute,
+      &Admission::Authenticate, &Admission::ReadChat, &Admission::FindRoute,
       &Admission::ReadKey,      &Admission::FillCall, &Admission::Meter
     };
     for (const Step step : kSteps) {
       if (auto refusal = (this->*step)()) {
-        return std::move(*refusal);
+        return RejectedRequest{
+          std::move(*refusal), mRequest.mClass.mName, mRequest.Team(), mShortage
+        };
       }
     }
     return std::move(mRequest);
@@ -168,8 +170,8 @@
     }
     mRequest.mContentType = Header(mHttp, "Content-Type");
     mRequest.mBody = mHttp.mBody;
-    mRequest.mBodyHash = Sha256Hex(mHttp.mMethod + " " + mHttp.mPath + "\n" +
-                                   mHttp.mBody);
+    mRequest.mBodyHash =
+      Sha256Hex(mHttp.mMethod + " " + mHttp.mPath + "\n" + mHttp.mBody);
     mRequest.mCallerLeft = mHttp.mCallerLeft;
     return std::nullopt;
   }
@@ -180,12 +182,12 @@
     if (verdict.mAdmitted) {
       return std::nullopt;
     }
+    mShortage = verdict.mCause;
     Refusal refusal = Refuse(RefusalReason::TeamRateExceeded,
                              verdict.mCause == ShortageCause::TeamRate
                                ? "the team is at its rate"
                                : "the team's rate is not available here now");
-    refusal.mRetryAfter =
-      std::chrono::ceil<Milliseconds>(verdict.mRetryAfter);
+    refusal.mRetryAfter = std::chrono::ceil<Milliseconds>(verdict.mRetryAfter);
     return refusal;
   }
 
@@ -194,6 +196,7 @@
   TeamGate& mGate;
   AdmittedRequest mRequest;
   std::optional<std::string> mModel;
+  std::optional<ShortageCause> mShortage;
 };
 
 } // namespace
--- a/src/medlarkeeld/requestadmission.h
+++ b/src/medlarkeeld/requestadmission.h
@@ -8,10 +8,25 @@
 
 #include <boost/outcome.hpp>
 
+#include <optional>
+
 namespace medlarkeel {
 
-using AdmissionResult = BOOST_OUTCOME_V2_NAMESPACE::
-  result<AdmittedRequest, Refusal, BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+/** A request that was not admitted, with what was found out before. */
+struct RejectedRequest
+{
+  Refusal mRefusal;
+  /** Empty until the route was found. */
+  ClassName mClass;
+  TeamName mTeam;
+  /** Set when the team's rate was the reason. */
+  std::optional<ShortageCause> mShortage;
+};
+
+using AdmissionResult = BOOST_OUTCOME_V2_NAMESPACE::result<
+  AdmittedRequest,
+  RejectedRequest,
+  BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
 
 /**
  * Decides whether a caller's request enters: key, route, class and the team's
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -151,10 +151,11 @@
     response.mStatus = 201;
     response.mHeaders["X-Seen"] = aRequest.mHeaders.at("x-own");
     response.mBody = aRequest.mMethod + " " + aRequest.mPath + " " +
-                     aRequest.mQuery.at("after") + " " + aRequest.mBody;
+                     aRequest.mQuery.at("after") + " " + aRequest.mTarget +
+                     " " + aRequest.mBody;
     return response;
   });
-  HttpCall call = CallTo(server->Port(), "/s/bookings/confirm?after=7&x=a%20b");
+  HttpCall call = CallTo(server->Port(), "/s/book%69ngs?after=7&x=a%20b");
   call.mMethod = "PUT";
   call.mHeaders["X-Own"] = "value";
   call.mBody = std::string("a\0b", 3);
@@ -163,7 +164,8 @@
   BOOST_TEST(reply.value().mStatus == 201);
   BOOST_TEST(reply.value().mHeaders.at("x-seen") == "value");
   BOOST_TEST(reply.value().mBody ==
-             "PUT /s/bookings/confirm 7 " + std::string("a\0b", 3));
+             "PUT /s/book%69ngs 7 /s/book%69ngs?after=7&x=a%20b " +
+               std::string("a\0b", 3));
 }
 
 BOOST_AUTO_TEST_CASE(KeepsStatusOfEmptyResponse)
@@ -338,6 +340,28 @@
   BOOST_TEST(server.mRequests == 2);
 }
 
+BOOST_AUTO_TEST_CASE(ConnectFailedMeansThatNothingWasSent)
+{
+  // Not listening after bind: the port refuses connections.
+  const int refusing = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* place = reinterpret_cast<sockaddr*>(&address);
+  socklen_t size = sizeof address;
+  BOOST_REQUIRE(bind(refusing, place, size) == 0);
+  BOOST_REQUIRE(getsockname(refusing, place, &size) == 0);
+  const std::uint16_t port = ntohs(address.sin_port);
+  BOOST_TEST(
+    (SendHttp(CallTo(port, "/")).error().mKind == NetErrorKind::ConnectFailed));
+  // Listening but never accepting: the request is sent and stays unread.
+  BOOST_REQUIRE(listen(refusing, 8) == 0);
+  HttpCall call = CallTo(port, "/");
+  call.mTimeout = std::chrono::milliseconds(200);
+  BOOST_TEST((SendHttp(call).error().mKind == NetErrorKind::TimedOut));
+  close(refusing);
+}
+
 BOOST_AUTO_TEST_CASE(ClosedPortAndTakenPortAreErrors)
 {
   HttpServerOptions options;
