Tell zone changes apart when a node gives no document version

The field comes last now, so that code which fills a ZoneChange without it still means what it meant; the report then goes by the zone's state.

--- a/src/libmedlarkeel/nodestatus.cpp
+++ b/src/libmedlarkeel/nodestatus.cpp
@@ -197,7 +197,7 @@
   aReader.Choose<ZoneState>(
     "state", Presence::Required, ZoneStates(), change.mState);
   aReader.Number("documentVersion",
-                 Presence::Required,
+                 Presence::Optional,
                  kCountRange,
                  change.mDocumentVersion);
   aReader.Number("atUnixMs", Presence::Required, kCountRange, change.mAtUnixMs);
--- a/src/libmedlarkeel/nodestatus.h
+++ b/src/libmedlarkeel/nodestatus.h
@@ -75,11 +75,11 @@
 {
   ZoneName mZone;
   ZoneState mState = ZoneState::In;
-  /** Version of the document that changed it; tells one change on several
-   * nodes from several changes. */
-  std::uint64_t mDocumentVersion = 0;
   /** Wall clock, milliseconds since 1970. */
   std::uint64_t mAtUnixMs = 0;
+  /** Version of the document that changed it; tells one change on several
+   * nodes from several changes. 0 when the node doesn't say. */
+  std::uint64_t mDocumentVersion = 0;
 };
 
 /** The document that a node acts on. */
--- a/src/libmedlarkeel/report.cpp
+++ b/src/libmedlarkeel/report.cpp
@@ -136,18 +136,32 @@
                 return std::tie(aLeft.mAtUnixMs, aLeft.mZone) <
                        std::tie(aRight.mAtUnixMs, aRight.mZone);
               });
-    std::set<std::pair<ZoneName, std::uint64_t>> seen;
     for (const ZoneChange& change : mChanges) {
-      if (seen.emplace(change.mZone, change.mDocumentVersion).second) {
+      if (IsFirstSight(change)) {
         mReport.mZoneChanges.push_back(change);
       }
     }
   }
 
+  /** Without a version, a change to the state that the zone already has is
+   * taken for the same change on another node. */
+  bool IsFirstSight(const ZoneChange& aChange)
+  {
+    if (aChange.mDocumentVersion != 0) {
+      return mSeen.emplace(aChange.mZone, aChange.mDocumentVersion).second;
+    }
+    const auto [state, isNew] = mStates.emplace(aChange.mZone, aChange.mState);
+    const bool differs = isNew || state->second != aChange.mState;
+    state->second = aChange.mState;
+    return differs;
+  }
+
   Report mReport;
   std::map<ClassName, LevelledClass> mClasses;
   std::map<TeamName, TeamCounters> mTeams;
   std::vector<ZoneChange> mChanges;
+  std::set<std::pair<ZoneName, std::uint64_t>> mSeen;
+  std::map<ZoneName, ZoneState> mStates;
 };
 
 void
--- a/tests/core/statusfixture.h
+++ b/tests/core/statusfixture.h
@@ -26,8 +26,8 @@
   status.mClasses = { confirmation, draft, bulk };
   status.mTeams = { { TeamName("market"), { 200, 195, 210, 5, 0 } },
                     { TeamName("families"), { 100, 93, 100, 0, 0 } } };
-  status.mZoneChanges = { { status.mZone, ZoneState::Out, 2, 5000 },
-                          { status.mZone, ZoneState::In, 3, 9000 } };
+  status.mZoneChanges = { { status.mZone, ZoneState::Out, 5000, 2 },
+                          { status.mZone, ZoneState::In, 9000, 3 } };
   return status;
 }
 
--- a/tests/core/test_report.cpp
+++ b/tests/core/test_report.cpp
@@ -65,6 +65,20 @@
   BOOST_TEST(report.mZoneChanges[1].mAtUnixMs == 9000U);
 }
 
+BOOST_AUTO_TEST_CASE(ChangesWithoutAVersionAreToldApartByState)
+{
+  NodeStatus status = EntryStatus("entry-1");
+  const ZoneName zone("xela-a");
+  status.mZoneChanges = { { zone, ZoneState::Out, 5000 },
+                          { zone, ZoneState::In, 9000 },
+                          { zone, ZoneState::Out, 20000 } };
+  NodeStatus late = EntryStatus("entry-2");
+  late.mZoneChanges = { { zone, ZoneState::Out, 5400 },
+                        { zone, ZoneState::In, 9600 },
+                        { zone, ZoneState::Out, 20100 } };
+  BOOST_TEST(BuildReport({ status, late }, {}).mZoneChanges.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(NodeThatIsSilentLeavesTheVerdictOpen)
 {
   const Report report =
