--- a/src/libmedlarkeel/rangeownership.cpp
+++ b/src/libmedlarkeel/rangeownership.cpp
@@ -282,7 +282,10 @@
   for (std::size_t index = mHistory.size(); index > 0; --index) {
     const MemberSet& set = mHistory[index - 1];
     const Timestamp until = set.mLastSentAt + mSettings.mEvidenceLife;
-    if (set.mLastSentAt < mEvidenceFloor || until <= EvidenceSentAt()) {
+    const bool newest = index == mHistory.size();
+    const bool lapsed =
+      set.mLastSentAt < mEvidenceFloor || until <= EvidenceSentAt();
+    if (!newest && lapsed) {
       return std::nullopt;
     }
     if (IsOwner(set, aKey)) {
--- a/src/libmedlarkeel/teamlimiter.cpp
+++ b/src/libmedlarkeel/teamlimiter.cpp
@@ -56,7 +56,7 @@
 void
 TeamLimiter::ChangeLimit(TeamState& aTeam, SlicedLimit aLimit, Timestamp aNow)
 {
-  ActiveTeam& active = Activate(aTeam, aNow);
+  ActiveTeam& active = Activate(aTeam);
   for (SliceView& view : active.mSlices) {
     OwnLedger(aTeam, view, aNow);
   }
@@ -98,7 +98,7 @@
 }
 
 TeamLimiter::ActiveTeam&
-TeamLimiter::Activate(TeamState& aTeam, Timestamp aNow)
+TeamLimiter::Activate(TeamState& aTeam)
 {
   if (aTeam.mActive) {
     return *aTeam.mActive;
@@ -108,7 +108,6 @@
   for (std::uint32_t slice = 0; slice < mSettings.mSlices; ++slice) {
     SliceView view;
     view.mKey = KeyOf(aTeam, slice);
-    view.mRetryAt = aNow;
     Refresh(view);
     aTeam.mActive->mSlices.push_back(std::move(view));
   }
@@ -119,14 +118,19 @@
 TeamLimiter::Refresh(SliceView& aView) const
 {
   aView.mGeneration = mOwnership.Generation();
-  aView.mOwner = mOwnership.Owner(aView.mKey);
+  const std::optional<InstanceId> owner = mOwnership.Owner(aView.mKey);
+  if (aView.mOwner != owner) {
+    aView.mOwner = owner;
+    aView.mRetryAt = Timestamp::min();
+    aView.mSilent = false;
+  }
   aView.mSpan = mOwnership.Span(aView.mKey);
 }
 
 TeamLimiter::SliceView&
-TeamLimiter::View(TeamState& aTeam, std::uint32_t aSlice, Timestamp aNow)
+TeamLimiter::View(TeamState& aTeam, std::uint32_t aSlice)
 {
-  SliceView& view = Activate(aTeam, aNow).mSlices[aSlice];
+  SliceView& view = Activate(aTeam).mSlices[aSlice];
   if (view.mGeneration != mOwnership.Generation()) {
     Refresh(view);
   }
@@ -178,7 +182,7 @@
 {
   SlicePool pool;
   for (std::uint32_t slice = 0; slice < aTeam.mLimit.ActiveSlices(); ++slice) {
-    SliceView& view = View(aTeam, slice, aNow);
+    SliceView& view = View(aTeam, slice);
     SliceLedger* ledger = OwnLedger(aTeam, view, aNow);
     if (ledger == nullptr) {
       continue;
@@ -208,7 +212,7 @@
     unknown.mCause = ShortageCause::UnknownTeam;
     return unknown;
   }
-  TeamAccount& account = Activate(*team, aNow).mAccount;
+  TeamAccount& account = Activate(*team).mAccount;
   if (aAttempt == AdmitAttempt::First) {
     account.RecordArrival(aNow);
   }
@@ -241,7 +245,7 @@
   const SlicePool pool = Pool(aTeam, aNow);
   due = std::min(due, pool.NextTokenAt(aNow));
   for (std::uint32_t slice = 0; slice < aTeam.mLimit.ActiveSlices(); ++slice) {
-    SliceView& view = View(aTeam, slice, aNow);
+    SliceView& view = View(aTeam, slice);
     if (OwnLedger(aTeam, view, aNow) != nullptr) {
       continue;
     }
@@ -341,7 +345,7 @@
   }
   std::size_t count = 0;
   for (std::uint32_t slice = 0; slice < team->mLimit.ActiveSlices(); ++slice) {
-    SliceView& view = View(*team, slice, aNow);
+    SliceView& view = View(*team, slice);
     count += OwnLedger(*team, view, aNow) != nullptr ? 1 : 0;
   }
   return count;
--- a/src/libmedlarkeel/teamlimiter.h
+++ b/src/libmedlarkeel/teamlimiter.h
@@ -141,7 +141,7 @@
     std::optional<SliceLedger> mLedger;
     std::uint64_t mGeneration = 0;
     /** Until when the owner is not asked. */
-    Timestamp mRetryAt;
+    Timestamp mRetryAt = Timestamp::min();
     /** Whether it is not asked because it gave no proper answer. */
     bool mSilent = false;
     std::uint64_t mClaimId = 0;
@@ -183,8 +183,8 @@
 
   static RangeKey KeyOf(const TeamState& aTeam, std::uint32_t aSlice);
   TeamState* Find(const TeamName& aTeam);
-  ActiveTeam& Activate(TeamState& aTeam, Timestamp aNow);
-  SliceView& View(TeamState& aTeam, std::uint32_t aSlice, Timestamp aNow);
+  ActiveTeam& Activate(TeamState& aTeam);
+  SliceView& View(TeamState& aTeam, std::uint32_t aSlice);
   void Refresh(SliceView& aView) const;
   SliceLedger* OwnLedger(TeamState& aTeam, SliceView& aView, Timestamp aNow);
   SliceLedger NewLedger(const TeamState& aTeam,
--- a/src/libmedlarkeel/teamlimiterasks.cpp
+++ b/src/libmedlarkeel/teamlimiterasks.cpp
@@ -47,7 +47,7 @@
   const auto first = static_cast<std::uint32_t>(mRandom() % active);
   for (std::uint32_t step = 0; step < active; ++step) {
     const std::uint32_t slice = (first + step) % active;
-    View(aTeam, slice, aNow);
+    View(aTeam, slice);
     if (MayAsk(*aTeam.mActive, slice, aNow) && !account.HasAskAt(slice)) {
       return slice;
     }
@@ -73,7 +73,7 @@
     }
     return;
   }
-  const InstanceId owner = *View(aTeam, *slice, aNow).mOwner;
+  const InstanceId owner = *View(aTeam, *slice).mOwner;
   LimitMessage ask = NewMessage(owner, LimitMessageKind::Ask, aTeam, *slice);
   ask.mTransferId = mRandom();
   ask.mTokens = wanted + extra;
@@ -88,7 +88,7 @@
                        Timestamp aNow,
                        Messages& aOut)
 {
-  SliceView& view = View(aTeam, aSlice, aNow);
+  SliceView& view = View(aTeam, aSlice);
   const bool recent = view.mClaimSentAt != Timestamp::min() &&
                       aNow - view.mClaimSentAt < mSettings.mSilentBackoff;
   if (view.mOwner != mSelf || recent || OwnLedger(aTeam, view, aNow)) {
@@ -114,7 +114,7 @@
   TeamAccount& account = aTeam.mActive->mAccount;
   const Timestamp limit = aNow - mSettings.mAskTimeout;
   for (const PendingAsk& ask : account.CloseAsksBefore(limit)) {
-    const SliceView& view = View(aTeam, ask.mSlice, aNow);
+    const SliceView& view = View(aTeam, ask.mSlice);
     if (view.mOwner) {
       Backoff(
         *aTeam.mActive, *view.mOwner, aNow + mSettings.mSilentBackoff, true);
--- a/src/libmedlarkeel/teamlimitermessages.cpp
+++ b/src/libmedlarkeel/teamlimitermessages.cpp
@@ -34,10 +34,12 @@
   Messages out;
   const Handler handler = HandlerOf(aMessage.mKind);
   TeamState* team = Find(aMessage.mTeam);
-  const bool valid = handler != nullptr && team != nullptr &&
-                     aMessage.mTo == mSelf &&
+  const bool sound = aMessage.mTokens >= 0 && aMessage.mShare >= 0 &&
+                     aMessage.mLease <= mSettings.mLease &&
                      aMessage.mSlice < mSettings.mSlices;
-  if (valid) {
+  const bool expected =
+    handler != nullptr && team != nullptr && aMessage.mTo == mSelf;
+  if (sound && expected) {
     (this->*handler)(aMessage, *team, aNow, out);
   }
   return out;
@@ -90,7 +92,7 @@
                      Timestamp aNow,
                      Messages& aOut)
 {
-  TeamAccount& account = Activate(aTeam, aNow).mAccount;
+  TeamAccount& account = Activate(aTeam).mAccount;
   const std::optional<PendingAsk> ask = account.CloseAsk(aMessage.mTransferId);
   if (!ask) {
     return;
@@ -133,7 +135,7 @@
                      Timestamp aNow,
                      Messages& aOut)
 {
-  SliceView& view = View(aTeam, aMessage.mSlice, aNow);
+  SliceView& view = View(aTeam, aMessage.mSlice);
   SliceLedger* ledger = OwnLedger(aTeam, view, aNow);
   const bool allowed =
     mOwnership.MayHandOver(view.mKey, aMessage.mFrom, aMessage.mListRevision);
@@ -158,7 +160,7 @@
                         Timestamp aNow,
                         Messages&)
 {
-  SliceView& view = View(aTeam, aMessage.mSlice, aNow);
+  SliceView& view = View(aTeam, aMessage.mSlice);
   const bool expected = view.mClaimId != 0 &&
                         view.mClaimId == aMessage.mTransferId &&
                         aNow - view.mClaimSentAt < mSettings.mSilentBackoff;
