--- a/tests/core/test_teamlimiter.cpp
+++ b/tests/core/test_teamlimiter.cpp
@@ -236,7 +236,7 @@
 WorstOfSeeds(const TeamLimiterSettings& aSettings)
 {
   double worst = 0.0;
-  for (std::uint64_t seed = 1; seed <= 20 && worst <= kExact; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 100 && worst <= kExact; ++seed) {
     worst = std::max(worst, WorstOverAdmission(aSettings, seed));
   }
   return worst;
