--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <atomic>
 #include <cstdio>
 
 namespace medlarkeel {
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr const char* kRegion = "gt-occidente";
+constexpr std::chrono::seconds kLongestWait{ 30 };
 constexpr std::size_t kLogTail = 3000; // bytes
 
 nlohmann::json
@@ -216,6 +219,19 @@
   BOOST_REQUIRE(ready);
 }
 
+void
+Fleet::RequireConfirmations() const
+{
+  const bool accepted = WaitUntil(kLongestWait, [this] {
+    const auto reply = SendHttp(Confirm("warm-up", NewIdempotencyKey()));
+    return reply.has_value() && reply.value().mStatus == 200;
+  });
+  if (!accepted) {
+    PrintLogs();
+  }
+  BOOST_REQUIRE(accepted);
+}
+
 void
 Fleet::Unlist(const std::string& aId) const
 {
@@ -262,6 +278,24 @@
   }
 }
 
+std::string
+NewIdempotencyKey()
+{
+  static std::atomic<unsigned> sCounter{ 0 };
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  const auto time = static_cast<unsigned long long>(milliseconds);
+  std::array<char, 48> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%08llx-%04llx-7000-8000-%012x",
+                time >> 16U,
+                time & 0xffffU,
+                ++sCounter);
+  return text.data();
+}
+
 std::future<StreamedAnswer>
 BeginStream(const HttpCall& aCall)
 {
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -65,6 +65,10 @@
   /** Waits until all processes are ready; fails the test otherwise. */
   void RequireReady();
 
+  /** Waits until operations that run at most once are accepted: a newcomer
+   * must first be sure that no other process ran them. */
+  void RequireConfirmations() const;
+
   /** Takes an instance out of the platform's list. */
   void Unlist(const std::string& aId) const;
   void SetState(const std::string& aId, const std::string& aState) const;
@@ -105,6 +109,10 @@
   std::map<std::string, ChildProcess*> mProcesses;
 };
 
+/** @return A new UUID of version 7, the kind of key whose age can be told. */
+std::string
+NewIdempotencyKey();
+
 /** Makes a streamed call on a thread of its own. */
 std::future<StreamedAnswer>
 BeginStream(const HttpCall& aCall);
--- a/tests/processes/test_operations.cpp
+++ b/tests/processes/test_operations.cpp
@@ -164,6 +164,7 @@
 {
   Fleet fleet;
   fleet.SetConcurrency("proclamation", 8, 2);
+  fleet.Document()["pools"][0]["coldStartMs"] = 60000;
   fleet.Publish();
   BackendPair& engine = fleet.AddEngine(
     { "--cold_seconds=60", "--cold_slots=2", "--token_gap_ms=5" });
