--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -136,13 +136,19 @@
   return data.size();
 }
 
+void
+InitialiseLibrary()
+{
+  static std::once_flag sInitialised;
+  std::call_once(sInitialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+/** @return The handle that keeps the connections of the thread's calls. */
 CURLM*
 ThreadMulti()
 {
-  static std::once_flag initialised;
-  std::call_once(initialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
-  thread_local const MultiHandle multi(curl_multi_init());
-  return multi.get();
+  thread_local const MultiHandle sMulti(curl_multi_init());
+  return sMulti.get();
 }
 
 HeaderList
@@ -300,7 +306,10 @@
            const HeadReader& aOnHead,
            const DataReader& aOnData)
 {
-  CURLM* multi = ThreadMulti();
+  InitialiseLibrary();
+  // A handle of its own lets the callbacks make calls as well.
+  const MultiHandle own(aCall.mReuseConnection ? nullptr : curl_multi_init());
+  CURLM* multi = aCall.mReuseConnection ? ThreadMulti() : own.get();
   const EasyHandle easy(curl_easy_init());
   if (multi == nullptr || easy == nullptr) {
     return NetError{ NetErrorKind::ConnectFailed, "libcurl can't start" };
--- a/src/libmedlarkeelnet/httpclient.h
+++ b/src/libmedlarkeelnet/httpclient.h
@@ -28,7 +28,7 @@
   /** Allows a connection of an earlier call of this thread. Only for calls that
    * may run twice: libcurl sends a request again when a reused connection
    * closes before the reply's first byte. Errors of such a call never claim
-   * that nothing was sent. */
+   * that nothing was sent. Its callbacks must not make such calls. */
   bool mReuseConnection = false;
   /** Asked every 50 ms while nothing arrives; true ends the call. */
   std::function<bool()> mShouldStop;
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -329,6 +329,37 @@
   BOOST_TEST(Eventually([&] { return noticed == 2; }));
 }
 
+BOOST_AUTO_TEST_CASE(CallbacksMayMakeCalls)
+{
+  const auto server = StartServer([](const HttpRequest& aRequest) {
+    std::this_thread::sleep_for(
+      std::chrono::milliseconds(aRequest.mPath == "/slow" ? 300 : 0));
+    HttpResponse response;
+    response.mBody = aRequest.mPath;
+    return response;
+  });
+  HttpCall call = CallTo(server->Port(), "/slow");
+  const HttpCall nested = CallTo(server->Port(), "/nested");
+  int whole = 0;
+  call.mShouldStop = [&] {
+    whole += SendHttp(nested).has_value() ? 1 : 0;
+    return whole == 0;
+  };
+  std::string body;
+  const auto outcome = StreamHttp(
+    call,
+    [&](int, const HttpHeaders&) {
+      whole += SendHttp(nested).has_value() ? 1000 : 0;
+    },
+    [&body](std::string_view aData) {
+      body.append(aData);
+      return true;
+    });
+  BOOST_TEST(outcome.has_value());
+  BOOST_TEST(body == "/slow");
+  BOOST_TEST(whole > 1000);
+}
+
 BOOST_AUTO_TEST_CASE(NeverSendsRequestTwiceUnlessReuseIsAllowed)
 {
   ForgetfulServer server;
