--- a/tests/core/test_teamlimiter.cpp
+++ b/tests/core/test_teamlimiter.cpp
@@ -372,6 +372,80 @@
   BOOST_TEST(last.OwnedSlices(kTeam.mTeam, now) == slices);
 }
 
+BOOST_AUTO_TEST_CASE(RegionsApartKeepTheirPartAndNoMore)
+{
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams({ kTeam });
+  for (const char* region : { "east", "west" }) {
+    fleet.Start(std::string(region) + "-1", region);
+    fleet.Start(std::string(region) + "-2", region);
+  }
+  fleet.Run(kSettled);
+  fleet.ForgetOutcomes();
+  fleet.At(2).mGroup = 1;
+  fleet.At(3).mGroup = 1;
+  fleet.Offer(kTeam, kTeam.mRate * 2, { 0, 1 });
+  fleet.Run(Seconds(100));
+  const TeamOutcome& east = fleet.Outcome(kTeam.mTeam);
+  const double half = kTeam.mRate * 100.0 / 2;
+  BOOST_TEST(static_cast<double>(east.mAdmitted.size()) >= half * 0.95);
+  fleet.Offer(kTeam, kTeam.mRate * 2, { 2, 3 });
+  fleet.Run(Seconds(100));
+  BOOST_TEST(OverAdmission(east.mAdmitted, kTeam.mRate, kTeam.mBurst) <=
+             kExact);
+}
+
+BOOST_AUTO_TEST_CASE(ListDownStopsAdmissionOnlyAfterTheEvidenceLife)
+{
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams({ kTeam });
+  fleet.Start("a");
+  fleet.Start("b");
+  fleet.Run(kSettled);
+  const auto arrive = [&] {
+    fleet.ForgetOutcomes();
+    fleet.Arrive(kTeam, 0);
+    fleet.Run(Seconds(1));
+    return fleet.Outcome(kTeam.mTeam).mAdmitted.size();
+  };
+  for (const std::size_t entry : { 0, 1 }) {
+    fleet.At(entry).mSeesList = false;
+  }
+  fleet.Run(ShortSettings().mOwnership.mEvidenceLife - Seconds(3));
+  BOOST_TEST(arrive() == 1U);
+  fleet.Run(ShortSettings().mOwnership.mEvidenceLife);
+  BOOST_TEST(arrive() == 0U);
+  for (const std::size_t entry : { 0, 1 }) {
+    fleet.At(entry).mSeesList = true;
+  }
+  fleet.Run(Seconds(3));
+  BOOST_TEST(arrive() == 1U);
+}
+
+/** One entry that alone can't read the list goes on by its peers' readings. */
+BOOST_AUTO_TEST_CASE(ReadingsOfPeersCountAsEvidence)
+{
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams({ kTeam });
+  for (const char* id : { "a", "b", "c" }) {
+    fleet.Start(id);
+  }
+  fleet.Run(kSettled);
+  std::size_t owner = 0;
+  const auto owned = [&](std::size_t aEntry) {
+    const Timestamp now = fleet.Now() + fleet.At(aEntry).mClockOffset;
+    return fleet.At(aEntry).mLimiter->OwnedSlices(kTeam.mTeam, now);
+  };
+  while (owned(owner) == 0 || owned(owner) == 4) {
+    ++owner;
+  }
+  const std::size_t before = owned(owner);
+  fleet.At(owner).mSeesList = false;
+  fleet.Offer(kTeam, kTeam.mRate * 2, { owner });
+  fleet.Run(Seconds(30));
+  BOOST_TEST(owned(owner) == before);
+}
+
 /** Two limiters whose messages the test carries by hand. */
 struct HandCarriedPair
 {
