--- a/tests/processes/test_atmostonce.cpp
+++ b/tests/processes/test_atmostonce.cpp
@@ -91,6 +91,7 @@
   BOOST_TEST(second.value().mStatus == 200);
   BOOST_TEST(first.value().mBody == second.value().mBody);
   BOOST_TEST(Runs(service, "plaza") == 1);
+  CheckTruth(Send(call), Runs(service, "plaza"));
   const auto other = Send(fleet.Confirm("other", key));
   BOOST_TEST(other.mStatus >= 400);
   BOOST_TEST(Runs(service, "other") == 0);
@@ -152,7 +153,8 @@
     told = Send(call);
     return told.mStatus == 200;
   });
-  BOOST_TEST(told.mStatus == 200);
+  BOOST_TEST(told.mStatus == 200, told.mBody);
+  CheckTruth(told, Runs(service, "plaza"));
   BOOST_TEST(Runs(service, "plaza") == 1);
 }
 
@@ -216,7 +218,8 @@
     told = Send(call);
     return told.mStatus == 200;
   });
-  BOOST_TEST(told.mStatus == 200);
+  BOOST_TEST(told.mStatus == 200, told.mBody);
+  CheckTruth(told, Runs(service, "plaza"));
   BOOST_TEST(Runs(service, "plaza") == 1);
 }
 
