Answer repeats from the record through the entry; serve decisions to explain

Cause: an agent that answers from its record sends a head without a grant; the entry's tracker took it for a frame of an attempt never committed and refused with 503. The tracker now knows a replay. Ruled out: a grant and commit for a replay (it would take a slot and could run).

--- a/src/libmedlarkeel/attempttracker.cpp
+++ b/src/libmedlarkeel/attempttracker.cpp
@@ -284,6 +284,21 @@
              true);
 }
 
+AttemptActions
+AttemptTracker::OnReplay(std::uint64_t aAttempt, int aStatus)
+{
+  Attempt* attempt = Find(aAttempt);
+  if (attempt == nullptr || attempt->mPhase != Phase::Reserving || IsOver() ||
+      mCurrent) {
+    return {};
+  }
+  attempt->mPhase = Phase::Committed;
+  attempt->mFate = CommitFate::Run;
+  mCurrent = aAttempt;
+  mState = RequestState::Committed;
+  return OnHead(aAttempt, aStatus);
+}
+
 ChunkVerdict
 AttemptTracker::AcceptChunk(const RequestId& aRequest,
                             std::uint64_t aAttempt,
--- a/src/libmedlarkeel/attempttracker.h
+++ b/src/libmedlarkeel/attempttracker.h
@@ -198,6 +198,12 @@
   /** An agent began its answer with an HTTP status. */
   AttemptActions OnHead(std::uint64_t aAttempt, int aStatus);
 
+  /**
+   * An agent answers from the record of an earlier run, so there is no grant
+   * and no commit.
+   */
+  AttemptActions OnReplay(std::uint64_t aAttempt, int aStatus);
+
   /**
    * Judges one frame of an answer and counts it when it is to be delivered.
    * After Gap, call OnAgentLost().
--- a/src/medlarkeeld/agentcore.cpp
+++ b/src/medlarkeeld/agentcore.cpp
@@ -128,7 +128,7 @@
 
 AgentCore::AgentCore(const Settings& aSettings,
                      Incarnation aIncarnation,
-                     EventLog& aLog)
+                     DecisionLog& aLog)
   : mSelf(aSettings.mInstanceId)
   , mZone(aSettings.mZone)
   , mPool(aSettings.mBackendServer->mPool)
--- a/src/medlarkeeld/agentcore.h
+++ b/src/medlarkeeld/agentcore.h
@@ -2,8 +2,8 @@
 
 #include "backendscheduler.h"
 #include "claimtable.h"
+#include "decisionlog.h"
 #include "environmentdocument.h"
-#include "eventlog.h"
 #include "instancelist.h"
 #include "loadreport.h"
 #include "pausedetector.h"
@@ -77,7 +77,7 @@
   /** @param aLog Gets a line for each decision; outlives the core. */
   AgentCore(const Settings& aSettings,
             Incarnation aIncarnation,
-            EventLog& aLog);
+            DecisionLog& aLog);
 
   Incarnation OwnIncarnation() const { return mIncarnation; }
 
@@ -206,7 +206,7 @@
   BackendScheduler mScheduler;
   PauseDetector mPauses;
   AgentConditions mConditions;
-  EventLog& mLog;
+  DecisionLog& mLog;
   std::map<ReservationId, Waiting> mWaiting;
   RangeOwnership mOwnership;
   ClaimTable mClaims;
--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -24,7 +24,7 @@
 
 AgentNode::AgentNode(const Settings& aSettings)
   : Node(aSettings)
-  , mCore(aSettings, mIncarnation, mLog)
+  , mCore(aSettings, mIncarnation, mDecisions)
   , mService(AgentEnvironment{ mCore,
                                mRuns,
                                mCounters,
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -137,7 +137,7 @@
 
 EntryCore::EntryCore(const Settings& aSettings,
                      std::uint64_t aSeed,
-                     EventLog& aLog,
+                     DecisionLog& aLog,
                      NodeCounters& aCounters)
   : mSettings(aSettings)
   , mLog(aLog)
--- a/src/medlarkeeld/entrycore.h
+++ b/src/medlarkeeld/entrycore.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "admittedrequest.h"
+#include "decisionlog.h"
 #include "documentview.h"
-#include "eventlog.h"
 #include "fleetview.h"
 #include "instancelist.h"
 #include "nodecounters.h"
@@ -55,7 +55,7 @@
    */
   EntryCore(const Settings& aSettings,
             std::uint64_t aSeed,
-            EventLog& aLog,
+            DecisionLog& aLog,
             NodeCounters& aCounters);
 
   void ApplyDocument(DocumentViewPtr aView);
@@ -114,7 +114,7 @@
   InstanceId OwnerOf(const AdmittedRequest& aRequest) const;
 
   const Settings mSettings;
-  EventLog& mLog;
+  DecisionLog& mLog;
   NodeCounters& mCounters;
   std::mutex mMutex;
   DocumentViewPtr mView;
--- a/src/medlarkeeld/entrynode.cpp
+++ b/src/medlarkeeld/entrynode.cpp
@@ -34,7 +34,7 @@
 
 EntryNode::EntryNode(const Settings& aSettings)
   : Node(aSettings)
-  , mCore(aSettings, mIncarnation.mValue, mLog, mCounters)
+  , mCore(aSettings, mIncarnation.mValue, mDecisions, mCounters)
   , mGate(aSettings.mInstanceId,
           LimiterSettingsFrom(aSettings),
           mIncarnation.mValue,
@@ -119,13 +119,13 @@
   } else {
     mCounters.RecordEarlyRefusal(refusal);
   }
-  mLog.Write(Event::RequestRefused,
-             { { "request", aId.Text() },
-               { "team", aRejected.mTeam.Text() },
-               { "class", aRejected.mClass.Text() },
-               { "reason", ReasonCode(refusal.mReason) },
-               { "executed", ExecutedText(refusal.mExecuted) },
-               { "detail", refusal.mDetail } });
+  mDecisions.Write(Event::RequestRefused,
+                   { { "request", aId.Text() },
+                     { "team", aRejected.mTeam.Text() },
+                     { "class", aRejected.mClass.Text() },
+                     { "reason", ReasonCode(refusal.mReason) },
+                     { "executed", ExecutedText(refusal.mExecuted) },
+                     { "detail", refusal.mDetail } });
 }
 
 void
--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -52,6 +52,7 @@
   : mSettings(aSettings)
   , mIncarnation(NewIncarnation())
   , mLog(aSettings.mInstanceId.Text())
+  , mDecisions(mLog)
   , mStarted(BootNow())
   , mPauses(kPauseLimit)
 {
@@ -150,6 +151,9 @@
   NodePages pages;
   pages.mReasonNotReady = [this] { return ReasonNotReady(); };
   pages.mMetrics = [this] { return mCounters.Prometheus().Render(); };
+  pages.mDecisions = [this](const std::string& aRequest) {
+    return DecisionsText(mDecisions.Find(aRequest));
+  };
   pages.mStatus = [this] { return NodeStatusText(Status()); };
   if (auto page = OperatorPage(aRequest, pages)) {
     return std::move(*page);
--- a/src/medlarkeeld/node.h
+++ b/src/medlarkeeld/node.h
@@ -3,6 +3,7 @@
 #include "agentchannels.h"
 #include "configurationholder.h"
 #include "controlplane.h"
+#include "decisionlog.h"
 #include "eventlog.h"
 #include "httpmessage.h"
 #include "httpserver.h"
@@ -54,6 +55,7 @@
   const Settings mSettings;
   const Incarnation mIncarnation;
   EventLog mLog;
+  DecisionLog mDecisions;
   NodeCounters mCounters;
   AgentChannels mChannels;
   ConfigurationHolder mConfiguration;
--- a/src/medlarkeeld/nodecounters.cpp
+++ b/src/medlarkeeld/nodecounters.cpp
@@ -86,14 +86,14 @@
   mMetrics.SetDocumentVersion(aDocument.mVersion);
   const std::lock_guard<std::mutex> lock(mMutex);
   mServiceClasses = aDocument.mClasses;
-  RecordZoneChanges(aDocument.mZones);
+  RecordZoneChanges(aDocument);
   mZones = aDocument.mZones;
 }
 
 void
-NodeCounters::RecordZoneChanges(const std::vector<ZoneEntry>& aZones)
+NodeCounters::RecordZoneChanges(const EnvironmentDocument& aDocument)
 {
-  for (const ZoneEntry& zone : aZones) {
+  for (const ZoneEntry& zone : aDocument.mZones) {
     const auto before =
       std::find_if(mZones.begin(), mZones.end(), [&](const ZoneEntry& aOld) {
         return aOld.mName == zone.mName;
@@ -101,7 +101,8 @@
     if (before != mZones.end() && before->mState != zone.mState) {
       mZoneChanges.push_back({ zone.mName,
                                zone.mState,
-                               static_cast<std::uint64_t>(WallNow().count()) });
+                               static_cast<std::uint64_t>(WallNow().count()),
+                               aDocument.mVersion });
     }
   }
   if (mZoneChanges.size() > kMostZoneChanges) {
--- a/src/medlarkeeld/nodecounters.h
+++ b/src/medlarkeeld/nodecounters.h
@@ -57,7 +57,7 @@
   Metrics& Prometheus() { return mMetrics; }
 
 private:
-  void RecordZoneChanges(const std::vector<ZoneEntry>& aZones);
+  void RecordZoneChanges(const EnvironmentDocument& aDocument);
 
   std::mutex mMutex;
   Metrics mMetrics;
--- a/src/medlarkeeld/operatorpages.cpp
+++ b/src/medlarkeeld/operatorpages.cpp
@@ -42,6 +42,11 @@
   if (aRequest.mPath == "/status") {
     return Page("application/json", aPages.mStatus());
   }
+  const std::string decisions = "/decisions/";
+  if (aRequest.mPath.rfind(decisions, 0) == 0) {
+    return Page("application/json",
+                aPages.mDecisions(aRequest.mPath.substr(decisions.size())));
+  }
   return std::nullopt;
 }
 
--- a/src/medlarkeeld/operatorpages.h
+++ b/src/medlarkeeld/operatorpages.h
@@ -14,6 +14,8 @@
   std::function<std::optional<std::string>()> mReasonNotReady;
   /** Text in Prometheus' exposition format. */
   std::function<std::string()> mMetrics;
+  /** Decisions on one request as JSON. */
+  std::function<std::string(const std::string&)> mDecisions;
   /** The node's status as JSON. */
   std::function<std::string()> mStatus;
 };
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -315,7 +315,10 @@
 {
   mStatus = static_cast<int>(aHead.status());
   mContentType = aHead.content_type();
-  Track([&] { return mTracker.OnHead(mAttempt, mStatus); });
+  Track([&] {
+    return aHead.replayed() ? mTracker.OnReplay(mAttempt, mStatus)
+                            : mTracker.OnHead(mAttempt, mStatus);
+  });
 }
 
 std::optional<RelayStep>
--- a/tests/core/test_attempttracker.cpp
+++ b/tests/core/test_attempttracker.cpp
@@ -236,6 +236,24 @@
   BOOST_TEST((abort->mRefusal.mExecuted == Executed::Unknown));
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerFromTheRecordNeedsNoGrant)
+{
+  Subject subject(false);
+  subject.mTracker.BeginAttempt(InstanceId("a"));
+  const auto head = subject.mTracker.OnReplay(1, 200);
+  BOOST_TEST(FindAction<RelayHead>(head) != nullptr);
+  BOOST_TEST((subject.mTracker.ExecutedSoFar() == Executed::Yes));
+  const auto done = subject.mTracker.OnDone(1, 0, kStart);
+  BOOST_TEST(FindAction<FinishAnswer>(done) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(AGrantedAttemptCannotTurnIntoAReplay)
+{
+  Subject subject(false);
+  subject.CommitFirst();
+  BOOST_TEST(subject.mTracker.OnReplay(1, 200).empty());
+}
+
 BOOST_AUTO_TEST_CASE(TheDeadlineSaysNotRunOnlyBeforeCommit)
 {
   Subject waiting(false);
