--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -91,6 +91,7 @@
   }
   mWatcher = std::make_unique<PlatformWatcher>(
     mSettings,
+    mIncarnation.mValue,
     mConfiguration,
     [this](const InstanceList& aList, Timestamp aSentAt, Timestamp aReceived) {
       mControl->ApplyList(aList);
--- a/src/medlarkeeld/platformwatcher.cpp
+++ b/src/medlarkeeld/platformwatcher.cpp
@@ -8,18 +8,28 @@
 
 namespace {
 
-constexpr Milliseconds kWatchTime{ 5000 };
 constexpr Milliseconds kSleepStep{ 50 };
 
+ReaderOptions
+OptionsFrom(const Settings& aSettings)
+{
+  ReaderOptions options;
+  options.mPoll = aSettings.mControl.mConfigurationPoll;
+  options.mSilenceBound = aSettings.mControl.mConfirmationBound;
+  return options;
+}
+
 } // namespace
 
 PlatformWatcher::PlatformWatcher(const Settings& aSettings,
+                                 std::uint64_t aSeed,
                                  ConfigurationHolder& aConfiguration,
                                  ListHandler aOnList)
   : mSettings(aSettings)
   , mClient("http://" + EndpointText(aSettings.mPlatform))
   , mConfiguration(aConfiguration)
   , mOnList(std::move(aOnList))
+  , mSchedule(aSettings.mInstanceId, OptionsFrom(aSettings), aSeed)
   , mConfigurationThread([this] { WatchConfiguration(); })
   , mListThread([this] { PollList(); })
 {
@@ -35,37 +45,40 @@
 void
 PlatformWatcher::WatchConfiguration()
 {
-  std::uint64_t revision = 0;
   while (!mStopping) {
-    if (!ReadConfigurationOnce(revision)) {
-      SleepFor(mSettings.mControl.mConfigurationPoll);
+    if (IsReadDue()) {
+      ReadConfiguration();
     }
+    std::this_thread::sleep_for(kSleepStep);
   }
 }
 
 bool
-PlatformWatcher::ReadConfigurationOnce(std::uint64_t& aRevision)
+PlatformWatcher::IsReadDue()
+{
+  const auto age = mConfiguration.ConfirmationAge();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mSchedule.ShouldRead(BootNow(), age);
+}
+
+void
+PlatformWatcher::ReadConfiguration()
 {
   const Timestamp asked = BootNow();
   const auto shouldStop = [this] { return mStopping.load(); };
+  const DocumentStamp known = mConfiguration.Stamp();
   const auto reading =
-    mClient.ReadConfiguration(aRevision, kWatchTime, shouldStop);
+    mClient.ReadConfiguration(known.mRevision, Milliseconds(0), shouldStop);
   if (!reading) {
-    return false;
+    return;
   }
   const DocumentSource service{ DocumentSourceKind::Service, Microseconds(0) };
-  if (!reading.value()) {
-    const DocumentStamp stamp = mConfiguration.Stamp();
-    if (aRevision > 0 && stamp.mRevision == aRevision) {
-      mConfiguration.OfferStamp(stamp, service, asked);
-    }
-    return aRevision > 0;
+  if (reading.value()) {
+    const ConfigurationReading& document = *reading.value();
+    mConfiguration.Offer(document.mText, document.mRevision, service, asked);
+  } else if (known.mRevision > 0) {
+    mConfiguration.OfferStamp(known, service, asked);
   }
-  const ConfigurationReading& document = *reading.value();
-  mConfiguration.Offer(document.mText, document.mRevision, service, asked);
-  const bool isNew = document.mRevision > aRevision;
-  aRevision = document.mRevision;
-  return isNew;
 }
 
 void
@@ -75,6 +88,10 @@
     const Timestamp sentAt = BootNow();
     const auto list = mClient.ReadInstances();
     if (list) {
+      {
+        const std::lock_guard<std::mutex> lock(mMutex);
+        mSchedule.Update(list.value());
+      }
       mOnList(list.value(), sentAt, BootNow());
     }
     SleepFor(mSettings.mControl.mListPoll);
--- a/src/medlarkeeld/platformwatcher.h
+++ b/src/medlarkeeld/platformwatcher.h
@@ -3,10 +3,12 @@
 #include "configurationholder.h"
 #include "instancelist.h"
 #include "platformclient.h"
+#include "readerchoice.h"
 #include "settings.h"
 
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <thread>
 
 namespace medlarkeel {
@@ -15,11 +17,16 @@
 using ListHandler =
   std::function<void(const InstanceList&, Timestamp, Timestamp)>;
 
-/** Keeps reading the platform's document and list on two threads. */
+/**
+ * Keeps reading the platform's document and list on two threads. Only a few
+ * processes read the document; the others hear of it from their peers and read
+ * it themselves when they have not heard for too long.
+ */
 class PlatformWatcher
 {
 public:
   PlatformWatcher(const Settings& aSettings,
+                  std::uint64_t aSeed,
                   ConfigurationHolder& aConfiguration,
                   ListHandler aOnList);
   ~PlatformWatcher();
@@ -29,7 +36,8 @@
 
 private:
   void WatchConfiguration();
-  bool ReadConfigurationOnce(std::uint64_t& aRevision);
+  bool IsReadDue();
+  void ReadConfiguration();
   void PollList();
   void SleepFor(Milliseconds aTime);
 
@@ -37,6 +45,8 @@
   const PlatformClient mClient;
   ConfigurationHolder& mConfiguration;
   const ListHandler mOnList;
+  std::mutex mMutex;
+  ReaderSchedule mSchedule;
   std::atomic<bool> mStopping{ false };
   std::thread mConfigurationThread;
   std::thread mListThread;
