State the outcome as unknown where a refused call may be a repeat

Cause: a repeat whose first call had run got a refusal of the entry's own with executed no: true of this call, but a caller that trusts it and takes a new key doubles the operation. Now an entry says no for a keyed call that may not be repeated only after the key's owner called it new. Ruled out: asking the owner before each refusal (costs a hop for every refused call). Also: plain services get the query, refused documents are logged with their problems.

--- a/src/libmedlarkeel/attempttracker.cpp
+++ b/src/libmedlarkeel/attempttracker.cpp
@@ -154,6 +154,7 @@
   if (attempt == nullptr || attempt->mPhase == Phase::Committed) {
     return {};
   }
+  mIsNewToOwner = true;
   const bool isWanted =
     attempt->mPhase == Phase::Reserving && mState == RequestState::Reserving;
   if (!isWanted) {
@@ -252,6 +253,7 @@
   }
   const Phase phase = attempt->mPhase;
   attempt->mPhase = Phase::Closed;
+  mIsNewToOwner = mIsNewToOwner || aRefusal.mExecuted == Executed::No;
   if (phase == Phase::Granted) {
     mGranted.reset();
   }
@@ -429,6 +431,10 @@
   if (aRefusal.mExecuted == Executed::No) {
     aRefusal.mExecuted = ExecutedSoFar();
   }
+  const bool isUndecided = mRules.mOwnerOnly && !mIsNewToOwner;
+  if (aRefusal.mExecuted == Executed::No && isUndecided) {
+    aRefusal.mExecuted = Executed::Unknown;
+  }
   if (mRelayedStatus) {
     actions.emplace_back(AbortAnswer{ std::move(aRefusal) });
   } else {
--- a/src/libmedlarkeel/attempttracker.h
+++ b/src/libmedlarkeel/attempttracker.h
@@ -133,7 +133,9 @@
  *
  * - A request that may not be repeated is committed at most once.
  * - A refusal says "not run" only if no commit was sent, or if each agent that
- *   got a commit said itself that it didn't run it.
+ *   got a commit said itself that it didn't run it. For a call that only the
+ *   owner of its idempotency key decides on, the owner must also have said that
+ *   the key is new: an earlier call may have run.
  * - The bytes delivered come from one attempt, in order and without a gap, and
  *   the answer ends cleanly only if they are all.
  */
@@ -309,6 +311,8 @@
   RequestState mState = RequestState::Choosing;
   /** Attempt n is at index n - 1. */
   std::vector<Attempt> mAttempts;
+  /** Whether an agent has said that the call is new to it. */
+  bool mIsNewToOwner = false;
   std::optional<std::uint64_t> mGranted;
   std::optional<std::uint64_t> mCurrent;
   std::optional<int> mRelayedStatus;
--- a/src/medlarkeeld/configurationholder.cpp
+++ b/src/medlarkeeld/configurationholder.cpp
@@ -12,6 +12,12 @@
   mListeners.push_back(std::move(aListener));
 }
 
+void
+ConfigurationHolder::SetRejectionListener(RejectionListener aListener)
+{
+  mRejectionListener = std::move(aListener);
+}
+
 OfferOutcome
 ConfigurationHolder::Offer(std::string_view aText,
                            std::uint64_t aRevision,
@@ -26,6 +32,12 @@
       listener(mView);
     }
   }
+  const auto rejected = mStore.Rejected();
+  if (outcome == OfferOutcome::Rejected && rejected && mRejectionListener &&
+      rejected->mHash != mToldRejection) {
+    mToldRejection = rejected->mHash;
+    mRejectionListener(*rejected);
+  }
   return outcome;
 }
 
--- a/src/medlarkeeld/configurationholder.h
+++ b/src/medlarkeeld/configurationholder.h
@@ -19,6 +19,11 @@
 public:
   using Listener = std::function<void(const DocumentViewPtr&)>;
 
+  using RejectionListener = std::function<void(const RejectedDocument&)>;
+
+  /** Adds a listener of refused documents; only before the first offer. */
+  void SetRejectionListener(RejectionListener aListener);
+
   /** Adds a listener; only before the first offer. */
   void AddListener(Listener aListener);
 
@@ -50,6 +55,8 @@
   DocumentStore mStore;
   DocumentViewPtr mView;
   std::vector<Listener> mListeners;
+  RejectionListener mRejectionListener;
+  std::string mToldRejection;
 };
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/entrynode.cpp
+++ b/src/medlarkeeld/entrynode.cpp
@@ -67,6 +67,7 @@
   if (!view) {
     Refusal refusal;
     refusal.mReason = RefusalReason::ConfigurationUnknown;
+    refusal.mExecuted = ExecutedIfRefused(aRequest);
     refusal.mRetryAfter = kRetryWithoutDocument;
     return RefusalResponse(refusal, id);
   }
--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -86,6 +86,8 @@
     mCounters.ApplyDocument(aView->Document());
     mDocumentChanged = true;
   });
+  mConfiguration.SetRejectionListener(
+    [this](const RejectedDocument& aRejected) { LogRejection(aRejected); });
   if (!StartGrpc() || !StartHttp()) {
     return false;
   }
@@ -192,6 +194,17 @@
              { { "version", aView->Document().mVersion } });
 }
 
+void
+Node::LogRejection(const RejectedDocument& aRejected)
+{
+  EventFields problems = EventFields::array();
+  for (const DocumentProblem& problem : aRejected.mProblems) {
+    problems.push_back(ProblemText(problem));
+  }
+  mLog.Write(Event::DocumentRejected,
+             { { "revision", aRejected.mRevision }, { "problems", problems } });
+}
+
 void
 Node::Loop()
 {
--- a/src/medlarkeeld/node.h
+++ b/src/medlarkeeld/node.h
@@ -71,6 +71,7 @@
   int Shutdown();
   HttpResponse Serve(const HttpRequest& aRequest);
   NodeStatus Status();
+  void LogRejection(const RejectedDocument& aRejected);
   void LogDocument(const DocumentViewPtr& aView);
   void GossipWhenDue(Timestamp aNow);
 
--- a/src/medlarkeeld/requestadmission.cpp
+++ b/src/medlarkeeld/requestadmission.cpp
@@ -38,6 +38,13 @@
   return found == aRequest.mHeaders.end() ? std::string() : found->second;
 }
 
+/** @return The target with a slash in front. */
+std::string
+AsPath(std::string aTarget)
+{
+  return !aTarget.empty() && aTarget.front() == '/' ? aTarget : "/" + aTarget;
+}
+
 bool
 IsPrintable(const std::string& aText)
 {
@@ -75,6 +82,7 @@
     };
     for (const Step step : kSteps) {
       if (auto refusal = (this->*step)()) {
+        refusal->mExecuted = ExecutedIfRefused(mHttp);
         return RejectedRequest{
           std::move(*refusal), mRequest.mClass.mName, mRequest.Team(), mShortage
         };
@@ -162,17 +170,17 @@
   std::optional<Refusal> FillCall()
   {
     mRequest.mMethod = mHttp.mMethod;
-    mRequest.mBackendPath = mHttp.mPath;
+    mRequest.mBackendPath = mHttp.mTarget;
     if (mRequest.mPoolKind == PoolKind::Service) {
       const std::size_t service = std::string(kServicePrefix).size();
-      const std::size_t slash = mHttp.mPath.find('/', service);
+      const std::size_t rest = mHttp.mTarget.find_first_of("/?", service);
       mRequest.mBackendPath =
-        slash == std::string::npos ? "/" : mHttp.mPath.substr(slash);
+        AsPath(rest == std::string::npos ? "" : mHttp.mTarget.substr(rest));
     }
     mRequest.mContentType = Header(mHttp, "Content-Type");
     mRequest.mBody = mHttp.mBody;
     mRequest.mBodyHash =
-      Sha256Hex(mHttp.mMethod + " " + mHttp.mPath + "\n" + mHttp.mBody);
+      Sha256Hex(mHttp.mMethod + " " + mHttp.mTarget + "\n" + mHttp.mBody);
     mRequest.mCallerLeft = mHttp.mCallerLeft;
     return std::nullopt;
   }
@@ -211,6 +219,14 @@
   return Admission(aRequest, aId, aView, aGate).Run();
 }
 
+Executed
+ExecutedIfRefused(const HttpRequest& aRequest)
+{
+  const bool mayBeRepeat = !Header(aRequest, kIdempotencyHeader).empty() &&
+                           aRequest.mPath != kChatPath;
+  return mayBeRepeat ? Executed::Unknown : Executed::No;
+}
+
 RequestId
 NewRequestId()
 {
--- a/src/medlarkeeld/requestadmission.h
+++ b/src/medlarkeeld/requestadmission.h
@@ -43,6 +43,13 @@
              const DocumentView& aView,
              TeamGate& aGate);
 
+/**
+ * @return What a refusal that the entry makes alone may state. With an
+ *         idempotency key the call may be a repeat of one that has run.
+ */
+Executed
+ExecutedIfRefused(const HttpRequest& aRequest);
+
 /** @return A new request id. */
 RequestId
 NewRequestId();
--- a/tests/core/test_attempttracker.cpp
+++ b/tests/core/test_attempttracker.cpp
@@ -247,6 +247,37 @@
   BOOST_TEST(FindAction<FinishAnswer>(done) != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(ALostOwnerLeavesARepeatUndecided)
+{
+  RetryBudget budget{ RetryBudgetSettings() };
+  AttemptRules rules;
+  rules.mRequest = RequestId("r");
+  rules.mRepeatable = false;
+  rules.mOwnerOnly = true;
+  AttemptTracker tracker(rules, budget, budget);
+  tracker.BeginAttempt(InstanceId("a"));
+  const auto actions = tracker.OnAgentLost(1, kStart);
+  const auto* refuse = FindAction<RefuseRequest>(actions);
+  BOOST_REQUIRE(refuse != nullptr);
+  BOOST_TEST((refuse->mRefusal.mExecuted == Executed::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerThatGrantedKnowsTheCallAsNew)
+{
+  RetryBudget budget{ RetryBudgetSettings() };
+  AttemptRules rules;
+  rules.mRequest = RequestId("r");
+  rules.mRepeatable = false;
+  rules.mOwnerOnly = true;
+  AttemptTracker tracker(rules, budget, budget);
+  tracker.BeginAttempt(InstanceId("a"));
+  tracker.OnGranted(1, Grant{ 1, Incarnation{ 1 }, Seconds(1) }, kStart);
+  const auto actions = tracker.OnAgentLost(1, kStart);
+  const auto* refuse = FindAction<RefuseRequest>(actions);
+  BOOST_REQUIRE(refuse != nullptr);
+  BOOST_TEST((refuse->mRefusal.mExecuted == Executed::No));
+}
+
 BOOST_AUTO_TEST_CASE(AGrantedAttemptCannotTurnIntoAReplay)
 {
   Subject subject(false);
