--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -36,8 +36,6 @@
   CommitRefused = 503,
   ClaimDecided = 504,
 
-  PlacementOrdered = 600,
-
   ShareMoved = 700,
 
   BreakerOpened = 800,
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::size_t kProbesAtOnce = 4;
+/** Keeps probes within the bytes that control may send. */
+constexpr Milliseconds kProbeInterval{ 350 };
 constexpr Milliseconds kRetryWithoutAgent{ 1000 };
 
 FleetViewSettings
@@ -302,6 +303,17 @@
   return std::nullopt;
 }
 
+void
+EntryCore::RecordIncarnation(const InstanceId& aAgent, Incarnation aIncarnation)
+{
+  const Lock lock(mMutex);
+  const auto [known, isNew] = mIncarnations.try_emplace(aAgent, aIncarnation);
+  if (!isNew && known->second < aIncarnation) {
+    known->second = aIncarnation;
+    mChooser.ForgetServer(aAgent);
+  }
+}
+
 void
 EntryCore::RecordSent(const InstanceId& aAgent)
 {
@@ -330,14 +342,14 @@
 EntryCore::RecordFinished(const InstanceId& aAgent, Microseconds aDuration)
 {
   const Lock lock(mMutex);
-  mChooser.RecordFinished(aAgent, aDuration);
+  ChangeBreaker(aAgent, [&] { mChooser.RecordFinished(aAgent, aDuration); });
 }
 
 void
 EntryCore::RecordFailed(const InstanceId& aAgent)
 {
   const Lock lock(mMutex);
-  mChooser.RecordFailed(aAgent, BootNow());
+  ChangeBreaker(aAgent, [&] { mChooser.RecordFailed(aAgent, BootNow()); });
 }
 
 void
@@ -345,7 +357,20 @@
 {
   const Lock lock(mMutex);
   mFleet.RecordSilence(aAgent, BootNow());
-  mChooser.RecordFailed(aAgent, BootNow());
+  ChangeBreaker(aAgent, [&] { mChooser.RecordFailed(aAgent, BootNow()); });
+}
+
+void
+EntryCore::ChangeBreaker(const InstanceId& aAgent,
+                         const std::function<void()>& aChange)
+{
+  const bool wasClosed = mChooser.Breaker(aAgent) == BreakerState::Closed;
+  aChange();
+  const bool isClosed = mChooser.Breaker(aAgent) == BreakerState::Closed;
+  if (wasClosed != isClosed) {
+    mLog.Write(isClosed ? Event::BreakerClosed : Event::BreakerOpened,
+               { { "agent", aAgent.Text() } });
+  }
 }
 
 void
@@ -418,7 +443,12 @@
 EntryCore::TakeDueProbes()
 {
   const Lock lock(mMutex);
-  return mFleet.TakeDueProbes(BootNow(), kProbesAtOnce);
+  const Timestamp now = BootNow();
+  if (now < mNextProbe) {
+    return {};
+  }
+  mNextProbe = now + kProbeInterval;
+  return mFleet.TakeDueProbes(now, 1);
 }
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/entrycore.h
+++ b/src/medlarkeeld/entrycore.h
@@ -15,6 +15,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -80,6 +81,9 @@
   /** @return Why a running request must be cut, if so. */
   std::optional<RefusalReason> ReasonToCut(const AdmittedRequest& aRequest);
 
+  /** Forgets what was learnt of an agent's former life, if it restarted. */
+  void RecordIncarnation(const InstanceId& aAgent, Incarnation aIncarnation);
+
   void RecordSent(const InstanceId& aAgent);
   void RecordContact(const InstanceId& aAgent, const LoadSnapshot& aLoad);
   void RecordFirstToken(const ChoiceRequest& aNeeds,
@@ -110,6 +114,9 @@
   AgentChoice ChooseOwner(const AdmittedRequest& aRequest);
   AgentChoice ChooseReplica(const AdmittedRequest& aRequest,
                             const ChoiceRequest& aNeeds);
+  /** Runs a change to the chooser and logs what it did to a breaker. */
+  void ChangeBreaker(const InstanceId& aAgent,
+                     const std::function<void()>& aChange);
   void LogEnd(const AdmittedRequest& aRequest, const RequestEnd& aEnd);
   InstanceId OwnerOf(const AdmittedRequest& aRequest) const;
 
@@ -122,6 +129,8 @@
   ReplicaChooser mChooser;
   /** Owners of idempotency keys, by pool. */
   std::map<PoolName, RangeOwnership> mOwners;
+  std::map<InstanceId, Incarnation> mIncarnations;
+  Timestamp mNextProbe;
   std::mutex mBudgetMutex;
   RetryBudget mReservationBudget;
   RetryBudget mRestartBudget;
--- a/src/medlarkeeld/entrynode.cpp
+++ b/src/medlarkeeld/entrynode.cpp
@@ -172,6 +172,12 @@
 {
   ControlHooks hooks;
   hooks.mOnLimit = [this](const LimitMessage& aMessage) {
+    if (aMessage.mKind == LimitMessageKind::Handover) {
+      mLog.Write(Event::ShareMoved,
+                 { { "team", aMessage.mTeam.Text() },
+                   { "slice", aMessage.mSlice },
+                   { "from", aMessage.mFrom.Text() } });
+    }
     return mGate.Receive(aMessage);
   };
   hooks.mOnLoad = [this](const InstanceId& aAgent, const LoadSnapshot& aLoad) {
--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -96,6 +96,7 @@
     mIncarnation.mValue,
     mConfiguration,
     [this](const InstanceList& aList, Timestamp aSentAt, Timestamp aReceived) {
+      LogList(aList);
       mControl->ApplyList(aList);
       ApplyList(aList, aSentAt, aReceived);
     });
@@ -192,6 +193,44 @@
 {
   mLog.Write(Event::DocumentAccepted,
              { { "version", aView->Document().mVersion } });
+  LogZones(aView->Document().mZones);
+}
+
+void
+Node::LogZones(const std::vector<ZoneEntry>& aZones)
+{
+  for (const ZoneEntry& zone : aZones) {
+    const auto [known, isNew] =
+      mLoggedZones.try_emplace(zone.mName, zone.mState);
+    if (!isNew && known->second != zone.mState) {
+      known->second = zone.mState;
+      mLog.Write(Event::ZoneChanged,
+                 { { "zone", zone.mName.Text() },
+                   { "state", ZoneStateText(zone.mState) } });
+    }
+  }
+}
+
+void
+Node::LogList(const InstanceList& aList)
+{
+  if (aList.mRevision > mLoggedRevision) {
+    mLoggedRevision = aList.mRevision;
+    mLog.Write(Event::ListObserved,
+               { { "revision", aList.mRevision },
+                 { "instances", aList.mInstances.size() } });
+  }
+}
+
+void
+Node::LogStaleness()
+{
+  const auto age = mConfiguration.ConfirmationAge();
+  const bool isStale = age && *age > mSettings.mControl.mConfirmationBound;
+  if (isStale && !mLoggedStale) {
+    mLog.Write(Event::DocumentStale, { { "confirmationAgeUs", age->count() } });
+  }
+  mLoggedStale = isStale;
 }
 
 void
@@ -216,6 +255,7 @@
       mControl->AnnounceDocument();
     }
     GossipWhenDue(now);
+    LogStaleness();
     Tick();
   }
 }
--- a/src/medlarkeeld/node.h
+++ b/src/medlarkeeld/node.h
@@ -15,6 +15,7 @@
 #include <grpcpp/server.h>
 
 #include <atomic>
+#include <map>
 #include <memory>
 
 namespace medlarkeel {
@@ -71,6 +72,9 @@
   int Shutdown();
   HttpResponse Serve(const HttpRequest& aRequest);
   NodeStatus Status();
+  void LogList(const InstanceList& aList);
+  void LogStaleness();
+  void LogZones(const std::vector<ZoneEntry>& aZones);
   void LogRejection(const RejectedDocument& aRejected);
   void LogDocument(const DocumentViewPtr& aView);
   void GossipWhenDue(Timestamp aNow);
@@ -78,6 +82,9 @@
   const Timestamp mStarted;
   PauseDetector mPauses;
   Timestamp mNextGossip;
+  std::map<ZoneName, ZoneState> mLoggedZones;
+  std::uint64_t mLoggedRevision = 0;
+  bool mLoggedStale = false;
   std::atomic<bool> mDocumentChanged{ false };
   std::unique_ptr<PeerService> mPeerService;
   std::unique_ptr<grpc::Server> mGrpc;
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -294,6 +294,7 @@
   grant.mId = aGranted.grant_id();
   grant.mIncarnation = Incarnation{ aGranted.incarnation() };
   grant.mValidFor = Microseconds(aGranted.valid_us());
+  mEnvironment.mCore.RecordIncarnation(mAgent, grant.mIncarnation);
   Track([&] { return mTracker.OnGranted(mAttempt, grant, BootNow()); });
 }
 
