--- a/src/libmedlarkeel/attempttracker.cpp
+++ b/src/libmedlarkeel/attempttracker.cpp
@@ -154,6 +154,7 @@
   if (attempt == nullptr || attempt->mPhase == Phase::Committed) {
     return {};
   }
+  mIsNewToOwner = true;
   const bool isWanted =
     attempt->mPhase == Phase::Reserving && mState == RequestState::Reserving;
   if (!isWanted) {
@@ -252,6 +253,7 @@
   }
   const Phase phase = attempt->mPhase;
   attempt->mPhase = Phase::Closed;
+  mIsNewToOwner = mIsNewToOwner || aRefusal.mExecuted == Executed::No;
   if (phase == Phase::Granted) {
     mGranted.reset();
   }
@@ -284,6 +286,21 @@
              true);
 }
 
+AttemptActions
+AttemptTracker::OnReplay(std::uint64_t aAttempt, int aStatus)
+{
+  Attempt* attempt = Find(aAttempt);
+  if (attempt == nullptr || attempt->mPhase != Phase::Reserving || IsOver() ||
+      mCurrent) {
+    return {};
+  }
+  attempt->mPhase = Phase::Committed;
+  attempt->mFate = CommitFate::Run;
+  mCurrent = aAttempt;
+  mState = RequestState::Committed;
+  return OnHead(aAttempt, aStatus);
+}
+
 ChunkVerdict
 AttemptTracker::AcceptChunk(const RequestId& aRequest,
                             std::uint64_t aAttempt,
@@ -414,6 +431,10 @@
   if (aRefusal.mExecuted == Executed::No) {
     aRefusal.mExecuted = ExecutedSoFar();
   }
+  const bool isUndecided = mRules.mOwnerOnly && !mIsNewToOwner;
+  if (aRefusal.mExecuted == Executed::No && isUndecided) {
+    aRefusal.mExecuted = Executed::Unknown;
+  }
   if (mRelayedStatus) {
     actions.emplace_back(AbortAnswer{ std::move(aRefusal) });
   } else {
--- a/src/medlarkeeld/entrynode.cpp
+++ b/src/medlarkeeld/entrynode.cpp
@@ -34,7 +34,7 @@
 
 EntryNode::EntryNode(const Settings& aSettings)
   : Node(aSettings)
-  , mCore(aSettings, mIncarnation.mValue, mLog, mCounters)
+  , mCore(aSettings, mIncarnation.mValue, mDecisions, mCounters)
   , mGate(aSettings.mInstanceId,
           LimiterSettingsFrom(aSettings),
           mIncarnation.mValue,
@@ -67,6 +67,7 @@
   if (!view) {
     Refusal refusal;
     refusal.mReason = RefusalReason::ConfigurationUnknown;
+    refusal.mExecuted = ExecutedIfRefused(aRequest);
     refusal.mRetryAfter = kRetryWithoutDocument;
     return RefusalResponse(refusal, id);
   }
@@ -119,13 +120,13 @@
   } else {
     mCounters.RecordEarlyRefusal(refusal);
   }
-  mLog.Write(Event::RequestRefused,
-             { { "request", aId.Text() },
-               { "team", aRejected.mTeam.Text() },
-               { "class", aRejected.mClass.Text() },
-               { "reason", ReasonCode(refusal.mReason) },
-               { "executed", ExecutedText(refusal.mExecuted) },
-               { "detail", refusal.mDetail } });
+  mDecisions.Write(Event::RequestRefused,
+                   { { "request", aId.Text() },
+                     { "team", aRejected.mTeam.Text() },
+                     { "class", aRejected.mClass.Text() },
+                     { "reason", ReasonCode(refusal.mReason) },
+                     { "executed", ExecutedText(refusal.mExecuted) },
+                     { "detail", refusal.mDetail } });
 }
 
 void
--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -52,6 +52,7 @@
   : mSettings(aSettings)
   , mIncarnation(NewIncarnation())
   , mLog(aSettings.mInstanceId.Text())
+  , mDecisions(mLog)
   , mStarted(BootNow())
   , mPauses(kPauseLimit)
 {
@@ -85,11 +86,14 @@
     mCounters.ApplyDocument(aView->Document());
     mDocumentChanged = true;
   });
+  mConfiguration.SetRejectionListener(
+    [this](const RejectedDocument& aRejected) { LogRejection(aRejected); });
   if (!StartGrpc() || !StartHttp()) {
     return false;
   }
   mWatcher = std::make_unique<PlatformWatcher>(
     mSettings,
+    mIncarnation.mValue,
     mConfiguration,
     [this](const InstanceList& aList, Timestamp aSentAt, Timestamp aReceived) {
       mControl->ApplyList(aList);
@@ -150,6 +154,9 @@
   NodePages pages;
   pages.mReasonNotReady = [this] { return ReasonNotReady(); };
   pages.mMetrics = [this] { return mCounters.Prometheus().Render(); };
+  pages.mDecisions = [this](const std::string& aRequest) {
+    return DecisionsText(mDecisions.Find(aRequest));
+  };
   pages.mStatus = [this] { return NodeStatusText(Status()); };
   if (auto page = OperatorPage(aRequest, pages)) {
     return std::move(*page);
@@ -187,6 +194,17 @@
              { { "version", aView->Document().mVersion } });
 }
 
+void
+Node::LogRejection(const RejectedDocument& aRejected)
+{
+  EventFields problems = EventFields::array();
+  for (const DocumentProblem& problem : aRejected.mProblems) {
+    problems.push_back(ProblemText(problem));
+  }
+  mLog.Write(Event::DocumentRejected,
+             { { "revision", aRejected.mRevision }, { "problems", problems } });
+}
+
 void
 Node::Loop()
 {
