Choose most gossip peers in the own region

Ruled out: more peers (six of six regions leaves one a region). Two thirds of the peers are now in the own region. The test ReachesEachRegionWhileRegionsAreApart provokes it; the entry's line on a key's owner no longer lists every replica.

--- a/bench/capacity/fleet.cpp
+++ b/bench/capacity/fleet.cpp
@@ -83,7 +83,9 @@
     }
     for (std::size_t self = 0; self < mPeers.size(); ++self) {
       const InstanceId& id = aList.mInstances[self].mId;
-      for (const InstanceRecord& peer : ChooseGossipPeers(id, aList, kPeers)) {
+      const RegionName& region = aList.mInstances[self].mRegion;
+      for (const InstanceRecord& peer :
+           ChooseGossipPeers(id, region, aList, kPeers)) {
         mPeers[self].push_back(index.at(peer.mId));
       }
       mIsReader.push_back(IsReader(id, aList, kReadersPerRegion));
@@ -270,9 +272,9 @@
   std::vector<MeasuredRow> rows;
   for (const std::size_t processes : kFleetSizes) {
     const InstanceList list = ListOf(processes);
-    const InstanceId self = list.mInstances.back().mId;
-    const Cost choose =
-      MeasureCost([&] { ChooseGossipPeers(self, list, kPeers); });
+    const InstanceRecord& self = list.mInstances.back();
+    const Cost choose = MeasureCost(
+      [&] { ChooseGossipPeers(self.mId, self.mRegion, list, kPeers); });
     const PeerGraph graph(list);
     const PeerGraph::Spread spread = graph.SpreadChange();
     const double texts =
--- a/src/medlarkeeld/controlplane.cpp
+++ b/src/medlarkeeld/controlplane.cpp
@@ -103,7 +103,8 @@
   for (const InstanceRecord& record : aList.mInstances) {
     mAddresses[record.mId] = record.mAddress;
   }
-  mPeers = ChooseGossipPeers(mSettings.mInstanceId, aList, kPeerCount);
+  mPeers = ChooseGossipPeers(
+    mSettings.mInstanceId, mSettings.mRegion, aList, kPeerCount);
 }
 
 wire::PeerMessage
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -225,10 +225,6 @@
   const InstanceId owner = OwnerOf(aRequest);
   const auto candidates =
     mFleet.AllCandidates(aRequest.mRoute.mPool, BootNow());
-  EventFields considered = EventFields::array();
-  for (const Candidate& candidate : candidates) {
-    considered.push_back({ { "id", candidate.mId.Text() } });
-  }
   const Candidate* chosen = OwnerOrSubstitute(candidates, owner);
   if (chosen != nullptr) {
     choice.mAgent = chosen->mId;
@@ -238,7 +234,8 @@
              { { "request", aRequest.mId.Text() },
                { "team", aRequest.Team().Text() },
                { "class", aRequest.mClass.mName.Text() },
-               { "considered", std::move(considered) },
+               { "candidates", candidates.size() },
+               { "owner", owner.Text() },
                { "chosen", chosen != nullptr ? chosen->mId.Text() : "" },
                { "why", OwnerChoiceText(chosen, owner) } });
   return choice;
