Move the claims of an agent out of its core; take reads of the service as validation

ClaimDesk now owns claims, ownership and keys given up; behaviour is the same. Also: after a pause an agent is validated by its own read of the configuration service too, not by peers alone.

--- a/src/medlarkeeld/agentcore.cpp
+++ b/src/medlarkeeld/agentcore.cpp
@@ -1,10 +1,8 @@
 #include "agentcore.h"
 
 #include "bootclock.h"
-#include "claimrange.h"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <utility>
 #include <variant>
@@ -15,9 +13,6 @@
 
 /** Several tick intervals. */
 constexpr Milliseconds kPauseLimit{ 1000 };
-constexpr Milliseconds kRetryClaim{ 1000 };
-/** Shorter than any takeover, so that no heir decides on the key meanwhile. */
-constexpr Milliseconds kVouchLife{ 5000 };
 
 std::optional<RefusalReason>
 ReasonToRefuse(const AgentConditions& aConditions)
@@ -34,74 +29,6 @@
   return std::nullopt;
 }
 
-OwnershipSettings
-OwnershipFrom(const Settings& aSettings)
-{
-  OwnershipSettings ownership;
-  ownership.mEvidenceLife = aSettings.mControl.mEvidenceValid;
-  ownership.mListLag = aSettings.mControl.mListLagBound;
-  return ownership;
-}
-
-void
-PostAnswer(const StoredAnswer& aAnswer, RunMailbox& aMailbox)
-{
-  aMailbox.Post(RunHead{ aAnswer.mStatus, aAnswer.mContentType, true });
-  aMailbox.Post(RunData{ aAnswer.mBody });
-  aMailbox.Post(RunDone{});
-}
-
-/** Turns a verdict other than Run and Replay into the caller's refusal. */
-Refusal
-ClaimRefusal(const ClaimDecision& aDecision)
-{
-  Refusal refusal;
-  refusal.mExecuted = aDecision.mExecuted;
-  switch (aDecision.mVerdict) {
-    case ClaimVerdict::Mismatch:
-      refusal.mReason = RefusalReason::IdempotencyMismatch;
-      refusal.mDetail = "the idempotency key was used with another body";
-      break;
-    case ClaimVerdict::StillRunning:
-      refusal.mReason = RefusalReason::StillRunning;
-      refusal.mRetryAfter = kRetryClaim;
-      refusal.mDetail = "the first call with this key is still running";
-      break;
-    case ClaimVerdict::NotOwner:
-    case ClaimVerdict::Run:
-      refusal.mReason = RefusalReason::NoBackendServer;
-      refusal.mRetryAfter = kRetryClaim;
-      refusal.mDetail = "no backend server can vouch for the key now";
-      break;
-    default:
-      refusal.mReason = RefusalReason::OutcomeUnknown;
-      refusal.mDetail = "the key may have been run before; check before "
-                        "sending the call with a new key";
-      break;
-  }
-  return refusal;
-}
-
-const char*
-ClaimVerdictText(ClaimVerdict aVerdict)
-{
-  switch (aVerdict) {
-    case ClaimVerdict::Run:
-      return "run";
-    case ClaimVerdict::Replay:
-      return "replay";
-    case ClaimVerdict::StillRunning:
-      return "still-running";
-    case ClaimVerdict::Mismatch:
-      return "mismatch";
-    case ClaimVerdict::PossibleRepeat:
-      return "possible-repeat";
-    case ClaimVerdict::NotOwner:
-      break;
-  }
-  return "not-owner";
-}
-
 bool
 IsZoneOut(const EnvironmentDocument& aDocument, const ZoneName& aZone)
 {
@@ -136,10 +63,7 @@
   , mScheduler(aIncarnation)
   , mPauses(kPauseLimit)
   , mLog(aLog)
-  , mOwnership(aSettings.mInstanceId,
-               OwnershipFrom(aSettings),
-               OwnershipScope{ InstanceRole::Agent, mPool })
-  , mClaims(aSettings.mInstanceId, aIncarnation, BootNow())
+  , mDesk(aSettings, aIncarnation, BootNow(), aLog)
 {
   const Lock lock(mMutex);
   UpdateAccepting(BootNow());
@@ -177,66 +101,21 @@
 AgentCore::OwnerToAsk(const ClaimCall& aCall)
 {
   const Lock lock(mMutex);
-  const Timestamp now = ObserveClock();
-  const ClaimDecision decision =
-    mClaims.Look(aCall.mKey, aCall.mBody, EvidenceFor(aCall.mKey, now));
-  const auto ticket = ParseTicket(aCall.mKey.mKey);
-  const bool isForeignTicket = ticket && ticket->mInstance != mSelf;
-  const bool isUndecided =
-    decision.mVerdict == ClaimVerdict::NotOwner ||
-    (isForeignTicket && decision.mVerdict == ClaimVerdict::PossibleRepeat);
-  if (!isUndecided) {
-    return std::nullopt;
-  }
-  const std::optional<InstanceId> owner =
-    isForeignTicket ? ticket->mInstance : OtherOwner(aCall.mKey);
-  if (!owner || *owner == mSelf) {
-    return std::nullopt;
-  }
-  const auto address = mAddresses.find(*owner);
-  if (address == mAddresses.end()) {
-    return std::nullopt;
-  }
-  return VouchTarget{ *owner, address->second };
-}
-
-std::optional<InstanceId>
-AgentCore::OtherOwner(const ClaimKey& aKey) const
-{
-  const RangeKey range = ClaimRange(aKey);
-  const auto owner = mOwnership.Owner(range);
-  return owner == mSelf ? mOwnership.PreviousOwner(range) : owner;
+  return mDesk.OwnerToAsk(aCall, ObserveClock());
 }
 
 VouchDecision
 AgentCore::Vouch(const ClaimCall& aCall)
 {
   const Lock lock(mMutex);
-  const Timestamp now = ObserveClock();
-  const ClaimDecision decision =
-    mClaims.Claim(aCall.mKey, aCall.mBody, EvidenceFor(aCall.mKey, now));
-  LogClaim(aCall, decision);
-  VouchDecision vouch;
-  if (decision.mVerdict == ClaimVerdict::Run) {
-    mClaims.RecordUnknown(aCall.mKey);
-    vouch.mVouched = true;
-  } else if (decision.mVerdict == ClaimVerdict::Replay) {
-    vouch.mAnswer = decision.mAnswer;
-  } else {
-    vouch.mRefusal = ClaimRefusal(decision);
-  }
-  return vouch;
+  return mDesk.Vouch(aCall, ObserveClock());
 }
 
 void
 AgentCore::RecordVouch(const ClaimKey& aKey, Timestamp aAskedAt)
 {
   const Lock lock(mMutex);
-  for (auto vouch = mVouched.begin(); vouch != mVouched.end();) {
-    const bool isOver = aAskedAt > vouch->second + kVouchLife;
-    vouch = isOver ? mVouched.erase(vouch) : std::next(vouch);
-  }
-  mVouched[aKey] = aAskedAt;
+  mDesk.RecordVouch(aKey, aAskedAt);
 }
 
 bool
@@ -244,26 +123,7 @@
                      const std::shared_ptr<RunMailbox>& aMailbox)
 {
   const Lock lock(mMutex);
-  const Timestamp now = ObserveClock();
-  const ClaimDecision decision =
-    mClaims.Look(aCall.mKey, aCall.mBody, EvidenceFor(aCall.mKey, now));
-  if (decision.mVerdict != ClaimVerdict::Run) {
-    LogClaim(aCall, decision);
-  }
-  switch (decision.mVerdict) {
-    case ClaimVerdict::Run:
-      return true;
-    case ClaimVerdict::Replay:
-      PostAnswer(*decision.mAnswer, *aMailbox);
-      return false;
-    case ClaimVerdict::StillRunning:
-      mWaitingRepeats.emplace(aCall.mKey,
-                              std::make_pair(aCall.mBody, aMailbox));
-      return false;
-    default:
-      aMailbox->Post(RunRefused{ ClaimRefusal(decision) });
-      return false;
-  }
+  return mDesk.IsNewCall(aCall, aMailbox, ObserveClock());
 }
 
 CommitResult
@@ -284,15 +144,11 @@
     return committed;
   }
   if (aCall) {
-    const ClaimDecision decision =
-      mClaims.Claim(aCall->mKey, aCall->mBody, EvidenceFor(aCall->mKey, now));
-    LogClaim(*aCall, decision);
-    if (decision.mVerdict != ClaimVerdict::Run) {
+    if (auto refusal = mDesk.Claim(*aCall, now)) {
       mWaiting.erase(aReservation);
       CarryOut(mScheduler.Finish(aGrant, FinishKind::Cancelled, now));
-      return ClaimRefusal(decision);
+      return std::move(*refusal);
     }
-    mVouched.erase(aCall->mKey);
   }
   return committed;
 }
@@ -301,24 +157,21 @@
 AgentCore::RecordAnswer(const ClaimKey& aKey, StoredAnswer aAnswer)
 {
   const Lock lock(mMutex);
-  mClaims.RecordAnswer(aKey, std::move(aAnswer));
-  AnswerWaiting(aKey);
+  mDesk.RecordAnswer(aKey, std::move(aAnswer), BootNow());
 }
 
 void
 AgentCore::RecordUnknown(const ClaimKey& aKey)
 {
   const Lock lock(mMutex);
-  mClaims.RecordUnknown(aKey);
-  AnswerWaiting(aKey);
+  mDesk.RecordUnknown(aKey, BootNow());
 }
 
 void
 AgentCore::RecordNotRun(const ClaimKey& aKey)
 {
   const Lock lock(mMutex);
-  mClaims.RecordNotRun(aKey);
-  AnswerWaiting(aKey);
+  mDesk.RecordNotRun(aKey, BootNow());
 }
 
 std::optional<IdempotencyKey>
@@ -329,7 +182,7 @@
   if (ReasonToRefuse(mConditions)) {
     return std::nullopt;
   }
-  return mClaims.IssueTicket(now);
+  return mDesk.IssueTicket(now);
 }
 
 void
@@ -373,7 +226,7 @@
   for (const Pool& pool : aDocument.mPools) {
     if (pool.mName == mPool) {
       CarryOut(mScheduler.SetPool(pool, aDocument.mClasses, now));
-      mClaims.SetRepeatWindow(pool.mRepeatWindow);
+      mDesk.SetRepeatWindow(pool.mRepeatWindow);
     }
   }
   const auto before = std::exchange(mKeys, ValidKeys(aDocument));
@@ -393,10 +246,8 @@
 {
   const Lock lock(mMutex);
   const Timestamp now = ObserveClock();
-  mOwnership.Observe(aList, aSentAt, aReceivedAt);
-  mAddresses.clear();
+  mDesk.ApplyList(aList, aSentAt, aReceivedAt);
   for (const InstanceRecord& record : aList.mInstances) {
-    mAddresses[record.mId] = record.mAddress;
     if (record.mId == mSelf) {
       mConditions.mListedLeaving = record.mState == InstanceState::Leaving;
     }
@@ -451,55 +302,13 @@
   const Timestamp now = BootNow();
   if (const auto gap = mPauses.Observe(now)) {
     mConditions.mMustRevalidate = true;
-    mOwnership.ResumeAfterPause(now);
+    mDesk.ResumeAfterPause(now);
     CarryOut(mScheduler.ResumeAfterPause(*gap, now));
     UpdateAccepting(now);
   }
   return now;
 }
 
-ClaimEvidence
-AgentCore::EvidenceFor(const ClaimKey& aKey, Timestamp aNow) const
-{
-  const RangeKey range = ClaimRange(aKey);
-  ClaimEvidence evidence;
-  evidence.mNow = aNow;
-  evidence.mWallNow = WallTime(WallNow());
-  evidence.mIsOwner = mOwnership.Owner(range) == mSelf;
-  evidence.mExclusiveSince = mOwnership.ExclusiveSince(range, aNow);
-  const auto vouch = mVouched.find(aKey);
-  evidence.mIsVouched =
-    vouch != mVouched.end() && aNow <= vouch->second + kVouchLife;
-  return evidence;
-}
-
-void
-AgentCore::LogClaim(const ClaimCall& aCall, const ClaimDecision& aDecision)
-{
-  mLog.Write(Event::ClaimDecided,
-             { { "team", aCall.mKey.mTeam.Text() },
-               { "idempotencyKey", aCall.mKey.mKey.Text() },
-               { "verdict", ClaimVerdictText(aDecision.mVerdict) } });
-}
-
-void
-AgentCore::AnswerWaiting(const ClaimKey& aKey)
-{
-  const Timestamp now = BootNow();
-  const auto [first, last] = mWaitingRepeats.equal_range(aKey);
-  for (auto waiting = first; waiting != last; ++waiting) {
-    const auto& [body, mailbox] = waiting->second;
-    const ClaimDecision decision =
-      mClaims.Look(aKey, body, EvidenceFor(aKey, now));
-    if (decision.mVerdict == ClaimVerdict::Replay) {
-      PostAnswer(*decision.mAnswer, *mailbox);
-    } else {
-      mailbox->Post(RunRefused{ ClaimRefusal(decision) });
-    }
-  }
-  mWaitingRepeats.erase(first, last);
-}
-
 void
 AgentCore::UpdateAccepting(Timestamp aNow)
 {
--- a/src/medlarkeeld/agentcore.h
+++ b/src/medlarkeeld/agentcore.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include "backendscheduler.h"
-#include "claimtable.h"
+#include "claimdesk.h"
 #include "decisionlog.h"
 #include "environmentdocument.h"
 #include "instancelist.h"
 #include "loadreport.h"
 #include "pausedetector.h"
-#include "rangeownership.h"
 #include "refusal.h"
 #include "runmailbox.h"
 #include "settings.h"
@@ -33,31 +32,6 @@
   bool mMustRevalidate = false;
 };
 
-/** The agent that can vouch for an idempotency key. */
-struct VouchTarget
-{
-  InstanceId mOwner;
-  /** IP number and port. */
-  std::string mAddress;
-};
-
-/** What the owner of an idempotency key says to another agent. */
-struct VouchDecision
-{
-  /** Whether the key has never run and is the asker's now. */
-  bool mVouched = false;
-  /** The answer of the run that was; null when there is none. */
-  std::shared_ptr<const StoredAnswer> mAnswer;
-  Refusal mRefusal;
-};
-
-/** A call that may not be repeated, as its claim names it. */
-struct ClaimCall
-{
-  ClaimKey mKey;
-  BodyHash mBody;
-};
-
 /** Where a reservation comes from. */
 struct RequestOrigin
 {
@@ -177,8 +151,6 @@
   using Lock = std::lock_guard<std::mutex>;
 
   Timestamp ObserveClock();
-  ClaimEvidence EvidenceFor(const ClaimKey& aKey, Timestamp aNow) const;
-  void AnswerWaiting(const ClaimKey& aKey);
   void UpdateAccepting(Timestamp aNow);
   void CarryOut(const SchedulerActions& aActions);
   void Post(ReservationId aReservation, RunMessage aMessage);
@@ -191,11 +163,9 @@
     RequestId mRequest;
   };
 
-  std::optional<InstanceId> OtherOwner(const ClaimKey& aKey) const;
   std::string RequestOf(ReservationId aReservation) const;
   bool IsKeyWithdrawn(const Reservation& aReservation,
                       const RequestOrigin& aOrigin) const;
-  void LogClaim(const ClaimCall& aCall, const ClaimDecision& aDecision);
 
   const InstanceId mSelf;
   const ZoneName mZone;
@@ -208,14 +178,7 @@
   AgentConditions mConditions;
   DecisionLog& mLog;
   std::map<ReservationId, Waiting> mWaiting;
-  RangeOwnership mOwnership;
-  ClaimTable mClaims;
-  /** Repeats that wait for the first run's end. */
-  std::multimap<ClaimKey, std::pair<BodyHash, std::shared_ptr<RunMailbox>>>
-    mWaitingRepeats;
-  /** Keys that their owners gave up to this agent, and when. */
-  std::map<ClaimKey, Timestamp> mVouched;
-  std::map<InstanceId, std::string> mAddresses;
+  ClaimDesk mDesk;
   /** Callers' keys of the document in force. */
   std::set<std::pair<TeamName, KeyId>> mKeys;
   std::uint64_t mDocumentVersion = 0;
--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -99,7 +99,8 @@
       LogList(aList);
       mControl->ApplyList(aList);
       ApplyList(aList, aSentAt, aReceived);
-    });
+    },
+    Hooks().mOnConfirmed);
   return true;
 }
 
--- a/src/medlarkeeld/platformwatcher.cpp
+++ b/src/medlarkeeld/platformwatcher.cpp
@@ -24,11 +24,13 @@
 PlatformWatcher::PlatformWatcher(const Settings& aSettings,
                                  std::uint64_t aSeed,
                                  ConfigurationHolder& aConfiguration,
-                                 ListHandler aOnList)
+                                 ListHandler aOnList,
+                                 ConfirmationHandler aOnConfirmed)
   : mSettings(aSettings)
   , mClient("http://" + EndpointText(aSettings.mPlatform))
   , mConfiguration(aConfiguration)
   , mOnList(std::move(aOnList))
+  , mOnConfirmed(std::move(aOnConfirmed))
   , mSchedule(aSettings.mInstanceId, OptionsFrom(aSettings), aSeed)
   , mConfigurationThread([this] { WatchConfiguration(); })
   , mListThread([this] { PollList(); })
@@ -79,6 +81,9 @@
   } else if (known.mRevision > 0) {
     mConfiguration.OfferStamp(known, service, asked);
   }
+  if (mOnConfirmed) {
+    mOnConfirmed(asked);
+  }
 }
 
 void
--- a/src/medlarkeeld/platformwatcher.h
+++ b/src/medlarkeeld/platformwatcher.h
@@ -17,6 +17,9 @@
 using ListHandler =
   std::function<void(const InstanceList&, Timestamp, Timestamp)>;
 
+/** Told when a read was sent that the service answered. */
+using ConfirmationHandler = std::function<void(Timestamp)>;
+
 /**
  * Keeps reading the platform's document and list on two threads. Only a few
  * processes read the document; the others hear of it from their peers and read
@@ -28,7 +31,8 @@
   PlatformWatcher(const Settings& aSettings,
                   std::uint64_t aSeed,
                   ConfigurationHolder& aConfiguration,
-                  ListHandler aOnList);
+                  ListHandler aOnList,
+                  ConfirmationHandler aOnConfirmed);
   ~PlatformWatcher();
 
   PlatformWatcher(const PlatformWatcher&) = delete;
@@ -45,6 +49,7 @@
   const PlatformClient mClient;
   ConfigurationHolder& mConfiguration;
   const ListHandler mOnList;
+  const ConfirmationHandler mOnConfirmed;
   std::mutex mMutex;
   ReaderSchedule mSchedule;
   std::atomic<bool> mStopping{ false };
