--- a/bench/loaddriver/caller.cpp
+++ b/bench/loaddriver/caller.cpp
@@ -229,11 +229,11 @@
   const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
     std::chrono::system_clock::now().time_since_epoch());
   const auto time = static_cast<std::uint64_t>(now.count());
-  std::array<char, 40> text{};
+  std::array<char, 128> text{};
   std::snprintf(text.data(),
                 text.size(),
                 "%08llx-%04llx-7%03llx-8000-%012llx",
-                static_cast<unsigned long long>(time >> 16U),
+                static_cast<unsigned long long>(time >> 16U & 0xffffffffU),
                 static_cast<unsigned long long>(time & 0xffffU),
                 static_cast<unsigned long long>(aNumber >> 48U & 0xfffU),
                 static_cast<unsigned long long>(aNumber & 0xffffffffffffU));
--- a/bench/loaddriver/comparison.cpp
+++ b/bench/loaddriver/comparison.cpp
@@ -30,7 +30,8 @@
     const json left =
       aRouter.is_object() ? aRouter.value(name, json()) : json();
     const json right = aNaive.is_object() ? aNaive.value(name, json()) : json();
-    const std::string path = aPath.empty() ? name : aPath + " " + name;
+    std::string path = aPath;
+    path.append(aPath.empty() ? "" : " ").append(name);
     if (left.is_object() || right.is_object()) {
       AddLeaves(left, right, path, aText);
       continue;
--- a/bench/loaddriver/latency.cpp
+++ b/bench/loaddriver/latency.cpp
@@ -45,6 +45,7 @@
   const double before = ProcessorSeconds(aOptions.mEntryPids);
   const auto end = Clock::now() + kLoadLength;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int call = 0; Clock::now() < end; ++call) {
--- a/bench/loaddriver/workload.cpp
+++ b/bench/loaddriver/workload.cpp
@@ -46,7 +46,8 @@
     TeamLoad team;
     team.mName = entry.at("name");
     const std::string keyId = entry.at("keys").at(0).at("id");
-    team.mKey = "mk_" + keyId + "_only-for-tests-" + keyId;
+    team.mKey = "mk_";
+    team.mKey.append(keyId).append("_only-for-tests-").append(keyId);
     team.mRate = entry.at("rate");
     team.mBurst = entry.at("burst");
     const json allowed = entry.value("classes", json::array());
