--- a/bench/loaddriver/main.cpp
+++ b/bench/loaddriver/main.cpp
@@ -22,6 +22,7 @@
 DEFINE_string(services, "", "IP:PORT@ZONE of each plain service");
 DEFINE_string(platform, "", "IP:PORT of the platform; empty for none");
 DEFINE_bool(tickets, true, "half of the keys are fetched from the entry");
+DEFINE_double(warm_seconds, 0, "closed-loop load before the arrivals");
 DEFINE_string(compare, "", "prefix of two results to set side by side");
 DEFINE_uint64(seed, 1, "seed of the arrivals");
 DEFINE_double(seconds, 15, "length of the arrivals");
@@ -33,6 +34,10 @@
 using nlohmann::json;
 using Clock = std::chrono::steady_clock;
 
+constexpr std::size_t kWarmCallers = 110;
+constexpr std::uint32_t kWarmTokens = 15;
+constexpr std::chrono::seconds kRefill{ 4 }; // of the teams' buckets
+constexpr std::chrono::milliseconds kWarmRetry{ 100 };
 constexpr double kZoneOut = 4000;    // milliseconds from the start
 constexpr double kZoneStops = 7000;  // its servers answer no more
 constexpr double kZoneRuns = 10000;  // its servers answer again
@@ -66,8 +71,29 @@
     mOutcomes.resize(mWorkload.mArrivals.size());
   }
 
+  /** Fills the engines with short answers, so that cold starts end. */
+  void WarmUp() const
+  {
+    if (FLAGS_warm_seconds <= 0) {
+      return;
+    }
+    const auto length = std::chrono::duration<double>(FLAGS_warm_seconds);
+    const auto end =
+      Clock::now() + std::chrono::duration_cast<Clock::duration>(length);
+    std::vector<std::thread> callers;
+    callers.reserve(kWarmCallers);
+    for (std::size_t caller = 0; caller < kWarmCallers; ++caller) {
+      callers.emplace_back([this, caller, end] { CallUntil(end, caller); });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    std::this_thread::sleep_for(kRefill);
+  }
+
   json Measure()
   {
+    WarmUp();
     const FleetCounts before = CountFleet(mBackends);
     const double processorBefore = ProcessorSeconds(Pids());
     mStart = Clock::now();
@@ -94,6 +120,26 @@
   }
 
 private:
+  void CallUntil(Clock::time_point aEnd, std::size_t aCaller) const
+  {
+    std::size_t index = 0;
+    while (mWorkload.mClasses[index].mModel.empty()) {
+      ++index;
+    }
+    const ClassLoad& load = mWorkload.mClasses[index];
+    for (std::size_t call = aCaller; Clock::now() < aEnd; ++call) {
+      const TeamLoad& team = mWorkload.mTeams[call % mWorkload.mTeams.size()];
+      const CallTarget target{
+        mEntries[call % mEntries.size()], team.mKey, "", kWarmTokens
+      };
+      const std::string marker =
+        "warm" + std::to_string(aCaller) + "-" + std::to_string(call);
+      if (!CallOnce(load, marker, target).mWhole) {
+        std::this_thread::sleep_for(kWarmRetry);
+      }
+    }
+  }
+
   static std::vector<std::string> Pids()
   {
     return SplitText(FLAGS_entry_pids, ',');
