Move a queue that is handed back without spending the retry budget

Cause: operations/TerminatedAgentCutsNoRequest failed in a run of the process tests beside a build (load average above 60): 5 of 24 streams got 503 'leaving', not run. The agent that left had more than the usual half of them queued, and each hand-back took a retry from the reservation budget of 10 and a fifth of the first attempts; with the budget empty the refusal went to the caller. Ruled out: no other agent (the second engine was ready), the deadline, the limit of attempts. After: 200 of 200; refusals for overload still stop at the budget.

--- a/src/libmedlarkeel/attempttracker.cpp
+++ b/src/libmedlarkeel/attempttracker.cpp
@@ -33,6 +33,14 @@
   }
 }
 
+/** @return Whether the agent gives its queue away because it takes no new
+ *          work, rather than because it can't keep up. */
+bool
+IsHandBack(RefusalReason aReason)
+{
+  return aReason == RefusalReason::ZoneOut || aReason == RefusalReason::Leaving;
+}
+
 Refusal
 MakeRefusal(RefusalReason aReason, Executed aExecuted)
 {
@@ -220,7 +228,8 @@
   const bool mayTry = IsWorthAnotherAgent(aRefusal.mReason) &&
                       !mRules.mOwnerOnly && !IsPastDeadline(aNow) &&
                       mAttempts.size() < mRules.mMaxAttempts;
-  if (mayTry && mReservationBudget.TryTakeRetry()) {
+  const bool isFree = IsHandBack(aRefusal.mReason);
+  if (mayTry && (isFree || mReservationBudget.TryTakeRetry())) {
     mState = RequestState::Choosing;
     return { ChooseAgent{} };
   }
--- a/tests/core/test_attempttracker.cpp
+++ b/tests/core/test_attempttracker.cpp
@@ -285,6 +285,28 @@
   BOOST_TEST(subject.mTracker.OnReplay(1, 200).empty());
 }
 
+BOOST_AUTO_TEST_CASE(AQueueOfAnyLengthHandedBackGoesElsewhere)
+{
+  RetryBudget budget{ RetryBudgetSettings() };
+  int refused = 0;
+  int moved = 0;
+  for (int request = 0; request < 200; ++request) {
+    AttemptTracker handedBack(Subject::Rules(true), budget, budget);
+    handedBack.BeginAttempt(InstanceId("a"));
+    Refusal refusal;
+    refusal.mReason =
+      request % 2 == 0 ? RefusalReason::Leaving : RefusalReason::ZoneOut;
+    const auto actions = handedBack.OnRefused(1, refusal, kStart);
+    moved += FindAction<ChooseAgent>(actions) != nullptr ? 1 : 0;
+    AttemptTracker overloaded(Subject::Rules(true), budget, budget);
+    overloaded.BeginAttempt(InstanceId("a"));
+    const auto others = overloaded.OnRefused(1, Refusal(), kStart);
+    refused += FindAction<RefuseRequest>(others) != nullptr ? 1 : 0;
+  }
+  BOOST_TEST(moved == 200);
+  BOOST_TEST(refused > 0);
+}
+
 BOOST_AUTO_TEST_CASE(TheDeadlineSaysNotRunOnlyBeforeCommit)
 {
   Subject waiting(false);
