Wait for every agent of a service before confirmations are tested

Cause: zonechange/AKeyUsedBeforeTheChangeDoesNotRunAgainAfterIt failed in the same run. Its warm-up ended at the first accepted confirmation, which shows one owner complete; the other agent still answered 'unknown' to the first five calls of its ranges, truly, and the test compared those answers with later ones. Ruled out: a second run (the counts were 0, never 2). Now the warm-up lasts until each agent of the service has run one. No assertion changed.

--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdio>
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr const char* kRegion = "gt-occidente";
+constexpr const char* kService = "bookings";
 constexpr std::chrono::seconds kLongestWait{ 30 };
 constexpr std::size_t kLogTail = 3000; // bytes
 
@@ -169,6 +171,7 @@
                const std::string& aZone)
 {
   auto pair = std::make_unique<BackendPair>();
+  pair->mPool = aPool;
   pair->mId = aPool + "-" + std::to_string(mPairs.size() + 1);
   pair->mBackendPort = ProcessHarness::FreePort();
   pair->mAgentHttpPort = ProcessHarness::FreePort();
@@ -200,7 +203,7 @@
 Fleet::AddService(std::vector<std::string> aArguments, const std::string& aZone)
 {
   return AddPair(
-    "fakeservice", "bookings", "service", std::move(aArguments), aZone);
+    "fakeservice", kService, "service", std::move(aArguments), aZone);
 }
 
 void
@@ -223,8 +226,10 @@
 Fleet::RequireConfirmations() const
 {
   const bool accepted = WaitUntil(kLongestWait, [this] {
-    const auto reply = SendHttp(Confirm("warm-up", NewIdempotencyKey()));
-    return reply.has_value() && reply.value().mStatus == 200;
+    static_cast<void>(SendHttp(Confirm("warm-up", NewIdempotencyKey())));
+    return std::all_of(mPairs.begin(), mPairs.end(), [](const auto& aPair) {
+      return aPair->mPool != kService || Statistic(*aPair, "runs") > 0;
+    });
   });
   if (!accepted) {
     PrintLogs();
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -24,6 +24,7 @@
 struct BackendPair
 {
   std::string mId;
+  std::string mPool;
   ChildProcess* mBackend = nullptr;
   ChildProcess* mAgent = nullptr;
   std::uint16_t mBackendPort = 0;
@@ -65,8 +66,9 @@
   /** Waits until all processes are ready; fails the test otherwise. */
   void RequireReady();
 
-  /** Waits until operations that run at most once are accepted: a newcomer
-   * must first be sure that no other process ran them. */
+  /** Waits until every agent of a plain service has accepted an operation that
+   * runs at most once: a newcomer must first be sure that no other process ran
+   * it. */
   void RequireConfirmations() const;
 
   /** Takes an instance out of the platform's list. */
