Send lagging peers the document as a delta

Cause: at 3,600 teams a change of one key was passed on as 597 KB of text, some 113 to 217 KB/s a node against a budget of 2 KB/s; and every message of the team limits carried a stamp of 100 bytes. Ruled out: JSON patches, whose library diff of a removed team is as long as the text and which don't restore the text that the hash names. The receiver checks the hash of the stamp and asks for the whole text if it doesn't fit. Messages with nothing but limits have no stamp.

--- a/bench/capacity/documents.cpp
+++ b/bench/capacity/documents.cpp
@@ -4,6 +4,7 @@
 #include "documentview.h"
 #include "keyring.h"
 #include "sha256.h"
+#include "textdelta.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -182,7 +183,14 @@
         MeasureCost([&] { return Json::diff(before, after).size(); });
       const Cost apply =
         MeasureCost([&] { return before.patch(patch).size(); });
-      const Cost dump = MeasureCost([&] { return after.dump().size(); });
+      const std::string oldText = before.dump();
+      const std::string newText = after.dump();
+      const std::string delta = EncodeTextDelta(oldText, newText);
+      const Cost encode =
+        MeasureCost([&] { return EncodeTextDelta(oldText, newText).size(); });
+      const Cost restore = MeasureCost([&] {
+        return ApplyTextDelta(oldText, delta, newText.size()).value().size();
+      });
       rows.push_back(
         { std::string("patch_") + change.mName,
           "teams",
@@ -192,7 +200,9 @@
               static_cast<double>(change.mPatch.dump().size()) },
             { "diff_us", diff.mMicroseconds },
             { "apply_us", apply.mMicroseconds },
-            { "dump_us", dump.mMicroseconds } } });
+            { "delta_bytes", static_cast<double>(delta.size()) },
+            { "encode_us", encode.mMicroseconds },
+            { "restore_us", restore.mMicroseconds } } });
     }
   }
   return rows;
--- a/src/libmedlarkeel/documentstore.cpp
+++ b/src/libmedlarkeel/documentstore.cpp
@@ -1,6 +1,7 @@
 #include "documentstore.h"
 
 #include "sha256.h"
+#include "textdelta.h"
 
 #include <algorithm>
 #include <tuple>
@@ -67,6 +68,21 @@
   return OfferOutcome::Adopted;
 }
 
+RestoredText
+DocumentStore::Restore(const DocumentDelta& aDelta,
+                       const std::string& aHash) const
+{
+  if (!mInForce || mInForce->mStamp.mHash != aDelta.mBaseHash) {
+    return DeltaError::OtherBase;
+  }
+  TextDeltaResult text =
+    ApplyTextDelta(mInForce->mText, aDelta.mBytes, kMaximumDocumentBytes);
+  if (!text || Sha256Hex(text.value()) != aHash) {
+    return DeltaError::Unfit;
+  }
+  return std::move(text.value());
+}
+
 void
 DocumentStore::RaiseRevision(std::uint64_t aRevision)
 {
--- a/src/libmedlarkeel/documentstore.h
+++ b/src/libmedlarkeel/documentstore.h
@@ -3,6 +3,7 @@
 #include "documentparser.h"
 #include "types.h"
 
+#include <boost/outcome.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -58,6 +59,27 @@
   std::vector<DocumentProblem> mProblems;
 };
 
+/** A document's text as its difference from another one. */
+struct DocumentDelta
+{
+  /** SHA-256 of the text that it starts from. */
+  std::string mBaseHash;
+  std::string mBytes;
+};
+
+enum class DeltaError
+{
+  /** The document in force isn't the one that the delta starts from. */
+  OtherBase,
+  /** The delta doesn't give the text that was expected. */
+  Unfit
+};
+
+using RestoredText = BOOST_OUTCOME_V2_NAMESPACE::result<
+  std::string,
+  DeltaError,
+  BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+
 enum class OfferOutcome
 {
   /** The document is now in force. */
@@ -101,6 +123,14 @@
                      const DocumentSource& aSource,
                      Timestamp aAsked);
 
+  /**
+   * Restores a text from its delta to the document in force.
+   *
+   * @param aHash SHA-256 of the text that the delta must give.
+   */
+  RestoredText Restore(const DocumentDelta& aDelta,
+                       const std::string& aHash) const;
+
   /** Takes in the stamp of a source's document; see Offer. */
   StampOutcome OfferStamp(const DocumentStamp& aStamp,
                           const DocumentSource& aSource,
--- a/src/medlarkeeld/configurationholder.cpp
+++ b/src/medlarkeeld/configurationholder.cpp
@@ -27,10 +27,7 @@
   const std::lock_guard<std::mutex> lock(mMutex);
   const OfferOutcome outcome = mStore.Offer(aText, aRevision, aSource, aAsked);
   if (outcome == OfferOutcome::Adopted) {
-    mView = std::make_shared<const DocumentView>(mStore.InForce()->mDocument);
-    for (const Listener& listener : mListeners) {
-      listener(mView);
-    }
+    Adopt();
   }
   const auto rejected = mStore.Rejected();
   if (outcome == OfferOutcome::Rejected && rejected && mRejectionListener &&
@@ -41,6 +38,32 @@
   return outcome;
 }
 
+void
+ConfigurationHolder::Adopt()
+{
+  const auto document = mStore.InForce();
+  mHistory.Add(document);
+  mView = std::make_shared<const DocumentView>(document->mDocument);
+  for (const Listener& listener : mListeners) {
+    listener(mView);
+  }
+}
+
+RestoredText
+ConfigurationHolder::Restore(const DocumentDelta& aDelta,
+                             const std::string& aHash)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mStore.Restore(aDelta, aHash);
+}
+
+std::optional<std::string>
+ConfigurationHolder::DeltaFrom(const std::string& aBaseHash)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mHistory.DeltaFrom(aBaseHash);
+}
+
 StampOutcome
 ConfigurationHolder::OfferStamp(const DocumentStamp& aStamp,
                                 const DocumentSource& aSource,
--- a/src/medlarkeeld/configurationholder.h
+++ b/src/medlarkeeld/configurationholder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "documenthistory.h"
 #include "documentstore.h"
 #include "documentview.h"
 
@@ -33,6 +34,12 @@
                      const DocumentSource& aSource,
                      Timestamp aAsked);
 
+  /** See DocumentStore::Restore. */
+  RestoredText Restore(const DocumentDelta& aDelta, const std::string& aHash);
+
+  /** See DocumentHistory::DeltaFrom. */
+  std::optional<std::string> DeltaFrom(const std::string& aBaseHash);
+
   /** See DocumentStore::OfferStamp. */
   StampOutcome OfferStamp(const DocumentStamp& aStamp,
                           const DocumentSource& aSource,
@@ -51,8 +58,15 @@
   std::optional<Microseconds> ConfirmationAge();
 
 private:
+  /** Documents that a lagging peer may still hold. */
+  static constexpr std::size_t kHistoryLength = 8;
+
+  /** Takes over the document that the store has just adopted. */
+  void Adopt();
+
   std::mutex mMutex;
   DocumentStore mStore;
+  DocumentHistory mHistory{ kHistoryLength };
   DocumentViewPtr mView;
   std::vector<Listener> mListeners;
   RejectionListener mRejectionListener;
--- a/src/medlarkeeld/controlplane.cpp
+++ b/src/medlarkeeld/controlplane.cpp
@@ -39,10 +39,15 @@
 wire::PeerMessage
 ControlPlane::Answer(const wire::PeerMessage& aMessage)
 {
-  const auto outcome = TakeConfiguration(aMessage, BootNow());
-  wire::PeerMessage answer = NewMessage();
-  if (outcome == StampOutcome::SourceIsOlder) {
-    AttachDocument(answer);
+  wire::PeerMessage answer;
+  if (aMessage.has_configuration()) {
+    const auto outcome = TakeConfiguration(aMessage, BootNow());
+    answer = NewStampedMessage();
+    if (outcome == StampOutcome::SourceIsOlder) {
+      AttachDocument(aMessage, answer);
+    }
+  } else {
+    answer = NewMessage();
   }
   for (const LimitMessage& limit : TakeLimits(aMessage)) {
     if (limit.mTo == InstanceId(aMessage.sender())) {
@@ -78,21 +83,21 @@
     return;
   }
   const InstanceRecord& peer = peers[mNextPeer++ % peers.size()];
-  Send(peer.mId, peer.mAddress, NewMessage());
+  Send(peer.mId, peer.mAddress, NewStampedMessage());
 }
 
 void
 ControlPlane::AnnounceDocument()
 {
   for (const InstanceRecord& peer : Peers()) {
-    Send(peer.mId, peer.mAddress, NewMessage());
+    Send(peer.mId, peer.mAddress, NewStampedMessage());
   }
 }
 
 void
 ControlPlane::Probe(const InstanceRecord& aAgent)
 {
-  Send(aAgent.mId, aAgent.mAddress, NewMessage());
+  Send(aAgent.mId, aAgent.mAddress, NewStampedMessage());
 }
 
 void
@@ -108,14 +113,11 @@
 }
 
 wire::PeerMessage
-ControlPlane::NewMessage()
+ControlPlane::NewMessage() const
 {
   wire::PeerMessage message;
   message.set_sender(mSettings.mInstanceId.Text());
   message.set_incarnation(mIncarnation.mValue);
-  FillStamp(mConfiguration.Stamp(),
-            mConfiguration.ConfirmationAge(),
-            *message.mutable_configuration());
   if (mHooks.mOwnLoad) {
     if (const auto load = mHooks.mOwnLoad()) {
       FillLoad(*load, *message.mutable_load());
@@ -124,13 +126,36 @@
   return message;
 }
 
+wire::PeerMessage
+ControlPlane::NewStampedMessage()
+{
+  wire::PeerMessage message = NewMessage();
+  FillStamp(mConfiguration.Stamp(),
+            mConfiguration.ConfirmationAge(),
+            *message.mutable_configuration());
+  message.set_wants_whole_document(mWantsWholeDocument);
+  return message;
+}
+
 void
-ControlPlane::AttachDocument(wire::PeerMessage& aMessage)
+ControlPlane::AttachDocument(const wire::PeerMessage& aFromPeer,
+                             wire::PeerMessage& aMessage)
 {
-  if (const auto stored = mConfiguration.InForce()) {
-    FillStamp(stored->mStamp,
-              mConfiguration.ConfirmationAge(),
-              *aMessage.mutable_configuration());
+  const auto stored = mConfiguration.InForce();
+  if (!stored) {
+    return;
+  }
+  FillStamp(stored->mStamp,
+            mConfiguration.ConfirmationAge(),
+            *aMessage.mutable_configuration());
+  const std::string& base = aFromPeer.configuration().hash();
+  const auto delta = aFromPeer.wants_whole_document()
+                       ? std::nullopt
+                       : mConfiguration.DeltaFrom(base);
+  if (delta) {
+    aMessage.set_delta_base(base);
+    aMessage.set_document_delta(*delta);
+  } else {
     aMessage.set_document(stored->mText);
   }
 }
@@ -151,10 +176,24 @@
   if (aAnswer.has_load() && mHooks.mOnLoad) {
     mHooks.mOnLoad(aFrom, LoadFrom(aAnswer.load()));
   }
+  if (aAnswer.has_configuration()) {
+    HandleStamp(aFrom, aAnswer, aSentAt);
+  }
+  const auto further = TakeLimits(aAnswer);
+  if (!further.empty()) {
+    SendLimits(further);
+  }
+}
+
+void
+ControlPlane::HandleStamp(const InstanceId& aFrom,
+                          const wire::PeerMessage& aAnswer,
+                          Timestamp aSentAt)
+{
   const auto outcome = TakeConfiguration(aAnswer, aSentAt);
   if (outcome == StampOutcome::SourceIsOlder) {
-    wire::PeerMessage update = NewMessage();
-    AttachDocument(update);
+    wire::PeerMessage update = NewStampedMessage();
+    AttachDocument(aAnswer, update);
     if (const auto address = AddressOf(aFrom)) {
       Send(aFrom, *address, std::move(update));
     }
@@ -162,10 +201,6 @@
   if (outcome != StampOutcome::SourceIsNewer && mHooks.mOnConfirmed) {
     mHooks.mOnConfirmed(aSentAt);
   }
-  const auto further = TakeLimits(aAnswer);
-  if (!further.empty()) {
-    SendLimits(further);
-  }
 }
 
 StampOutcome
@@ -173,14 +208,42 @@
                                 Timestamp aSentAt)
 {
   const wire::ConfigurationStamp& stamp = aMessage.configuration();
-  if (!aMessage.document().empty()) {
-    mConfiguration.Offer(
-      aMessage.document(), stamp.revision(), SourceFrom(stamp), aSentAt);
-  }
+  TakeDocument(aMessage, aSentAt);
   return mConfiguration.OfferStamp(
     StampFrom(stamp), SourceFrom(stamp), aSentAt);
 }
 
+void
+ControlPlane::TakeDocument(const wire::PeerMessage& aMessage, Timestamp aSentAt)
+{
+  const wire::ConfigurationStamp& stamp = aMessage.configuration();
+  std::optional<std::string> text;
+  if (!aMessage.document().empty()) {
+    text = aMessage.document();
+    mWantsWholeDocument = false;
+  } else if (!aMessage.document_delta().empty()) {
+    text = RestoreDocument(aMessage);
+  }
+  if (text) {
+    mConfiguration.Offer(*text, stamp.revision(), SourceFrom(stamp), aSentAt);
+  }
+}
+
+std::optional<std::string>
+ControlPlane::RestoreDocument(const wire::PeerMessage& aMessage)
+{
+  const DocumentDelta delta{ aMessage.delta_base(), aMessage.document_delta() };
+  RestoredText text =
+    mConfiguration.Restore(delta, aMessage.configuration().hash());
+  if (text) {
+    return std::move(text.value());
+  }
+  if (text.error() == DeltaError::Unfit) {
+    mWantsWholeDocument = true;
+  }
+  return std::nullopt;
+}
+
 std::vector<LimitMessage>
 ControlPlane::TakeLimits(const wire::PeerMessage& aMessage)
 {
--- a/src/medlarkeeld/controlplane.h
+++ b/src/medlarkeeld/controlplane.h
@@ -7,6 +7,7 @@
 #include "peermessenger.h"
 #include "settings.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -63,16 +64,26 @@
   std::uint64_t SentBytes() { return mMessenger.SentBytes(); }
 
 private:
-  wire::PeerMessage NewMessage();
-  void AttachDocument(wire::PeerMessage& aMessage);
+  /** @return A message without the stamp of the document in force. */
+  wire::PeerMessage NewMessage() const;
+  wire::PeerMessage NewStampedMessage();
+  /** Adds the document in force, as a delta where the peer's own allows. */
+  void AttachDocument(const wire::PeerMessage& aFromPeer,
+                      wire::PeerMessage& aMessage);
   void Send(const InstanceId& aTo,
             const std::string& aAddress,
             wire::PeerMessage aMessage);
   void HandleAnswer(const InstanceId& aFrom,
                     const wire::PeerMessage& aAnswer,
                     Timestamp aSentAt);
+  void HandleStamp(const InstanceId& aFrom,
+                   const wire::PeerMessage& aAnswer,
+                   Timestamp aSentAt);
   StampOutcome TakeConfiguration(const wire::PeerMessage& aMessage,
                                  Timestamp aSentAt);
+  void TakeDocument(const wire::PeerMessage& aMessage, Timestamp aSentAt);
+  /** @return The text that the message's delta gives, if it fits. */
+  std::optional<std::string> RestoreDocument(const wire::PeerMessage& aMessage);
   std::vector<LimitMessage> TakeLimits(const wire::PeerMessage& aMessage);
   std::optional<std::string> AddressOf(const InstanceId& aInstance);
   std::vector<InstanceRecord> Peers();
@@ -85,6 +96,8 @@
   std::map<InstanceId, std::string> mAddresses;
   std::vector<InstanceRecord> mPeers;
   std::size_t mNextPeer = 0;
+  /** A delta didn't fit, and no whole text has come since. */
+  std::atomic<bool> mWantsWholeDocument{ false };
   PeerMessenger mMessenger;
 };
 
