--- a/bench/capacity/fleet.cpp
+++ b/bench/capacity/fleet.cpp
@@ -185,6 +185,13 @@
   wire::PeerMessage message;
   message.set_sender("agent-1234");
   message.set_incarnation(1'796'000'000'000'000ULL);
+  return message;
+}
+
+wire::PeerMessage
+StampedMessage()
+{
+  wire::PeerMessage message = EmptyMessage();
   const DocumentStamp stamp{ 16'000, 160'000, Sha256Hex("text") };
   FillStamp(stamp, Milliseconds(1500), *message.mutable_configuration());
   return message;
@@ -297,7 +304,7 @@
 std::vector<MeasuredRow>
 MeasureMessages()
 {
-  const wire::PeerMessage plain = EmptyMessage();
+  const wire::PeerMessage plain = StampedMessage();
   wire::PeerMessage load = plain;
   LoadSnapshot snapshot;
   snapshot.mRunning = 14;
