Work out what a burst can attain with the engines' slots

The burst's figures didn't say how much of the loss is the capacity's and how much the policy's. The load driver now plays the same arrivals against one queue before all slots, without any delay between processes: each class alone, which no schedule exceeds as all answers take equally long, and with the tiers above going first.

--- a/bench/loaddriver/main.cpp
+++ b/bench/loaddriver/main.cpp
@@ -1,3 +1,4 @@
+#include "bound.h"
 #include "caller.h"
 #include "comparison.h"
 #include "fleetaccess.h"
@@ -24,6 +25,9 @@
 DEFINE_bool(tickets, true, "half of the keys are fetched from the entry");
 DEFINE_double(warm_seconds, 0, "closed-loop load before the arrivals");
 DEFINE_string(compare, "", "prefix of two results to set side by side");
+DEFINE_uint64(best_slots, 0, "slots to work out the best attainment for");
+DEFINE_double(first_token_ms, 150, "time to the first token of an answer");
+DEFINE_double(run_ms, 1710, "time of a whole answer");
 DEFINE_uint64(seed, 1, "seed of the arrivals");
 DEFINE_double(seconds, 15, "length of the arrivals");
 
@@ -109,6 +113,12 @@
     return result;
   }
 
+  json Best() const
+  {
+    return BestAttainment(
+      mWorkload, { FLAGS_best_slots, FLAGS_first_token_ms, FLAGS_run_ms });
+  }
+
   json MeasureIdlePath() const
   {
     LatencyOptions options;
@@ -285,6 +295,10 @@
   }
   medlarkeel::Run run(medlarkeel::ReadJson(FLAGS_document),
                       medlarkeel::ReadJson(FLAGS_plan));
+  if (FLAGS_best_slots > 0) {
+    std::printf("%s\n", run.Best().dump(2).c_str());
+    return 0;
+  }
   const bool idle = FLAGS_scenario == "latency";
   nlohmann::json result = idle ? run.MeasureIdlePath() : run.Measure();
   result["scenario"] = FLAGS_scenario;
--- a/bench/loaddriver/workload.cpp
+++ b/bench/loaddriver/workload.cpp
@@ -28,6 +28,7 @@
     load.mWeight = entry.at("weight");
     for (const json& declared : aDocument.at("classes")) {
       if (declared.at("name") == load.mName) {
+        load.mTier = declared.at("tier");
         load.mFirstByteTarget = declared.value("firstByteTargetMs", 0.0);
         load.mTokenGapTarget = declared.value("tokenGapTargetMs", 0.0);
         load.mCompletionTarget = declared.value("completionTargetMs", 0.0);
--- a/bench/loaddriver/workload.h
+++ b/bench/loaddriver/workload.h
@@ -16,6 +16,7 @@
   std::string mPath = "/v1/chat/completions";
   std::string mModel;   // empty for calls of a plain service
   std::string mService; // set if calls carry an idempotency key
+  int mTier = 0;
   double mWeight = 0;
   double mFirstByteTarget = 0;  // milliseconds, 0 for none
   double mTokenGapTarget = 0;   // milliseconds, 0 for none
