Model requests that wait at two backend servers in a burst

The suspicion was that places held twice (a second reservation) make the full queue refuse work that could be in time.

--- a/bench/scheduler/burstload.cpp
+++ b/bench/scheduler/burstload.cpp
@@ -118,15 +118,42 @@
   Request request;
   request.mClass = aClass;
   request.mArrival = mNow;
+  ++OutcomeOf(request).mArrived;
+  const std::uint64_t first = Reserve(request);
+  const auto waiting = mRequests.find(first);
+  const bool mustWait =
+    waiting != mRequests.end() && waiting->second.mGrant.mValue == 0;
+  const bool isSecond =
+    mSettings.mSecondShare > 0.0 && mustWait &&
+    std::bernoulli_distribution(mSettings.mSecondShare)(mRandom);
+  if (isSecond) {
+    waiting->second.mOther = first + 1;
+    request.mOther = first;
+    Reserve(request);
+  }
+}
+
+std::uint64_t
+BurstLoad::Reserve(const Request& aRequest)
+{
   Reservation reservation;
   reservation.mId = ReservationId{ ++mLastId };
-  reservation.mClass = ClassName(kLoads[aClass].mClass);
+  reservation.mClass = ClassName(kLoads[aRequest.mClass].mClass);
   reservation.mRepeatable = true;
   reservation.mPromptTokens = 100;
-  reservation.mDeadline = DeadlineOf(aClass);
-  ++OutcomeOf(request).mArrived;
-  mRequests.emplace(mLastId, request);
+  reservation.mDeadline = DeadlineOf(aRequest.mClass);
+  mRequests.emplace(mLastId, aRequest);
   Apply(mScheduler.Reserve(reservation, mNow));
+  return reservation.mId.mValue;
+}
+
+void
+BurstLoad::GiveUpOther(Request& aRequest)
+{
+  const std::uint64_t other = std::exchange(aRequest.mOther, 0);
+  if (mRequests.erase(other) > 0) {
+    Apply(mScheduler.Cancel(ReservationId{ other }, mNow));
+  }
 }
 
 Timestamp
@@ -202,6 +229,7 @@
       request.mGrant = grant->mGrant;
       request.mCommitted =
         mNow + Milliseconds(static_cast<Milliseconds::rep>(delay(mRandom)));
+      GiveUpOther(request);
     } else if (const auto* refuse = std::get_if<RefuseAction>(&action)) {
       Refuse(refuse->mId.mValue);
     } else if (const auto* cut = std::get_if<CutAction>(&action)) {
@@ -214,6 +242,11 @@
 BurstLoad::Refuse(std::uint64_t aId)
 {
   const auto node = mRequests.extract(aId);
+  const auto other = mRequests.find(node.mapped().mOther);
+  if (other != mRequests.end()) {
+    other->second.mOther = 0;
+    return;
+  }
   BurstOutcome& outcome = OutcomeOf(node.mapped());
   const bool isAtOnce = node.mapped().mArrival == mNow;
   ++(isAtOnce ? outcome.mRefusedAtOnce : outcome.mRefusedLater);
--- a/bench/scheduler/burstload.h
+++ b/bench/scheduler/burstload.h
@@ -25,6 +25,8 @@
   SchedulerLimits mLimits;
   /** Mean time from a grant to its commit. */
   Milliseconds mCommitDelay{ 5 };
+  /** Share of waiting requests that hold a second place in the queue. */
+  double mSecondShare = 0.0;
 };
 
 /** What became of one class. */
@@ -53,6 +55,8 @@
   struct Request
   {
     std::size_t mClass = 0;
+    /** The other place of the same request; 0 for none. */
+    std::uint64_t mOther = 0;
     Timestamp mArrival;
     GrantId mGrant;
     Timestamp mCommitted;
@@ -63,6 +67,8 @@
 
   void Step();
   void Arrive(std::size_t aClass);
+  std::uint64_t Reserve(const Request& aRequest);
+  void GiveUpOther(Request& aRequest);
   void Commit();
   void Advance();
   void Apply(const SchedulerActions& aActions);
--- a/bench/scheduler/main.cpp
+++ b/bench/scheduler/main.cpp
@@ -122,6 +122,9 @@
     settings.mOrder = BurstOrder::NewestFirst;
     PrintBurst("newest first", settings);
     settings.mOrder = BurstOrder::Targets;
+    settings.mSecondShare = 0.5;
+    PrintBurst("targets first, half queued twice", settings);
+    settings.mSecondShare = 0.0;
     for (const double reserve : { 0.0, 0.05, 0.1, 0.2 }) {
       settings.mLimits.mTargetReserve = reserve;
       PrintBurst("targets first, reserve " + Short(reserve), settings);
