Connect to the backend server while the grant travels

The agent now begins to connect when it sends the grant. libcurl gets the connection only if it stands and the server has neither sent anything nor closed it; otherwise it makes its own, so that "not run" stays true. A connection carries one call only, so work that may not be repeated may use it too.

Ruled out: a kept-alive connection. It would need libcurl's repeat of a request on a reused connection, which at most once forbids.

Test: PreparedConnectionCarriesItsCallUnlessServerClosedIt. Seen to fail with the connection not handed to libcurl (a second connection is made, the call isn't served) and with the check of a closed connection taken out (a descriptor in place of -1).

--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -1,9 +1,12 @@
 #include "httpclient.h"
 
+#include "preparedconnection.h"
+
 #include <curl/curl.h>
 
 #include <memory>
 #include <mutex>
+#include <sys/socket.h>
 
 namespace medlarkeel {
 
@@ -46,6 +49,7 @@
   bool mStopped = false;
   bool mIdleTooLong = false;
   bool mNothingSent = false;
+  bool mTookConnection = false;
   SteadyClock::time_point mLastByte = SteadyClock::now();
 };
 
@@ -136,6 +140,30 @@
   return data.size();
 }
 
+/** Hands the call's prepared connection to libcurl, or a new socket. */
+curl_socket_t
+OpenSocket(void* aTransfer, curlsocktype aPurpose, curl_sockaddr* aAddress)
+{
+  static_cast<void>(aPurpose);
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
+  const int prepared = transfer.mCall->mConnection->Release();
+  transfer.mTookConnection = prepared >= 0;
+  if (transfer.mTookConnection) {
+    return prepared;
+  }
+  return socket(aAddress->family,
+                aAddress->socktype |
+                  SOCK_CLOEXEC, // NOLINT(hicpp-signed-bitwise)
+                aAddress->protocol);
+}
+
+int
+TellWhetherConnected(void* aTransfer, curl_socket_t, curlsocktype)
+{
+  const bool connected = static_cast<Transfer*>(aTransfer)->mTookConnection;
+  return connected ? CURL_SOCKOPT_ALREADY_CONNECTED : CURL_SOCKOPT_OK;
+}
+
 void
 InitialiseLibrary()
 {
@@ -205,6 +233,12 @@
   curl_easy_setopt(aEasy, CURLOPT_HEADERDATA, &aTransfer);
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, &aTransfer);
+  if (aTransfer.mCall->mConnection) {
+    curl_easy_setopt(aEasy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
+    curl_easy_setopt(aEasy, CURLOPT_OPENSOCKETDATA, &aTransfer);
+    curl_easy_setopt(aEasy, CURLOPT_SOCKOPTFUNCTION, &TellWhetherConnected);
+    curl_easy_setopt(aEasy, CURLOPT_SOCKOPTDATA, &aTransfer);
+  }
 }
 
 /** @return Whether the call is to be given up without libcurl's verdict. */
--- a/src/libmedlarkeelnet/httpclient.h
+++ b/src/libmedlarkeelnet/httpclient.h
@@ -6,11 +6,14 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
 namespace medlarkeel {
 
+class PreparedConnection;
+
 /** A request to send; the URL's host is an IP number. */
 struct HttpCall
 {
@@ -30,6 +33,8 @@
    * closes before the reply's first byte. Errors of such a call never claim
    * that nothing was sent. Its callbacks must not make such calls. */
   bool mReuseConnection = false;
+  /** Used in place of a new connection if it still stands. */
+  std::shared_ptr<PreparedConnection> mConnection;
   /** Asked every 50 ms while nothing arrives; true ends the call. */
   std::function<bool()> mShouldStop;
 };
--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -16,8 +16,7 @@
 AccessFrom(const Settings& aSettings)
 {
   const BackendServerSettings& server = *aSettings.mBackendServer;
-  return BackendAccess{ "http://" + EndpointText(server.mEndpoint),
-                        server.mKind };
+  return BackendAccess{ server.mEndpoint, server.mKind };
 }
 
 } // namespace
--- a/src/medlarkeeld/agentservice.h
+++ b/src/medlarkeeld/agentservice.h
@@ -5,6 +5,7 @@
 #include "backendrun.h"
 #include "medlarkeel.grpc.pb.h"
 #include "nodecounters.h"
+#include "settings.h"
 
 #include <grpcpp/support/sync_stream.h>
 
@@ -15,7 +16,7 @@
 /** The backend server of an agent as its streams call it. */
 struct BackendAccess
 {
-  std::string mBaseUrl;
+  Endpoint mEndpoint;
   PoolKind mKind = PoolKind::Model;
 };
 
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -1,6 +1,7 @@
 #include "agentsession.h"
 
 #include "bootclock.h"
+#include "preparedconnection.h"
 #include "wireconversion.h"
 
 #include <grpcpp/channel.h>
@@ -161,10 +162,15 @@
 AgentSession::AwaitGrant()
 {
   while (const auto message = NextMessage()) {
+    const auto* granted = std::get_if<RunGranted>(&*message);
+    if (granted != nullptr) {
+      mConnection =
+        std::make_shared<PreparedConnection>(mEnvironment.mBackend.mEndpoint);
+    }
     if (!Send(*message)) {
       break;
     }
-    if (const auto* granted = std::get_if<RunGranted>(&*message)) {
+    if (granted != nullptr) {
       return *granted;
     }
     if (std::holds_alternative<RunRefused>(*message)) {
@@ -201,7 +207,7 @@
   }
   const auto run = BackendRun::Start(
     RunEnvironment{ mCore, mEnvironment.mRuns, mEnvironment.mCounters },
-    mEnvironment.mBackend.mBaseUrl,
+    "http://" + EndpointText(mEnvironment.mBackend.mEndpoint),
     WorkOf(aGrant, aCommit),
     mMailbox,
     RecorderFor(call));
@@ -253,6 +259,7 @@
   request.mBody = aCommit.body();
   request.mRequest = RequestId(mReserve.request_id());
   request.mKey = IdempotencyKey(mReserve.idempotency_key());
+  request.mConnection = mConnection;
   request.mTimeout = kLongestRun;
   if (mReserve.repeatable() && mReserve.deadline_us() > 0) {
     const Microseconds left(mReserve.deadline_us());
--- a/src/medlarkeeld/agentsession.h
+++ b/src/medlarkeeld/agentsession.h
@@ -50,6 +50,7 @@
   Stream& mStream;
   wire::Reserve mReserve;
   std::shared_ptr<RunMailbox> mMailbox;
+  std::shared_ptr<PreparedConnection> mConnection;
   ReservationId mReservation;
   std::uint64_t mOffset = 0;
 };
--- a/src/medlarkeeld/backendcall.cpp
+++ b/src/medlarkeeld/backendcall.cpp
@@ -19,6 +19,7 @@
   }
   call.mBody = aRequest.mBody;
   call.mTimeout = aRequest.mTimeout;
+  call.mConnection = aRequest.mConnection;
   return call;
 }
 
--- a/src/medlarkeeld/backendcall.h
+++ b/src/medlarkeeld/backendcall.h
@@ -5,11 +5,14 @@
 #include "types.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
 namespace medlarkeel {
 
+class PreparedConnection;
+
 /** A call to the backend server beside this agent. */
 struct BackendRequest
 {
@@ -21,6 +24,8 @@
   IdempotencyKey mKey;
   /** Longest time the whole call may take. */
   Milliseconds mTimeout{ 0 };
+  /** Connection made for this call ahead of it, or none. */
+  std::shared_ptr<PreparedConnection> mConnection;
 };
 
 enum class CallEnd
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -1,5 +1,6 @@
 #include "httpclient.h"
 #include "httpserver.h"
+#include "preparedconnection.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -114,11 +115,19 @@
 
   std::uint16_t mPort = 0;
   std::atomic<int> mRequests{ 0 };
+  std::atomic<int> mConnections{ 0 };
+  std::atomic<bool> mHangsUp{ false };
 
 private:
   void Serve()
   {
     for (int peer = 0; (peer = accept(mListening, nullptr, nullptr)) >= 0;) {
+      if (mHangsUp) {
+        close(peer);
+        ++mConnections;
+        continue;
+      }
+      ++mConnections;
       ServeConnection(peer);
       close(peer);
     }
@@ -371,6 +380,21 @@
   BOOST_TEST(server.mRequests == 2);
 }
 
+BOOST_AUTO_TEST_CASE(PreparedConnectionCarriesItsCallUnlessServerClosedIt)
+{
+  ForgetfulServer server;
+  const Endpoint place{ "127.0.0.1", server.mPort };
+  HttpCall call = CallTo(server.mPort, "/pay");
+  call.mConnection = std::make_shared<PreparedConnection>(place);
+  BOOST_REQUIRE(Eventually([&] { return server.mConnections == 1; }));
+  BOOST_TEST(SendHttp(call).has_value());
+  BOOST_TEST(server.mConnections == 1);
+  server.mHangsUp = true;
+  PreparedConnection closed(place);
+  BOOST_REQUIRE(Eventually([&] { return server.mConnections == 2; }));
+  BOOST_TEST(closed.Release() == -1);
+}
+
 BOOST_AUTO_TEST_CASE(ConnectFailedMeansThatNothingWasSent)
 {
   // Not listening after bind: the port refuses connections.
