Keep an agent's threads for the next run

Cause: the hop stamps of the latency scenario (280 calls, load average 14, trial) put 569 us at the median and 2,615 us at the 90th percentile between the commit's arrival at the agent and the start of the run's thread: each run made and ended a thread of its own.

RunThreads replaces RunCounter: a thread that has ended a run waits 10 s for the next. A run never waits for another; if no thread waits, a new one starts. A shutdown still waits for runs, not for idle threads.

Ruled out: running the call on the stream's thread. The stream may vanish while work that may not be repeated goes on.

Tests: no new one; answers, atmostonce and operations/Terminated* of test_processes pass with this build.

--- a/src/medlarkeeld/agentnode.h
+++ b/src/medlarkeeld/agentnode.h
@@ -27,7 +27,7 @@
   std::optional<std::string> ReasonNotReady() override;
 
   AgentCore mCore;
-  RunCounter mRuns;
+  RunThreads mRuns;
   AgentService mService;
 };
 
--- a/src/medlarkeeld/agentservice.h
+++ b/src/medlarkeeld/agentservice.h
@@ -24,7 +24,7 @@
 struct AgentEnvironment
 {
   AgentCore& mCore;
-  RunCounter& mRuns;
+  RunThreads& mRuns;
   NodeCounters& mCounters;
   AgentChannels& mChannels;
   BackendAccess mBackend;
--- a/src/medlarkeeld/backendrun.cpp
+++ b/src/medlarkeeld/backendrun.cpp
@@ -1,6 +1,5 @@
 #include "backendrun.h"
 
-#include <thread>
 #include <utility>
 
 namespace medlarkeel {
@@ -12,37 +11,6 @@
 
 } // namespace
 
-void
-RunCounter::Add()
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  ++mCount;
-}
-
-void
-RunCounter::Remove()
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  --mCount;
-  if (mCount == 0) {
-    mIdle.notify_all();
-  }
-}
-
-bool
-RunCounter::WaitUntilIdle(Milliseconds aPatience)
-{
-  std::unique_lock<std::mutex> lock(mMutex);
-  return mIdle.wait_for(lock, aPatience, [this] { return mCount == 0; });
-}
-
-std::size_t
-RunCounter::Count()
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  return mCount;
-}
-
 std::shared_ptr<BackendRun>
 BackendRun::Start(RunEnvironment aEnvironment,
                   const std::string& aBaseUrl,
@@ -52,12 +20,7 @@
 {
   std::shared_ptr<BackendRun> run(new BackendRun(
     aEnvironment, std::move(aWork), std::move(aMailbox), std::move(aRecorder)));
-  RunCounter& runs = aEnvironment.mRuns;
-  runs.Add();
-  std::thread([run, aBaseUrl, &runs] {
-    run->Execute(aBaseUrl);
-    runs.Remove();
-  }).detach();
+  aEnvironment.mRuns.Start([run, aBaseUrl] { run->Execute(aBaseUrl); });
   return run;
 }
 
--- a/src/medlarkeeld/backendrun.h
+++ b/src/medlarkeeld/backendrun.h
@@ -4,12 +4,11 @@
 #include "backendcall.h"
 #include "nodecounters.h"
 #include "runmailbox.h"
+#include "runthreads.h"
 
 #include <atomic>
-#include <condition_variable>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <string_view>
 
@@ -26,29 +25,11 @@
   BackendRequest mRequest;
 };
 
-/** Counts the runs of an agent, so that a shutdown can wait for them. */
-class RunCounter
-{
-public:
-  void Add();
-  void Remove();
-
-  /** @return Whether no run was left within the time. */
-  bool WaitUntilIdle(Milliseconds aPatience);
-
-  std::size_t Count();
-
-private:
-  std::mutex mMutex;
-  std::condition_variable mIdle;
-  std::size_t mCount = 0;
-};
-
 /** What runs work with; outlives every run. */
 struct RunEnvironment
 {
   AgentCore& mCore;
-  RunCounter& mRuns;
+  RunThreads& mRuns;
   NodeCounters& mCounters;
 };
 
@@ -63,7 +44,7 @@
 };
 
 /**
- * One call to the backend server on a thread of its own. The stream that
+ * One call to the backend server on a thread of the agent. The stream that
  * asked for it may vanish; work that may not be repeated goes on.
  */
 class BackendRun : private BackendCallObserver
