Format each event once

Cause: every decision was dumped twice, once for the log's line after a copy of all its fields and once for the decisions that are kept, part of it under the mutex of the entry's or agent's core.

The fields are dumped once; the line's own fields are put before them as text, and the kept decision takes the same text. Kept decisions are therefore redacted like the log, which they were not before.

Kept because it takes a second formatter away and closes the unredacted copy.

Tests: eventlog passes unchanged.

--- a/src/libmedlarkeelnet/eventlog.cpp
+++ b/src/libmedlarkeelnet/eventlog.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <string_view>
 #include <strings.h>
 
 namespace medlarkeel {
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr std::size_t kQueuedLines = 8192;
+constexpr std::string_view kEmptyObject = "{}";
 
 spdlog::level::level_enum
 ConvertLevel(EventLevel aLevel)
@@ -62,11 +64,41 @@
   return false;
 }
 
+EventFields
+WithoutSecrets(EventFields aFields)
+{
+  for (auto& [name, value] : aFields.items()) {
+    if (HoldsSecret(name)) {
+      value = "[redacted]";
+    }
+  }
+  return aFields;
+}
+
+std::string
+Dump(const EventFields& aValue)
+{
+  constexpr int kCompact = -1;
+  return aValue.dump(
+    kCompact, ' ', false, EventFields::error_handler_t::replace);
+}
+
 } // namespace
 
+std::string
+FieldsText(const EventFields& aFields)
+{
+  for (const auto& [name, value] : aFields.items()) {
+    if (HoldsSecret(name)) {
+      return Dump(WithoutSecrets(aFields));
+    }
+  }
+  return Dump(aFields);
+}
+
 EventLog::EventLog(std::string aNode,
                    std::shared_ptr<spdlog::sinks::sink> aSink)
-  : mNode(std::move(aNode))
+  : mNodeText(Dump(std::move(aNode)))
   , mThread(std::make_shared<spdlog::details::thread_pool>(kQueuedLines, 1))
   , mLogger(std::make_shared<spdlog::async_logger>(
       "events",
@@ -91,22 +123,22 @@
 
 void
 EventLog::Write(Event aEvent, const EventFields& aFields)
+{
+  WriteText(aEvent, FieldsText(aFields));
+}
+
+void
+EventLog::WriteText(Event aEvent, const std::string& aFieldsText)
 {
   const EventEntry& entry = DescribeEvent(aEvent);
-  EventFields line = { { "time", PresentTime() },
-                       { "event", static_cast<int>(aEvent) },
-                       { "name", entry.mName },
-                       { "level", EventLevelText(entry.mLevel) },
-                       { "node", mNode } };
-  for (const auto& [name, value] : aFields.items()) {
-    if (HoldsSecret(name)) {
-      line[name] = "[redacted]";
-    } else {
-      line[name] = value;
-    }
-  }
-  const auto replace = EventFields::error_handler_t::replace;
-  mLogger->log(ConvertLevel(entry.mLevel), line.dump(-1, ' ', false, replace));
+  std::string line = R"({"time":")" + PresentTime();
+  line += R"(","event":)" + std::to_string(static_cast<int>(aEvent));
+  line += std::string(R"(,"name":")") + entry.mName;
+  line += std::string(R"(","level":")") + EventLevelText(entry.mLevel);
+  line += R"(","node":)" + mNodeText;
+  const bool hasFields = aFieldsText.size() > kEmptyObject.size();
+  line += hasFields ? "," + aFieldsText.substr(1) : "}";
+  mLogger->log(ConvertLevel(entry.mLevel), line);
 }
 
 std::size_t
--- a/src/libmedlarkeelnet/eventlog.h
+++ b/src/libmedlarkeelnet/eventlog.h
@@ -20,6 +20,10 @@
 
 using EventFields = nlohmann::ordered_json;
 
+/** @return The fields as a JSON object on one line, without secrets. */
+std::string
+FieldsText(const EventFields& aFields);
+
 /**
  * Writes numbered events as JSON lines. Threads may share it. Writing never
  * blocks: when the sink is slower than the events, the oldest are dropped and
@@ -50,11 +54,15 @@
    */
   void Write(Event aEvent, const EventFields& aFields = EventFields::object());
 
+  /** Writes one line whose fields are already text, see FieldsText. */
+  void WriteText(Event aEvent, const std::string& aFieldsText);
+
   /** @return The number of lines lost to a slow sink. */
   std::size_t DroppedLines() const;
 
 private:
-  std::string mNode;
+  /** The instance id as a JSON string. */
+  std::string mNodeText;
   std::shared_ptr<spdlog::details::thread_pool> mThread;
   std::shared_ptr<spdlog::async_logger> mLogger;
 };
--- a/src/medlarkeeld/decisionlog.cpp
+++ b/src/medlarkeeld/decisionlog.cpp
@@ -9,14 +9,14 @@
 namespace {
 
 constexpr std::size_t kMostKept = 4096;
-constexpr int kCompact = -1;
 
 } // namespace
 
 void
 DecisionLog::Write(Event aEvent, const EventFields& aFields)
 {
-  mLog.Write(aEvent, aFields);
+  const std::string text = FieldsText(aFields);
+  mLog.WriteText(aEvent, text);
   const auto request = aFields.find("request");
   if (request == aFields.end() || !request->is_string()) {
     return;
@@ -26,8 +26,7 @@
   decision.mRecord.mAtUnixMs = static_cast<std::uint64_t>(WallNow().count());
   decision.mRecord.mEvent = static_cast<int>(aEvent);
   decision.mRecord.mText =
-    std::string(DescribeEvent(aEvent).mName) + " " +
-    aFields.dump(kCompact, ' ', false, EventFields::error_handler_t::replace);
+    std::string(DescribeEvent(aEvent).mName) + " " + text;
   const std::lock_guard<std::mutex> lock(mMutex);
   mKept.push_back(std::move(decision));
   if (mKept.size() > kMostKept) {
