Count server-sent events in one place

The loop stood in the agent's run and in the entry's relay, with two starting states: the entry took an answer that begins with an empty line for one more event than the agent did.

Test: servereventcounter/CountsEventsWhereverTheBytesAreSplit.

--- a/src/medlarkeeld/backendrun.cpp
+++ b/src/medlarkeeld/backendrun.cpp
@@ -122,16 +122,11 @@
     mFirstSeen = true;
     mEnvironment.mCore.RecordFirstToken(mWork.mGrant);
   }
-  std::uint32_t events = 0;
-  for (const char byte : aBytes) {
-    if (byte == '\n' && mLastByte == '\n') {
-      ++events;
-    }
-    mLastByte = byte;
-  }
+  const std::size_t events = mEvents.Add(aBytes);
   if (events > 0) {
     mTokens += events;
-    mEnvironment.mCore.RecordTokens(mWork.mGrant, events);
+    mEnvironment.mCore.RecordTokens(mWork.mGrant,
+                                    static_cast<std::uint32_t>(events));
   }
 }
 
--- a/src/medlarkeeld/backendrun.h
+++ b/src/medlarkeeld/backendrun.h
@@ -5,6 +5,7 @@
 #include "nodecounters.h"
 #include "runmailbox.h"
 #include "runthreads.h"
+#include "servereventcounter.h"
 
 #include <atomic>
 #include <functional>
@@ -89,7 +90,7 @@
   RunOutcome mOutcome;
   bool mFirstSeen = false;
   std::size_t mTokens = 0;
-  char mLastByte = '\0';
+  ServerEventCounter mEvents;
 };
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -36,19 +36,6 @@
   return choice;
 }
 
-std::uint64_t
-CountEvents(const std::string& aBytes, char& aLastByte)
-{
-  std::uint64_t events = 0;
-  for (const char byte : aBytes) {
-    if (byte == '\n' && aLastByte == '\n') {
-      ++events;
-    }
-    aLastByte = byte;
-  }
-  return events;
-}
-
 } // namespace
 
 RequestRelay::RequestRelay(RelayEnvironment aEnvironment,
@@ -345,7 +332,7 @@
                                         *mFirstByteAt - mReservedAt,
                                         *mFirstByteAt - mCommittedAt);
   }
-  mEvents += CountEvents(aChunk.data(), mLastByte);
+  mEvents += mEventCounter.Add(aChunk.data());
   return RelayStep{ RelayStep::Kind::Data, aChunk.data(), {} };
 }
 
--- a/src/medlarkeeld/requestrelay.h
+++ b/src/medlarkeeld/requestrelay.h
@@ -5,6 +5,7 @@
 #include "attempttracker.h"
 #include "entrycore.h"
 #include "httpmessage.h"
+#include "servereventcounter.h"
 
 #include <deque>
 #include <functional>
@@ -103,7 +104,7 @@
   Timestamp mCommittedAt;
   std::optional<Timestamp> mFirstByteAt;
   std::uint64_t mEvents = 0;
-  char mLastByte = '\n';
+  ServerEventCounter mEventCounter;
   int mStatus = 0;
   std::string mContentType;
   std::optional<RelayStep> mEnded;
