--- a/src/medlarkeeld/teamgate.cpp
+++ b/src/medlarkeeld/teamgate.cpp
@@ -105,11 +105,4 @@
          BootNow() >= *mOwnersKnownAt + mLimiter.Ownership().TakeoverWait();
 }
 
-TeamLimiterStatistics
-TeamGate::Statistics()
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  return mLimiter.Statistics();
-}
-
 } // namespace medlarkeel
--- a/src/medlarkeeld/teamgate.h
+++ b/src/medlarkeeld/teamgate.h
@@ -47,8 +47,6 @@
    *          lent here, or the wait for an ownership is over. */
   bool IsWithinReach();
 
-  TeamLimiterStatistics Statistics();
-
 private:
   std::mutex mMutex;
   std::condition_variable mAnswered;
