Feed every metric that the daemon declares

Running and queued requests, the gap between pieces and the bytes of control were declared but never fed, and frames that an entry drops were counted but shown nowhere. Entries set the running requests at admission and end, agents both gauges with each tick; the gap is measured for each piece that goes to a caller; control bytes are counted with each tick.

Test: metrics/PagesMoveWithTraffic.

--- a/src/libmedlarkeelnet/metrics.cpp
+++ b/src/libmedlarkeelnet/metrics.cpp
@@ -125,10 +125,17 @@
     HistogramFamily(mRegistry,
                     "medlarkeel_token_gap_seconds",
                     "Time between two pieces of an answer.");
-  Counter& mControlBytes = CounterFamily(mRegistry,
-                                         "medlarkeel_control_bytes_sent_total",
-                                         "Bytes of control messages sent.")
-                             .Add({});
+  Counter& mControlBytes =
+    CounterFamily(mRegistry,
+                  "medlarkeel_control_bytes_sent_total",
+                  "Bytes of control messages sent, without answers "
+                  "and framing.")
+      .Add({});
+  Counter& mDroppedFrames =
+    CounterFamily(mRegistry,
+                  "medlarkeel_frames_dropped_total",
+                  "Late or doubled frames of agents that no caller got.")
+      .Add({});
   Gauge& mRunning = SingleGauge(mRegistry,
                                 "medlarkeel_requests_running",
                                 "Requests that run now.");
@@ -237,6 +244,12 @@
   mState->mControlBytes.Increment(static_cast<double>(aBytes));
 }
 
+void
+Metrics::CountDroppedFrame()
+{
+  mState->mDroppedFrames.Increment();
+}
+
 void
 Metrics::SetRunning(std::size_t aCount)
 {
--- a/src/libmedlarkeelnet/metrics.h
+++ b/src/libmedlarkeelnet/metrics.h
@@ -56,6 +56,8 @@
   void ObserveTokenGap(const ClassName& aClass, Microseconds aGap);
   void CountTokens(const ClassName& aClass, TokenUse aUse, std::size_t aCount);
   void CountControlBytesSent(std::size_t aBytes);
+  /** Counts a late or doubled frame that no caller gets. */
+  void CountDroppedFrame();
   void SetRunning(std::size_t aCount);
   void SetQueued(std::size_t aCount);
   void SetDocumentVersion(std::uint64_t aVersion);
--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -59,6 +59,9 @@
 AgentNode::Tick()
 {
   mCore.Tick();
+  const LoadSnapshot load = mCore.Load();
+  mCounters.Prometheus().SetRunning(load.mRunning);
+  mCounters.Prometheus().SetQueued(load.mQueued);
 }
 
 bool
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -377,10 +377,16 @@
   mChooser.RecordWithdrawn(aAgent);
 }
 
+void
+EntryCore::RecordTokenGap(const AdmittedRequest& aRequest, Microseconds aGap)
+{
+  mCounters.Prometheus().ObserveTokenGap(aRequest.mClass.mName, aGap);
+}
+
 void
 EntryCore::RecordDroppedFrame()
 {
-  ++mDroppedFrames;
+  mCounters.Prometheus().CountDroppedFrame();
 }
 
 void
--- a/src/medlarkeeld/entrycore.h
+++ b/src/medlarkeeld/entrycore.h
@@ -13,7 +13,6 @@
 #include "settings.h"
 #include "types.h"
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -94,6 +93,8 @@
   void RecordFailed(const InstanceId& aAgent);
   void RecordSilence(const InstanceId& aAgent);
   void RecordWithdrawn(const InstanceId& aAgent);
+  /** @param aGap Time between two pieces of the request's answer. */
+  void RecordTokenGap(const AdmittedRequest& aRequest, Microseconds aGap);
   void RecordDroppedFrame();
   void RecordOutcome(const AdmittedRequest& aRequest, const RequestEnd& aEnd);
 
@@ -134,7 +135,6 @@
   std::mutex mBudgetMutex;
   RetryBudget mReservationBudget;
   RetryBudget mRestartBudget;
-  std::atomic<std::uint64_t> mDroppedFrames{ 0 };
 };
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -257,6 +257,7 @@
     }
     GossipWhenDue(now);
     LogStaleness();
+    CountControlBytes();
     Tick();
   }
 }
@@ -273,6 +274,14 @@
   }
 }
 
+void
+Node::CountControlBytes()
+{
+  const std::uint64_t sent = mControl->SentBytes();
+  mCounters.Prometheus().CountControlBytesSent(sent - mCountedControlBytes);
+  mCountedControlBytes = sent;
+}
+
 int
 Node::Shutdown()
 {
--- a/src/medlarkeeld/node.h
+++ b/src/medlarkeeld/node.h
@@ -78,6 +78,7 @@
   void LogRejection(const RejectedDocument& aRejected);
   void LogDocument(const DocumentViewPtr& aView);
   void GossipWhenDue(Timestamp aNow);
+  void CountControlBytes();
 
   const Timestamp mStarted;
   PauseDetector mPauses;
@@ -85,6 +86,7 @@
   std::map<ZoneName, ZoneState> mLoggedZones;
   std::uint64_t mLoggedRevision = 0;
   bool mLoggedStale = false;
+  std::uint64_t mCountedControlBytes = 0;
   std::atomic<bool> mDocumentChanged{ false };
   std::unique_ptr<PeerService> mPeerService;
   std::unique_ptr<grpc::Server> mGrpc;
--- a/src/medlarkeeld/nodecounters.cpp
+++ b/src/medlarkeeld/nodecounters.cpp
@@ -22,10 +22,11 @@
   if (aEnd.mFirstByte) {
     mMetrics.ObserveFirstByte(aEnd.mClass, *aEnd.mFirstByte);
   }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  SetRunning(mRunning - 1);
   if (aEnd.mOutcome == RequestOutcome::Cancelled) {
     return;
   }
-  const std::lock_guard<std::mutex> lock(mMutex);
   ClassCounters& byClass = mClasses[aEnd.mClass];
   TeamCounters& byTeam = mTeams[aEnd.mTeam];
   ++byClass.mRequests;
@@ -66,6 +67,14 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   ++mTeams[aTeam].mAdmitted;
+  SetRunning(mRunning + 1);
+}
+
+void
+NodeCounters::SetRunning(std::size_t aCount)
+{
+  mRunning = aCount;
+  mMetrics.SetRunning(aCount);
 }
 
 void
--- a/src/medlarkeeld/nodecounters.h
+++ b/src/medlarkeeld/nodecounters.h
@@ -44,6 +44,7 @@
   /** Counts a request that was refused before its class was known. */
   void RecordEarlyRefusal(const Refusal& aRefusal);
 
+  /** Counts a request that runs until RecordEnd. */
   void RecordAdmitted(const TeamName& aTeam);
 
   void RecordTokens(const ClassName& aClass, TokenUse aUse, std::size_t aCount);
@@ -57,12 +58,15 @@
   Metrics& Prometheus() { return mMetrics; }
 
 private:
+  /** Takes the number of requests that run; call with the mutex held. */
+  void SetRunning(std::size_t aCount);
   void RecordZoneChanges(const EnvironmentDocument& aDocument);
 
   std::mutex mMutex;
   Metrics mMetrics;
   std::map<ClassName, ClassCounters> mClasses;
   std::map<TeamName, TeamCounters> mTeams;
+  std::size_t mRunning = 0;
   std::vector<ServiceClass> mServiceClasses;
   std::vector<ZoneEntry> mZones;
   std::vector<ZoneChange> mZoneChanges;
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -325,17 +325,24 @@
     mEnvironment.mCore.RecordDroppedFrame();
     return std::nullopt;
   }
-  if (!mFirstByteAt) {
-    mFirstByteAt = BootNow();
-    mEnvironment.mCore.RecordFirstToken(mChoiceRequest,
-                                        mAgent,
-                                        *mFirstByteAt - mReservedAt,
-                                        *mFirstByteAt - mCommittedAt);
-  }
+  RecordPiece(BootNow());
   mEvents += mEventCounter.Add(aChunk.data());
   return RelayStep{ RelayStep::Kind::Data, aChunk.data(), {} };
 }
 
+void
+RequestRelay::RecordPiece(Timestamp aNow)
+{
+  if (mFirstByteAt) {
+    mEnvironment.mCore.RecordTokenGap(mRequest, aNow - mLastPieceAt);
+  } else {
+    mFirstByteAt = aNow;
+    mEnvironment.mCore.RecordFirstToken(
+      mChoiceRequest, mAgent, aNow - mReservedAt, aNow - mCommittedAt);
+  }
+  mLastPieceAt = aNow;
+}
+
 void
 RequestRelay::HandleDone(const wire::Done& aDone)
 {
--- a/src/medlarkeeld/requestrelay.h
+++ b/src/medlarkeeld/requestrelay.h
@@ -87,6 +87,8 @@
   void HandleRefused(const wire::Refused& aRefused);
   void HandleHead(const wire::Head& aHead);
   std::optional<RelayStep> HandleChunk(const wire::Chunk& aChunk);
+  /** Measures the delay of a piece that goes to the caller. */
+  void RecordPiece(Timestamp aNow);
   void HandleDone(const wire::Done& aDone);
   void HandleLost();
   void CheckCallerAndDeadline();
@@ -105,6 +107,7 @@
   std::optional<Timestamp> mFirstByteAt;
   std::uint64_t mEvents = 0;
   ServerEventCounter mEventCounter;
+  Timestamp mLastPieceAt;
   int mStatus = 0;
   std::string mContentType;
   std::optional<RelayStep> mEnded;
