--- a/src/medlarkeeld/agentstream.cpp
+++ b/src/medlarkeeld/agentstream.cpp
@@ -18,6 +18,8 @@
   , mWatchdog(aWatchdog)
 {
   mToken = mWatchdog.Watch(&mContext, kSilenceBound);
+  // Sends the call's metadata together with the reservation.
+  mContext.set_initial_metadata_corked(true);
   mStream = mStub->Serve(&mContext);
   wire::EntryFrame frame;
   *frame.mutable_reserve() = aReserve;
