--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -16,8 +16,7 @@
 AccessFrom(const Settings& aSettings)
 {
   const BackendServerSettings& server = *aSettings.mBackendServer;
-  return BackendAccess{ "http://" + EndpointText(server.mEndpoint),
-                        server.mKind };
+  return BackendAccess{ server.mEndpoint, server.mKind };
 }
 
 } // namespace
@@ -60,6 +59,9 @@
 AgentNode::Tick()
 {
   mCore.Tick();
+  const LoadSnapshot load = mCore.Load();
+  mCounters.Prometheus().SetRunning(load.mRunning);
+  mCounters.Prometheus().SetQueued(load.mQueued);
 }
 
 bool
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -36,19 +36,6 @@
   return choice;
 }
 
-std::uint64_t
-CountEvents(const std::string& aBytes, char& aLastByte)
-{
-  std::uint64_t events = 0;
-  for (const char byte : aBytes) {
-    if (byte == '\n' && aLastByte == '\n') {
-      ++events;
-    }
-    aLastByte = byte;
-  }
-  return events;
-}
-
 } // namespace
 
 RequestRelay::RequestRelay(RelayEnvironment aEnvironment,
@@ -338,17 +325,24 @@
     mEnvironment.mCore.RecordDroppedFrame();
     return std::nullopt;
   }
-  if (!mFirstByteAt) {
-    mFirstByteAt = BootNow();
-    mEnvironment.mCore.RecordFirstToken(mChoiceRequest,
-                                        mAgent,
-                                        *mFirstByteAt - mReservedAt,
-                                        *mFirstByteAt - mCommittedAt);
-  }
-  mEvents += CountEvents(aChunk.data(), mLastByte);
+  RecordPiece(BootNow());
+  mEvents += mEventCounter.Add(aChunk.data());
   return RelayStep{ RelayStep::Kind::Data, aChunk.data(), {} };
 }
 
+void
+RequestRelay::RecordPiece(Timestamp aNow)
+{
+  if (mFirstByteAt) {
+    mEnvironment.mCore.RecordTokenGap(mRequest, aNow - mLastPieceAt);
+  } else {
+    mFirstByteAt = aNow;
+    mEnvironment.mCore.RecordFirstToken(
+      mChoiceRequest, mAgent, aNow - mReservedAt, aNow - mCommittedAt);
+  }
+  mLastPieceAt = aNow;
+}
+
 void
 RequestRelay::HandleDone(const wire::Done& aDone)
 {
