--- a/src/standins/fakeengine/engine.cpp
+++ b/src/standins/fakeengine/engine.cpp
@@ -1,7 +1,11 @@
 #include "engine.h"
 
+#include "bootclock.h"
+#include "httpclient.h"
+
 #include <algorithm>
 #include <cstdlib>
+#include <thread>
 
 namespace medlarkeel {
 
@@ -61,6 +65,7 @@
                  std::chrono::duration<double>(mOptions.mColdSeconds)))
 {
   mModels.insert(mOptions.mPool);
+  mVersion = mOptions.mVersion;
   RecordLoad();
 }
 
@@ -71,6 +76,11 @@
   GenerationOrder result;
   result.mPrompt = PromptText(body);
   result.mMarker = LastWord(result.mPrompt);
+  const std::string model = body.value("model", "");
+  const std::size_t colon = model.find(':');
+  if (colon != std::string::npos) {
+    result.mAdapter = model.substr(colon + 1);
+  }
   result.mTokens =
     VariedLength(mOptions.mTokens, mOptions.mSeed, result.mPrompt);
   result.mTokens =
@@ -88,6 +98,7 @@
   auto result = std::make_shared<Generation>();
   result->mOrder = std::move(aOrder);
   result->mNumber = mNextNumber++;
+  result->mVersionLoads = mVersionLoads;
   mWaiting.push_back(result.get());
   RecordLoad();
   return result;
@@ -102,7 +113,7 @@
 bool
 Engine::MayRun(const Generation& aGeneration) const
 {
-  if (mRunning >= mOptions.mSlots || mHangs) {
+  if (mRunning >= mOptions.mSlots || mHangs || mLoadsVersion) {
     return false;
   }
   const auto before = [](const Generation* aLeft, const Generation* aRight) {
@@ -113,6 +124,14 @@
          &aGeneration;
 }
 
+/** @return Whether the caller has left or a version load cut the run. */
+bool
+Engine::IsEnded(const Generation& aGeneration) const
+{
+  return aGeneration.mVersionLoads != mVersionLoads ||
+         aGeneration.mOrder.mCallerLeft();
+}
+
 /** Takes a slot; an overloaded engine that is still cold crashes. */
 void
 Engine::StartRunning(Generation& aGeneration)
@@ -140,7 +159,7 @@
 {
   while (!MayRun(aGeneration)) {
     mChanged.wait_for(aLock, kCallerPoll);
-    if (aGeneration.mOrder.mCallerLeft()) {
+    if (IsEnded(aGeneration)) {
       return false;
     }
   }
@@ -167,7 +186,7 @@
     const auto now = SteadyClock::now();
     done += mHangs ? 0 : FloatMilliseconds(now - last).count() / mSlowFactor;
     last = now;
-    if (aGeneration.mOrder.mCallerLeft()) {
+    if (IsEnded(aGeneration)) {
       return false;
     }
   }
@@ -330,6 +349,7 @@
            { "cold", IsCold() },
            { "ordersApplied", mOrdersApplied },
            { "ordersRefused", mOrdersRefused },
+           { "cutByOrders", mCutByOrders },
            { "runsByMarker", mRunsByMarker } };
 }
 
@@ -337,35 +357,137 @@
 Engine::ModelState() const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return { { "models", mModels },
-           { "adapters", mAdapters },
-           { "role", mRole },
-           { "fencing", mHighestFencing } };
+  return { { "models", mModels },     { "version", mVersion },
+           { "adapters", mAdapters }, { "role", mRole },
+           { "loading", mLoading },   { "fencing", mHighestFencing } };
+}
+
+int
+Engine::StatusOfUnserved(const GenerationOrder& aOrder) const
+{
+  constexpr int kNotFound = 404;
+  constexpr int kUnavailable = 503;
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mLoadsVersion) {
+    return kUnavailable;
+  }
+  const bool lacks =
+    !aOrder.mAdapter.empty() && mAdapters.count(aOrder.mAdapter) == 0;
+  return lacks ? kNotFound : 0;
+}
+
+nlohmann::json
+Engine::Orders() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  nlohmann::json orders = nlohmann::json::array();
+  for (const ReceivedOrder& order : mOrders) {
+    orders.push_back({ { "kind", order.mKind },
+                       { "name", order.mName },
+                       { "fencing", order.mFencing },
+                       { "receivedMs", order.mReceivedAt },
+                       { "effectiveMs", order.mEffectiveAt },
+                       { "outcome", order.mOutcome } });
+  }
+  return { { "orders", orders } };
+}
+
+/** Ends all generations; none begins until the version is loaded. */
+void
+Engine::BeginVersionLoad()
+{
+  mLoadsVersion = true;
+  mCutByOrders += mRunning + mWaiting.size();
+  ++mVersionLoads;
+  mChanged.notify_all();
+}
+
+/** @return Whether the store let the weights go. */
+bool
+Engine::DrawWeights(const std::string& aName) const
+{
+  if (mOptions.mWeightStorePort == 0) {
+    return true;
+  }
+  HttpCall call;
+  call.mMethod = "POST";
+  call.mUrl = "http://127.0.0.1:" + std::to_string(mOptions.mWeightStorePort) +
+              "/weights/" + aName;
+  const auto reply = SendHttp(call);
+  return reply.has_value() && reply.value().mStatus == 200;
+}
+
+/** @return Whether the weights are there; blocks while they load. */
+bool
+Engine::LoadWeights(const ReceivedOrder& aOrder)
+{
+  if (!DrawWeights(aOrder.mName)) {
+    return false;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mLoading = aOrder.mName;
+    if (aOrder.mKind == "load-version") {
+      BeginVersionLoad();
+    }
+  }
+  std::this_thread::sleep_for(FloatMilliseconds(mOptions.mLoadMilliseconds));
+  return true;
+}
+
+void
+Engine::TakeEffect(const ReceivedOrder& aOrder)
+{
+  if (aOrder.mKind == "load") {
+    mModels.insert(aOrder.mName);
+  } else if (aOrder.mKind == "unload") {
+    mModels.erase(aOrder.mName);
+  } else if (aOrder.mKind == "load-adapter") {
+    mAdapters.insert(aOrder.mName);
+  } else if (aOrder.mKind == "unload-adapter") {
+    mAdapters.erase(aOrder.mName);
+  } else if (aOrder.mKind == "change-role") {
+    mRole = aOrder.mName;
+  } else if (aOrder.mKind == "load-version") {
+    mVersion = aOrder.mName;
+    mAdapters.clear();
+  }
+  mLoading.clear();
+  mLoadsVersion = false;
 }
 
 HttpResponse
 Engine::ApplyOrder(const nlohmann::json& aOrder)
 {
+  ReceivedOrder order;
+  order.mKind = aOrder.value("kind", "");
+  order.mName = aOrder.value("name", "");
+  order.mFencing = aOrder.value("fencing", std::uint64_t{ 0 });
+  order.mReceivedAt = WallNow().count();
+  const std::lock_guard<std::mutex> turn(mOrderTurn);
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mOrders.push_back(order);
+    if (mOptions.mHonoursFencing && order.mFencing < mHighestFencing) {
+      ++mOrdersRefused;
+      mOrders.back().mOutcome = "refused";
+      return JsonResponse(409, { { "error", "fencing number is too old" } });
+    }
+    mHighestFencing = std::max(mHighestFencing, order.mFencing);
+  }
+  const bool loads =
+    order.mKind == "load-adapter" || order.mKind == "load-version";
+  const bool loaded = !loads || LoadWeights(order);
   const std::lock_guard<std::mutex> lock(mMutex);
-  const auto fencing = aOrder.value("fencing", std::uint64_t{ 0 });
-  if (mOptions.mHonoursFencing && fencing < mHighestFencing) {
-    ++mOrdersRefused;
-    return JsonResponse(409, { { "error", "fencing number is too old" } });
+  if (!loaded) {
+    mOrders.back().mOutcome = "failed";
+    return JsonResponse(503, { { "error", "the weight store refused" } });
   }
-  mHighestFencing = std::max(mHighestFencing, fencing);
+  TakeEffect(order);
   ++mOrdersApplied;
-  const std::string kind = aOrder.value("kind", "");
-  const std::string name = aOrder.value("name", "");
-  if (kind == "load") {
-    mModels.insert(name);
-  } else if (kind == "unload") {
-    mModels.erase(name);
-  } else if (kind == "adapter") {
-    mAdapters.insert(name);
-  } else if (kind == "role") {
-    mRole = name;
-  }
-  return JsonResponse(200, { { "applied", fencing } });
+  mOrders.back().mEffectiveAt = WallNow().count();
+  mOrders.back().mOutcome = "applied";
+  return JsonResponse(200, { { "applied", order.mFencing } });
 }
 
 void
--- a/src/standins/fakeengine/engine.h
+++ b/src/standins/fakeengine/engine.h
@@ -29,6 +29,24 @@
   double mReportLagMilliseconds = 500;
   bool mHonoursFencing = false;
   std::size_t mCacheBlocks = 4096;
+  /** Version that is loaded at the start; empty for none. */
+  std::string mVersion;
+  /** Time that the weights of a version or an adapter take to load. */
+  double mLoadMilliseconds = 0;
+  /** Loopback port of the store that weights come from; 0 for no store. */
+  std::uint16_t mWeightStorePort = 0;
+};
+
+/** An order that reached the engine, and what became of it. */
+struct ReceivedOrder
+{
+  std::string mKind;
+  std::string mName;
+  std::uint64_t mFencing = 0;
+  std::int64_t mReceivedAt = 0;
+  /** Milliseconds of the wall clock; 0 while it has had no effect. */
+  std::int64_t mEffectiveAt = 0;
+  std::string mOutcome = "running";
 };
 
 /** What one request asks of the engine. */
@@ -37,6 +55,8 @@
   /** Last word of the last message; every token of the answer carries it. */
   std::string mMarker;
   std::string mPrompt;
+  /** Empty for the model itself. */
+  std::string mAdapter;
   std::size_t mTokens = 0;
   /** Lower is served first. */
   int mPriority = 0;
@@ -52,6 +72,8 @@
   std::size_t mNextToken = 0;
   bool mRunning = false;
   bool mOver = false;
+  /** Version loads before it began; a later one ends it. */
+  std::uint64_t mVersionLoads = 0;
 };
 
 /** Imitates a continuously batching model engine. */
@@ -76,7 +98,14 @@
   nlohmann::json CacheEvents(std::uint64_t aAfter);
   nlohmann::json Statistics() const;
   nlohmann::json ModelState() const;
+
+  /** Carries an order out; blocks until it has taken effect or failed. */
   HttpResponse ApplyOrder(const nlohmann::json& aOrder);
+  /** @return All orders that were received, oldest first. */
+  nlohmann::json Orders() const;
+
+  /** @return The status of a request that can't be served now; 0 if it can. */
+  int StatusOfUnserved(const GenerationOrder& aOrder) const;
   void ApplyFault(const nlohmann::json& aFault);
 
 private:
@@ -107,6 +136,11 @@
   void AddCacheEvent(std::uint64_t aBlock, bool aAdded);
   void RecordLoad();
   void CountToken();
+  bool IsEnded(const Generation& aGeneration) const;
+  void BeginVersionLoad();
+  bool DrawWeights(const std::string& aName) const;
+  bool LoadWeights(const ReceivedOrder& aOrder);
+  void TakeEffect(const ReceivedOrder& aOrder);
 
   const EngineOptions mOptions;
   mutable std::mutex mMutex;
@@ -121,7 +155,16 @@
   std::uint64_t mHighestFencing = 0;
   std::set<std::string> mModels;
   std::set<std::string> mAdapters;
+  std::string mVersion;
   std::string mRole = "mixed";
+  /** Held while an order is carried out; others wait for their turn. */
+  std::mutex mOrderTurn;
+  std::deque<ReceivedOrder> mOrders;
+  /** Version or adapter that is being loaded. */
+  std::string mLoading;
+  bool mLoadsVersion = false;
+  std::uint64_t mVersionLoads = 0;
+  std::uint64_t mCutByOrders = 0;
   double mSlowFactor = 1;
   bool mHangs = false;
   bool mReportsPaused = false;
--- a/src/standins/fakeengine/main.cpp
+++ b/src/standins/fakeengine/main.cpp
@@ -13,6 +13,9 @@
 DEFINE_uint64(seed, 0, "varies the lengths of answers, if not 0");
 DEFINE_double(report_lag_ms, 500, "lag of load reports and cache events");
 DEFINE_bool(honours_fencing, false, "refuses orders with an old number");
+DEFINE_string(model_version, "", "version that is loaded at the start");
+DEFINE_double(load_ms, 0, "time that a version or an adapter takes to load");
+DEFINE_int32(weight_store_port, 0, "port of the weight store; 0 for none");
 
 namespace medlarkeel {
 
@@ -107,6 +110,10 @@
   if (order.mMarker.empty() || order.mTokens == 0) {
     return JsonResponse(kBadRequest, { { "error", "no message" } });
   }
+  const int unserved = aEngine.StatusOfUnserved(order);
+  if (unserved != 0) {
+    return JsonResponse(unserved, { { "error", "not loaded" } });
+  }
   const bool streams = order.mStreams;
   auto generation = aEngine.Begin(std::move(order));
   if (!streams) {
@@ -139,6 +146,9 @@
     aSeen.Add(aRequest);
     return aEngine.ApplyOrder(ParseObject(aRequest.mBody));
   }
+  if (route == "GET /orders") {
+    return JsonResponse(200, aEngine.Orders());
+  }
   if (route == "POST /fault") {
     aEngine.ApplyFault(ParseObject(aRequest.mBody));
     return JsonResponse(200, nlohmann::json::object());
@@ -182,6 +192,9 @@
   result.mSeed = FLAGS_seed;
   result.mReportLagMilliseconds = FLAGS_report_lag_ms;
   result.mHonoursFencing = FLAGS_honours_fencing;
+  result.mVersion = FLAGS_model_version;
+  result.mLoadMilliseconds = FLAGS_load_ms;
+  result.mWeightStorePort = static_cast<std::uint16_t>(FLAGS_weight_store_port);
   return result;
 }
 
