Give no order on what was known before a pause or long ago

After a pause the list and the state of the backend server must be read again, also where the server honours fencing; a state older than 2 s is read again, so that a server that restarted gets back what it lost. A token becomes one fencing number, incarnation plus counter, and a higher number at the server supersedes the agent. A restarted agent adopts the adapters that are loaded instead of unloading them, and a document without a version changes none.

--- a/src/libmedlarkeel/adapterplacement.cpp
+++ b/src/libmedlarkeel/adapterplacement.cpp
@@ -25,6 +25,12 @@
 {
 }
 
+void
+AdapterPlacement::AdoptLoaded(const std::set<AdapterName>& aLoaded)
+{
+  mDesired.insert(aLoaded.begin(), aLoaded.end());
+}
+
 const std::set<AdapterName>&
 AdapterPlacement::Update(const Pool& aPool,
                          const InstanceList& aList,
--- a/src/libmedlarkeel/adapterplacement.h
+++ b/src/libmedlarkeel/adapterplacement.h
@@ -43,6 +43,12 @@
 public:
   explicit AdapterPlacement(InstanceId aOwn, PlacementLimits aLimits = {});
 
+  /**
+   * Takes what the backend server holds already, so that a restart of the
+   * agent moves nothing.
+   */
+  void AdoptLoaded(const std::set<AdapterName>& aLoaded);
+
   /**
    * Takes the document and the list as they are now.
    *
--- a/src/libmedlarkeel/backendorder.h
+++ b/src/libmedlarkeel/backendorder.h
@@ -31,6 +31,17 @@
   }
 };
 
+/**
+ * Makes the number by which a backend server orders tokens. An incarnation is
+ * the microsecond of the start, and an order takes longer than one, so the
+ * numbers of a later incarnation are higher.
+ */
+inline std::uint64_t
+FencingNumber(FencingToken aToken)
+{
+  return aToken.mIncarnation.mValue + aToken.mCounter;
+}
+
 /** What a backend server has loaded, or is to have. */
 struct BackendState
 {
@@ -47,6 +58,10 @@
   UnloadAdapter
 };
 
+/** @return The kind in kebab case, as backend servers and the log have it. */
+const char*
+OrderKindText(OrderKind aKind);
+
 /** One order to a backend server. */
 struct BackendOrder
 {
--- a/src/libmedlarkeel/orderissuer.cpp
+++ b/src/libmedlarkeel/orderissuer.cpp
@@ -45,6 +45,9 @@
 bool
 OrderIssuer::MayDecide(Timestamp aNow) const
 {
+  if (mPausedUntil && (!mListed || *mListed < *mPausedUntil)) {
+    return false;
+  }
   if (mHonoursFencing) {
     return true;
   }
@@ -65,7 +68,7 @@
   if (mIsSuperseded || !mDesired || !MayDecide(aNow)) {
     return WaitStep{};
   }
-  if (!mObserved) {
+  if (!mObserved || aNow - mObservedAt > mLimits.mStateValidity) {
     if (aNow < mReadAfter) {
       return WaitStep{ mReadAfter };
     }
@@ -98,6 +101,33 @@
   return true;
 }
 
+void
+OrderIssuer::Withdraw(FencingToken aToken, Timestamp aNow)
+{
+  if (mOutstanding && mOutstanding->mToken == aToken &&
+      !mOutstanding->mIsSent) {
+    VoidOrder(aNow);
+  }
+}
+
+void
+OrderIssuer::ResumeAfterPause(Timestamp aNow)
+{
+  mPausedUntil = aNow;
+  mObserved.reset();
+  mReadAfter = std::max(mReadAfter, aNow);
+  if (mOutstanding && !mOutstanding->mIsSent) {
+    VoidOrder(mReadAfter);
+  }
+}
+
+void
+OrderIssuer::RecordFencingNumber(std::uint64_t aNumber)
+{
+  const FencingToken latest{ mIncarnation, mLastCounter };
+  mIsSuperseded = mIsSuperseded || aNumber > FencingNumber(latest);
+}
+
 void
 OrderIssuer::RecordState(const BackendState& aState,
                          std::optional<FencingToken> aLastToken,
@@ -109,6 +139,7 @@
   }
   if (!mOutstanding && aRequested >= mReadAfter) {
     mObserved = aState;
+    mObservedAt = aRequested;
   }
 }
 
--- a/src/libmedlarkeel/orderissuer.h
+++ b/src/libmedlarkeel/orderissuer.h
@@ -20,6 +20,8 @@
   Milliseconds mListValidity{ 10000 };
   /** Longest time until the list shows a new incarnation. */
   Milliseconds mListLag{ 5000 };
+  /** Time after which the state of the backend server is read again. */
+  Milliseconds mStateValidity{ 2000 };
 };
 
 /** Nothing to do, or nothing before the given time. */
@@ -91,6 +93,15 @@
    */
   bool MaySend(FencingToken aToken, Timestamp aNow);
 
+  /** Voids an order that was decided and is not going to be sent. */
+  void Withdraw(FencingToken aToken, Timestamp aNow);
+
+  /**
+   * Forbids to decide on anything that was known before a pause: the list and
+   * the state of the backend server must be read again.
+   */
+  void ResumeAfterPause(Timestamp aNow);
+
   /**
    * @param aRequested When the reading was asked for.
    * @param aLastToken Latest token that the server has seen, if it tells.
@@ -99,6 +110,12 @@
                    std::optional<FencingToken> aLastToken,
                    Timestamp aRequested);
 
+  /**
+   * Takes the latest fencing number that the backend server has seen; a
+   * higher one than all own numbers supersedes this incarnation.
+   */
+  void RecordFencingNumber(std::uint64_t aNumber);
+
   /** Takes the answer to the outstanding order. */
   void RecordResult(FencingToken aToken, OrderResult aResult, Timestamp aNow);
 
@@ -125,6 +142,10 @@
   Timestamp mReadAfter;
   std::optional<BackendState> mDesired;
   std::optional<BackendState> mObserved;
+  /** When the reading of mObserved was asked for. */
+  Timestamp mObservedAt{};
+  /** End of the last pause; the list must have been read since. */
+  std::optional<Timestamp> mPausedUntil;
   std::optional<Outstanding> mOutstanding;
   std::uint64_t mLastCounter = 0;
   bool mIsSuperseded = false;
--- a/src/libmedlarkeel/versionrollout.cpp
+++ b/src/libmedlarkeel/versionrollout.cpp
@@ -20,6 +20,11 @@
                        const std::string& aObserved,
                        Timestamp aNow)
 {
+  if (aPool.mVersion.empty()) {
+    mTarget.clear();
+    mDesired = aObserved;
+    return mDesired;
+  }
   if (mTarget != aPool.mVersion) {
     mTarget = aPool.mVersion;
     mTargetSince = aNow;
--- a/src/libmedlarkeel/versionrollout.h
+++ b/src/libmedlarkeel/versionrollout.h
@@ -30,7 +30,8 @@
 
   /**
    * @param aObserved The version that the backend server has; empty if none.
-   * @return The version that it is to have now.
+   * @return The version that it is to have now; the one that it has while the
+   *         document names none.
    */
   const std::string& Update(const Pool& aPool,
                             const InstanceList& aList,
@@ -38,6 +39,7 @@
                             Timestamp aNow);
 
 private:
+  /** @return Time from the change of the document to the own turn. */
   Microseconds TurnAfter(const Pool& aPool, const InstanceList& aList) const;
 
   const InstanceId mOwn;
--- a/tests/core/test_adapterplacement.cpp
+++ b/tests/core/test_adapterplacement.cpp
@@ -128,6 +128,14 @@
   BOOST_TEST(grown.size() > steady.size());
 }
 
+BOOST_AUTO_TEST_CASE(ARestartedAgentUnloadsNothingAtOnce)
+{
+  AdapterPlacement placement(InstanceId("agent-0"));
+  placement.AdoptLoaded({ AdapterName("adapter-0") });
+  const auto desired = placement.Update(MakePool(0), MakeList(1), Timestamp{});
+  BOOST_TEST(desired.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/core/test_orderissuer.cpp
+++ b/tests/core/test_orderissuer.cpp
@@ -225,6 +225,41 @@
   BOOST_TEST(std::holds_alternative<WaitStep>(issuer.Next(true, At(3))));
 }
 
+BOOST_AUTO_TEST_CASE(NothingKnownBeforeAPauseIsActedOn)
+{
+  OrderIssuer issuer(Incarnation{ 1 }, true, At(0), Limits());
+  issuer.SetDesired({ "v2", "", {} });
+  issuer.RecordListed(At(0));
+  issuer.RecordState({ "v1", "", {} }, std::nullopt, At(0));
+  issuer.ResumeAfterPause(At(10));
+  BOOST_TEST(std::holds_alternative<WaitStep>(issuer.Next(true, At(10))));
+  issuer.RecordListed(At(11));
+  BOOST_TEST(std::holds_alternative<ReadStateStep>(issuer.Next(true, At(11))));
+  issuer.RecordState({ "v1", "", {} }, std::nullopt, At(9));
+  BOOST_TEST(std::holds_alternative<ReadStateStep>(issuer.Next(true, At(12))));
+  issuer.RecordState({ "v1", "", {} }, std::nullopt, At(12));
+  BOOST_TEST(std::holds_alternative<SendOrderStep>(issuer.Next(true, At(13))));
+}
+
+BOOST_AUTO_TEST_CASE(AnOldStateIsReadAgain)
+{
+  OrderIssuer issuer(Incarnation{ 1 }, true, At(0), Limits());
+  issuer.SetDesired({ "v1", "", {} });
+  issuer.RecordState({ "v1", "", {} }, std::nullopt, At(0));
+  BOOST_TEST(std::holds_alternative<WaitStep>(issuer.Next(true, At(1))));
+  const Timestamp late = At(1) + OrderLimits().mStateValidity;
+  BOOST_TEST(std::holds_alternative<ReadStateStep>(issuer.Next(true, late)));
+}
+
+BOOST_AUTO_TEST_CASE(AHigherFencingNumberSupersedes)
+{
+  OrderIssuer issuer(Incarnation{ 100 }, true, At(0), Limits());
+  issuer.RecordFencingNumber(100);
+  BOOST_TEST(!issuer.IsSuperseded());
+  issuer.RecordFencingNumber(101);
+  BOOST_TEST(issuer.IsSuperseded());
+}
+
 BOOST_AUTO_TEST_CASE(APausedAgentNeverOverrunsItsSuccessor)
 {
   const bool holds = rc::check("no overrun", [](std::uint64_t aSeed) {
--- a/tests/core/test_versionrollout.cpp
+++ b/tests/core/test_versionrollout.cpp
@@ -99,6 +99,13 @@
   BOOST_TEST(rollout.Update(pool, {}, "", Timestamp{}) == "v2");
 }
 
+BOOST_AUTO_TEST_CASE(WithoutAVersionInTheDocumentNothingChanges)
+{
+  VersionRollout rollout(InstanceId("agent"));
+  BOOST_TEST(rollout.Update(Pool{}, {}, "v1", Timestamp{}) == "v1");
+  BOOST_TEST(rollout.Update(Pool{}, {}, "v3", Timestamp{}) == "v3");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
