--- a/src/libmedlarkeel/rangeownership.cpp
+++ b/src/libmedlarkeel/rangeownership.cpp
@@ -97,7 +97,9 @@
 {
   MemberSet set;
   for (const InstanceRecord& record : aList.mInstances) {
-    if (record.mRole != mScope.mRole || record.mPool != mScope.mPool) {
+    const bool isInPool =
+      mScope.mPool.IsEmpty() || record.mPool == mScope.mPool;
+    if (record.mRole != mScope.mRole || !isInPool) {
       continue;
     }
     const Member member{ HashOf(record.mId.Text()),
--- a/src/libmedlarkeel/rangeownership.h
+++ b/src/libmedlarkeel/rangeownership.h
@@ -27,7 +27,7 @@
 struct OwnershipScope
 {
   InstanceRole mRole = InstanceRole::Entry;
-  /** Pool of the agents; empty for entries. */
+  /** Pool of the agents; empty for entries and for the agents of all pools. */
   PoolName mPool;
 };
 
--- a/src/libmedlarkeel/teamlimiter.cpp
+++ b/src/libmedlarkeel/teamlimiter.cpp
@@ -17,7 +17,7 @@
   : mSelf(aSelf)
   , mSettings(aSettings)
   , mRandom(aSeed)
-  , mOwnership(std::move(aSelf), aSettings.mOwnership, OwnershipScope{})
+  , mOwnership(std::move(aSelf), aSettings.mOwnership, aSettings.mScope)
 {
 }
 
--- a/src/libmedlarkeel/teamlimiter.h
+++ b/src/libmedlarkeel/teamlimiter.h
@@ -22,6 +22,8 @@
 struct TeamLimiterSettings
 {
   OwnershipSettings mOwnership;
+  /** The instances that share the limits out among themselves. */
+  OwnershipScope mScope;
   /** Slices into which each team's limit is cut. */
   std::uint32_t mSlices = 4;
   /** Validity of tokens borrowed in advance. */
--- a/src/medlarkeeld/teamgate.cpp
+++ b/src/medlarkeeld/teamgate.cpp
@@ -43,9 +43,15 @@
 
 void
 TeamGate::ApplyDocument(const DocumentView& aView)
+{
+  SetLimits(aView.Limits());
+}
+
+void
+TeamGate::SetLimits(const std::vector<TeamLimit>& aLimits)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mLimiter.SetTeams(aView.Limits(), BootNow());
+  mLimiter.SetTeams(aLimits, BootNow());
 }
 
 void
--- a/src/medlarkeeld/teamgate.h
+++ b/src/medlarkeeld/teamgate.h
@@ -31,6 +31,7 @@
   AdmitVerdict Admit(const TeamName& aTeam);
 
   void ApplyDocument(const DocumentView& aView);
+  void SetLimits(const std::vector<TeamLimit>& aLimits);
   void ApplyList(const InstanceList& aList,
                  Timestamp aSentAt,
                  Timestamp aReceivedAt);
