Route requests that name an adapter to agents that have it

Cause: the route table read the adapter, but neither the entry's choice nor the agent knew of it. Agents report their adapters with grants, refusals and probes; the entry chooses among those that have it and tries the others if it knows of none; an agent without it refuses the reservation as not run. Agents can drain for a change: queued work is handed back, running work ends. An agent that takes no work is probed each 2 s instead of 15 s, so that it is used again soon after a drain.

Ruled out: holders worked out from the list at the entry, which are wrong while an adapter loads or is held.

--- a/src/libmedlarkeel/candidate.h
+++ b/src/libmedlarkeel/candidate.h
@@ -18,8 +18,8 @@
   RegionName mRegion;
   /** IP number and port of the agent beside the backend server. */
   std::string mAddress;
-  /** Adapters it is known to hold; empty when not known. */
-  std::vector<AdapterName> mAdapters;
+  /** Adapters that it holds; absent when not known. */
+  std::optional<std::vector<AdapterName>> mAdapters;
   /** Last load report; a hint that is mLoadAge old. */
   LoadSnapshot mLoad;
   /** Age of mLoad; absent when it never reported. */
--- a/src/libmedlarkeel/fleetview.cpp
+++ b/src/libmedlarkeel/fleetview.cpp
@@ -108,7 +108,10 @@
     member.mRampStart = aNow;
   }
   member.mSilences = 0;
+  auto adapters =
+    aLoad.mAdapters ? aLoad.mAdapters : std::move(member.mLoad.mAdapters);
   member.mLoad = aLoad;
+  member.mLoad.mAdapters = std::move(adapters);
   member.mContactAt = aNow;
 }
 
@@ -197,6 +200,7 @@
   candidate.mZone = record.mZone;
   candidate.mRegion = record.mRegion;
   candidate.mAddress = record.mAddress;
+  candidate.mAdapters = aMember.mLoad.mAdapters;
   candidate.mLoad = aMember.mLoad;
   if (aMember.mContactAt) {
     candidate.mLoadAge = aNow - *aMember.mContactAt;
@@ -262,9 +266,9 @@
 bool
 FleetView::IsProbeDue(const Member& aMember, Timestamp aNow) const
 {
-  const Microseconds interval = aMember.mSilences > 0
-                                  ? mSettings.mSilentProbeInterval
-                                  : mSettings.mProbeInterval;
+  const bool gotNoWork = aMember.mSilences > 0 || !aMember.mLoad.mAccepting;
+  const Microseconds interval =
+    gotNoWork ? mSettings.mSilentProbeInterval : mSettings.mProbeInterval;
   const auto last = std::max(aMember.mContactAt, aMember.mProbedAt);
   return !last || aNow - *last >= interval;
 }
--- a/src/libmedlarkeel/fleetview.h
+++ b/src/libmedlarkeel/fleetview.h
@@ -30,7 +30,8 @@
   Microseconds mRampTime = std::chrono::seconds(30);
   /** Time without contact after which an agent is probed. */
   Microseconds mProbeInterval = std::chrono::seconds(15);
-  /** Time after which a silent agent is probed again. */
+  /** Time after which an agent that is silent or takes no work is probed
+   * again. */
   Microseconds mSilentProbeInterval = std::chrono::seconds(2);
 };
 
--- a/src/libmedlarkeel/loadreport.h
+++ b/src/libmedlarkeel/loadreport.h
@@ -3,6 +3,8 @@
 #include "types.h"
 
 #include <cstddef>
+#include <optional>
+#include <vector>
 
 namespace medlarkeel {
 
@@ -15,6 +17,8 @@
   std::size_t mLimit = 0;
   Microseconds mQueueDelay{ 0 };
   bool mAccepting = true;
+  /** Adapters that requests may name; absent in reports that don't tell. */
+  std::optional<std::vector<AdapterName>> mAdapters;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/replicachooser.cpp
+++ b/src/libmedlarkeel/replicachooser.cpp
@@ -84,9 +84,9 @@
   if (Contains(aRequest.mExclusions, aCandidate.mId)) {
     return CandidateNote::Excluded;
   }
-  const bool lacksAdapter = aRequest.mAdapter &&
-                            !aCandidate.mAdapters.empty() &&
-                            !Contains(aCandidate.mAdapters, *aRequest.mAdapter);
+  const bool lacksAdapter =
+    aRequest.mAdapter && aCandidate.mAdapters &&
+    !Contains(*aCandidate.mAdapters, *aRequest.mAdapter);
   if (lacksAdapter) {
     return CandidateNote::NoAdapter;
   }
--- a/src/libmedlarkeelnet/wireconversion.cpp
+++ b/src/libmedlarkeelnet/wireconversion.cpp
@@ -34,6 +34,12 @@
   aOut.set_queue_delay_us(
     static_cast<std::uint64_t>(aLoad.mQueueDelay.count()));
   aOut.set_accepting(aLoad.mAccepting);
+  if (aLoad.mAdapters) {
+    wire::AdapterReport& report = *aOut.mutable_adapters();
+    for (const AdapterName& adapter : *aLoad.mAdapters) {
+      report.add_names(adapter.Text());
+    }
+  }
 }
 
 LoadSnapshot
@@ -45,6 +51,10 @@
   load.mLimit = aReport.limit();
   load.mQueueDelay = Microseconds(aReport.queue_delay_us());
   load.mAccepting = aReport.accepting();
+  if (aReport.has_adapters()) {
+    const auto& names = aReport.adapters().names();
+    load.mAdapters.emplace(names.begin(), names.end());
+  }
   return load;
 }
 
--- a/src/medlarkeeld/admittedrequest.h
+++ b/src/medlarkeeld/admittedrequest.h
@@ -21,6 +21,8 @@
   Route mRoute;
   ServiceClass mClass;
   PoolKind mPoolKind = PoolKind::Model;
+  /** Adapter that the request names; empty for none. */
+  AdapterName mAdapter;
   Timestamp mArrived;
   std::optional<Timestamp> mDeadline;
   IdempotencyKey mIdempotencyKey;
--- a/src/medlarkeeld/agentcore.cpp
+++ b/src/medlarkeeld/agentcore.cpp
@@ -13,6 +13,7 @@
 
 /** Several tick intervals. */
 constexpr Milliseconds kPauseLimit{ 1000 };
+constexpr Milliseconds kRetryWithoutAdapter{ 1000 };
 
 std::optional<RefusalReason>
 ReasonToRefuse(const AgentConditions& aConditions)
@@ -20,6 +21,9 @@
   if (aConditions.mShuttingDown || aConditions.mListedLeaving) {
     return RefusalReason::Leaving;
   }
+  if (aConditions.mDraining) {
+    return RefusalReason::NoBackendServer;
+  }
   if (!aConditions.mDocumentKnown || aConditions.mMustRevalidate) {
     return RefusalReason::ConfigurationUnknown;
   }
@@ -77,17 +81,36 @@
   const Lock lock(mMutex);
   const Timestamp now = ObserveClock();
   aReservation.mId = ReservationId{ ++mLastReservation };
-  mWaiting[aReservation.mId] = Waiting{ std::move(aMailbox), aOrigin.mRequest };
-  if (IsKeyWithdrawn(aReservation, aOrigin)) {
-    Refusal refusal;
-    refusal.mReason = RefusalReason::KeyWithdrawn;
-    Close(aReservation.mId, refusal);
+  mWaiting[aReservation.mId] =
+    Waiting{ std::move(aMailbox), aOrigin.mRequest, aOrigin.mAdapter };
+  if (const auto refusal = ReasonToReject(aReservation, aOrigin)) {
+    Close(aReservation.mId, *refusal);
     return aReservation.mId;
   }
   CarryOut(mScheduler.Reserve(aReservation, now));
   return aReservation.mId;
 }
 
+std::optional<Refusal>
+AgentCore::ReasonToReject(const Reservation& aReservation,
+                          const RequestOrigin& aOrigin) const
+{
+  Refusal refusal;
+  if (IsKeyWithdrawn(aReservation, aOrigin)) {
+    refusal.mReason = RefusalReason::KeyWithdrawn;
+    return refusal;
+  }
+  const bool lacksAdapter = !aOrigin.mAdapter.IsEmpty() && mAdapters &&
+                            mAdapters->count(aOrigin.mAdapter) == 0;
+  if (lacksAdapter) {
+    refusal.mReason = RefusalReason::NoBackendServer;
+    refusal.mRetryAfter = kRetryWithoutAdapter;
+    refusal.mDetail = "the adapter isn't loaded at this backend server";
+    return refusal;
+  }
+  return std::nullopt;
+}
+
 bool
 AgentCore::IsKeyWithdrawn(const Reservation& aReservation,
                           const RequestOrigin& aOrigin) const
@@ -275,6 +298,47 @@
   UpdateAccepting(now);
 }
 
+void
+AgentCore::SetDraining(bool aDraining)
+{
+  const Lock lock(mMutex);
+  const Timestamp now = ObserveClock();
+  mConditions.mDraining = aDraining;
+  UpdateAccepting(now);
+}
+
+bool
+AgentCore::IsDrained()
+{
+  const Lock lock(mMutex);
+  return mConditions.mDraining && mWaiting.empty() &&
+         mScheduler.Load(BootNow()).mRunning == 0;
+}
+
+void
+AgentCore::RecordReload()
+{
+  const Lock lock(mMutex);
+  CarryOut(mScheduler.BackendRestarted(ObserveClock()));
+}
+
+void
+AgentCore::SetAdapters(std::set<AdapterName> aAdapters)
+{
+  const Lock lock(mMutex);
+  mAdapters = std::move(aAdapters);
+}
+
+bool
+AgentCore::HasWorkFor(const AdapterName& aAdapter)
+{
+  const Lock lock(mMutex);
+  return std::any_of(
+    mWaiting.begin(), mWaiting.end(), [&](const auto& aWaiting) {
+      return aWaiting.second.mAdapter == aAdapter;
+    });
+}
+
 void
 AgentCore::Tick()
 {
@@ -286,7 +350,11 @@
 AgentCore::Load()
 {
   const Lock lock(mMutex);
-  return mScheduler.Load(BootNow());
+  LoadSnapshot load = mScheduler.Load(BootNow());
+  if (mAdapters) {
+    load.mAdapters.emplace(mAdapters->begin(), mAdapters->end());
+  }
+  return load;
 }
 
 bool
--- a/src/medlarkeeld/agentcore.h
+++ b/src/medlarkeeld/agentcore.h
@@ -30,6 +30,8 @@
   bool mDocumentKnown = false;
   bool mZoneOut = false;
   bool mMustRevalidate = false;
+  /** The backend server is to finish its work before a change. */
+  bool mDraining = false;
 };
 
 /** Where a reservation comes from. */
@@ -38,6 +40,8 @@
   RequestId mRequest;
   /** Version of the document that the entry acted on. */
   std::uint64_t mDocumentVersion = 0;
+  /** Adapter that the request names; empty for none. */
+  AdapterName mAdapter;
 };
 
 /**
@@ -139,6 +143,24 @@
   /** Refuses all new work from now on. */
   void BeginShutdown();
 
+  /**
+   * Begins or ends a drain: queued work is handed back as not run and new work
+   * refused, running work finishes.
+   */
+  void SetDraining(bool aDraining);
+
+  /** @return Whether the backend server has no work and gets none. */
+  bool IsDrained();
+
+  /** Notes that the backend server has loaded anew and is cold. */
+  void RecordReload();
+
+  /** Sets the adapters that requests may name. */
+  void SetAdapters(std::set<AdapterName> aAdapters);
+
+  /** @return Whether a request with the adapter waits or runs. */
+  bool HasWorkFor(const AdapterName& aAdapter);
+
   /** Expires grants and notices pauses; called at short intervals. */
   void Tick();
 
@@ -161,11 +183,15 @@
   {
     std::shared_ptr<RunMailbox> mMailbox;
     RequestId mRequest;
+    AdapterName mAdapter;
   };
 
   std::string RequestOf(ReservationId aReservation) const;
   bool IsKeyWithdrawn(const Reservation& aReservation,
                       const RequestOrigin& aOrigin) const;
+  /** @return Why the reservation can't even be queued, if so. */
+  std::optional<Refusal> ReasonToReject(const Reservation& aReservation,
+                                        const RequestOrigin& aOrigin) const;
 
   const InstanceId mSelf;
   const ZoneName mZone;
@@ -181,6 +207,8 @@
   ClaimDesk mDesk;
   /** Callers' keys of the document in force. */
   std::set<std::pair<TeamName, KeyId>> mKeys;
+  /** Adapters that requests may name; absent while not known. */
+  std::optional<std::set<AdapterName>> mAdapters;
   std::uint64_t mDocumentVersion = 0;
   std::uint64_t mLastReservation = 0;
 };
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -153,7 +153,8 @@
   mReservation =
     mCore.Reserve(ReservationFrom(mReserve, BootNow()),
                   RequestOrigin{ RequestId(mReserve.request_id()),
-                                 mReserve.configuration().version() },
+                                 mReserve.configuration().version(),
+                                 AdapterName(mReserve.adapter()) },
                   mMailbox);
 }
 
@@ -346,7 +347,11 @@
 AgentSession::Write(wire::AgentFrame& aFrame)
 {
   if (!aFrame.has_chunk()) {
-    FillLoad(mCore.Load(), *aFrame.mutable_load());
+    LoadSnapshot load = mCore.Load();
+    if (!aFrame.has_granted() && !aFrame.has_refused()) {
+      load.mAdapters.reset();
+    }
+    FillLoad(load, *aFrame.mutable_load());
   }
   return mStream.Write(aFrame);
 }
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -241,17 +241,31 @@
   return choice;
 }
 
+Choice
+EntryCore::ChooseCandidate(const ChoiceRequest& aNeeds)
+{
+  const Timestamp now = BootNow();
+  std::vector<Candidate> candidates = mFleet.Candidates(aNeeds.mPool, now);
+  const Choice choice = mChooser.Choose(aNeeds, candidates, now);
+  if (choice.mChosen || !aNeeds.mAdapter) {
+    return choice;
+  }
+  for (Candidate& candidate : candidates) {
+    candidate.mAdapters.reset();
+  }
+  return mChooser.Choose(aNeeds, candidates, now);
+}
+
 AgentChoice
 EntryCore::ChooseReplica(const AdmittedRequest& aRequest,
                          const ChoiceRequest& aNeeds)
 {
-  const Timestamp now = BootNow();
-  const Choice chosen =
-    mChooser.Choose(aNeeds, mFleet.Candidates(aNeeds.mPool, now), now);
+  const Choice chosen = ChooseCandidate(aNeeds);
   mLog.Write(Event::RequestRouted,
              { { "request", aRequest.mId.Text() },
                { "team", aRequest.Team().Text() },
                { "class", aRequest.mClass.mName.Text() },
+               { "adapter", aRequest.mAdapter.Text() },
                { "considered", ConsideredFields(chosen) },
                { "chosen", chosen.mChosen ? chosen.mChosen->Text() : "" },
                { "why", ChoiceReasonText(chosen.mReason) },
--- a/src/medlarkeeld/entrycore.h
+++ b/src/medlarkeeld/entrycore.h
@@ -112,6 +112,10 @@
   using Lock = std::lock_guard<std::mutex>;
 
   AgentChoice ChooseOwner(const AdmittedRequest& aRequest);
+  /** Chooses among the agents that are known to have the adapter, and among
+   * all if none is: what is known of adapters may be old, and an agent without
+   * the adapter refuses at once. */
+  Choice ChooseCandidate(const ChoiceRequest& aNeeds);
   AgentChoice ChooseReplica(const AdmittedRequest& aRequest,
                             const ChoiceRequest& aNeeds);
   /** Runs a change to the chooser and logs what it did to a breaker. */
--- a/src/medlarkeeld/requestadmission.cpp
+++ b/src/medlarkeeld/requestadmission.cpp
@@ -145,6 +145,7 @@
     }
     mRequest.mRoute = match.value().mRoute;
     mRequest.mPoolKind = match.value().mPoolKind;
+    mRequest.mAdapter = match.value().mAdapter;
     const ServiceClass* found = mView.FindClass(mRequest.mRoute.mClass);
     if (found != nullptr) {
       mRequest.mClass = *found;
--- a/src/medlarkeeld/requestrelay.cpp
+++ b/src/medlarkeeld/requestrelay.cpp
@@ -33,6 +33,9 @@
   ChoiceRequest choice;
   choice.mPool = aRequest.mRoute.mPool;
   choice.mPromptBlocks = aRequest.mPromptBlocks;
+  if (!aRequest.mAdapter.IsEmpty()) {
+    choice.mAdapter = aRequest.mAdapter;
+  }
   return choice;
 }
 
@@ -232,6 +235,7 @@
   }
   reserve.set_class_name(mRequest.mClass.mName.Text());
   reserve.set_pool(mRequest.mRoute.mPool.Text());
+  reserve.set_adapter(mRequest.mAdapter.Text());
   reserve.set_repeatable(mRequest.mRoute.mRepeatable);
   reserve.set_prompt_tokens(mRequest.mPromptTokens);
   reserve.set_max_tokens(mRequest.mMaxTokens);
