Give orders to the model engine from its agent

Cause: the core could decide on orders and nothing carried them out.

OrderDesk reads the engine's state, works out what it is to have (adapters by placement, version by turns) and carries out the steps of OrderIssuer over HTTP: drain through the scheduler, one outstanding order, state read back. Each placement and each order has a numbered log line with what was considered and why. A load takes a token of the weight store's rate, which the agents share out by the limiter of the teams.

--- a/src/libmedlarkeel/documentdiff.cpp
+++ b/src/libmedlarkeel/documentdiff.cpp
@@ -303,6 +303,14 @@
       [](const EnvironmentDocument& aItem) { return Text(aItem.mOpenRate); } },
     { "openBurst",
       [](const EnvironmentDocument& aItem) { return Text(aItem.mOpenBurst); } },
+    { "weightStoreRate",
+      [](const EnvironmentDocument& aItem) {
+        return Text(aItem.mWeightStoreRate);
+      } },
+    { "weightStoreBurst",
+      [](const EnvironmentDocument& aItem) {
+        return Text(aItem.mWeightStoreBurst);
+      } },
     { "withdrawnStreams",
       [](const EnvironmentDocument& aItem) {
         return std::string(
--- a/src/libmedlarkeel/documentparser.cpp
+++ b/src/libmedlarkeel/documentparser.cpp
@@ -267,6 +267,14 @@
     "openRate", Presence::Required, kOpenRateRange, document.mOpenRate);
   reader.Number(
     "openBurst", Presence::Required, kOpenBurstRange, document.mOpenBurst);
+  reader.Number("weightStoreRate",
+                Presence::Optional,
+                kOpenRateRange,
+                document.mWeightStoreRate);
+  reader.Number("weightStoreBurst",
+                Presence::Optional,
+                kBurstRange,
+                document.mWeightStoreBurst);
   reader.Choose<WithdrawnStreams>("withdrawnStreams",
                                   Presence::Required,
                                   { { "finish", WithdrawnStreams::Finish },
--- a/src/libmedlarkeel/environmentdocument.h
+++ b/src/libmedlarkeel/environmentdocument.h
@@ -121,6 +121,10 @@
   /** Limit of all requests without a key, in requests per second. */
   double mOpenRate = 0.0;
   double mOpenBurst = 0.0;
+  /** Loads from the weight store over the fleet, per second; 0 for no limit. */
+  double mWeightStoreRate = 0.0;
+  /** Loads from the weight store at once. */
+  double mWeightStoreBurst = 1.0;
   WithdrawnStreams mWithdrawnStreams = WithdrawnStreams::Finish;
 };
 
--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -36,6 +36,14 @@
   CommitRefused = 503,
   ClaimDecided = 504,
 
+  PlacementDecided = 600,
+  OrderDecided = 601,
+  OrderVoided = 602,
+  OrderEnded = 603,
+  DrainBegan = 604,
+  DrainEnded = 605,
+  AgentSuperseded = 606,
+
   ShareMoved = 700,
 
   BreakerOpened = 800,
--- a/src/libmedlarkeel/settings.cpp
+++ b/src/libmedlarkeel/settings.cpp
@@ -13,6 +13,8 @@
 constexpr IntegerRange kBodyRange{ 1024, 64 << 20, "bytes" };
 constexpr IntegerRange kConnectionRange{ 1, 1'000'000, "connections" };
 constexpr IntegerRange kIntervalRange{ 10, 600'000, "milliseconds" };
+constexpr IntegerRange kOrderRange{ 0, 3'600'000, "milliseconds" };
+constexpr IntegerRange kWidthRange{ 1, 1000, "agents" };
 constexpr IntegerRange kShutdownRange{ 0, 3'600'000, "milliseconds" };
 
 bool
@@ -136,6 +138,42 @@
   RequireLonger(aOut, kIntervals[5], kIntervals[2], aProblems);
 }
 
+struct OrderRow
+{
+  const char* mKey;
+  Milliseconds OrderSettings::*mMember;
+};
+
+constexpr OrderRow kOrderTimes[] = {
+  { "noticeMs", &OrderSettings::mNotice },
+  { "pauseBoundMs", &OrderSettings::mPauseBound },
+  { "timeoutMs", &OrderSettings::mTimeout },
+  { "adapterSettleMs", &OrderSettings::mAdapterSettle },
+  { "adapterHoldMs", &OrderSettings::mAdapterHold },
+  { "rolloutTurnMs", &OrderSettings::mRolloutTurn },
+};
+
+void
+ParseOrders(ObjectReader& aParent, OrderSettings& aOut, ProblemList& aProblems)
+{
+  auto reader = aParent.Nested("orders", Presence::Optional);
+  if (!reader) {
+    return;
+  }
+  for (const OrderRow& row : kOrderTimes) {
+    reader->Duration(
+      row.mKey, Presence::Optional, kOrderRange, aOut.*row.mMember);
+  }
+  reader->Number(
+    "rolloutWidth", Presence::Optional, kWidthRange, aOut.mRolloutWidth);
+  reader->RefuseUnknownKeys();
+  if (aOut.mNotice >= aOut.mPauseBound) {
+    aProblems.Add("$.orders.noticeMs",
+                  "less than pauseBoundMs",
+                  std::to_string(aOut.mNotice.count()));
+  }
+}
+
 void
 CheckSettings(const Settings& aSettings,
               const std::optional<InstanceRole>& aRole,
@@ -204,6 +242,7 @@
   ParseBackendServer(reader, settings);
   ParseLimits(reader, settings.mLimits);
   ParseControl(reader, settings.mControl, problems);
+  ParseOrders(reader, settings.mOrders, problems);
   reader.Duration("shutdownBoundMs",
                   Presence::Optional,
                   kShutdownRange,
--- a/src/libmedlarkeel/settings.h
+++ b/src/libmedlarkeel/settings.h
@@ -58,6 +58,25 @@
   Milliseconds mConfirmationBound{ 10000 };
 };
 
+/** How an agent gives orders to a model engine; the same at all agents. */
+struct OrderSettings
+{
+  /** Time from the logged decision until the order is sent. */
+  Milliseconds mNotice{ 0 };
+  /** Longest time from the decision until the order is sent. */
+  Milliseconds mPauseBound{ 500 };
+  /** Time after which an order without an answer has no more effect. */
+  Milliseconds mTimeout{ 60000 };
+  /** Time that a new claim on an adapter must last before it is loaded. */
+  Milliseconds mAdapterSettle{ 10000 };
+  /** Time that an adapter stays loaded after the claim has gone. */
+  Milliseconds mAdapterHold{ 120000 };
+  /** Longest time that one change of version takes, the drain included. */
+  Milliseconds mRolloutTurn{ 180000 };
+  /** Agents of a pool that change their version at once. */
+  std::size_t mRolloutWidth = 1;
+};
+
 /** What a process is told at its start: where it stands and how it listens. */
 struct Settings
 {
@@ -73,6 +92,7 @@
   std::optional<BackendServerSettings> mBackendServer;
   LimitSettings mLimits;
   ControlSettings mControl;
+  OrderSettings mOrders;
   Milliseconds mShutdownBound{ 30000 };
   std::string mLogLevel = "info";
 };
--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -20,6 +20,23 @@
                         server.mKind };
 }
 
+/** @return The name under which loads are metered; no team can have it. */
+TeamName
+StoreName()
+{
+  return TeamName("(weight-store)");
+}
+
+TeamLimiterSettings
+StoreLimiterFrom(const Settings& aSettings)
+{
+  TeamLimiterSettings limiter;
+  limiter.mOwnership.mEvidenceLife = aSettings.mControl.mEvidenceValid;
+  limiter.mOwnership.mListLag = aSettings.mControl.mListLagBound;
+  limiter.mScope.mRole = InstanceRole::Agent;
+  return limiter;
+}
+
 } // namespace
 
 AgentNode::AgentNode(const Settings& aSettings)
@@ -30,15 +47,42 @@
                                mCounters,
                                mChannels,
                                AccessFrom(aSettings) })
+  , mStoreGate(aSettings.mInstanceId,
+               StoreLimiterFrom(aSettings),
+               mIncarnation.mValue,
+               [this](const std::vector<LimitMessage>& aMessages) {
+                 mControl->SendLimits(aMessages);
+               })
+  , mOrders(
+      aSettings,
+      mIncarnation,
+      OrderEnvironment{ mCore, mDecisions, [this] { return TakeLoad(); } })
 {
 }
 
+AdmitVerdict
+AgentNode::TakeLoad()
+{
+  const DocumentViewPtr view = mConfiguration.View();
+  if (view && view->Document().mWeightStoreRate > 0) {
+    return mStoreGate.Admit(StoreName());
+  }
+  AdmitVerdict unlimited;
+  unlimited.mAdmitted = true;
+  return unlimited;
+}
+
 void
 AgentNode::Wire()
 {
   mConfiguration.AddListener([this](const DocumentViewPtr& aView) {
-    mCore.ApplyDocument(aView->Document());
+    const EnvironmentDocument& document = aView->Document();
+    mCore.ApplyDocument(document);
+    mStoreGate.SetLimits({ TeamLimit{
+      StoreName(), document.mWeightStoreRate, document.mWeightStoreBurst } });
+    mOrders.ApplyDocument(document);
   });
+  mOrders.Start();
 }
 
 std::vector<grpc::Service*>
@@ -60,11 +104,13 @@
 AgentNode::Tick()
 {
   mCore.Tick();
+  mStoreGate.Tick();
 }
 
 bool
 AgentNode::Drain(Timestamp aBound)
 {
+  mOrders.Stop();
   mCore.BeginShutdown();
   const auto left =
     std::chrono::duration_cast<Milliseconds>(aBound - BootNow());
@@ -78,6 +124,8 @@
 {
   static_cast<void>(aGap);
   mCore.Tick();
+  mStoreGate.ResumeAfterPause();
+  mOrders.ResumeAfterPause();
 }
 
 void
@@ -86,6 +134,8 @@
                      Timestamp aReceivedAt)
 {
   mCore.ApplyList(aList, aSentAt, aReceivedAt);
+  mStoreGate.ApplyList(aList, aSentAt, aReceivedAt);
+  mOrders.ApplyList(aList, aSentAt);
 }
 
 ControlHooks
@@ -93,6 +143,9 @@
 {
   ControlHooks hooks;
   hooks.mOwnLoad = [this] { return std::optional<LoadSnapshot>(mCore.Load()); };
+  hooks.mOnLimit = [this](const LimitMessage& aMessage) {
+    return mStoreGate.Receive(aMessage);
+  };
   hooks.mOnConfirmed = [this](Timestamp aSentAt) {
     mCore.RecordValidation(aSentAt);
   };
--- a/src/medlarkeeld/agentnode.h
+++ b/src/medlarkeeld/agentnode.h
@@ -4,6 +4,8 @@
 #include "agentservice.h"
 #include "backendrun.h"
 #include "node.h"
+#include "orderdesk.h"
+#include "teamgate.h"
 
 namespace medlarkeel {
 
@@ -26,9 +28,14 @@
   ControlHooks Hooks() override;
   std::optional<std::string> ReasonNotReady() override;
 
+  AdmitVerdict TakeLoad();
+
   AgentCore mCore;
   RunCounter mRuns;
   AgentService mService;
+  /** Shares the weight store's rate out among the agents. */
+  TeamGate mStoreGate;
+  OrderDesk mOrders;
 };
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -246,7 +246,7 @@
 {
   const Timestamp now = BootNow();
   std::vector<Candidate> candidates = mFleet.Candidates(aNeeds.mPool, now);
-  const Choice choice = mChooser.Choose(aNeeds, candidates, now);
+  Choice choice = mChooser.Choose(aNeeds, candidates, now);
   if (choice.mChosen || !aNeeds.mAdapter) {
     return choice;
   }
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -135,6 +135,15 @@
   ChildProcess& process =
     mHarness.Start(aId, "medlarkeeld", { "--settings=" + path });
   mProcesses[aId] = &process;
+  ListDaemon(aId, aSettings, aPool);
+  return process;
+}
+
+void
+Fleet::ListDaemon(const std::string& aId,
+                  const nlohmann::json& aSettings,
+                  const std::string& aPool) const
+{
   const auto& listen = aSettings["grpcListen"];
   const std::string address =
     "127.0.0.1:" + std::to_string(listen["port"].get<int>());
@@ -146,7 +155,6 @@
                            { "region", kRegion },
                            { "address", address },
                            { "pool", aPool } }) == 200);
-  return process;
 }
 
 EntryProcess&
@@ -182,11 +190,39 @@
   settings["backendServer"] = LocalEndpoint(pair->mBackendPort);
   settings["backendServer"]["pool"] = aPool;
   settings["backendServer"]["kind"] = aKind;
+  settings.merge_patch(mAgentSettings);
+  pair->mAgentSettings = settings;
   pair->mAgent = &StartDaemon(pair->mId, settings, aPool);
   mPairs.push_back(std::move(pair));
   return *mPairs.back();
 }
 
+ChildProcess&
+Fleet::ReplaceAgent(BackendPair& aPair)
+{
+  nlohmann::json settings = aPair.mAgentSettings;
+  settings["httpListen"] = LocalEndpoint(ProcessHarness::FreePort());
+  settings["grpcListen"] = LocalEndpoint(ProcessHarness::FreePort());
+  const std::string path =
+    mHarness.WriteFile(aPair.mId + "-next.json", settings.dump(2));
+  ChildProcess& process = mHarness.Start(
+    aPair.mId + "-next", "medlarkeeld", { "--settings=" + path });
+  mProcesses[aPair.mId + "-next"] = &process;
+  ListDaemon(aPair.mId, settings, settings["backendServer"]["pool"]);
+  return process;
+}
+
+std::uint16_t
+Fleet::AddWeightStore(std::vector<std::string> aArguments)
+{
+  const std::uint16_t port = ProcessHarness::FreePort();
+  aArguments.push_back("--port=" + std::to_string(port));
+  mProcesses["weightstore"] =
+    &mHarness.Start("weightstore", "fakeweightstore", aArguments);
+  BOOST_REQUIRE(WaitReady(port, "/stats"));
+  return port;
+}
+
 BackendPair&
 Fleet::AddEngine(std::vector<std::string> aArguments, const std::string& aZone)
 {
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -26,6 +26,7 @@
   std::string mId;
   ChildProcess* mBackend = nullptr;
   ChildProcess* mAgent = nullptr;
+  nlohmann::json mAgentSettings;
   std::uint16_t mBackendPort = 0;
   std::uint16_t mAgentHttpPort = 0;
 };
@@ -62,6 +63,19 @@
   BackendPair& AddService(std::vector<std::string> aArguments = {},
                           const std::string& aZone = "xela-a");
 
+  /** Sets what the settings of agents to come have beyond the usual. */
+  void SetAgentSettings(const nlohmann::json& aPatch)
+  {
+    mAgentSettings = aPatch;
+  }
+
+  /** Starts another agent beside the pair's backend server, at ports of its
+   * own, and lists it in place of the first. @return The successor. */
+  ChildProcess& ReplaceAgent(BackendPair& aPair);
+
+  /** Starts the stand-in of the weight store. @return Its port. */
+  std::uint16_t AddWeightStore(std::vector<std::string> aArguments);
+
   /** Waits until all processes are ready; fails the test otherwise. */
   void RequireReady();
 
@@ -96,6 +110,9 @@
                             const std::string& aRole,
                             const std::string& aZone,
                             std::uint16_t aHttpPort);
+  void ListDaemon(const std::string& aId,
+                  const nlohmann::json& aSettings,
+                  const std::string& aPool) const;
   ChildProcess& StartDaemon(const std::string& aId,
                             const nlohmann::json& aSettings,
                             const std::string& aPool);
@@ -104,6 +121,7 @@
   CallerKey mKey{ "alfa1", "s3cretOfAlfa1" };
   std::uint16_t mPlatformPort = ProcessHarness::FreePort();
   nlohmann::json mDocument;
+  nlohmann::json mAgentSettings = nlohmann::json::object();
   std::vector<std::unique_ptr<BackendPair>> mPairs;
   std::vector<std::unique_ptr<EntryProcess>> mEntries;
   std::map<std::string, ChildProcess*> mProcesses;
