Kill and stop agents while the weight store's rate is shared out

One of three agents is killed and replaced and one stopped for 2.5 s between the first and the last of six loads; the store counts no load beyond its rate. First seen to fail with the share taken out (2 loads beyond the rate) and with the adapter left out of choice and reservation (5 of 18 requests not served; load average 33 to 49).

--- a/src/libmedlarkeel/fleetview.cpp
+++ b/src/libmedlarkeel/fleetview.cpp
@@ -108,10 +108,11 @@
     member.mRampStart = aNow;
   }
   member.mSilences = 0;
-  auto adapters =
-    aLoad.mAdapters ? aLoad.mAdapters : std::move(member.mLoad.mAdapters);
+  auto known = std::move(member.mLoad.mAdapters);
   member.mLoad = aLoad;
-  member.mLoad.mAdapters = std::move(adapters);
+  if (!aLoad.mAdapters) {
+    member.mLoad.mAdapters = std::move(known);
+  }
   member.mContactAt = aNow;
 }
 
--- a/src/libmedlarkeel/teamlimiter.cpp
+++ b/src/libmedlarkeel/teamlimiter.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 TeamLimiter::TeamLimiter(InstanceId aSelf,
-                         TeamLimiterSettings aSettings,
+                         const TeamLimiterSettings& aSettings,
                          std::uint64_t aSeed)
   : mSelf(aSelf)
   , mSettings(aSettings)
--- a/src/libmedlarkeel/teamlimiter.h
+++ b/src/libmedlarkeel/teamlimiter.h
@@ -101,7 +101,7 @@
    * @param aSeed Different for each incarnation of an instance.
    */
   TeamLimiter(InstanceId aSelf,
-              TeamLimiterSettings aSettings,
+              const TeamLimiterSettings& aSettings,
               std::uint64_t aSeed);
 
   /** Replaces the limits; a team whose limit is unchanged keeps its state. */
--- a/tests/processes/test_orders.cpp
+++ b/tests/processes/test_orders.cpp
@@ -323,6 +323,14 @@
   }
   fleet.AddEntry();
   fleet.RequireReady();
+  BOOST_TEST(WaitUntil(seconds(20), [&] {
+    return GetJson(store, "/stats").value("draws", 0) > 0;
+  }));
+  engines[1]->mAgent->Signal(SIGSTOP);
+  engines[2]->mAgent->Kill();
+  fleet.ReplaceAgent(*engines[2]);
+  std::this_thread::sleep_for(milliseconds(2500));
+  engines[1]->mAgent->Signal(SIGCONT);
   for (const char* adapter : { "festival", "funeral", "fair" }) {
     BOOST_TEST(
       WaitUntil(seconds(25), [&] { return CopiesOf(engines, adapter) == 2; }));
