--- a/src/libmedlarkeel/teamlimiter.cpp
+++ b/src/libmedlarkeel/teamlimiter.cpp
@@ -12,12 +12,12 @@
 } // namespace
 
 TeamLimiter::TeamLimiter(InstanceId aSelf,
-                         TeamLimiterSettings aSettings,
+                         const TeamLimiterSettings& aSettings,
                          std::uint64_t aSeed)
   : mSelf(aSelf)
   , mSettings(aSettings)
   , mRandom(aSeed)
-  , mOwnership(std::move(aSelf), aSettings.mOwnership, OwnershipScope{})
+  , mOwnership(std::move(aSelf), aSettings.mOwnership, aSettings.mScope)
 {
 }
 
--- a/src/libmedlarkeel/teamlimiter.h
+++ b/src/libmedlarkeel/teamlimiter.h
@@ -22,6 +22,8 @@
 struct TeamLimiterSettings
 {
   OwnershipSettings mOwnership;
+  /** The instances that share the limits out among themselves. */
+  OwnershipScope mScope;
   /** Slices into which each team's limit is cut. */
   std::uint32_t mSlices = 4;
   /** Validity of tokens borrowed in advance. */
@@ -99,7 +101,7 @@
    * @param aSeed Different for each incarnation of an instance.
    */
   TeamLimiter(InstanceId aSelf,
-              TeamLimiterSettings aSettings,
+              const TeamLimiterSettings& aSettings,
               std::uint64_t aSeed);
 
   /** Replaces the limits; a team whose limit is unchanged keeps its state. */
