--- a/src/libmedlarkeel/backendscheduler.h
+++ b/src/libmedlarkeel/backendscheduler.h
@@ -40,7 +40,7 @@
   /** Part of the whole that is left when work is near its end. */
   double mNearEndPart = 0.25;
   /** Part of a target that is left for the way to the backend server. */
-  double mTargetReserve = 0.05;
+  double mTargetReserve = 0.1;
 };
 
 using CommitResult = BOOST_OUTCOME_V2_NAMESPACE::
--- a/tests/core/schedulerworld.cpp
+++ b/tests/core/schedulerworld.cpp
@@ -16,7 +16,7 @@
 constexpr Milliseconds kTokenGap{ 10 };
 constexpr std::uint32_t kOutputTokens = 40;
 /** Part of a target that may pass before the prefill has to begin. */
-constexpr double kTargetPart = 0.95;
+constexpr double kTargetPart = 0.9;
 constexpr Milliseconds kRunTime = kPrefill + kOutputTokens * kTokenGap;
 
 } // namespace
