Close a prepared connection that comes too late

If a connection isn't up when the call begins, the call makes its own; the late one then stood idle at the backend server until the stream ended. It is closed now. The http tests of test_libmedlarkeelnet pass; no test provokes a connection that is late.

--- a/src/libmedlarkeelnet/preparedconnection.cpp
+++ b/src/libmedlarkeelnet/preparedconnection.cpp
@@ -26,15 +26,25 @@
 
 PreparedConnection::~PreparedConnection()
 {
-  if (mDescriptor >= 0) {
-    close(mDescriptor);
-  }
+  Close();
 }
 
 int
 PreparedConnection::Release()
 {
-  return IsUsable() ? std::exchange(mDescriptor, -1) : -1;
+  if (!IsUsable()) {
+    Close();
+  }
+  return std::exchange(mDescriptor, -1);
+}
+
+void
+PreparedConnection::Close()
+{
+  if (mDescriptor >= 0) {
+    close(mDescriptor);
+    mDescriptor = -1;
+  }
 }
 
 bool
--- a/src/libmedlarkeelnet/preparedconnection.h
+++ b/src/libmedlarkeelnet/preparedconnection.h
@@ -22,7 +22,7 @@
   PreparedConnection& operator=(const PreparedConnection&) = delete;
 
   /**
-   * Hands the connection over.
+   * Hands the connection over, or closes it if it can't be used.
    *
    * @return Its descriptor, which the caller closes, or -1 unless it stands
    *         and the server has neither sent anything nor closed it.
@@ -31,6 +31,7 @@
 
 private:
   bool IsUsable() const;
+  void Close();
 
   int mDescriptor = -1;
 };
