Fill the bounds of ownership from the settings in one place

The entry's limits, the entry's routing and the agent's claims each copied evidence life and list lag from the settings. A bound that one of them left out would have made their waits differ.

--- a/src/libmedlarkeel/rangeownership.cpp
+++ b/src/libmedlarkeel/rangeownership.cpp
@@ -1,5 +1,7 @@
 #include "rangeownership.h"
 
+#include "settings.h"
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -59,6 +61,15 @@
 
 } // namespace
 
+OwnershipSettings
+OwnershipSettingsFrom(const ControlSettings& aSettings)
+{
+  OwnershipSettings ownership;
+  ownership.mEvidenceLife = aSettings.mEvidenceValid;
+  ownership.mListLag = aSettings.mListLagBound;
+  return ownership;
+}
+
 RangeKey
 RangeKeyOf(const std::string& aText)
 {
--- a/src/libmedlarkeel/rangeownership.h
+++ b/src/libmedlarkeel/rangeownership.h
@@ -12,6 +12,8 @@
 
 namespace medlarkeel {
 
+struct ControlSettings;
+
 /** Bounds on which the safety of range ownership rests. */
 struct OwnershipSettings
 {
@@ -23,6 +25,13 @@
   Microseconds mClockDrift = Milliseconds(50);
 };
 
+/**
+ * Takes the bounds from the settings of a process, so that all its users of
+ * range ownership rest on the same ones.
+ */
+OwnershipSettings
+OwnershipSettingsFrom(const ControlSettings& aSettings);
+
 /** The instances among which ranges are shared out. */
 struct OwnershipScope
 {
--- a/src/medlarkeeld/claimdesk.cpp
+++ b/src/medlarkeeld/claimdesk.cpp
@@ -14,15 +14,6 @@
 /** Shorter than any takeover, so that no heir decides on the key meanwhile. */
 constexpr Milliseconds kVouchLife{ 5000 };
 
-OwnershipSettings
-OwnershipFrom(const Settings& aSettings)
-{
-  OwnershipSettings ownership;
-  ownership.mEvidenceLife = aSettings.mControl.mEvidenceValid;
-  ownership.mListLag = aSettings.mControl.mListLagBound;
-  return ownership;
-}
-
 void
 PostAnswer(const StoredAnswer& aAnswer, RunMailbox& aMailbox)
 {
@@ -92,7 +83,7 @@
   , mLog(aLog)
   , mOwnership(
       aSettings.mInstanceId,
-      OwnershipFrom(aSettings),
+      OwnershipSettingsFrom(aSettings.mControl),
       OwnershipScope{ InstanceRole::Agent, aSettings.mBackendServer->mPool })
   , mClaims(aSettings.mInstanceId, aIncarnation, aStarted)
 {
--- a/src/medlarkeeld/entrycore.cpp
+++ b/src/medlarkeeld/entrycore.cpp
@@ -25,15 +25,6 @@
   return fleet;
 }
 
-OwnershipSettings
-OwnershipSettingsFrom(const Settings& aSettings)
-{
-  OwnershipSettings ownership;
-  ownership.mEvidenceLife = aSettings.mControl.mEvidenceValid;
-  ownership.mListLag = aSettings.mControl.mListLagBound;
-  return ownership;
-}
-
 Refusal
 NoAgentRefusal()
 {
@@ -160,7 +151,7 @@
       const OwnershipScope scope{ InstanceRole::Agent, pool.mName };
       mOwners.try_emplace(pool.mName,
                           mSettings.mInstanceId,
-                          OwnershipSettingsFrom(mSettings),
+                          OwnershipSettingsFrom(mSettings.mControl),
                           scope);
     }
   }
--- a/src/medlarkeeld/entrynode.cpp
+++ b/src/medlarkeeld/entrynode.cpp
@@ -25,8 +25,7 @@
 LimiterSettingsFrom(const Settings& aSettings)
 {
   TeamLimiterSettings limiter;
-  limiter.mOwnership.mEvidenceLife = aSettings.mControl.mEvidenceValid;
-  limiter.mOwnership.mListLag = aSettings.mControl.mListLagBound;
+  limiter.mOwnership = OwnershipSettingsFrom(aSettings.mControl);
   return limiter;
 }
 
