Let owners of team limits go on by promises while the list is lost

Cause: an owner without a reading of the list for T (20 s) can't tell a lost list from being cut off alone, so all limited teams were refused.

An owner with evidence of T/2 asks all members of its newest list for promises and goes on while it has them all, up to an hour; heirs need a clearance from an old member or from all members of their list.

The hand-carried fixture of test_teamlimiter now carries clearances, as an heir needs one; its checks are the same. The fault runs last 90 s instead of 50 s and also lose the list.

--- a/bench/limits/cases.h
+++ b/bench/limits/cases.h
@@ -75,16 +75,16 @@
   }
 
   /** Runs the warm-up, then measures with whatever was scheduled. */
-  CaseResult Measure()
+  CaseResult Measure(Microseconds aTime)
   {
     mFleet.Run(kWarmUp);
     mFleet.ForgetOutcomes();
-    mFleet.Run(kMeasured);
-    return Collect();
+    mFleet.Run(aTime);
+    return Collect(aTime);
   }
 
 private:
-  CaseResult Collect()
+  CaseResult Collect(Microseconds aTime)
   {
     CaseResult result;
     for (const TeamLimit& team : mTeams) {
@@ -104,7 +104,7 @@
         result.mWorstTeam, static_cast<double>(outcome.mWrongful) / reference);
     }
     const double entries = static_cast<double>(mFleet.Reachable({}).size());
-    const double seconds = std::chrono::duration<double>(kMeasured).count();
+    const double seconds = std::chrono::duration<double>(aTime).count();
     const double entrySeconds = seconds * std::max(entries, 1.0);
     result.mMessagesPerSecond =
       static_cast<double>(mFleet.Messages()) / entrySeconds;
@@ -124,6 +124,7 @@
   int mRegions = 1;
   int mEntries = 3;
   void (*mSetUp)(CaseRun<Limiter>&) = nullptr;
+  Microseconds mMeasured = kMeasured;
 };
 
 template<typename Limiter>
@@ -264,18 +265,30 @@
   }
 }
 
+/** Takes the list from the entries from the given one on. */
 template<typename Limiter>
 void
-ListDown(CaseRun<Limiter>& aRun)
+ListDown(CaseRun<Limiter>& aRun, std::size_t aFirst, Microseconds aTime)
 {
   EvenLoad(aRun, 0.8);
-  for (const bool sees : { false, true }) {
-    AtFault(aRun, Seconds(sees ? 60 : 0), [&aRun, sees] {
-      for (std::size_t entry = 0; entry < aRun.Entries().Size(); ++entry) {
-        aRun.Entries().At(entry).mSeesList = sees;
-      }
-    });
-  }
+  AtFault(aRun, Seconds(0), [&aRun, aFirst, aTime] {
+    auto& fleet = aRun.Entries();
+    for (std::size_t entry = aFirst; entry < fleet.Size(); ++entry) {
+      fleet.At(entry).mBlindUntil = fleet.Now() + aTime;
+    }
+  });
+}
+
+/** Nobody can read the list for 60 s, in which one entry is lost. */
+template<typename Limiter>
+void
+ListDownAndKill(CaseRun<Limiter>& aRun)
+{
+  ListDown(aRun, 0, Seconds(60));
+  AtFault(aRun, Seconds(20), [&aRun] {
+    aRun.Entries().Kill(1);
+    Unlist(aRun, 1);
+  });
 }
 
 template<typename Limiter>
@@ -296,7 +309,21 @@
     { "one frozen 30 s", 1, 3, &FreezeOne<Limiter> },
     { "frozen and unlisted", 1, 3, &FreezeAndUnlistOne<Limiter> },
     { "one cut off 60 s", 1, 3, [](Run& aRun) { CutFrom(aRun, 2); } },
-    { "list down 60 s", 1, 3, &ListDown<Limiter> },
+    { "list down 60 s",
+      1,
+      3,
+      [](Run& aRun) { ListDown(aRun, 0, Seconds(60)); } },
+    { "list down 600 s",
+      1,
+      3,
+      [](Run& aRun) { ListDown(aRun, 0, Seconds(600)); },
+      Seconds(720) },
+    { "list down for two",
+      1,
+      3,
+      [](Run& aRun) { ListDown(aRun, 1, Seconds(600)); },
+      Seconds(720) },
+    { "list down, one lost", 1, 3, &ListDownAndKill<Limiter> },
     { "24 entries", 1, 24, even },
     { "two regions", 2, 3, even },
     { "regions apart 60 s", 2, 3, [](Run& aRun) { CutFrom(aRun, 3); } },
@@ -318,7 +345,7 @@
       run.StartEntries(one.mEntries, "region-" + std::to_string(region));
     }
     one.mSetUp(run);
-    CaseResult result = run.Measure();
+    CaseResult result = run.Measure(one.mMeasured);
     result.mWay = aWay;
     result.mCase = one.mName;
     results.push_back(result);
--- a/bench/limits/main.cpp
+++ b/bench/limits/main.cpp
@@ -37,6 +37,9 @@
            RunCases<TeamLimiter>("slices " + std::to_string(slices),
                                  Variant(slices, usual)));
   }
+  TeamLimiterSettings alone;
+  alone.mLongestOutage = Microseconds(0);
+  Append(results, RunCases<TeamLimiter>("4, no promises", alone));
   for (const Seconds life : { Seconds(10), Seconds(60) }) {
     Append(results,
            RunCases<TeamLimiter>("slices 4, T " + std::to_string(life.count()) +
@@ -119,6 +122,7 @@
   {
     std::size_t mEntries;
     std::size_t mTeams;
+    ListState mList = ListState::Readable;
   };
   for (const Size size : { Size{ 4, 10 },
                            Size{ 4, 100 },
@@ -127,8 +131,11 @@
                            Size{ 64, 1000 },
                            Size{ 128, 1000 },
                            Size{ 128, 3600 },
-                           Size{ 410, 3600 } }) {
-    const SizeResult result = MeasureSize(size.mEntries, size.mTeams);
+                           Size{ 410, 3600 },
+                           Size{ 128, 3600, ListState::Lost },
+                           Size{ 410, 3600, ListState::Lost } }) {
+    const SizeResult result =
+      MeasureSize(size.mEntries, size.mTeams, size.mList);
     std::printf(aJson ? json : table, // NOLINT: both formats stand above
                 result.mEntries,
                 result.mTeams,
--- a/bench/limits/slopes.h
+++ b/bench/limits/slopes.h
@@ -91,9 +91,16 @@
   std::discrete_distribution<std::size_t> mPick;
 };
 
+/** Whether the list can be read while a size is measured. */
+enum class ListState
+{
+  Readable,
+  Lost
+};
+
 /** Runs a whole fleet and measures what one of its entries costs. */
 inline SizeResult
-MeasureSize(std::size_t aEntries, std::size_t aTeams)
+MeasureSize(std::size_t aEntries, std::size_t aTeams, ListState aList)
 {
   constexpr Microseconds kWarmUp = Seconds(45);
   constexpr double kMeasuredSeconds = 20.0;
@@ -111,6 +118,10 @@
   fleet.SetReferenceStart(fleet.Now() + ownership.TakeoverWait());
   load.Next();
   fleet.Run(kWarmUp);
+  if (aList == ListState::Lost) {
+    fleet.LoseListForAll(Seconds(600));
+    fleet.Run(Seconds(30));
+  }
   fleet.ForgetOutcomes();
   MeteredLimiter::All() = {};
   fleet.Run(Microseconds(static_cast<std::int64_t>(kMeasuredSeconds * 1e6)));
--- a/src/libmedlarkeel/rangeownership.cpp
+++ b/src/libmedlarkeel/rangeownership.cpp
@@ -131,6 +131,50 @@
   return set;
 }
 
+std::vector<InstanceId>
+RangeOwnership::Members() const
+{
+  std::vector<InstanceId> ids;
+  if (mHistory.empty()) {
+    return ids;
+  }
+  for (const auto* members :
+       { &mHistory.back().mLive, &mHistory.back().mLeaving }) {
+    for (const Member& member : *members) {
+      ids.push_back(member.mId);
+    }
+  }
+  return ids;
+}
+
+std::uint64_t
+RangeOwnership::MembersRevision() const
+{
+  return mHistory.empty() ? 0 : mHistory.back().mFirstRevision;
+}
+
+Timestamp
+RangeOwnership::MembersSeenAt() const
+{
+  return mHistory.empty() ? Timestamp::min() : mHistory.back().mFirstSeen;
+}
+
+void
+RangeOwnership::NoteOwnListing(const MemberSet& aSet, Timestamp aReceivedAt)
+{
+  const auto isSelf = [&](const Member& aMember) {
+    return aMember.mId == mSelf;
+  };
+  const bool listed =
+    std::any_of(aSet.mLive.begin(), aSet.mLive.end(), isSelf) ||
+    std::any_of(aSet.mLeaving.begin(), aSet.mLeaving.end(), isSelf);
+  if (!listed) {
+    mListedSince.reset();
+  } else if (!mListedSince) {
+    mListedSince = aReceivedAt;
+  }
+}
+
 void
 RangeOwnership::Observe(const InstanceList& aList,
                         Timestamp aSentAt,
@@ -149,7 +193,9 @@
   if (mHistory.empty() || aList.mRevision != mRevision) {
     mRevision = aList.mRevision;
     mRevisionSeenAt = aReceivedAt;
-    Append(MembersOf(aList), aSentAt, aReceivedAt);
+    MemberSet set = MembersOf(aList);
+    NoteOwnListing(set, aReceivedAt);
+    Append(std::move(set), aSentAt, aReceivedAt);
     return;
   }
   ObserveRevision(aList.mRevision, aSentAt);
@@ -205,6 +251,7 @@
 {
   mHistory.clear();
   mTransfers.clear();
+  mListedSince.reset();
   ++mGeneration;
   ++mChainBreaks;
 }
@@ -287,12 +334,20 @@
                               : std::optional<InstanceId>(best->mId);
 }
 
+Timestamp
+RangeOwnership::EvidenceEnd(const MemberSet& aSet) const
+{
+  const Timestamp end = aSet.mLastSentAt + mSettings.mEvidenceLife;
+  const bool extended = mExtension.mRevision == aSet.mLastRevision;
+  return extended ? std::max(end, mExtension.mUntil) : end;
+}
+
 std::optional<std::size_t>
 RangeOwnership::LatestOwned(const RangeKey& aKey) const
 {
   for (std::size_t index = mHistory.size(); index > 0; --index) {
     const MemberSet& set = mHistory[index - 1];
-    const Timestamp until = set.mLastSentAt + mSettings.mEvidenceLife;
+    const Timestamp until = EvidenceEnd(set);
     const bool newest = index == mHistory.size();
     const bool lapsed =
       set.mLastSentAt < mEvidenceFloor || until <= EvidenceSentAt();
@@ -357,16 +412,22 @@
   if (!last) {
     return std::nullopt;
   }
-  const Timestamp firstSeen = mHistory[FirstOwned(aKey, *last)].mFirstSeen;
+  const MemberSet& first = mHistory[FirstOwned(aKey, *last)];
+  const Timestamp firstSeen = first.mFirstSeen;
   OwnershipSpan span;
-  span.mSince = firstSeen + TakeoverWait();
+  span.mSince =
+    std::max(firstSeen + TakeoverWait(), ClearedAt(first.mFirstRevision));
   const auto transfer = mTransfers.find(aKey.mHash);
   if (transfer != mTransfers.end() && transfer->second.mAt >= firstSeen) {
     const Timestamp at = transfer->second.mAt;
+    span.mExtendable = transfer->second.mAdopted;
     span.mSince = transfer->second.mAdopted ? at : at + TakeoverWait();
   }
   if (*last + 1 < mHistory.size()) {
-    span.mLastUntil = mHistory[*last].mLastSentAt + mSettings.mEvidenceLife;
+    const MemberSet& set = mHistory[*last];
+    span.mLastUntil = span.mExtendable
+                        ? EvidenceEnd(set)
+                        : set.mLastSentAt + mSettings.mEvidenceLife;
   }
   return span;
 }
@@ -375,8 +436,11 @@
 RangeOwnership::Hold(const OwnershipSpan& aSpan, Timestamp aNow) const
 {
   const Timestamp sentAt = EvidenceSentAt();
-  const Timestamp until =
-    aSpan.mLastUntil.value_or(sentAt + mSettings.mEvidenceLife);
+  Timestamp until = aSpan.mLastUntil.value_or(sentAt + mSettings.mEvidenceLife);
+  const bool extended = aSpan.mExtendable && mExtension.mRevision == mRevision;
+  if (!aSpan.mLastUntil && extended) {
+    until = std::max(until, mExtension.mUntil);
+  }
   const bool floored = !aSpan.mLastUntil && sentAt < mEvidenceFloor;
   if (floored || aNow < aSpan.mSince || aNow >= until) {
     return std::nullopt;
@@ -414,9 +478,50 @@
   return true;
 }
 
+void
+RangeOwnership::Extend(std::uint64_t aRevision, Timestamp aUntil)
+{
+  if (aRevision == mRevision) {
+    mExtension = Extension{ aRevision, aUntil };
+  }
+}
+
+void
+RangeOwnership::Clear(std::uint64_t aRevision, Timestamp aNow)
+{
+  if (aRevision <= ClearedRevision()) {
+    return;
+  }
+  mClearances.push_back(Clearance{ aRevision, aNow });
+  if (mClearances.size() > kHistoryLimit) {
+    mClearances.erase(mClearances.begin());
+  }
+  ++mGeneration;
+}
+
+std::uint64_t
+RangeOwnership::ClearedRevision() const
+{
+  return mClearances.empty() ? 0 : mClearances.back().mRevision;
+}
+
+Timestamp
+RangeOwnership::ClearedAt(std::uint64_t aRevision) const
+{
+  if (!mSettings.mNeedsClearance) {
+    return Timestamp::min();
+  }
+  const auto found = std::find_if(
+    mClearances.begin(), mClearances.end(), [&](const Clearance& aClearance) {
+      return aClearance.mRevision >= aRevision;
+    });
+  return found == mClearances.end() ? Timestamp::max() : found->mAt;
+}
+
 void
 RangeOwnership::ResumeAfterPause(Timestamp aNow)
 {
+  mExtension = Extension();
   mEvidenceFloor = aNow;
   ++mGeneration;
 }
--- a/src/libmedlarkeel/rangeownership.h
+++ b/src/libmedlarkeel/rangeownership.h
@@ -23,6 +23,8 @@
   Microseconds mListLag = Seconds(5);
   /** Largest divergence of two clocks within one takeover. */
   Microseconds mClockDrift = Milliseconds(50);
+  /** Whether an heir needs a clearance besides the wait. */
+  bool mNeedsClearance = false;
 };
 
 /**
@@ -72,6 +74,8 @@
   Timestamp mSince;
   /** End of the evidence when the newest reading shows another owner. */
   std::optional<Timestamp> mLastUntil;
+  /** Whether promises may take the place of evidence. */
+  bool mExtendable = true;
 };
 
 /**
@@ -164,6 +168,37 @@
    */
   bool Adopt(const RangeKey& aKey, Timestamp aNow);
 
+  /**
+   * Lets this instance go on by promises of all members of its newest list.
+   *
+   * @param aRevision The list to which the promises refer.
+   */
+  void Extend(std::uint64_t aRevision, Timestamp aUntil);
+
+  /**
+   * Takes in that no owner by a list older than the given one goes on by
+   * promises from now on.
+   */
+  void Clear(std::uint64_t aRevision, Timestamp aNow);
+
+  /** @return The newest list that was cleared; 0 for none. */
+  std::uint64_t ClearedRevision() const;
+
+  /** @return Whether there is a reading on which to rest. */
+  bool HasReading() const { return !mHistory.empty(); }
+
+  /** @return Live and leaving instances in scope by the newest reading. */
+  std::vector<InstanceId> Members() const;
+
+  /** @return The first revision that showed the present members. */
+  std::uint64_t MembersRevision() const;
+
+  /** @return When the present members were first seen. */
+  Timestamp MembersSeenAt() const;
+
+  /** @return Since when every list has shown this instance. */
+  std::optional<Timestamp> ListedSince() const { return mListedSince; }
+
   /** Forbids to act on any reading that was requested before @p aNow. */
   void ResumeAfterPause(Timestamp aNow);
 
@@ -218,7 +253,24 @@
     bool mAdopted = false;
   };
 
+  /** Promises that take the place of evidence. */
+  struct Extension
+  {
+    std::uint64_t mRevision = 0;
+    Timestamp mUntil = Timestamp::min();
+  };
+
+  /** A list and when it was cleared. */
+  struct Clearance
+  {
+    std::uint64_t mRevision = 0;
+    Timestamp mAt;
+  };
+
   MemberSet MembersOf(const InstanceList& aList) const;
+  void NoteOwnListing(const MemberSet& aSet, Timestamp aReceivedAt);
+  Timestamp ClearedAt(std::uint64_t aRevision) const;
+  Timestamp EvidenceEnd(const MemberSet& aSet) const;
   void Append(MemberSet&& aSet, Timestamp aSentAt, Timestamp aReceivedAt);
   void BreakChain();
   void DropOldTransfers();
@@ -233,6 +285,10 @@
   OwnershipScope mScope;
   std::vector<MemberSet> mHistory;
   std::unordered_map<std::uint64_t, Transfer> mTransfers;
+  Extension mExtension;
+  /** By revision, and so by time. */
+  std::vector<Clearance> mClearances;
+  std::optional<Timestamp> mListedSince;
   std::uint64_t mRevision = 0;
   Timestamp mRevisionSeenAt;
   Timestamp mEvidenceFloor = Timestamp::min();
--- a/src/libmedlarkeel/teamlimiter.cpp
+++ b/src/libmedlarkeel/teamlimiter.cpp
@@ -9,6 +9,15 @@
 
 /** Time between two searches for idle teams. */
 constexpr Microseconds kSweepInterval = Milliseconds(500);
+
+OwnershipSettings
+OwnershipOf(const TeamLimiterSettings& aSettings)
+{
+  OwnershipSettings ownership = aSettings.mOwnership;
+  ownership.mNeedsClearance = aSettings.mLongestOutage > Microseconds(0);
+  return ownership;
+}
+
 } // namespace
 
 TeamLimiter::TeamLimiter(InstanceId aSelf,
@@ -17,7 +26,11 @@
   : mSelf(aSelf)
   , mSettings(aSettings)
   , mRandom(aSeed)
-  , mOwnership(std::move(aSelf), aSettings.mOwnership, OwnershipScope{})
+  , mOwnership(aSelf, OwnershipOf(aSettings), OwnershipScope{})
+  , mPeers(std::move(aSelf),
+           aSettings.mOwnership,
+           aSettings.mLongestOutage,
+           mRandom())
 {
 }
 
@@ -78,6 +91,7 @@
                          Timestamp aSentAt,
                          Timestamp aReceivedAt)
 {
+  mPeers.Start(aReceivedAt);
   mOwnership.Observe(aList, aSentAt, aReceivedAt);
 }
 
@@ -273,7 +287,7 @@
 std::vector<LimitMessage>
 TeamLimiter::Tick(Timestamp aNow)
 {
-  Messages out;
+  Messages out = mPeers.Tick(mOwnership, aNow);
   ScanForClaims(aNow, out);
   for (std::size_t index = 0; index < mActiveTeams.size(); ++index) {
     TickTeam(*mActiveTeams[index], aNow, out);
@@ -328,6 +342,7 @@
 TeamLimiter::ResumeAfterPause(Timestamp aNow)
 {
   mOwnership.ResumeAfterPause(aNow);
+  mPeers.ForgetPromises();
   for (TeamState* team : mActiveTeams) {
     team->mActive->mAccount.ForgetAsks();
     for (SliceView& view : team->mActive->mSlices) {
--- a/src/libmedlarkeel/teamlimiter.h
+++ b/src/libmedlarkeel/teamlimiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "limitmessage.h"
+#include "ownershippeers.h"
 #include "rangeownership.h"
 #include "sliceledger.h"
 #include "slicepool.h"
@@ -38,6 +39,11 @@
   Microseconds mIdleAfter = Seconds(10);
   /** Time within which an accepted document is in force everywhere. */
   Microseconds mDocumentSpread = Seconds(30);
+  /**
+   * Longest time after the last reading of the list for which owners go on
+   * by promises; 0 for none.
+   */
+  Microseconds mLongestOutage = Seconds(3600);
 };
 
 /** Why a request was not admitted. */
@@ -225,6 +231,7 @@
   TeamLimiterSettings mSettings;
   std::mt19937_64 mRandom;
   RangeOwnership mOwnership;
+  OwnershipPeers mPeers;
   std::unordered_map<TeamName, TeamState> mTeams;
   /** Teams with state beyond their limit, in no order. */
   std::vector<TeamState*> mActiveTeams;
--- a/src/libmedlarkeel/teamlimitermessages.cpp
+++ b/src/libmedlarkeel/teamlimitermessages.cpp
@@ -31,6 +31,9 @@
 std::vector<LimitMessage>
 TeamLimiter::Receive(const LimitMessage& aMessage, Timestamp aNow)
 {
+  if (OwnershipPeers::Handles(aMessage.mKind)) {
+    return mPeers.Receive(aMessage, mOwnership, aNow);
+  }
   Messages out;
   const Handler handler = HandlerOf(aMessage.mKind);
   TeamState* team = Find(aMessage.mTeam);
--- a/src/medlarkeeld/teamgate.cpp
+++ b/src/medlarkeeld/teamgate.cpp
@@ -55,11 +55,6 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   mLimiter.ObserveList(aList, aSentAt, aReceivedAt);
-  const std::uint64_t generation = mLimiter.Ownership().Generation();
-  if (!mOwnersKnownAt || generation != mGeneration) {
-    mOwnersKnownAt = aReceivedAt;
-    mGeneration = generation;
-  }
 }
 
 std::vector<LimitMessage>
@@ -101,8 +96,9 @@
   if (mLimiter.Statistics().mAdmitted > 0) {
     return true;
   }
-  return mOwnersKnownAt &&
-         BootNow() >= *mOwnersKnownAt + mLimiter.Ownership().TakeoverWait();
+  const RangeOwnership& ownership = mLimiter.Ownership();
+  return ownership.HasReading() &&
+         BootNow() >= ownership.MembersSeenAt() + ownership.TakeoverWait();
 }
 
 TeamLimiterStatistics
--- a/src/medlarkeeld/teamgate.h
+++ b/src/medlarkeeld/teamgate.h
@@ -7,7 +7,6 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
-#include <optional>
 #include <vector>
 
 namespace medlarkeel {
@@ -53,8 +52,6 @@
   std::mutex mMutex;
   std::condition_variable mAnswered;
   TeamLimiter mLimiter;
-  std::uint64_t mGeneration = 0;
-  std::optional<Timestamp> mOwnersKnownAt;
   const Sender mSender;
 };
 
--- a/tests/core/limitfleet.h
+++ b/tests/core/limitfleet.h
@@ -154,6 +154,8 @@
     Timestamp mPausedUntil;
     bool mAlive = true;
     bool mSeesList = true;
+    /** Until when the list can't be read, whatever mSeesList says. */
+    Timestamp mBlindUntil;
     /** Entries of different groups don't reach each other. */
     int mGroup = 0;
   };
@@ -309,6 +311,9 @@
     }
   }
 
+  /** Nobody can read the list for the given time, newcomers included. */
+  void LoseListForAll(Microseconds aTime) { mListLostUntil = mNow + aTime; }
+
   void Kill(std::size_t aIndex) { mEntries[aIndex]->mAlive = false; }
 
   /** Freezes an entry; it wakes late and may or may not notice. */
@@ -334,6 +339,12 @@
   static constexpr Microseconds kTick = Milliseconds(50);
   static constexpr Microseconds kLongestWait = Milliseconds(400);
 
+  bool SeesList(const Entry& aEntry) const
+  {
+    return aEntry.mSeesList && aEntry.mBlindUntil <= mNow &&
+           mListLostUntil <= mNow;
+  }
+
   Timestamp Local(const Entry& aEntry) const
   {
     return mNow + aEntry.mClockOffset;
@@ -359,7 +370,7 @@
     WhenAwake(aIndex, [=] {
       Entry& entry = *mEntries[aIndex];
       After(mNetwork.mPoll, [=] { Poll(aIndex); });
-      if (!entry.mSeesList) {
+      if (!SeesList(entry)) {
         return;
       }
       const Timestamp sentAt = Local(entry);
@@ -473,6 +484,7 @@
   std::map<std::pair<Timestamp, std::uint64_t>, std::function<void()>> mEvents;
   std::uint64_t mSequence = 0;
   Timestamp mNow{ Seconds(100) };
+  Timestamp mListLostUntil;
   Timestamp mReferenceStart{ Seconds(0) };
   std::map<TeamName, TeamOutcome> mOutcomes;
   std::map<TeamName, ReferenceBucket> mReferences;
--- a/tests/core/test_teamlimiter.cpp
+++ b/tests/core/test_teamlimiter.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <iterator>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +21,7 @@
   TeamLimiterSettings settings;
   settings.mOwnership.mEvidenceLife = Seconds(4);
   settings.mOwnership.mListLag = Seconds(2);
+  settings.mLongestOutage = Seconds(30);
   return settings;
 }
 
@@ -41,19 +42,50 @@
   return ownership.mEvidenceLife + ownership.mListLag + Seconds(1);
 }
 
-/** Kills, freezes, cuts off, replaces and drains entries at random. */
+enum class FaultMix
+{
+  /** Kills, freezes, cuts, replacements and drains. */
+  Lives,
+  /** The list changes while many can't read it and most entries run on. */
+  Listing
+};
+
+/** Strikes entries with faults at random. */
 class FaultPlan
 {
 public:
   FaultPlan(LimitFleet& aFleet,
             TeamLimiterSettings aSettings,
+            FaultMix aMix,
             std::vector<std::size_t> aEntries)
     : mFleet(aFleet)
+    , mMix(aMix)
     , mListed(ListedAtLeast(aSettings))
     , mEntries(std::move(aEntries))
   {
   }
 
+  /** Takes the list from all entries, or from some, now and then. */
+  void ScheduleOutages(Microseconds aMean)
+  {
+    mFleet.After(mFleet.Random(aMean * 2), [=] {
+      const Microseconds time = mFleet.Random(aMean * 4);
+      const std::uint64_t kind = mFleet.Generator()() % 3;
+      if (kind == 0) {
+        mFleet.LoseListForAll(time);
+      }
+      for (const std::size_t entry : mEntries) {
+        if (kind == 1 || mFleet.Chance(0.5)) {
+          mFleet.At(entry).mBlindUntil = mFleet.Now() + time;
+        }
+      }
+      if (kind == 1 && mMix == FaultMix::Listing) {
+        Join(mEntries.front());
+      }
+      ScheduleOutages(aMean);
+    });
+  }
+
   void Schedule(Microseconds aMean)
   {
     mFleet.After(mFleet.Random(aMean * 2), [=] {
@@ -67,17 +99,28 @@
 
   void Strike()
   {
-    static constexpr Fault kFaults[] = {
-      &FaultPlan::Kill,   &FaultPlan::RestartSameId, &FaultPlan::Freeze,
-      &FaultPlan::CutOff, &FaultPlan::LoseList,      &FaultPlan::Drain
+    static const std::map<FaultMix, std::vector<Fault>> sFaults = {
+      { FaultMix::Lives,
+        { &FaultPlan::Kill,
+          &FaultPlan::RestartSameId,
+          &FaultPlan::Freeze,
+          &FaultPlan::CutOff,
+          &FaultPlan::LoseList,
+          &FaultPlan::Drain } },
+      { FaultMix::Listing,
+        { &FaultPlan::Join,
+          &FaultPlan::Join,
+          &FaultPlan::RestartSameId,
+          &FaultPlan::Freeze,
+          &FaultPlan::LoseList } }
     };
+    const std::vector<Fault>& faults = sFaults.at(mMix);
     const std::size_t victim = mEntries[mFleet.Generator()() % mEntries.size()];
     if (!mFleet.At(victim).mAlive || mBusy.count(victim) > 0) {
       return;
     }
     mBusy.insert(victim);
-    const std::size_t kind = mFleet.Generator()() % std::size(kFaults);
-    (this->*kFaults[kind])(victim);
+    (this->*faults[mFleet.Generator()() % faults.size()])(victim);
   }
 
   void Unlist(std::size_t aVictim)
@@ -137,6 +180,20 @@
     UnlistFor(aVictim, time);
   }
 
+  /** Two newcomers for a while, beside an entry that is left alone. */
+  void Join(std::size_t aVictim)
+  {
+    mFleet.After(mListed, [=] { mBusy.erase(aVictim); });
+    for (int count = 0; count < 2; ++count) {
+      const std::size_t joined =
+        mFleet.Start("joined-" + std::to_string(++mReplacements));
+      mFleet.After(mListed + mFleet.Random(Seconds(20)), [=] {
+        mFleet.Kill(joined);
+        Unlist(joined);
+      });
+    }
+  }
+
   void LoseList(std::size_t aVictim)
   {
     const Microseconds time = mFleet.Random(Seconds(30));
@@ -172,6 +229,7 @@
   }
 
   LimitFleet& mFleet;
+  FaultMix mMix;
   Microseconds mListed;
   std::vector<std::size_t> mEntries;
   std::set<std::size_t> mBusy;
@@ -190,7 +248,7 @@
 constexpr double kBackgroundLoad = 0.5;
 
 /** Simulated time of a run with faults. */
-constexpr Microseconds kRunTime = Seconds(50);
+constexpr Microseconds kRunTime = Seconds(90);
 
 /** Lets every team ask every entry for more than its burst now and then. */
 void
@@ -206,7 +264,9 @@
 
 /** @return The worst over-admission of any team in a run with faults. */
 double
-WorstOverAdmission(const TeamLimiterSettings& aSettings, std::uint64_t aSeed)
+WorstOverAdmission(const TeamLimiterSettings& aSettings,
+                   std::uint64_t aSeed,
+                   FaultMix aMix = FaultMix::Lives)
 {
   const std::vector<TeamLimit> teams = { { TeamName("greedy"), 5.0, 10.0 },
                                          { TeamName("bursty"), 2.0, 40.0 },
@@ -216,8 +276,9 @@
   for (int index = 0; index < 4; ++index) {
     fleet.Start("entry-" + std::to_string(index));
   }
-  FaultPlan faults(fleet, aSettings, { 0, 1, 2, 3 });
+  FaultPlan faults(fleet, aSettings, aMix, { 0, 1, 2, 3 });
   faults.Schedule(Seconds(8));
+  faults.ScheduleOutages(Seconds(12));
   ScheduleBursts(fleet, teams);
   fleet.OfferToAll(teams, kBackgroundLoad);
   fleet.Run(kRunTime);
@@ -252,10 +313,18 @@
   RC_ASSERT(WorstOverAdmission(ShortSettings(), seed) <= kExact);
 }
 
+RC_BOOST_PROP(NeverAboveRateAndBurstWhileTheListIsLost, ())
+{
+  const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1U << 30U);
+  RC_ASSERT(WorstOverAdmission(ShortSettings(), seed, FaultMix::Listing) <=
+            kExact);
+}
+
 /** The run must be able to fail: takeover without the wait. */
 BOOST_AUTO_TEST_CASE(RunFindsTakeoverWithoutWait)
 {
   TeamLimiterSettings settings = ShortSettings();
+  settings.mLongestOutage = Microseconds(0);
   settings.mOwnership.mListLag = -settings.mOwnership.mEvidenceLife;
   BOOST_TEST(WorstOfSeeds(settings) > kExact);
 }
@@ -264,6 +333,7 @@
 BOOST_AUTO_TEST_CASE(RunFindsOwnerWithoutEvidence)
 {
   TeamLimiterSettings settings = ShortSettings();
+  settings.mLongestOutage = Microseconds(0);
   settings.mOwnership.mEvidenceLife += Seconds(60);
   settings.mOwnership.mListLag -= Seconds(60);
   BOOST_TEST(WorstOfSeeds(settings) > kExact);
@@ -457,10 +527,22 @@
     List({ "old" });
     mNow += mOld.Ownership().TakeoverWait();
     List({ "old" });
+    ClearTakeover();
     mNow += Seconds(20);
     List({ "old" });
   }
 
+  /** Carries the messages by which takeovers are cleared. */
+  void ClearTakeover()
+  {
+    mOld.Tick(mNow);
+    for (const LimitMessage& ask : mNew.Tick(mNow)) {
+      for (const LimitMessage& answer : mOld.Receive(ask, mNow)) {
+        mNew.Receive(answer, mNow);
+      }
+    }
+  }
+
   void List(const std::vector<std::string>& aIds)
   {
     LaggingList list;
