--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -30,8 +30,9 @@
 StoreLimiterFrom(const Settings& aSettings)
 {
   TeamLimiterSettings limiter;
-  limiter.mOwnership.mEvidenceLife = aSettings.mControl.mEvidenceValid;
-  limiter.mOwnership.mListLag = aSettings.mControl.mListLagBound;
+  limiter.mOwnership = OwnershipSettingsFrom(aSettings.mControl);
+  // Loads may wait; promises of all agents would cost too many messages.
+  limiter.mLongestOutage = Microseconds(0);
   limiter.mScope.mRole = InstanceRole::Agent;
   return limiter;
 }
