Add links that can be cut to the process tests

The platform's stand-in shows each reader other addresses, told apart by the Host header, so that every pair of processes has links of its own.

--- a/src/standins/fakeengine/engine.cpp
+++ b/src/standins/fakeengine/engine.cpp
@@ -122,6 +122,11 @@
   ++mRunning;
   ++mStarted;
   ++mRunsByMarker[aGeneration.mOrder.mMarker];
+  mStartsByMarker.try_emplace(
+    aGeneration.mOrder.mMarker,
+    std::chrono::duration_cast<std::chrono::microseconds>(
+      SteadyClock::now().time_since_epoch())
+      .count());
   mMaximumRunning = std::max(mMaximumRunning, mRunning);
   if (IsCold()) {
     mMaximumCold = std::max(mMaximumCold, mRunning);
@@ -330,7 +335,8 @@
            { "cold", IsCold() },
            { "ordersApplied", mOrdersApplied },
            { "ordersRefused", mOrdersRefused },
-           { "runsByMarker", mRunsByMarker } };
+           { "runsByMarker", mRunsByMarker },
+           { "startsByMarker", mStartsByMarker } };
 }
 
 nlohmann::json
--- a/src/standins/fakeengine/engine.h
+++ b/src/standins/fakeengine/engine.h
@@ -137,6 +137,8 @@
   std::uint64_t mOrdersApplied = 0;
   std::uint64_t mOrdersRefused = 0;
   std::map<std::string, std::uint64_t> mRunsByMarker;
+  /** Monotonic time of the first start, in microseconds. */
+  std::map<std::string, std::int64_t> mStartsByMarker;
 };
 
 } // namespace medlarkeel
--- a/src/standins/fakeplatform/main.cpp
+++ b/src/standins/fakeplatform/main.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::string_view kInstancePrefix = "/instances/";
+constexpr std::string_view kViewPrefix = "/views/";
 
 HttpResponse
 DispatchInstance(Platform& aPlatform, const HttpRequest& aRequest)
@@ -35,12 +36,16 @@
     return aPlatform.WriteConfiguration(aRequest.mBody);
   }
   if (route == "GET /instances") {
-    return aPlatform.ReadInstances();
+    return aPlatform.ReadInstances(aRequest);
   }
   if (aRequest.mPath.rfind(kInstancePrefix, 0) == 0 &&
       (aRequest.mMethod == "PUT" || aRequest.mMethod == "DELETE")) {
     return DispatchInstance(aPlatform, aRequest);
   }
+  if (aRequest.mMethod == "PUT" && aRequest.mPath.rfind(kViewPrefix, 0) == 0) {
+    return aPlatform.WriteView(aRequest.mPath.substr(kViewPrefix.size()),
+                               ParseObject(aRequest.mBody));
+  }
   if (route == "POST /fault") {
     aPlatform.ApplyFault(ParseObject(aRequest.mBody));
     return JsonResponse(200, nlohmann::json::object());
--- a/src/standins/fakeplatform/platform.cpp
+++ b/src/standins/fakeplatform/platform.cpp
@@ -125,7 +125,7 @@
 }
 
 HttpResponse
-Platform::ReadInstances()
+Platform::ReadInstances(const HttpRequest& aRequest)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   ++mListReads;
@@ -137,9 +137,15 @@
   }
   const ListVersion& list =
     mListFault == ServiceFault::Stale ? mStaleList : mLists.front();
+  const auto host = aRequest.mHeaders.find("Host");
+  const nlohmann::json addresses =
+    host == aRequest.mHeaders.end() ? nlohmann::json() : mViews[host->second];
   nlohmann::json instances = nlohmann::json::array();
   for (const auto& [id, record] : list.mRecords) {
     instances.push_back(record);
+    if (addresses.contains(id)) {
+      instances.back()["address"] = addresses[id];
+    }
   }
   return JsonResponse(
     200, { { "revision", list.mRevision }, { "instances", instances } });
@@ -190,6 +196,14 @@
   return JsonResponse(200, { { "revision", mLists.back().mRevision } });
 }
 
+HttpResponse
+Platform::WriteView(const std::string& aHost, const nlohmann::json& aAddresses)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mViews[aHost].update(aAddresses);
+  return JsonResponse(200, nlohmann::json::object());
+}
+
 void
 Platform::ApplyFault(const nlohmann::json& aFault)
 {
--- a/src/standins/fakeplatform/platform.h
+++ b/src/standins/fakeplatform/platform.h
@@ -33,12 +33,23 @@
 
   /** Reads the configuration, or waits for one after a revision. */
   HttpResponse ReadConfiguration(const HttpRequest& aRequest);
-  HttpResponse ReadInstances();
+
+  /** Reads the list as the caller sees it; its Host header tells who it is. */
+  HttpResponse ReadInstances(const HttpRequest& aRequest);
 
   HttpResponse WriteConfiguration(const std::string& aDocument);
   HttpResponse WriteInstance(const std::string& aId,
                              const nlohmann::json& aRecord);
   HttpResponse RemoveInstance(const std::string& aId);
+
+  /**
+   * Gives readers that call this service under one name other addresses.
+   *
+   * @param aHost What these readers send as their Host header.
+   * @param aAddresses Address by instance, for some or all instances.
+   */
+  HttpResponse WriteView(const std::string& aHost,
+                         const nlohmann::json& aAddresses);
   void ApplyFault(const nlohmann::json& aFault);
   nlohmann::json Statistics() const;
 
@@ -75,6 +86,7 @@
   Document mStaleDocument;
   std::deque<ListVersion> mLists;
   ListVersion mStaleList;
+  std::map<std::string, nlohmann::json> mViews;
   ServiceFault mConfigurationFault = ServiceFault::None;
   ServiceFault mListFault = ServiceFault::None;
   std::uint64_t mReads = 0;
--- a/tests/processes/childprocess.cpp
+++ b/tests/processes/childprocess.cpp
@@ -29,6 +29,8 @@
     open(aLogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
+  // The relays' sockets must close when the test closes them.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(aArguments.front(), aArguments.data());
   _exit(kExecFailed);
 }
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <atomic>
 #include <cstdio>
+#include <sstream>
 
 namespace medlarkeel {
 
@@ -73,8 +74,9 @@
            { "secretHash", Sha256Hex(salt + mSecret) } };
 }
 
-Fleet::Fleet()
-  : mDocument(FleetDocument(mKey))
+Fleet::Fleet(Links* aLinks)
+  : mLinks(aLinks)
+  , mDocument(FleetDocument(mKey))
 {
   mProcesses["platform"] = &mHarness.Start(
     "platform",
@@ -115,15 +117,49 @@
            { "region", kRegion },
            { "httpListen", LocalEndpoint(aHttpPort) },
            { "grpcListen", LocalEndpoint(ProcessHarness::FreePort()) },
-           { "platform", LocalEndpoint(mPlatformPort) },
+           { "platform", LocalEndpoint(PlatformPortFor(aId)) },
            { "control",
              { { "configurationPollMs", 300 },
                { "listPollMs", 300 },
                { "gossipMs", 300 },
                { "listLagBoundMs", 500 },
-               { "evidenceValidMs", 3000 },
+               { "evidenceValidMs", mEvidenceValid.count() },
                { "confirmationBoundMs", 5000 } } },
-           { "shutdownBoundMs", 20000 } };
+           { "shutdownBoundMs", mShutdownBound.count() } };
+}
+
+std::uint16_t
+Fleet::PlatformPortFor(const std::string& aId)
+{
+  return mLinks != nullptr ? mLinks->Add(aId, "platform", mPlatformPort)
+                           : mPlatformPort;
+}
+
+/** Makes each daemon and a new one see each other at the links' ports. */
+void
+Fleet::ShowThroughLinks(const std::string& aId, std::uint16_t aGrpcPort)
+{
+  for (const auto& [other, ports] : mLinkedPorts) {
+    if (other == aId) {
+      continue;
+    }
+    WriteView(other, aId, aGrpcPort);
+    WriteView(aId, other, ports.second);
+  }
+}
+
+void
+Fleet::WriteView(const std::string& aViewer,
+                 const std::string& aId,
+                 std::uint16_t aGrpcPort)
+{
+  const std::uint16_t port = mLinks->Add(aViewer, aId, aGrpcPort);
+  const std::string host =
+    "127.0.0.1:" + std::to_string(mLinkedPorts.at(aViewer).first);
+  const std::string address = "127.0.0.1:" + std::to_string(port);
+  BOOST_REQUIRE(
+    SendJson(mPlatformPort, "PUT", "/views/" + host, { { aId, address } }) ==
+    200);
 }
 
 ChildProcess&
@@ -132,12 +168,16 @@
                    const std::string& aPool)
 {
   const std::string path = mHarness.WriteFile(aId + ".json", aSettings.dump(2));
+  const auto grpcPort = aSettings["grpcListen"]["port"].get<std::uint16_t>();
+  if (mLinks != nullptr) {
+    const auto platform = aSettings["platform"]["port"].get<std::uint16_t>();
+    mLinkedPorts[aId] = { platform, grpcPort };
+    ShowThroughLinks(aId, grpcPort);
+  }
   ChildProcess& process =
     mHarness.Start(aId, "medlarkeeld", { "--settings=" + path });
   mProcesses[aId] = &process;
-  const auto& listen = aSettings["grpcListen"];
-  const std::string address =
-    "127.0.0.1:" + std::to_string(listen["port"].get<int>());
+  const std::string address = "127.0.0.1:" + std::to_string(grpcPort);
   BOOST_REQUIRE(SendJson(mPlatformPort,
                          "PUT",
                          "/instances/" + aId,
@@ -161,6 +201,15 @@
   return *mEntries.back();
 }
 
+void
+Fleet::RestartBackend(BackendPair& aPair)
+{
+  const std::string name = aPair.mId + "-backend";
+  aPair.mBackend = &mHarness.Start(name, aPair.mProgram, aPair.mArguments);
+  mProcesses[name] = aPair.mBackend;
+  BOOST_REQUIRE(WaitReady(aPair.mBackendPort, "/stats"));
+}
+
 BackendPair&
 Fleet::AddPair(const std::string& aProgram,
                const std::string& aPool,
@@ -173,10 +222,9 @@
   pair->mBackendPort = ProcessHarness::FreePort();
   pair->mAgentHttpPort = ProcessHarness::FreePort();
   aArguments.push_back("--port=" + std::to_string(pair->mBackendPort));
-  pair->mBackend =
-    &mHarness.Start(pair->mId + "-backend", aProgram, aArguments);
-  mProcesses[pair->mId + "-backend"] = pair->mBackend;
-  BOOST_REQUIRE(WaitReady(pair->mBackendPort, "/stats"));
+  pair->mProgram = aProgram;
+  pair->mArguments = std::move(aArguments);
+  RestartBackend(*pair);
   nlohmann::json settings =
     SettingsOf(pair->mId, "agent", aZone, pair->mAgentHttpPort);
   settings["backendServer"] = LocalEndpoint(pair->mBackendPort);
@@ -252,6 +300,14 @@
   return call;
 }
 
+HttpCall
+Fleet::At(const EntryProcess& aEntry, HttpCall aCall)
+{
+  const std::size_t path = aCall.mUrl.find('/', std::string("http://").size());
+  aCall.mUrl = LocalUrl(aEntry.mPort, aCall.mUrl.substr(path));
+  return aCall;
+}
+
 HttpCall
 Fleet::Confirm(const std::string& aId, const std::string& aIdempotencyKey) const
 {
@@ -324,4 +380,15 @@
                    [&] { return Statistic(aPair, aName) >= aLeast; });
 }
 
+int
+CountLogged(const ChildProcess& aProcess, const std::string& aText)
+{
+  std::istringstream lines(aProcess.Log());
+  int count = 0;
+  for (std::string line; std::getline(lines, line);) {
+    count += line.find(aText) != std::string::npos ? 1 : 0;
+  }
+  return count;
+}
+
 } // namespace medlarkeel
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "links.h"
 #include "processharness.h"
 
 #include <future>
@@ -26,6 +27,9 @@
   std::string mId;
   ChildProcess* mBackend = nullptr;
   ChildProcess* mAgent = nullptr;
+  /** What the backend server was started with. */
+  std::string mProgram;
+  std::vector<std::string> mArguments;
   std::uint16_t mBackendPort = 0;
   std::uint16_t mAgentHttpPort = 0;
 };
@@ -45,7 +49,9 @@
 class Fleet
 {
 public:
-  Fleet();
+  /** @param aLinks Carries what the processes send each other; none lets them
+   * reach each other directly. */
+  explicit Fleet(Links* aLinks = nullptr);
 
   /** @return The document to be; change it, then Publish it. */
   nlohmann::json& Document() { return mDocument; }
@@ -69,6 +75,21 @@
    * must first be sure that no other process ran them. */
   void RequireConfirmations() const;
 
+  /** Sets how long the processes added from now on may take to end. */
+  void SetShutdownBound(std::chrono::milliseconds aBound)
+  {
+    mShutdownBound = aBound;
+  }
+
+  /** Sets how long the list is believed, for processes added from now on. */
+  void SetEvidenceValid(std::chrono::milliseconds aTime)
+  {
+    mEvidenceValid = aTime;
+  }
+
+  /** Starts a backend server again that was killed. */
+  void RestartBackend(BackendPair& aPair);
+
   /** Takes an instance out of the platform's list. */
   void Unlist(const std::string& aId) const;
   void SetState(const std::string& aId, const std::string& aState) const;
@@ -79,6 +100,9 @@
   /** @return A chat call with the fleet's key. */
   HttpCall Chat(const std::string& aMarker, std::size_t aTokens) const;
 
+  /** @return The same call at another entry. */
+  static HttpCall At(const EntryProcess& aEntry, HttpCall aCall);
+
   /** @return A call of the operation that may run at most once. */
   HttpCall Confirm(const std::string& aId,
                    const std::string& aIdempotencyKey) const;
@@ -96,17 +120,27 @@
                             const std::string& aRole,
                             const std::string& aZone,
                             std::uint16_t aHttpPort);
+  std::uint16_t PlatformPortFor(const std::string& aId);
+  void ShowThroughLinks(const std::string& aId, std::uint16_t aGrpcPort);
+  void WriteView(const std::string& aViewer,
+                 const std::string& aId,
+                 std::uint16_t aGrpcPort);
   ChildProcess& StartDaemon(const std::string& aId,
                             const nlohmann::json& aSettings,
                             const std::string& aPool);
 
   ProcessHarness mHarness;
+  Links* const mLinks;
+  /** Platform's port and own gRPC port of each daemon. */
+  std::map<std::string, std::pair<std::uint16_t, std::uint16_t>> mLinkedPorts;
   CallerKey mKey{ "alfa1", "s3cretOfAlfa1" };
   std::uint16_t mPlatformPort = ProcessHarness::FreePort();
   nlohmann::json mDocument;
   std::vector<std::unique_ptr<BackendPair>> mPairs;
   std::vector<std::unique_ptr<EntryProcess>> mEntries;
   std::map<std::string, ChildProcess*> mProcesses;
+  std::chrono::milliseconds mShutdownBound{ 20000 };
+  std::chrono::milliseconds mEvidenceValid{ 3000 };
 };
 
 /** @return A new UUID of version 7, the kind of key whose age can be told. */
@@ -131,4 +165,8 @@
 bool
 WaitForStatistic(const BackendPair& aPair, const char* aName, int aLeast);
 
+/** @return How many lines of the process's log hold the text. */
+int
+CountLogged(const ChildProcess& aProcess, const std::string& aText);
+
 } // namespace medlarkeel
--- a/tests/processes/test_atmostonce.cpp
+++ b/tests/processes/test_atmostonce.cpp
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "verdict.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,63 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** What a caller knows after a call of the operation. */
-struct Verdict
-{
-  int mStatus = 0;
-  std::string mBody;
-  /** "no", "yes" or "unknown"; empty if there is no refusal to read. */
-  std::string mExecuted;
-};
-
-Verdict
-Send(const HttpCall& aCall)
-{
-  Verdict result;
-  const auto reply = SendHttp(aCall);
-  if (!reply.has_value()) {
-    return result;
-  }
-  result.mStatus = reply.value().mStatus;
-  result.mBody = reply.value().mBody;
-  const auto body = nlohmann::json::parse(reply.value().mBody, nullptr, false);
-  if (body.is_object() && result.mStatus != 200) {
-    result.mExecuted = body.value("executed", "");
-  }
-  return result;
-}
-
-std::future<Verdict>
-Begin(const HttpCall& aCall)
-{
-  return std::async(std::launch::async, [aCall] { return Send(aCall); });
-}
-
-int
-Runs(const BackendPair& aService, const std::string& aId)
-{
-  return GetJson(aService.mBackendPort, "/stats")["runsById"].value(aId, 0);
-}
-
-bool
-WaitForRun(const BackendPair& aService, const std::string& aId)
-{
-  return WaitUntil(seconds(10), [&] { return Runs(aService, aId) == 1; });
-}
-
-/** Checks that what a caller was told agrees with what was run. */
-void
-CheckTruth(const Verdict& aVerdict, int aRuns)
-{
-  BOOST_TEST(aRuns <= 1);
-  if (aVerdict.mStatus == 200 || aVerdict.mExecuted == "yes") {
-    BOOST_TEST(aRuns == 1);
-  }
-  if (aVerdict.mExecuted == "no") {
-    BOOST_TEST(aRuns == 0);
-  }
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(atmostonce)
--- /dev/null
+++ b/tests/processes/test_partition.cpp
@@ -0,0 +1,365 @@
+#include "fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace medlarkeel {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+/** Time after which a change counts as known to all that can hear of it. */
+constexpr seconds kChangeTime{ 4 };
+/** Four attempts that each end at the silence bound of 2 s, and a margin. */
+constexpr seconds kRefusalTime{ 10 };
+
+std::int64_t
+MonotonicMicroseconds()
+{
+  return std::chrono::duration_cast<microseconds>(
+           steady_clock::now().time_since_epoch())
+    .count();
+}
+
+/** One request that reached the engine: admitted between the two times. */
+struct AdmittedSpan
+{
+  std::int64_t mSent = 0;    // microseconds
+  std::int64_t mStarted = 0; // microseconds
+};
+
+/** Callers that send more than a team may, through several entries. */
+class TeamLoad
+{
+public:
+  TeamLoad(const Fleet& aFleet, const std::vector<EntryProcess*>& aEntries)
+    : mFleet(aFleet)
+  {
+    for (const EntryProcess* entry : aEntries) {
+      for (int number = 0; number < kCallersPerEntry; ++number) {
+        mCallers.emplace_back([this, entry] { Call(*entry); });
+      }
+    }
+  }
+
+  std::size_t Sent() const { return mNextMarker; }
+
+  /** Ends the load. @return What reached the engine, by time of sending. */
+  std::vector<AdmittedSpan> Finish(const BackendPair& aEngine)
+  {
+    mOver = true;
+    for (std::thread& caller : mCallers) {
+      caller.join();
+    }
+    std::vector<AdmittedSpan> spans;
+    const auto starts = GetJson(aEngine.mBackendPort, "/stats");
+    for (const auto& [marker, started] : starts["startsByMarker"].items()) {
+      spans.push_back({ mSentAt.at(marker), started.get<std::int64_t>() });
+    }
+    return spans;
+  }
+
+private:
+  static constexpr int kCallersPerEntry = 10;
+
+  void Call(const EntryProcess& aEntry)
+  {
+    while (!mOver) {
+      const std::string marker = "m" + std::to_string(mNextMarker++);
+      {
+        const std::lock_guard<std::mutex> lock(mMutex);
+        mSentAt[marker] = MonotonicMicroseconds();
+      }
+      ReadStream(Fleet::At(aEntry, mFleet.Chat(marker, 1)));
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+  }
+
+  const Fleet& mFleet;
+  std::atomic<bool> mOver{ false };
+  std::atomic<std::size_t> mNextMarker{ 0 };
+  std::mutex mMutex;
+  std::map<std::string, std::int64_t> mSentAt;
+  std::vector<std::thread> mCallers;
+};
+
+/** @return The most that any interval holds above rate x t + burst. */
+double
+LargestExcess(const std::vector<AdmittedSpan>& aSpans,
+              double aRate,
+              double aBurst)
+{
+  double largest = -aBurst;
+  for (const AdmittedSpan& first : aSpans) {
+    for (const AdmittedSpan& last : aSpans) {
+      const auto inside =
+        std::count_if(aSpans.begin(), aSpans.end(), [&](const auto& aSpan) {
+          return aSpan.mSent >= first.mSent && aSpan.mStarted <= last.mStarted;
+        });
+      const double length = double(last.mStarted - first.mSent) / 1e6;
+      const double allowed = aRate * std::max(0.0, length) + aBurst;
+      largest = std::max(largest, double(inside) - allowed);
+    }
+  }
+  return largest;
+}
+
+std::size_t
+CountSentAfter(const std::vector<AdmittedSpan>& aSpans, std::int64_t aTime)
+{
+  return std::size_t(
+    std::count_if(aSpans.begin(), aSpans.end(), [&](const auto& aSpan) {
+      return aSpan.mSent >= aTime;
+    }));
+}
+
+/** Sends chats one after the other. @return How many were answered whole. */
+int
+SendChats(const Fleet& aFleet, const EntryProcess& aEntry, int aCount)
+{
+  int whole = 0;
+  for (int number = 0; number < aCount; ++number) {
+    const auto answer = ReadStream(Fleet::At(aEntry, aFleet.Chat("p", 1)));
+    whole += IsWhole(answer, "p", 1) ? 1 : 0;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return whole;
+}
+
+/** Two engines that are equally far from the entries' zone. */
+struct EnginesInTwoZones
+{
+  explicit EnginesInTwoZones(Fleet& aFleet)
+    : mFleet(aFleet)
+  {
+    mFleet.Document()["zones"].push_back({ { "name", "xela-c" },
+                                           { "region", "gt-occidente" },
+                                           { "state", "in" } });
+    mFleet.Publish();
+    mStaying = &mFleet.AddEngine({}, "xela-b");
+    mLeaving = &mFleet.AddEngine({}, "xela-c");
+  }
+
+  /** Takes the zone of one engine out of service, or back. */
+  void SetZone(const char* aState)
+  {
+    mFleet.Document()["zones"][2]["state"] = aState;
+    mFleet.Publish();
+  }
+
+  Fleet& mFleet;
+  const BackendPair* mStaying = nullptr;
+  const BackendPair* mLeaving = nullptr;
+};
+
+/** @return Whether the entry gives the backend server new work in time. */
+bool
+ReachesSoon(const Fleet& aFleet,
+            const EntryProcess& aEntry,
+            const BackendPair& aPair)
+{
+  const int before = Statistic(aPair, "started");
+  return WaitUntil(seconds(15), [&] {
+    SendChats(aFleet, aEntry, 5);
+    return Statistic(aPair, "started") > before;
+  });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(partition)
+
+BOOST_AUTO_TEST_CASE(TeamStaysWithinItsRateWhileAnEntryIsCutOffAndAnotherDies)
+{
+  constexpr double kRate = 20;
+  constexpr double kBurst = 10;
+  Links links;
+  Fleet fleet(&links);
+  fleet.SetConcurrency("proclamation", 64, 64);
+  fleet.Document()["teams"][0]["rate"] = kRate;
+  fleet.Document()["teams"][0]["burst"] = kBurst;
+  fleet.Publish();
+  const BackendPair& engine =
+    fleet.AddEngine({ "--slots=64", "--first_token_ms=1" });
+  EntryProcess& cut = fleet.AddEntry();
+  EntryProcess& killed = fleet.AddEntry();
+  EntryProcess& heir = fleet.AddEntry();
+  fleet.RequireReady();
+  const auto start = steady_clock::now();
+  TeamLoad load(fleet, { &cut, &killed, &heir });
+  const auto at = [&](double aSeconds) {
+    std::this_thread::sleep_until(
+      start + std::chrono::duration_cast<steady_clock::duration>(
+                std::chrono::duration<double>(aSeconds)));
+  };
+  at(1);
+  // The platform takes the entry for dead; its callers still reach it.
+  links.Cut(cut.mId, "platform");
+  links.Cut(cut.mId, killed.mId);
+  links.Cut(cut.mId, heir.mId);
+  fleet.Unlist(cut.mId);
+  at(1.5);
+  killed.mProcess->Kill();
+  fleet.Unlist(killed.mId);
+  // Evidence of 3 s, list lag of 0.5 s: by now the heir has taken over.
+  at(7);
+  const std::int64_t takenOver = MonotonicMicroseconds();
+  at(10);
+  links.Heal();
+  at(12);
+  const std::size_t sent = load.Sent();
+  const auto spans = load.Finish(engine);
+  BOOST_TEST(double(sent) >= 3 * kRate * 12);
+  BOOST_TEST(LargestExcess(spans, kRate, kBurst) <= 0);
+  BOOST_TEST(double(CountSentAfter(spans, takenOver)) >= kRate * 5 / 2);
+}
+
+BOOST_AUTO_TEST_CASE(ZoneTakenOutReachesAnEntryThatThePlatformDoesnt)
+{
+  Links links;
+  Fleet fleet(&links);
+  // Limited teams are served for this long without a reading of the list.
+  fleet.SetEvidenceValid(seconds(8));
+  EnginesInTwoZones engines(fleet);
+  const EntryProcess& cut = fleet.AddEntry();
+  const EntryProcess& other = fleet.AddEntry();
+  fleet.RequireReady();
+  for (const bool fromPeers : { true, false }) {
+    BOOST_TEST(ReachesSoon(fleet, cut, *engines.mLeaving));
+    links.Cut(cut.mId, "platform");
+    if (fromPeers) {
+      links.Cut(cut.mId, other.mId);
+    }
+    engines.SetZone("out");
+    std::this_thread::sleep_for(kChangeTime);
+    const int before = Statistic(*engines.mLeaving, "started");
+    BOOST_TEST(SendChats(fleet, cut, 10) == 10);
+    BOOST_TEST(Statistic(*engines.mLeaving, "started") == before);
+    engines.SetZone("in");
+    links.Heal();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EntryThatHearsFromNobodyRefusesAtOnceAndCatchesUp)
+{
+  Links links;
+  Fleet fleet(&links);
+  EnginesInTwoZones engines(fleet);
+  const EntryProcess& cut = fleet.AddEntry();
+  fleet.RequireReady();
+  BOOST_TEST(ReachesSoon(fleet, cut, *engines.mLeaving));
+  const auto started = [&] {
+    return Statistic(*engines.mStaying, "started") +
+           Statistic(*engines.mLeaving, "started");
+  };
+  const int before = started();
+  links.Isolate(cut.mId);
+  engines.SetZone("out");
+  const auto asked = steady_clock::now();
+  const auto refused = ReadStream(fleet.Chat("nobody", 1));
+  BOOST_TEST((steady_clock::now() - asked < kRefusalTime));
+  BOOST_TEST(refused.mStatus >= 500);
+  BOOST_TEST(refused.mBody.find("\"executed\":\"no\"") != std::string::npos,
+             refused.mBody);
+  // It keeps its document, however old, and stays in service.
+  BOOST_TEST(WaitReady(cut.mPort, "/readyz", seconds(1)));
+  links.Heal();
+  std::this_thread::sleep_for(kChangeTime);
+  BOOST_TEST(started() == before);
+  const int late = Statistic(*engines.mLeaving, "started");
+  BOOST_TEST(
+    WaitUntil(seconds(10), [&] { return SendChats(fleet, cut, 5) == 5; }));
+  BOOST_TEST(Statistic(*engines.mLeaving, "started") == late);
+}
+
+BOOST_AUTO_TEST_CASE(QueueOfAZoneTakenOutRunsElsewhereWithTheEntryCutOff)
+{
+  constexpr int kQueued = 6;
+  Links links;
+  Fleet fleet(&links);
+  fleet.SetConcurrency("proclamation", 1, 1);
+  fleet.Publish();
+  const std::vector<std::string> options{ "--slots=1", "--token_gap_ms=20" };
+  const BackendPair& inside = fleet.AddEngine(options, "xela-a");
+  const BackendPair& outside = fleet.AddEngine(options, "xela-b");
+  const EntryProcess& cut = fleet.AddEntry();
+  const EntryProcess& other = fleet.AddEntry();
+  fleet.RequireReady();
+  auto first = BeginStream(fleet.Chat("first", 300));
+  auto second = BeginStream(fleet.Chat("second", 300));
+  BOOST_TEST(WaitForStatistic(inside, "running", 1));
+  BOOST_TEST(WaitForStatistic(outside, "running", 1));
+  std::vector<std::future<StreamedAnswer>> queued;
+  for (int number = 0; number < kQueued; ++number) {
+    queued.push_back(BeginStream(fleet.Chat("q" + std::to_string(number), 5)));
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  links.Cut(cut.mId, "platform");
+  links.Cut(cut.mId, other.mId);
+  fleet.Document()["zones"][1]["state"] = "out";
+  fleet.Publish();
+  BOOST_TEST(IsWhole(first.get(), "first", 300));
+  BOOST_TEST(IsWhole(second.get(), "second", 300));
+  for (int number = 0; number < kQueued; ++number) {
+    const auto answer = queued[std::size_t(number)].get();
+    BOOST_TEST(IsWhole(answer, "q" + std::to_string(number), 5), answer.mBody);
+  }
+  BOOST_TEST(Statistic(outside, "started") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(WithdrawnKeyStopsAtAnEntryThatSleptAndThePlatformLost)
+{
+  Links links;
+  Fleet fleet(&links);
+  const CallerKey second{ "beta2", "s3cretOfBeta2" };
+  fleet.SetConcurrency("proclamation", 1, 1);
+  fleet.Document()["teams"][0]["keys"].push_back(second.Entry());
+  fleet.Publish();
+  BackendPair& engine = fleet.AddEngine({ "--slots=1", "--token_gap_ms=20" });
+  EntryProcess& asleep = fleet.AddEntry();
+  const EntryProcess& awake = fleet.AddEntry();
+  fleet.RequireReady();
+  auto running = BeginStream(Fleet::At(awake, fleet.Chat("first", 250)));
+  BOOST_TEST(WaitForStatistic(engine, "running", 1));
+  HttpCall call = fleet.Chat("withdrawn", 1);
+  call.mHeaders["Authorization"] = second.Authorization();
+  auto queued = BeginStream(call);
+  std::this_thread::sleep_for(milliseconds(500));
+  links.Cut(asleep.mId, "platform");
+  links.Cut(engine.mId, "platform");
+  asleep.mProcess->Signal(SIGSTOP);
+  fleet.Document()["teams"][0]["keys"].erase(1);
+  fleet.Publish();
+  std::this_thread::sleep_for(kChangeTime);
+  asleep.mProcess->Signal(SIGCONT);
+  HttpCall late = fleet.Chat("late", 1);
+  late.mHeaders["Authorization"] = second.Authorization();
+  BOOST_TEST(ReadStream(late).mStatus >= 400);
+  BOOST_TEST(
+    WaitUntil(kChangeTime, [&] { return ReadStream(late).mStatus == 401; }));
+  const auto refused = queued.get();
+  BOOST_TEST(refused.mStatus >= 400);
+  BOOST_TEST(refused.mBody.find("\"executed\":\"no\"") != std::string::npos,
+             refused.mBody);
+  BOOST_TEST(IsWhole(running.get(), "first", 250));
+  std::this_thread::sleep_for(seconds(1));
+  const auto runs = GetJson(engine.mBackendPort, "/stats")["runsByMarker"];
+  BOOST_TEST(!runs.contains("withdrawn"));
+  BOOST_TEST(!runs.contains("late"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
--- a/tests/processes/test_zonechange.cpp
+++ b/tests/processes/test_zonechange.cpp
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "verdict.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -17,23 +17,6 @@
 constexpr seconds kChangeTime{ 4 };
 constexpr int kCalls = 60;
 
-int
-Runs(const BackendPair& aService, const std::string& aId)
-{
-  return GetJson(aService.mBackendPort, "/stats")["runsById"].value(aId, 0);
-}
-
-int
-AllRuns(const std::vector<const BackendPair*>& aServices,
-        const std::string& aId)
-{
-  int runs = 0;
-  for (const BackendPair* service : aServices) {
-    runs += Runs(*service, aId);
-  }
-  return runs;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(zonechange)
