End the runs that outlast an agent's shutdown bound

Cause: a run has a detached thread that uses the agent's core and counters, and a shutdown whose bound passed destroyed them under it. Seen by twofaults/ShutdownBoundEndsWhatRemainsAsAnError: the agent ended by a signal in 5 of 10 runs (five at a time, load average about 40). Ruled out: the entry's part of the test, which never crashed. The agent now tells the remaining runs to end and waits for them; their callers get an error with executed unknown.

--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -11,6 +11,8 @@
 constexpr int kNotFound = 404;
 /** Time in which finished runs reach the streams of their entries. */
 constexpr Milliseconds kStreamEnd{ 300 };
+/** Time in which cut runs end; they look for the cut far more often. */
+constexpr Milliseconds kCutTime{ 5000 };
 
 BackendAccess
 AccessFrom(const Settings& aSettings)
@@ -69,6 +71,10 @@
   const auto left =
     std::chrono::duration_cast<Milliseconds>(aBound - BootNow());
   const bool idle = mRuns.WaitUntilIdle(left);
+  if (!idle) {
+    mRuns.CutAll();
+    mRuns.WaitUntilIdle(kCutTime);
+  }
   std::this_thread::sleep_for(kStreamEnd);
   return idle;
 }
--- a/src/medlarkeeld/backendrun.cpp
+++ b/src/medlarkeeld/backendrun.cpp
@@ -83,7 +83,7 @@
 void
 BackendRun::Execute(const std::string& aBaseUrl)
 {
-  const auto shouldStop = [this] { return mAborted.load(); };
+  const auto shouldStop = [this] { return MustStop(); };
   Conclude(CallBackend(aBaseUrl, mWork.mRequest, shouldStop, *this));
 }
 
@@ -120,8 +120,9 @@
 BackendRun::RefusalFor(CallEnd aEnd) const
 {
   Refusal refusal;
-  refusal.mReason = aEnd == CallEnd::Stopped ? RefusalReason::Cancelled
-                                             : RefusalReason::BackendFailed;
+  refusal.mReason = aEnd == CallEnd::Stopped && mAborted
+                      ? RefusalReason::Cancelled
+                      : RefusalReason::BackendFailed;
   refusal.mExecuted =
     aEnd == CallEnd::NotRun ? Executed::No : Executed::Unknown;
   refusal.mRetryAfter = kRetryAfterFailure;
@@ -149,7 +150,7 @@
     mOutcome.mBody.append(aBytes);
   }
   mMailbox->Post(RunData{ std::string(aBytes) });
-  return !mAborted;
+  return !MustStop();
 }
 
 void
--- a/src/medlarkeeld/backendrun.h
+++ b/src/medlarkeeld/backendrun.h
@@ -38,10 +38,15 @@
 
   std::size_t Count();
 
+  /** Tells all runs to end, also those that may not be repeated. */
+  void CutAll() { mCut = true; }
+  bool IsCut() const { return mCut; }
+
 private:
   std::mutex mMutex;
   std::condition_variable mIdle;
   std::size_t mCount = 0;
+  std::atomic<bool> mCut{ false };
 };
 
 /** What runs work with; outlives every run. */
@@ -91,6 +96,7 @@
              std::shared_ptr<RunMailbox> aMailbox,
              OutcomeRecorder aRecorder);
 
+  bool MustStop() const { return mAborted || mEnvironment.mRuns.IsCut(); }
   void Execute(const std::string& aBaseUrl);
   void Conclude(CallEnd aEnd);
   FinishKind KindOf(CallEnd aEnd) const;
--- a/tests/processes/test_partition.cpp
+++ b/tests/processes/test_partition.cpp
@@ -304,6 +304,7 @@
   BOOST_TEST(WaitForStatistic(inside, "running", 1));
   BOOST_TEST(WaitForStatistic(outside, "running", 1));
   std::vector<std::future<StreamedAnswer>> queued;
+  queued.reserve(kQueued);
   for (int number = 0; number < kQueued; ++number) {
     queued.push_back(BeginStream(fleet.Chat("q" + std::to_string(number), 5)));
   }
