Ask for a team's tokens without holding the gate's lock

Cause: the gate sent its asks under its own lock, and the sender reads the document's stamp under the configuration's lock; a new document is applied to the gate under the configuration's lock. When a document came while a request asked for tokens, both waited for ever and the entry answered no call of a limited team again.

--- a/src/medlarkeeld/teamgate.cpp
+++ b/src/medlarkeeld/teamgate.cpp
@@ -29,11 +29,17 @@
   const Timestamp arrived = BootNow();
   AdmitVerdict verdict = mLimiter.Admit(aTeam, arrived);
   while (!verdict.mAdmitted && verdict.mAskPending) {
-    mSender(mLimiter.Tick(BootNow()));
+    const std::uint64_t answersSeen = mAnswers;
+    const std::vector<LimitMessage> asks = mLimiter.Tick(BootNow());
+    // The sender takes locks under which documents are applied to the gate.
+    lock.unlock();
+    mSender(asks);
+    lock.lock();
     const Milliseconds left = std::chrono::duration_cast<Milliseconds>(
       arrived + kAskPatience - BootNow());
-    if (left.count() <= 0 ||
-        mAnswered.wait_for(lock, left) == std::cv_status::timeout) {
+    if (left.count() <= 0 || !mAnswered.wait_for(lock, left, [&] {
+          return mAnswers != answersSeen;
+        })) {
       break;
     }
     verdict = mLimiter.Admit(aTeam, BootNow(), AdmitAttempt::Again);
@@ -69,6 +75,7 @@
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     answers = mLimiter.Receive(aMessage, BootNow());
+    ++mAnswers;
   }
   mAnswered.notify_all();
   return answers;
--- a/src/medlarkeeld/teamgate.h
+++ b/src/medlarkeeld/teamgate.h
@@ -5,6 +5,7 @@
 #include "teamlimiter.h"
 
 #include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -52,6 +53,8 @@
 private:
   std::mutex mMutex;
   std::condition_variable mAnswered;
+  /** Messages received so far. */
+  std::uint64_t mAnswers = 0;
   TeamLimiter mLimiter;
   std::uint64_t mGeneration = 0;
   std::optional<Timestamp> mOwnersKnownAt;
