--- a/src/medlarkeeld/backendrun.h
+++ b/src/medlarkeeld/backendrun.h
@@ -73,6 +73,7 @@
              std::shared_ptr<RunMailbox> aMailbox,
              OutcomeRecorder aRecorder);
 
+  bool MustStop() const { return mAborted || mEnvironment.mRuns.IsCut(); }
   void Execute(const std::string& aBaseUrl);
   void Conclude(CallEnd aEnd);
   FinishKind KindOf(CallEnd aEnd) const;
--- a/src/medlarkeeld/runthreads.h
+++ b/src/medlarkeeld/runthreads.h
@@ -2,6 +2,7 @@
 
 #include "types.h"
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -33,11 +34,16 @@
   /** @return The number of tasks that run. */
   std::size_t Count();
 
+  /** Tells all runs to end, also those that may not be repeated. */
+  void CutAll() { mCut = true; }
+  bool IsCut() const { return mCut; }
+
 private:
   struct State;
 
   /** Shared with the threads, which may outlive this object. */
   std::shared_ptr<State> mState;
+  std::atomic<bool> mCut{ false };
 };
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/teamgate.h
+++ b/src/medlarkeeld/teamgate.h
@@ -5,6 +5,7 @@
 #include "teamlimiter.h"
 
 #include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <vector>
@@ -50,6 +51,8 @@
 private:
   std::mutex mMutex;
   std::condition_variable mAnswered;
+  /** Messages received so far. */
+  std::uint64_t mAnswers = 0;
   TeamLimiter mLimiter;
   const Sender mSender;
 };
--- a/src/standins/fakeengine/engine.cpp
+++ b/src/standins/fakeengine/engine.cpp
@@ -141,6 +141,11 @@
   ++mRunning;
   ++mStarted;
   ++mRunsByMarker[aGeneration.mOrder.mMarker];
+  mStartsByMarker.try_emplace(
+    aGeneration.mOrder.mMarker,
+    std::chrono::duration_cast<std::chrono::microseconds>(
+      SteadyClock::now().time_since_epoch())
+      .count());
   mMaximumRunning = std::max(mMaximumRunning, mRunning);
   if (IsCold()) {
     mMaximumCold = std::max(mMaximumCold, mRunning);
@@ -350,7 +355,8 @@
            { "ordersApplied", mOrdersApplied },
            { "ordersRefused", mOrdersRefused },
            { "cutByOrders", mCutByOrders },
-           { "runsByMarker", mRunsByMarker } };
+           { "runsByMarker", mRunsByMarker },
+           { "startsByMarker", mStartsByMarker } };
 }
 
 nlohmann::json
--- a/src/standins/fakeplatform/platform.cpp
+++ b/src/standins/fakeplatform/platform.cpp
@@ -137,14 +137,21 @@
   }
   const ListVersion& list =
     mListFault == ServiceFault::Stale ? mStaleList : mLists.front();
-  const std::string tag = '"' + std::to_string(list.mRevision) + '"';
+  const std::string tag = '"' + std::to_string(list.mRevision) + "-" +
+                          std::to_string(mViewChanges) + '"';
   const auto known = aRequest.mHeaders.find("If-None-Match");
   if (known != aRequest.mHeaders.end() && known->second == tag) {
     return Empty(kNotModified);
   }
+  const auto host = aRequest.mHeaders.find("Host");
+  const nlohmann::json addresses =
+    host == aRequest.mHeaders.end() ? nlohmann::json() : mViews[host->second];
   nlohmann::json instances = nlohmann::json::array();
   for (const auto& [id, record] : list.mRecords) {
     instances.push_back(record);
+    if (addresses.contains(id)) {
+      instances.back()["address"] = addresses[id];
+    }
   }
   HttpResponse response = JsonResponse(
     200, { { "revision", list.mRevision }, { "instances", instances } });
@@ -197,6 +204,15 @@
   return JsonResponse(200, { { "revision", mLists.back().mRevision } });
 }
 
+HttpResponse
+Platform::WriteView(const std::string& aHost, const nlohmann::json& aAddresses)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mViews[aHost].update(aAddresses);
+  ++mViewChanges;
+  return JsonResponse(200, nlohmann::json::object());
+}
+
 void
 Platform::ApplyFault(const nlohmann::json& aFault)
 {
