--- a/src/medlarkeeld/teamgate.cpp
+++ b/src/medlarkeeld/teamgate.cpp
@@ -98,6 +98,7 @@
   }
   const RangeOwnership& ownership = mLimiter.Ownership();
   return ownership.HasReading() &&
+         ownership.ClearedRevision() >= ownership.MembersRevision() &&
          BootNow() >= ownership.MembersSeenAt() + ownership.TakeoverWait();
 }
 
