--- a/tests/processes/test_answers.cpp
+++ b/tests/processes/test_answers.cpp
@@ -119,22 +119,31 @@
   fleet.AddEngine(options);
   fleet.AddEntry();
   fleet.RequireReady();
-  std::atomic<std::size_t> whole{ 0 };
-  std::atomic<std::size_t> silentCuts{ 0 };
+  std::vector<StreamedAnswer> answers(kStreams);
   std::vector<std::thread> callers;
   callers.reserve(kStreams);
   for (std::size_t number = 0; number < kStreams; ++number) {
     callers.emplace_back([&, number] {
       const std::string marker = "m" + std::to_string(number);
-      const auto answer = ReadStream(fleet.Chat(marker, kTokens));
-      const bool isWhole = IsWhole(answer, marker, kTokens);
-      whole += isWhole ? 1 : 0;
-      silentCuts += !isWhole && answer.mStatus == 200 && answer.mCleanEnd;
+      answers[number] = ReadStream(fleet.Chat(marker, kTokens));
     });
   }
   for (std::thread& caller : callers) {
     caller.join();
   }
+  std::size_t whole = 0;
+  std::size_t silentCuts = 0;
+  for (std::size_t number = 0; number < kStreams; ++number) {
+    const StreamedAnswer& answer = answers[number];
+    const std::string marker = "m" + std::to_string(number);
+    const bool isWhole = IsWhole(answer, marker, kTokens);
+    whole += isWhole ? 1 : 0;
+    silentCuts += !isWhole && answer.mStatus == 200 && answer.mCleanEnd ? 1 : 0;
+    if (!isWhole) {
+      BOOST_TEST_MESSAGE(marker << ": status " << answer.mStatus << " "
+                                << answer.mBody.substr(0, 300));
+    }
+  }
   BOOST_TEST(silentCuts == 0U);
   BOOST_TEST(whole == kStreams);
 }
