--- a/tests/processes/test_partition.cpp
+++ b/tests/processes/test_partition.cpp
@@ -27,6 +27,15 @@
 /** Four attempts that each end at the silence bound of 2 s, and a margin. */
 constexpr seconds kRefusalTime{ 10 };
 
+/** @param aAfter Seconds after the start. */
+void
+SleepUntil(steady_clock::time_point aStart, double aAfter)
+{
+  std::this_thread::sleep_until(
+    aStart + std::chrono::duration_cast<steady_clock::duration>(
+               std::chrono::duration<double>(aAfter)));
+}
+
 std::int64_t
 MonotonicMicroseconds()
 {
@@ -204,11 +213,7 @@
   fleet.RequireReady();
   const auto start = steady_clock::now();
   TeamLoad load(fleet, { &cut, &killed, &heir });
-  const auto at = [&](double aSeconds) {
-    std::this_thread::sleep_until(
-      start + std::chrono::duration_cast<steady_clock::duration>(
-                std::chrono::duration<double>(aSeconds)));
-  };
+  const auto at = [&](double aSeconds) { SleepUntil(start, aSeconds); };
   at(1);
   // The platform takes the entry for dead; its callers still reach it.
   links.Cut(cut.mId, "platform");
@@ -231,6 +236,40 @@
   BOOST_TEST(double(CountSentAfter(spans, takenOver)) >= kRate * 4 / 2);
 }
 
+BOOST_AUTO_TEST_CASE(TeamStaysWithinItsRateWhenAFrozenEntryWakesCutOff)
+{
+  constexpr double kRate = 20;
+  constexpr double kBurst = 10;
+  Links links;
+  Fleet fleet(&links);
+  fleet.SetConcurrency("proclamation", 64, 64);
+  fleet.Document()["teams"][0]["rate"] = kRate;
+  fleet.Document()["teams"][0]["burst"] = kBurst;
+  fleet.Publish();
+  const BackendPair& engine =
+    fleet.AddEngine({ "--slots=64", "--first_token_ms=1" });
+  EntryProcess& frozen = fleet.AddEntry();
+  EntryProcess& heir = fleet.AddEntry();
+  EntryProcess& third = fleet.AddEntry();
+  fleet.RequireReady();
+  const auto start = steady_clock::now();
+  TeamLoad load(fleet, { &frozen, &heir, &third });
+  SleepUntil(start, 1);
+  frozen.mProcess->Signal(SIGSTOP);
+  fleet.Unlist(frozen.mId);
+  links.Cut(frozen.mId, "platform");
+  links.Cut(frozen.mId, heir.mId);
+  links.Cut(frozen.mId, third.mId);
+  // Evidence of 3 s and list lag of 0.5 s: by now the heirs have taken over.
+  SleepUntil(start, 6);
+  frozen.mProcess->Signal(SIGCONT);
+  const std::int64_t awake = MonotonicMicroseconds();
+  SleepUntil(start, 10);
+  const auto spans = load.Finish(engine);
+  BOOST_TEST(LargestExcess(spans, kRate, kBurst) <= 0);
+  BOOST_TEST(double(CountSentAfter(spans, awake)) >= kRate * 4 / 2);
+}
+
 BOOST_AUTO_TEST_CASE(DocumentsThatComeWhileTokensAreAskedForStopNoEntry)
 {
   Fleet fleet;
@@ -281,6 +320,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LeavingBackendServerRefusesAnEntryThatMissedTheNews)
+{
+  Links links;
+  Fleet fleet(&links);
+  // Limited teams are served for this long without a reading of the list.
+  fleet.SetEvidenceValid(seconds(8));
+  EnginesInTwoZones engines(fleet);
+  const EntryProcess& cut = fleet.AddEntry();
+  fleet.RequireReady();
+  BOOST_TEST(ReachesSoon(fleet, cut, *engines.mLeaving));
+  links.Cut(cut.mId, "platform");
+  fleet.SetState(engines.mLeaving->mId, "leaving");
+  std::this_thread::sleep_for(kChangeTime);
+  const int before = Statistic(*engines.mLeaving, "started");
+  BOOST_TEST(SendChats(fleet, cut, 10) == 10);
+  BOOST_TEST(Statistic(*engines.mLeaving, "started") == before);
+}
+
 BOOST_AUTO_TEST_CASE(EntryThatHearsFromNobodyRefusesAtOnceAndCatchesUp)
 {
   Links links;
