--- a/bench/limits/meteredlimiter.h
+++ b/bench/limits/meteredlimiter.h
@@ -55,7 +55,7 @@
     std::array<CallMeter, static_cast<std::size_t>(MeteredCall::Count)>;
 
   MeteredLimiter(InstanceId aSelf,
-                 TeamLimiterSettings aSettings,
+                 const TeamLimiterSettings& aSettings,
                  std::uint64_t aSeed)
     : mLimiter(std::move(aSelf), aSettings, aSeed)
   {
--- a/tests/core/limitfleet.h
+++ b/tests/core/limitfleet.h
@@ -160,7 +160,7 @@
     int mGroup = 0;
   };
 
-  BasicLimitFleet(TeamLimiterSettings aSettings,
+  BasicLimitFleet(const TeamLimiterSettings& aSettings,
                   FleetNetwork aNetwork,
                   std::uint64_t aSeed)
     : mSettings(aSettings)
--- a/tests/core/test_teamlimiter.cpp
+++ b/tests/core/test_teamlimiter.cpp
@@ -55,7 +55,7 @@
 {
 public:
   FaultPlan(LimitFleet& aFleet,
-            TeamLimiterSettings aSettings,
+            const TeamLimiterSettings& aSettings,
             FaultMix aMix,
             std::vector<std::size_t> aEntries)
     : mFleet(aFleet)
