--- a/tests/processes/test_partition.cpp
+++ b/tests/processes/test_partition.cpp
@@ -152,6 +152,26 @@
   return whole;
 }
 
+constexpr double kRate = 20;
+constexpr double kBurst = 10;
+
+/** A fleet whose team has a limit, with room at the engine for all it sends. */
+struct LimitedFleet
+{
+  LimitedFleet()
+  {
+    mFleet.SetConcurrency("proclamation", 64, 64);
+    mFleet.Document()["teams"][0]["rate"] = kRate;
+    mFleet.Document()["teams"][0]["burst"] = kBurst;
+    mFleet.Publish();
+    mEngine = &mFleet.AddEngine({ "--slots=64", "--first_token_ms=1" });
+  }
+
+  Links mLinks;
+  Fleet mFleet{ &mLinks };
+  const BackendPair* mEngine = nullptr;
+};
+
 /** Two engines that are equally far from the entries' zone. */
 struct EnginesInTwoZones
 {
@@ -197,16 +217,9 @@
 
 BOOST_AUTO_TEST_CASE(TeamStaysWithinItsRateWhileAnEntryIsCutOffAndAnotherDies)
 {
-  constexpr double kRate = 20;
-  constexpr double kBurst = 10;
-  Links links;
-  Fleet fleet(&links);
-  fleet.SetConcurrency("proclamation", 64, 64);
-  fleet.Document()["teams"][0]["rate"] = kRate;
-  fleet.Document()["teams"][0]["burst"] = kBurst;
-  fleet.Publish();
-  const BackendPair& engine =
-    fleet.AddEngine({ "--slots=64", "--first_token_ms=1" });
+  LimitedFleet limited;
+  Links& links = limited.mLinks;
+  Fleet& fleet = limited.mFleet;
   EntryProcess& cut = fleet.AddEntry();
   EntryProcess& killed = fleet.AddEntry();
   EntryProcess& heir = fleet.AddEntry();
@@ -230,7 +243,7 @@
   links.Heal();
   at(11);
   const std::size_t sent = load.Sent();
-  const auto spans = load.Finish(engine);
+  const auto spans = load.Finish(*limited.mEngine);
   BOOST_TEST(double(sent) >= 3 * kRate * 11);
   BOOST_TEST(LargestExcess(spans, kRate, kBurst) <= 0);
   BOOST_TEST(double(CountSentAfter(spans, takenOver)) >= kRate * 4 / 2);
@@ -238,16 +251,9 @@
 
 BOOST_AUTO_TEST_CASE(TeamStaysWithinItsRateWhenAFrozenEntryWakesCutOff)
 {
-  constexpr double kRate = 20;
-  constexpr double kBurst = 10;
-  Links links;
-  Fleet fleet(&links);
-  fleet.SetConcurrency("proclamation", 64, 64);
-  fleet.Document()["teams"][0]["rate"] = kRate;
-  fleet.Document()["teams"][0]["burst"] = kBurst;
-  fleet.Publish();
-  const BackendPair& engine =
-    fleet.AddEngine({ "--slots=64", "--first_token_ms=1" });
+  LimitedFleet limited;
+  Links& links = limited.mLinks;
+  Fleet& fleet = limited.mFleet;
   EntryProcess& frozen = fleet.AddEntry();
   EntryProcess& heir = fleet.AddEntry();
   EntryProcess& third = fleet.AddEntry();
@@ -265,7 +271,7 @@
   frozen.mProcess->Signal(SIGCONT);
   const std::int64_t awake = MonotonicMicroseconds();
   SleepUntil(start, 10);
-  const auto spans = load.Finish(engine);
+  const auto spans = load.Finish(*limited.mEngine);
   BOOST_TEST(LargestExcess(spans, kRate, kBurst) <= 0);
   BOOST_TEST(double(CountSentAfter(spans, awake)) >= kRate * 4 / 2);
 }
