--- a/src/medlarkeeld/agentcore.cpp
+++ b/src/medlarkeeld/agentcore.cpp
@@ -18,12 +18,10 @@
 std::optional<RefusalReason>
 ReasonToRefuse(const AgentConditions& aConditions)
 {
-  if (aConditions.mShuttingDown || aConditions.mListedLeaving) {
+  if (aConditions.mShuttingDown || aConditions.mListedLeaving ||
+      aConditions.mDraining) {
     return RefusalReason::Leaving;
   }
-  if (aConditions.mDraining) {
-    return RefusalReason::NoBackendServer;
-  }
   if (!aConditions.mDocumentKnown || aConditions.mMustRevalidate) {
     return RefusalReason::ConfigurationUnknown;
   }
