--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -17,9 +17,6 @@
 
 constexpr long kTickNanoseconds = 20'000'000;
 constexpr Milliseconds kPauseLimit{ 1000 };
-/** Threads that wait for calls, so that a call need not wait for a new one. */
-constexpr int kLeastPollers = 4;
-constexpr int kMostPollers = 16;
 constexpr int kMostMessageBytes = 16 << 20;
 
 sigset_t
@@ -117,8 +114,6 @@
                            &port);
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.SetMaxReceiveMessageSize(kMostMessageBytes);
-  builder.SetSyncServerOption(grpc::ServerBuilder::MIN_POLLERS, kLeastPollers);
-  builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, kMostPollers);
   builder.RegisterService(mPeerService.get());
   for (grpc::Service* service : Services()) {
     builder.RegisterService(service);
