Keep RC_ASSERT from reading the value of an error

Cause: the macro negates its argument without brackets, so '!text || ...' read the text of a refused delta; the assertion of Boost.Outcome in the debug build ended test_libmedlarkeel under the address sanitizer. Ruled out: the delta's code, which returned the error. The condition is worked out before; the check is the same, and documentdelta passes under the sanitizers.

--- a/tests/core/test_documentdelta.cpp
+++ b/tests/core/test_documentdelta.cpp
@@ -52,7 +52,9 @@
     const auto place = *rc::gen::inRange<std::size_t>(0, damaged.size());
     damaged[place] = *rc::gen::arbitrary<char>();
     const auto text = ApplyTextDelta(base, damaged, kMaximumDocumentBytes);
-    RC_ASSERT(!text || text.value().size() <= kMaximumDocumentBytes);
+    const bool isBounded =
+      !text || text.value().size() <= kMaximumDocumentBytes;
+    RC_ASSERT(isBounded);
   }));
   const auto bounded = ApplyTextDelta(base, delta, 10);
   BOOST_TEST((bounded.error() == TextDeltaError::TooLong));
