--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -16,6 +16,8 @@
   SettingsRejected = 102,
   ShutdownStep = 103,
   PauseNoticed = 104,
+  SettingsReloaded = 105,
+  AcceptFailed = 106,
 
   DocumentAccepted = 200,
   DocumentRejected = 201,
@@ -23,12 +25,16 @@
 
   ListObserved = 300,
   ZoneChanged = 301,
+  DirectoryLost = 302,
+  DirectoryRegained = 303,
+  ItemUnreadable = 304,
 
   RequestRouted = 400,
   RequestRefused = 401,
   RequestCancelled = 402,
   StreamFailed = 403,
   RequestCompleted = 404,
+  BackendAttemptFailed = 405,
 
   ReservationGranted = 500,
   ReservationRefused = 501,
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/attemptdecision.cpp
@@ -0,0 +1,113 @@
+#include "attemptdecision.h"
+
+namespace medlarkeel {
+
+namespace {
+
+/** Connections that are tried for one request; each takes a time-out at most.
+ */
+constexpr int kMostConnectFailures = 3;
+
+/** Sends to reused addresses that one request survives. */
+constexpr int kMostMisdirected = 2;
+
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kInternalError = 500;
+constexpr int kUnavailable = 503;
+
+} // namespace
+
+const char*
+AttemptOutcomeText(AttemptOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case AttemptOutcome::NotSent:
+      return "not-sent";
+    case AttemptOutcome::NotRun:
+      return "not-run";
+    case AttemptOutcome::Misdirected:
+      return "misdirected";
+    case AttemptOutcome::Failed:
+      return "failed";
+    case AttemptOutcome::Broken:
+      return "broken";
+    case AttemptOutcome::TimedOut:
+      return "timed-out";
+  }
+  return "unknown";
+}
+
+void
+AttemptHistory::Record(AttemptOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case AttemptOutcome::NotSent:
+      mConnectFailures += 1;
+      break;
+    case AttemptOutcome::NotRun:
+      mSent += 1;
+      break;
+    case AttemptOutcome::Misdirected:
+      mMisdirected += 1;
+      break;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::Broken:
+    case AttemptOutcome::TimedOut:
+      mSent += 1;
+      mMayHaveRun = true;
+      break;
+  }
+}
+
+NextStep
+DecideNextStep(const ForwardRoute& aRoute,
+               const AttemptHistory& aHistory,
+               AttemptOutcome aOutcome)
+{
+  const bool mayRunAgain = !aHistory.mMayHaveRun || aRoute.MayRunAgain();
+  const bool hasAttempts = aHistory.mSent < aRoute.mMostAttempts &&
+                           aHistory.mConnectFailures < kMostConnectFailures &&
+                           aHistory.mMisdirected < kMostMisdirected;
+  if (aOutcome != AttemptOutcome::TimedOut && mayRunAgain && hasAttempts) {
+    return NextStep::TryAnother;
+  }
+  return FinalStep(aHistory, aOutcome);
+}
+
+NextStep
+FinalStep(const AttemptHistory& aHistory, AttemptOutcome aOutcome)
+{
+  if (aOutcome == AttemptOutcome::Failed) {
+    return NextStep::PassAnswer;
+  }
+  if (!aHistory.mMayHaveRun) {
+    return NextStep::RefuseNotRun;
+  }
+  return aOutcome == AttemptOutcome::TimedOut ? NextStep::FailTimeout
+                                              : NextStep::FailUnknown;
+}
+
+std::optional<AttemptOutcome>
+JudgeAnswer(int aStatus, bool aSaysNotRun)
+{
+  if (aStatus == kMisdirected) {
+    return AttemptOutcome::Misdirected;
+  }
+  if (aSaysNotRun) {
+    return AttemptOutcome::NotRun;
+  }
+  const bool promisesNotRun = aStatus == kUnavailable ||
+                              aStatus == kTooManyRequests ||
+                              aStatus == kRequestTimeout;
+  if (promisesNotRun) {
+    return AttemptOutcome::Broken;
+  }
+  if (aStatus >= kInternalError) {
+    return AttemptOutcome::Failed;
+  }
+  return std::nullopt;
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -0,0 +1,339 @@
+#include "backendchooser.h"
+
+#include "../rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace medlarkeel {
+
+namespace {
+
+/** Separates the hash that orders servers for short prompts from others. */
+constexpr std::uint64_t kShortPromptSeed = 0x5eed0001;
+
+/** Parts that are remembered for one server. */
+constexpr std::size_t kMostSentParts = 4096;
+
+/** @return The server that comes first for a key among those given. */
+const ListedBackend*
+HomeOf(const std::vector<const ListedBackend*>& aServers, std::uint64_t aKey)
+{
+  const ListedBackend* home = nullptr;
+  std::uint64_t best = 0;
+  for (const ListedBackend* server : aServers) {
+    const std::uint64_t score =
+      RendezvousScore(aKey, HashText(server->mEntry.mId.Text()));
+    if (home == nullptr || score > best) {
+      home = server;
+      best = score;
+    }
+  }
+  return home;
+}
+
+} // namespace
+
+BackendChooser::BackendChooser(const ChooserSettings& aSettings,
+                               ZoneName aZone,
+                               std::uint64_t aSeed)
+  : mSettings(aSettings)
+  , mZone(std::move(aZone))
+  , mRandom(aSeed)
+{
+}
+
+std::optional<BackendChoice>
+BackendChooser::Choose(const std::vector<const ListedBackend*>& aUsable,
+                       const std::optional<PromptDescription>& aPrompt,
+                       const std::set<InstanceId>& aExcluded,
+                       double aColdPerSecond,
+                       Timestamp aNow)
+{
+  const std::vector<const ListedBackend*> candidates =
+    Candidates(aUsable, aExcluded, aColdPerSecond, aNow);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  BackendChoice choice = aPrompt
+                           ? ChooseModel(aUsable, candidates, *aPrompt, aNow)
+                           : ChoosePlain(candidates);
+  choice.mCandidates = candidates.size();
+  for (const ListedBackend* server : candidates) {
+    if (server->mEntry.mId == choice.mId) {
+      choice.mEndpoint = server->mEntry.mEndpoint;
+      choice.mIsCold = aNow < server->mColdUntil;
+      choice.mIsOtherZone = server->mEntry.mZone != mZone;
+    }
+  }
+  return choice;
+}
+
+std::vector<const ListedBackend*>
+BackendChooser::Candidates(const std::vector<const ListedBackend*>& aUsable,
+                           const std::set<InstanceId>& aExcluded,
+                           double aColdPerSecond,
+                           Timestamp aNow)
+{
+  std::vector<const ListedBackend*> sound;
+  std::vector<const ListedBackend*> avoided;
+  std::vector<const ListedBackend*> cold;
+  for (const ListedBackend* server : aUsable) {
+    if (aExcluded.count(server->mEntry.mId) != 0) {
+      continue;
+    }
+    ServerState& state = mServers[server->mEntry.mId];
+    if (aNow < server->mColdUntil) {
+      const bool isLimited = aColdPerSecond > 0.0;
+      const Microseconds pause(
+        isLimited ? static_cast<std::int64_t>(1e6 / aColdPerSecond) : 0);
+      if (aNow >= state.mLastColdRequest + pause) {
+        cold.push_back(server);
+      }
+    } else if (state.mHealth.IsAvoided(aNow)) {
+      avoided.push_back(server);
+    } else {
+      sound.push_back(server);
+    }
+  }
+  if (!sound.empty()) {
+    return sound;
+  }
+  return avoided.empty() ? cold : avoided;
+}
+
+std::set<InstanceId>
+BackendChooser::ShortPromptServers(
+  const std::vector<const ListedBackend*>& aUsable) const
+{
+  std::vector<std::pair<std::uint64_t, const ListedBackend*>> order;
+  order.reserve(aUsable.size());
+  for (const ListedBackend* server : aUsable) {
+    order.emplace_back(HashText(server->mEntry.mId.Text(), kShortPromptSeed),
+                       server);
+  }
+  std::sort(order.begin(), order.end());
+  const double total = mShortTokens + mLongTokens;
+  const double share = total > 0.0 ? mShortTokens / total : 0.0;
+  const auto size = static_cast<double>(order.size());
+  const auto wanted = static_cast<std::size_t>(std::lround(share * size));
+  const std::size_t least = mShortTokens > 0.0 && order.size() > 1 ? 1 : 0;
+  const std::size_t most =
+    mLongTokens > 0.0 && !order.empty() ? order.size() - 1 : order.size();
+  const std::size_t count = std::min(std::max(wanted, least), most);
+  std::set<InstanceId> servers;
+  for (std::size_t i = 0; i < count; ++i) {
+    servers.insert(order[i].second->mEntry.mId);
+  }
+  return servers;
+}
+
+std::uint32_t
+BackendChooser::UnreadTokens(const ListedBackend& aServer,
+                             const PromptDescription& aPrompt,
+                             bool aIsHome,
+                             Timestamp aNow) const
+{
+  const auto found = mServers.find(aServer.mEntry.mId);
+  double cached = 0.0;
+  for (std::size_t i = 0; i + 1 < aPrompt.mParts.size(); ++i) {
+    const PromptPart& part = aPrompt.mParts[i];
+    bool wasSent = false;
+    if (found != mServers.end()) {
+      const auto sent = found->second.mSentParts.find(part.mId);
+      wasSent = sent != found->second.mSentParts.end() &&
+                aNow - sent->second < mSettings.mCacheMemory;
+    }
+    if (wasSent) {
+      cached += part.mTokens;
+    } else if (aIsHome) {
+      cached += part.mTokens * mSettings.mHomeCachedShare;
+    } else {
+      break;
+    }
+  }
+  const double unread = std::max(0.0, aPrompt.mPromptTokens - cached);
+  return static_cast<std::uint32_t>(unread);
+}
+
+double
+BackendChooser::ModelCost(const ListedBackend& aServer,
+                          const PromptDescription& aPrompt,
+                          std::uint32_t aUnread,
+                          bool aIsForShort) const
+{
+  double cost = aUnread;
+  const auto found = mServers.find(aServer.mEntry.mId);
+  if (found != mServers.end()) {
+    const ServerState& state = found->second;
+    cost += state.mUnreadTokens;
+    cost += mSettings.mRunningTokens * static_cast<double>(state.mRequests);
+  }
+  const bool isShort = aPrompt.mPromptTokens < mSettings.mShortPromptTokens;
+  if (isShort && !aIsForShort) {
+    cost += mSettings.mShortElsewhereTokens;
+  }
+  if (!isShort && aIsForShort) {
+    cost += mSettings.mLongOnShortTokens;
+  }
+  if (aServer.mEntry.mZone != mZone) {
+    cost += mSettings.mOtherZoneTokens;
+  }
+  return cost;
+}
+
+BackendChoice
+BackendChooser::ChooseModel(
+  const std::vector<const ListedBackend*>& aUsable,
+  const std::vector<const ListedBackend*>& aCandidates,
+  const PromptDescription& aPrompt,
+  Timestamp aNow)
+{
+  const std::set<InstanceId> forShort = ShortPromptServers(aUsable);
+  const bool isShort = aPrompt.mPromptTokens < mSettings.mShortPromptTokens;
+  std::vector<const ListedBackend*> lane;
+  for (const ListedBackend* server : aCandidates) {
+    if ((forShort.count(server->mEntry.mId) != 0) == isShort) {
+      lane.push_back(server);
+    }
+  }
+  const std::uint64_t key = aPrompt.AffinityKey();
+  const ListedBackend* home = key == 0 ? nullptr : HomeOf(lane, key);
+  BackendChoice choice;
+  bool isFirst = true;
+  for (const ListedBackend* server : aCandidates) {
+    const std::uint32_t unread =
+      UnreadTokens(*server, aPrompt, server == home, aNow);
+    const bool isForShort = forShort.count(server->mEntry.mId) != 0;
+    const double cost = ModelCost(*server, aPrompt, unread, isForShort);
+    if (isFirst || cost < choice.mCost) {
+      choice.mId = server->mEntry.mId;
+      choice.mCost = cost;
+      choice.mUnreadTokens = unread;
+      isFirst = false;
+    }
+  }
+  return choice;
+}
+
+BackendChoice
+BackendChooser::ChoosePlain(
+  const std::vector<const ListedBackend*>& aCandidates)
+{
+  /** A server in the own zone wins below this difference in requests. */
+  constexpr double kOtherZoneRequests = 0.5;
+  BackendChoice choice;
+  bool isFirst = true;
+  std::uniform_real_distribution<double> tie(0.0, 0.25);
+  for (const ListedBackend* server : aCandidates) {
+    double cost = static_cast<double>(Running(server->mEntry.mId));
+    cost += server->mEntry.mZone != mZone ? kOtherZoneRequests : 0.0;
+    cost += tie(mRandom);
+    if (isFirst || cost < choice.mCost) {
+      choice.mId = server->mEntry.mId;
+      choice.mCost = cost;
+      isFirst = false;
+    }
+  }
+  return choice;
+}
+
+void
+BackendChooser::RecordDemand(const PromptDescription& aPrompt,
+                             std::uint32_t aUnread,
+                             Timestamp aNow)
+{
+  const double memory =
+    std::chrono::duration<double>(mSettings.mDemandMemory).count();
+  const double passed = std::chrono::duration<double>(aNow - mDemandAt).count();
+  const double kept = std::exp(-std::max(0.0, passed) / memory);
+  mShortTokens *= kept;
+  mLongTokens *= kept;
+  mDemandAt = aNow;
+  const bool isShort = aPrompt.mPromptTokens < mSettings.mShortPromptTokens;
+  (isShort ? mShortTokens : mLongTokens) += aUnread;
+}
+
+void
+BackendChooser::RecordStarted(const BackendChoice& aChoice,
+                              const std::optional<PromptDescription>& aPrompt,
+                              Timestamp aNow)
+{
+  ServerState& state = mServers[aChoice.mId];
+  state.mRequests += 1;
+  state.mReading += 1;
+  state.mUnreadTokens += aChoice.mUnreadTokens;
+  if (aChoice.mIsCold) {
+    state.mLastColdRequest = aNow;
+  }
+  if (!aPrompt) {
+    return;
+  }
+  RecordDemand(*aPrompt, aChoice.mUnreadTokens, aNow);
+  if (state.mSentParts.size() > kMostSentParts) {
+    state.mSentParts.clear();
+  }
+  for (const PromptPart& part : aPrompt->mParts) {
+    state.mSentParts[part.mId] = aNow;
+  }
+}
+
+void
+BackendChooser::RecordFirstByte(const BackendChoice& aChoice)
+{
+  const auto found = mServers.find(aChoice.mId);
+  if (found == mServers.end() || found->second.mReading == 0) {
+    return;
+  }
+  ServerState& state = found->second;
+  state.mReading -= 1;
+  state.mUnreadTokens -= aChoice.mUnreadTokens;
+  if (state.mReading == 0) {
+    state.mUnreadTokens = 0.0;
+  }
+}
+
+void
+BackendChooser::RecordEnded(const BackendChoice& aChoice, bool aHadFirstByte)
+{
+  if (!aHadFirstByte) {
+    RecordFirstByte(aChoice);
+  }
+  const auto found = mServers.find(aChoice.mId);
+  if (found != mServers.end() && found->second.mRequests > 0) {
+    found->second.mRequests -= 1;
+  }
+}
+
+void
+BackendChooser::RecordSuccess(const InstanceId& aId, Timestamp aNow)
+{
+  mServers[aId].mHealth.RecordSuccess(aNow, mSettings.mHealth);
+}
+
+void
+BackendChooser::RecordFailure(const InstanceId& aId, Timestamp aNow)
+{
+  mServers[aId].mHealth.RecordFailure(aNow, mSettings.mHealth);
+}
+
+void
+BackendChooser::RecordUnreachable(const InstanceId& aId, Timestamp aNow)
+{
+  mServers[aId].mHealth.RecordUnreachable(aNow, mSettings.mHealth);
+}
+
+void
+BackendChooser::Forget(const InstanceId& aId)
+{
+  mServers.erase(aId);
+}
+
+std::size_t
+BackendChooser::Running(const InstanceId& aId) const
+{
+  const auto found = mServers.find(aId);
+  return found == mServers.end() ? 0 : found->second.mRequests;
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "backendhealth.h"
+#include "backendlist.h"
+#include "promptdescription.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace medlarkeel {
+
+/** Weights of the choice; costs are in prompt tokens still to be read. */
+struct ChooserSettings
+{
+  /** Prompts below this size are short: four chunks of a usual prefill. */
+  std::uint32_t mShortPromptTokens = 4096;
+  /** Added for a short prompt outside the servers kept for short prompts. */
+  double mShortElsewhereTokens = 6000.0;
+  /** Added for a long prompt on a server that is kept for short ones. */
+  double mLongOnShortTokens = 24'000.0;
+  /** Added for a server in another availability zone. */
+  double mOtherZoneTokens = 1500.0;
+  /** Added for each stream that is running on the server. */
+  double mRunningTokens = 150.0;
+  /** Share of the shared tokens that the first server by hash is taken to
+   * hold although this entry hasn't sent them there. */
+  double mHomeCachedShare = 0.7;
+  /** Time after which a prompt's part that wasn't sent again isn't counted as
+   * cached any more. */
+  Microseconds mCacheMemory = std::chrono::seconds(30);
+  /** Time over which the sizes of prompts are averaged. */
+  Microseconds mDemandMemory = std::chrono::seconds(4);
+  BackendHealthSettings mHealth;
+};
+
+/** Why a backend server was chosen. */
+struct BackendChoice
+{
+  InstanceId mId;
+  Endpoint mEndpoint;
+  /** Estimated prompt tokens that are read before the first token. */
+  double mCost = 0.0;
+  /** Estimated prompt tokens that the server doesn't hold yet. */
+  std::uint32_t mUnreadTokens = 0;
+  /** Servers that could have been chosen. */
+  std::size_t mCandidates = 0;
+  bool mIsCold = false;
+  bool mIsOtherZone = false;
+};
+
+/** Why no backend server can take a request. */
+enum class NoBackend
+{
+  NoneListed,
+  AllExcluded,
+  ColdLimit
+};
+
+/**
+ * Chooses backend servers. Short prompts are kept away from long ones on a
+ * number of servers that follows the load, shared parts of prompts are sent to
+ * the server that holds them unless others are far less busy, and cold servers
+ * get work only when no warm one is left.
+ */
+class BackendChooser
+{
+public:
+  /**
+   * @param aZone The own availability zone.
+   * @param aSeed Seed of ties; unlike in each process.
+   */
+  BackendChooser(const ChooserSettings& aSettings,
+                 ZoneName aZone,
+                 std::uint64_t aSeed);
+
+  /**
+   * @param aUsable The servers of the pool that may get work.
+   * @param aPrompt The prompt, or nothing for plain services.
+   * @param aExcluded Servers that the request was sent to before.
+   * @param aColdPerSecond Requests per second that this process may send to
+   * one cold server.
+   */
+  std::optional<BackendChoice> Choose(
+    const std::vector<const ListedBackend*>& aUsable,
+    const std::optional<PromptDescription>& aPrompt,
+    const std::set<InstanceId>& aExcluded,
+    double aColdPerSecond,
+    Timestamp aNow);
+
+  /** Notes that a request goes to the chosen server. */
+  void RecordStarted(const BackendChoice& aChoice,
+                     const std::optional<PromptDescription>& aPrompt,
+                     Timestamp aNow);
+
+  /** Notes the first byte of an answer's body. */
+  void RecordFirstByte(const BackendChoice& aChoice);
+
+  /**
+   * Notes the end of a request at a server.
+   *
+   * @param aHadFirstByte Whether RecordFirstByte was called.
+   */
+  void RecordEnded(const BackendChoice& aChoice, bool aHadFirstByte);
+
+  void RecordSuccess(const InstanceId& aId, Timestamp aNow);
+  void RecordFailure(const InstanceId& aId, Timestamp aNow);
+  void RecordUnreachable(const InstanceId& aId, Timestamp aNow);
+
+  /** Drops what is known about a server, whose process has ended. */
+  void Forget(const InstanceId& aId);
+
+  /** @return Requests sent and not ended yet. */
+  std::size_t Running(const InstanceId& aId) const;
+
+private:
+  /** What this entry has in progress at one server and knows of it. */
+  struct ServerState
+  {
+    std::size_t mRequests = 0;
+    std::size_t mReading = 0;
+    double mUnreadTokens = 0.0;
+    std::unordered_map<std::uint64_t, Timestamp> mSentParts;
+    BackendHealth mHealth;
+    Timestamp mLastColdRequest;
+  };
+
+  std::vector<const ListedBackend*> Candidates(
+    const std::vector<const ListedBackend*>& aUsable,
+    const std::set<InstanceId>& aExcluded,
+    double aColdPerSecond,
+    Timestamp aNow);
+  std::set<InstanceId> ShortPromptServers(
+    const std::vector<const ListedBackend*>& aUsable) const;
+  std::uint32_t UnreadTokens(const ListedBackend& aServer,
+                             const PromptDescription& aPrompt,
+                             bool aIsHome,
+                             Timestamp aNow) const;
+  double ModelCost(const ListedBackend& aServer,
+                   const PromptDescription& aPrompt,
+                   std::uint32_t aUnread,
+                   bool aIsForShort) const;
+  void RecordDemand(const PromptDescription& aPrompt,
+                    std::uint32_t aUnread,
+                    Timestamp aNow);
+  BackendChoice ChoosePlain(
+    const std::vector<const ListedBackend*>& aCandidates);
+  BackendChoice ChooseModel(
+    const std::vector<const ListedBackend*>& aUsable,
+    const std::vector<const ListedBackend*>& aCandidates,
+    const PromptDescription& aPrompt,
+    Timestamp aNow);
+
+  ChooserSettings mSettings;
+  ZoneName mZone;
+  std::mt19937_64 mRandom;
+  std::unordered_map<InstanceId, ServerState> mServers;
+  /** Prompt tokens to be read lately, weighted by age. */
+  double mShortTokens = 0.0;
+  double mLongTokens = 0.0;
+  Timestamp mDemandAt;
+};
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -0,0 +1,159 @@
+#include "backendlist.h"
+
+namespace medlarkeel {
+
+namespace {
+
+/** Removed ids that are remembered against late, older entries. */
+constexpr std::size_t kMostRemoved = 1024;
+
+bool
+IsRestart(const BackendEntry& aBefore, const BackendEntry& aAfter)
+{
+  return aBefore.mStartedAt != aAfter.mStartedAt ||
+         aBefore.mEndpoint.mAddress != aAfter.mEndpoint.mAddress ||
+         aBefore.mEndpoint.mPort != aAfter.mEndpoint.mPort;
+}
+
+} // namespace
+
+BackendChange
+BackendList::Put(const BackendEntry& aEntry, Timestamp aNow)
+{
+  const auto removed = mRemovedRevisions.find(aEntry.mId);
+  if (removed != mRemovedRevisions.end() &&
+      aEntry.mRevision <= removed->second) {
+    return BackendChange::None;
+  }
+  const auto found = mBackends.find(aEntry.mId);
+  if (found != mBackends.end() &&
+      aEntry.mRevision < found->second.mEntry.mRevision) {
+    return BackendChange::None;
+  }
+  const bool isKnown = found != mBackends.end();
+  const bool isRestart = isKnown && IsRestart(found->second.mEntry, aEntry);
+  const bool wasDraining = isKnown && found->second.mEntry.mIsDraining;
+  if (isRestart) {
+    mMisdirected.erase(aEntry.mId);
+  }
+  ListedBackend& backend = mBackends[aEntry.mId];
+  backend.mEntry = aEntry;
+  backend.mColdUntil = aNow + aEntry.mColdRemaining;
+  backend.mRemoveAt.reset();
+  if (aEntry.mIsDraining) {
+    return wasDraining ? BackendChange::Refreshed : BackendChange::Draining;
+  }
+  if (!isKnown) {
+    return BackendChange::Added;
+  }
+  return isRestart ? BackendChange::Restarted : BackendChange::Refreshed;
+}
+
+BackendChange
+BackendList::Remove(const InstanceId& aId,
+                    std::uint64_t aRevision,
+                    Timestamp aNow)
+{
+  const auto found = mBackends.find(aId);
+  if (found == mBackends.end() ||
+      (aRevision != 0 && aRevision < found->second.mEntry.mRevision)) {
+    return BackendChange::None;
+  }
+  if (aNow < mHoldUntil && !found->second.mEntry.mIsDraining) {
+    if (!found->second.mRemoveAt) {
+      found->second.mRemoveAt = mHoldUntil;
+    }
+    return BackendChange::RemovalDelayed;
+  }
+  if (mRemovedRevisions.size() >= kMostRemoved) {
+    mRemovedRevisions.clear();
+  }
+  mRemovedRevisions[aId] = aRevision;
+  mMisdirected.erase(aId);
+  mBackends.erase(found);
+  return BackendChange::Removed;
+}
+
+std::vector<std::pair<InstanceId, BackendChange>>
+BackendList::KeepOnly(const std::set<InstanceId>& aListed,
+                      std::uint64_t aRevision,
+                      Timestamp aNow)
+{
+  std::vector<InstanceId> missing;
+  for (const auto& [id, backend] : mBackends) {
+    if (aListed.count(id) == 0) {
+      missing.push_back(id);
+    }
+  }
+  std::vector<std::pair<InstanceId, BackendChange>> changes;
+  for (const InstanceId& id : missing) {
+    const BackendChange change = Remove(id, aRevision, aNow);
+    if (change != BackendChange::None) {
+      changes.emplace_back(id, change);
+    }
+  }
+  return changes;
+}
+
+void
+BackendList::RecordRegained(Timestamp aNow, Microseconds aHold)
+{
+  mHoldUntil = aNow + aHold;
+}
+
+std::vector<InstanceId>
+BackendList::RemoveExpired(Timestamp aNow)
+{
+  std::vector<InstanceId> expired;
+  for (const auto& [id, backend] : mBackends) {
+    if (backend.mRemoveAt && *backend.mRemoveAt <= aNow) {
+      expired.push_back(id);
+    }
+  }
+  for (const InstanceId& id : expired) {
+    mBackends.erase(id);
+    mMisdirected.erase(id);
+  }
+  return expired;
+}
+
+void
+BackendList::SetEvacuated(const ZoneName& aZone, bool aIsEvacuated)
+{
+  if (aIsEvacuated) {
+    mEvacuated.insert(aZone);
+  } else {
+    mEvacuated.erase(aZone);
+  }
+}
+
+void
+BackendList::RecordMisdirected(const InstanceId& aId)
+{
+  if (mBackends.count(aId) != 0) {
+    mMisdirected.insert(aId);
+  }
+}
+
+std::vector<const ListedBackend*>
+BackendList::Usable(const PoolName& aPool) const
+{
+  std::vector<const ListedBackend*> usable;
+  for (const auto& [id, backend] : mBackends) {
+    if (backend.mEntry.mPool == aPool && !backend.mEntry.mIsDraining &&
+        mEvacuated.count(backend.mEntry.mZone) == 0 &&
+        mMisdirected.count(id) == 0) {
+      usable.push_back(&backend);
+    }
+  }
+  return usable;
+}
+
+const ListedBackend*
+BackendList::Find(const InstanceId& aId) const
+{
+  const auto found = mBackends.find(aId);
+  return found == mBackends.end() ? nullptr : &found->second;
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -0,0 +1,162 @@
+#include "directoryfollower.h"
+
+#include <algorithm>
+
+namespace medlarkeel {
+
+namespace {
+
+template<typename... Handlers>
+struct Overloaded : Handlers...
+{
+  using Handlers::operator()...;
+};
+template<typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+const char*
+DirectoryErrorText(DirectoryError aError)
+{
+  switch (aError) {
+    case DirectoryError::Unreachable:
+      return "unreachable";
+    case DirectoryError::Refused:
+      return "refused";
+    case DirectoryError::HistoryGone:
+      return "history-gone";
+    case DirectoryError::Unreadable:
+      return "unreadable";
+  }
+  return "unknown";
+}
+
+DirectoryFollower::DirectoryFollower(const FollowerSettings& aSettings)
+  : mSettings(aSettings)
+  , mRetry(aSettings.mFirstRetry)
+{
+}
+
+FollowerNews
+DirectoryFollower::RecordRead(const DirectoryResult& aResult, Timestamp aNow)
+{
+  FollowerNews news;
+  if (!aResult) {
+    RecordFailure(news, aResult.error());
+    return news;
+  }
+  RecordContact(news, aNow);
+  const DirectoryChanges& content = aResult.value();
+  std::set<InstanceId> listed;
+  std::set<ZoneName> evacuated;
+  for (const DirectoryChange& change : content.mChanges) {
+    Apply(change, aNow, news);
+    if (const auto* entry = std::get_if<BackendEntry>(&change)) {
+      listed.insert(entry->mId);
+    }
+    const auto* zone = std::get_if<ZoneEvacuation>(&change);
+    if (zone != nullptr && zone->mIsEvacuated) {
+      evacuated.insert(zone->mZone);
+    }
+  }
+  for (auto& change : mBackends.KeepOnly(listed, content.mRevision, aNow)) {
+    news.mBackends.push_back(std::move(change));
+  }
+  const std::set<ZoneName> before = mBackends.EvacuatedZones();
+  for (const ZoneName& zone : before) {
+    if (evacuated.count(zone) == 0) {
+      Apply(ZoneEvacuation{ zone, false }, aNow, news);
+    }
+  }
+  mHasRead = true;
+  mNext = { FollowerStep::Kind::Watch, mSettings.mPause, content.mRevision };
+  return news;
+}
+
+FollowerNews
+DirectoryFollower::RecordWatch(const DirectoryResult& aResult, Timestamp aNow)
+{
+  FollowerNews news;
+  if (!aResult) {
+    RecordFailure(news, aResult.error());
+    return news;
+  }
+  const DirectoryChanges& content = aResult.value();
+  if (content.mChanges.empty() && mBackends.size() > 0) {
+    mNext = { FollowerStep::Kind::ReadAll, Milliseconds(0), 0 };
+    return news;
+  }
+  RecordContact(news, aNow);
+  for (const DirectoryChange& change : content.mChanges) {
+    Apply(change, aNow, news);
+  }
+  mNext = { FollowerStep::Kind::Watch, mSettings.mPause, content.mRevision };
+  return news;
+}
+
+void
+DirectoryFollower::RecordFailure(FollowerNews& aNews, DirectoryError aError)
+{
+  if (aError == DirectoryError::HistoryGone) {
+    mNext = { FollowerStep::Kind::ReadAll, Milliseconds(0), 0 };
+    return;
+  }
+  aNews.mWasLost = !mIsLost;
+  mIsLost = true;
+  mNext = { FollowerStep::Kind::ReadAll, mRetry, 0 };
+  mRetry = std::min(mRetry * 2, mSettings.mMostRetry);
+}
+
+void
+DirectoryFollower::RecordContact(FollowerNews& aNews, Timestamp aNow)
+{
+  if (mHasRead && aNow - mLastContact > mSettings.mOutage) {
+    mBackends.RecordRegained(aNow, mSettings.mHold);
+  }
+  aNews.mWasRegained = mIsLost;
+  aNews.mOutage = mHasRead ? aNow - mLastContact : Microseconds(0);
+  mIsLost = false;
+  mRetry = mSettings.mFirstRetry;
+  mLastContact = aNow;
+}
+
+void
+DirectoryFollower::Apply(const DirectoryChange& aChange,
+                         Timestamp aNow,
+                         FollowerNews& aNews)
+{
+  const auto note = [&](const InstanceId& aId, BackendChange aKind) {
+    if (aKind != BackendChange::None && aKind != BackendChange::Refreshed) {
+      aNews.mBackends.emplace_back(aId, aKind);
+    }
+  };
+  std::visit(Overloaded{
+               [&](const ForwardingDocumentPointer& aDocument) {
+                 if (!mDocument || mDocument->mVersion < aDocument->mVersion) {
+                   mDocument = aDocument;
+                   aNews.mHasNewDocument = true;
+                 }
+               },
+               [&](const BackendEntry& aEntry) {
+                 note(aEntry.mId, mBackends.Put(aEntry, aNow));
+               },
+               [&](const BackendRemoval& aRemoval) {
+                 note(aRemoval.mId,
+                      mBackends.Remove(aRemoval.mId, aRemoval.mRevision, aNow));
+               },
+               [&](const ZoneEvacuation& aZone) {
+                 const bool wasEvacuated =
+                   mBackends.EvacuatedZones().count(aZone.mZone) != 0;
+                 mBackends.SetEvacuated(aZone.mZone, aZone.mIsEvacuated);
+                 if (wasEvacuated != aZone.mIsEvacuated) {
+                   aNews.mZones.push_back(aZone);
+                 }
+               },
+               [&](const UnreadableItem& aItem) {
+                 aNews.mUnreadable.push_back(aItem);
+               } },
+             aChange);
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/promptdescription.cpp
@@ -0,0 +1,61 @@
+#include "promptdescription.h"
+
+#include <charconv>
+
+namespace medlarkeel {
+
+namespace {
+
+/** Takes the text before the separator off the front of the rest. */
+std::string_view
+TakeField(std::string_view& aRest, char aSeparator)
+{
+  const std::size_t end = aRest.find(aSeparator);
+  const std::string_view field = aRest.substr(0, end);
+  aRest.remove_prefix(end == std::string_view::npos ? aRest.size() : end + 1);
+  while (!aRest.empty() && aRest.front() == ' ') {
+    aRest.remove_prefix(1);
+  }
+  return field;
+}
+
+template<typename Integer>
+bool
+ParseWhole(std::string_view aText, int aBase, Integer& aOut)
+{
+  const char* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, aOut, aBase);
+  return result.ec == std::errc() && result.ptr == end;
+}
+
+} // namespace
+
+std::uint64_t
+PromptDescription::AffinityKey() const
+{
+  return mParts.size() < 2 ? 0 : mParts[mParts.size() - 2].mId;
+}
+
+std::optional<PromptDescription>
+ParsePromptDescription(std::string_view aParts, std::string_view aUsage)
+{
+  constexpr int kDecimal = 10;
+  constexpr int kHexadecimal = 16;
+  PromptDescription prompt;
+  if (!ParseWhole(TakeField(aUsage, ','), kDecimal, prompt.mPromptTokens) ||
+      !ParseWhole(aUsage, kDecimal, prompt.mMostOutputTokens)) {
+    return std::nullopt;
+  }
+  while (!aParts.empty()) {
+    std::string_view entry = TakeField(aParts, ',');
+    PromptPart part;
+    if (!ParseWhole(TakeField(entry, ':'), kHexadecimal, part.mId) ||
+        !ParseWhole(entry, kDecimal, part.mTokens)) {
+      return std::nullopt;
+    }
+    prompt.mParts.push_back(part);
+  }
+  return prompt;
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/answertext.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "../libmedlarkeel/types.h"
+#include "messageparser.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace medlarkeel {
+
+/**
+ * @param aStatus Status of an answer that this process makes itself.
+ * @param aReason What happened and why.
+ * @param aRetryAfter When the caller should come back, if that helps.
+ * @param aRequestField The field that names the request, or an empty text.
+ * @param aKeepOpen Whether the connection goes on.
+ * @return The whole answer.
+ */
+std::string
+OwnAnswer(int aStatus,
+          std::string_view aReason,
+          std::optional<Milliseconds> aRetryAfter,
+          std::string_view aRequestField,
+          bool aKeepOpen);
+
+/** How the length of a body is told. */
+enum class BodyFraming
+{
+  Length,
+  Chunked,
+  UntilClose
+};
+
+/**
+ * @param aHead Head of a backend server's answer.
+ * @param aFraming How the body follows.
+ * @param aLength Length of the body, for BodyFraming::Length.
+ * @param aKeepOpen Whether the connection goes on.
+ * @return The head as it is passed on to the caller.
+ */
+std::string
+ForwardedHead(const MessageHead& aHead,
+              BodyFraming aFraming,
+              std::size_t aLength,
+              bool aKeepOpen);
+
+/** @return The bytes as one chunk; an empty text for no bytes. */
+std::string
+Chunk(std::string_view aBytes);
+
+/** The end of a body in chunks. */
+extern const std::string_view kLastChunk;
+
+/** @return Whether a field concerns one connection only. */
+bool
+IsConnectionField(std::string_view aName);
+
+/** @return Names that the head declares as concerning one connection. */
+std::vector<std::string>
+DeclaredConnectionFields(const MessageHead& aHead);
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "forwarder.h"
+#include "messageparser.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace medlarkeel {
+
+class Exchange;
+
+/**
+ * A caller's connection: reads one request after the other and writes their
+ * answers. Goes on reading while a request runs, so that the caller's leaving
+ * is noticed.
+ */
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+{
+public:
+  CallerConnection(Forwarder& aForwarder, boost::asio::ip::tcp::socket aSocket);
+
+  void Start();
+
+  /** Writes bytes of the answer behind those that are still being written. */
+  void Send(std::string aBytes);
+
+  /** @return Bytes that wait to be written. */
+  std::size_t PendingBytes() const { return mPendingBytes; }
+
+  /** Ends the answer; the connection goes on or is closed. */
+  void FinishAnswer(bool aKeepOpen);
+
+  /** Breaks the connection off, so that the answer can't look complete. */
+  void Abort();
+
+  /** Closes the connection if no request is under way. */
+  void CloseIfIdle();
+
+  /** @return Whether a request is being read or answered. */
+  bool IsBusy() const { return mExchange != nullptr || mHasBegun; }
+
+private:
+  using Error = boost::system::error_code;
+
+  void Read();
+  void TakeBytes(const Error& aError, std::size_t aSize);
+  void Process();
+  bool ProcessHead();
+  bool CheckHead(std::string_view aHead);
+  void ProcessBody();
+  void Reject(int aStatus, const std::string& aReason);
+  void StartTimer(Milliseconds aTime);
+  void Write();
+  void CloseGracefully();
+  void Close();
+
+  Forwarder& mForwarder;
+  boost::asio::ip::tcp::socket mSocket;
+  boost::asio::steady_timer mTimer;
+  std::array<char, 8192> mReadBuffer{};
+  std::string mInput;
+  std::unique_ptr<RequestParser> mParser;
+  std::shared_ptr<Exchange> mExchange;
+  std::deque<std::string> mOutput;
+  std::size_t mPendingBytes = 0;
+  /** Bytes of a request have arrived whose answer hasn't begun. */
+  bool mHasBegun = false;
+  bool mIsReading = false;
+  bool mIsWriting = false;
+  bool mClosesAfterWrite = false;
+  bool mIsLingering = false;
+  bool mIsClosed = false;
+};
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/exchange.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "../libmedlarkeel/forwarding/attemptdecision.h"
+#include "../libmedlarkeel/forwarding/eventframer.h"
+#include "answertext.h"
+#include "forwarder.h"
+#include "messageparser.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace medlarkeel {
+
+class CallerConnection;
+
+/**
+ * One request from its arrival to its final answer: chooses backend servers,
+ * sends the request, judges answers and passes one of them on.
+ */
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+  Exchange(Forwarder& aForwarder,
+           std::shared_ptr<CallerConnection> aCaller,
+           MessageHead aHead,
+           std::string aBody,
+           bool aKeepOpen);
+
+  void Start();
+
+  /** Ends the request because its caller has left. */
+  void Cancel();
+
+  /** Goes on reading the answer after the caller has taken what it got. */
+  void ResumeReading();
+
+private:
+  using Error = boost::system::error_code;
+
+  /** One send to a backend server. */
+  struct Attempt
+  {
+    BackendChoice mChoice;
+    BackendConnectionPointer mConnection;
+    std::unique_ptr<AnswerParser> mParser;
+    std::string mInput;
+    std::string mRequest;
+    EventFramer mFramer;
+    std::array<char, 16384> mBuffer{};
+    bool mIsRequestWritten = false;
+    bool mHasHead = false;
+    bool mHasFirstByte = false;
+    /** The answer belongs to an earlier request on the connection. */
+    bool mIsForeign = false;
+    /** Nothing is read until the caller has taken what it got. */
+    bool mIsPaused = false;
+    /** How a failed answer counts once it is complete. */
+    std::optional<AttemptOutcome> mFailure;
+  };
+  using AttemptPointer = std::shared_ptr<Attempt>;
+
+  bool FindRoute();
+  bool CheckKey();
+  bool ReadTimeLimit();
+  void ReadPrompt();
+  void PickPool();
+  void StartTimer();
+  void TryBackend();
+  void SendRequest(const AttemptPointer& aAttempt);
+  std::string RequestText(const Attempt& aAttempt) const;
+  void ReadAnswer(const AttemptPointer& aAttempt);
+  void TakeBytes(const AttemptPointer& aAttempt,
+                 const Error& aError,
+                 std::size_t aSize);
+  bool TakeHead(const AttemptPointer& aAttempt);
+  void TakeBody(const AttemptPointer& aAttempt, ParseState aState);
+  void PassEvents(const AttemptPointer& aAttempt, bool aIsEnd);
+  void FinishAnswer(const AttemptPointer& aAttempt);
+  void EndAttempt(const AttemptPointer& aAttempt, AttemptOutcome aOutcome);
+  void Follow(NextStep aStep, AttemptOutcome aOutcome);
+  void PassWhole(const MessageHead& aHead, const std::string& aBody);
+  void ReleaseAttempt(const AttemptPointer& aAttempt, bool aIsReusable);
+  void Refuse(int aStatus, const std::string& aReason);
+  void Reject(int aStatus, const std::string& aReason);
+  void SendOwnAnswer(int aStatus,
+                     const std::string& aReason,
+                     std::optional<Milliseconds> aRetryAfter);
+  void CutStream(const std::string& aReason);
+  void TimeOut();
+  void Finish(bool aKeepOpen);
+  void LogEnd(Event aEvent, int aStatus, const std::string& aReason);
+  bool IsStreamAnswer(const Attempt& aAttempt) const;
+  Milliseconds Elapsed() const;
+  Milliseconds RetryTime();
+  bool TakesRetry();
+
+  Forwarder& mForwarder;
+  std::shared_ptr<CallerConnection> mCaller;
+  MessageHead mHead;
+  std::string mBody;
+  bool mKeepOpen;
+  ForwardingDocumentPointer mDocument;
+  const ForwardRoute* mRoute = nullptr;
+  const ForwardTeam* mTeam = nullptr;
+  const ForwardPool* mPool = nullptr;
+  std::string mRequestId;
+  std::optional<PromptDescription> mPrompt;
+  Timestamp mArrived;
+  Timestamp mGiveUpAt;
+  boost::asio::steady_timer mTimer;
+  AttemptHistory mHistory;
+  std::set<InstanceId> mTried;
+  AttemptPointer mAttempt;
+  std::optional<BackendChoice> mLastChoice;
+  /** Whether the head of the answer has been passed on. */
+  bool mHasAnswered = false;
+  bool mIsChunked = true;
+  bool mIsDone = false;
+  std::string mLastEventId;
+  Microseconds mFirstByteAfter{ 0 };
+};
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -0,0 +1,84 @@
+#include "forwardcounters.h"
+
+namespace medlarkeel {
+
+namespace {
+
+struct CounterEntry
+{
+  const char* mName;
+  std::uint64_t ForwardCounters::*mValue;
+};
+
+constexpr CounterEntry kCounters[] = {
+  { "requests_total", &ForwardCounters::mRequests },
+  { "answered_total", &ForwardCounters::mAnswered },
+  { "refused_not_run_total", &ForwardCounters::mRefusedNotRun },
+  { "failed_unknown_total", &ForwardCounters::mFailedUnknown },
+  { "rejected_total", &ForwardCounters::mRejected },
+  { "callers_gone_total", &ForwardCounters::mCallersGone },
+  { "streams_cut_total", &ForwardCounters::mStreamsCut },
+  { "streams_resumed_total", &ForwardCounters::mStreamsResumed },
+  { "further_attempts_total", &ForwardCounters::mFurtherAttempts },
+  { "retries_denied_total", &ForwardCounters::mRetriesDenied },
+  { "connections_opened_total", &ForwardCounters::mConnectionsOpened },
+  { "connections_reused_total", &ForwardCounters::mConnectionsReused },
+  { "directory_calls_total", &ForwardCounters::mDirectoryCalls },
+  { "directory_failures_total", &ForwardCounters::mDirectoryFailures },
+  { "unreadable_items_total", &ForwardCounters::mUnreadableItems },
+};
+
+void
+AppendLine(std::string& aText, const std::string& aName, double aValue)
+{
+  aText += "medlarkeel_forward_" + aName + " " + std::to_string(aValue) + "\n";
+}
+
+} // namespace
+
+void
+LatencyHistogram::Record(double aMilliseconds)
+{
+  std::size_t bucket = 0;
+  while (bucket < kBoundsMs.size() && aMilliseconds > kBoundsMs[bucket]) {
+    ++bucket;
+  }
+  mCounts[bucket] += 1;
+  mTotal += 1;
+  mSum += aMilliseconds;
+}
+
+void
+LatencyHistogram::Append(std::string& aText, const char* aName) const
+{
+  const std::string name(aName);
+  std::uint64_t below = 0;
+  for (std::size_t i = 0; i < kBoundsMs.size(); ++i) {
+    below += mCounts[i];
+    AppendLine(aText,
+               name + "_bucket{le=\"" +
+                 std::to_string(static_cast<int>(kBoundsMs[i])) + "\"}",
+               static_cast<double>(below));
+  }
+  AppendLine(aText, name + "_bucket{le=\"+Inf\"}", static_cast<double>(mTotal));
+  AppendLine(aText, name + "_sum", mSum);
+  AppendLine(aText, name + "_count", static_cast<double>(mTotal));
+}
+
+std::string
+RenderForwardCounters(const ForwardCounters& aCounters,
+                      std::uint64_t aDroppedLogLines)
+{
+  std::string text;
+  for (const CounterEntry& counter : kCounters) {
+    AppendLine(
+      text, counter.mName, static_cast<double>(aCounters.*counter.mValue));
+  }
+  AppendLine(
+    text, "log_lines_dropped_total", static_cast<double>(aDroppedLogLines));
+  aCounters.mFirstByte.Append(text, "first_byte_ms");
+  aCounters.mWhole.Append(text, "whole_answer_ms");
+  return text;
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace medlarkeel {
+
+/** Counts durations in buckets of fixed upper bounds, in milliseconds. */
+class LatencyHistogram
+{
+public:
+  static constexpr std::array<double, 12> kBoundsMs = {
+    5, 10, 25, 50, 100, 200, 300, 500, 1000, 2000, 5000, 10000
+  };
+
+  void Record(double aMilliseconds);
+
+  /** Appends the histogram as text in the Prometheus format. */
+  void Append(std::string& aText, const char* aName) const;
+
+private:
+  std::array<std::uint64_t, kBoundsMs.size() + 1> mCounts{};
+  std::uint64_t mTotal = 0;
+  double mSum = 0.0;
+};
+
+/** What an entry has counted since its start. */
+struct ForwardCounters
+{
+  std::uint64_t mRequests = 0;
+  std::uint64_t mAnswered = 0;
+  std::uint64_t mRefusedNotRun = 0;
+  std::uint64_t mFailedUnknown = 0;
+  std::uint64_t mRejected = 0;
+  std::uint64_t mCallersGone = 0;
+  std::uint64_t mStreamsCut = 0;
+  std::uint64_t mStreamsResumed = 0;
+  std::uint64_t mFurtherAttempts = 0;
+  std::uint64_t mRetriesDenied = 0;
+  std::uint64_t mConnectionsOpened = 0;
+  std::uint64_t mConnectionsReused = 0;
+  std::uint64_t mDirectoryCalls = 0;
+  std::uint64_t mDirectoryFailures = 0;
+  std::uint64_t mUnreadableItems = 0;
+  LatencyHistogram mFirstByte;
+  LatencyHistogram mWhole;
+};
+
+/**
+ * @param aDroppedLogLines Lines that the log dropped.
+ * @return All counters as text in the Prometheus format.
+ */
+std::string
+RenderForwardCounters(const ForwardCounters& aCounters,
+                      std::uint64_t aDroppedLogLines);
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -0,0 +1,287 @@
+#include "forwarder.h"
+
+#include "../libmedlarkeelnet/bootclock.h"
+#include "callerconnection.h"
+
+#include <boost/asio/post.hpp>
+
+namespace medlarkeel {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using Error = boost::system::error_code;
+
+/** Entries that are planned with where limits hold for all together; the
+ * platform tells no process how many there are. */
+constexpr double kPlannedEntries = 32.0;
+
+/** Part of a limit that is planned with; the rest covers requests that are
+ * counted in another window than here. */
+constexpr double kLimitShare = 0.9;
+
+/** Time for which connections are still accepted after the request to end:
+ * the balancer asks each second and takes an entry out after two misses. */
+constexpr Milliseconds kServeWhileStopping{ 3000 };
+
+/** Time before the shutdown bound at which the process ends in any case. */
+constexpr Milliseconds kEndMargin{ 400 };
+
+constexpr Milliseconds kStopCheck{ 100 };
+
+const char*
+BackendChangeText(BackendChange aChange)
+{
+  switch (aChange) {
+    case BackendChange::None:
+      return "none";
+    case BackendChange::Refreshed:
+      return "refreshed";
+    case BackendChange::Added:
+      return "added";
+    case BackendChange::Restarted:
+      return "restarted";
+    case BackendChange::Draining:
+      return "draining";
+    case BackendChange::Removed:
+      return "removed";
+    case BackendChange::RemovalDelayed:
+      return "removal-delayed";
+  }
+  return "unknown";
+}
+
+FollowerSettings
+FollowerSettingsOf(const ForwardSettings& aSettings)
+{
+  FollowerSettings settings;
+  settings.mOutage = aSettings.mHeartbeat * 2;
+  return settings;
+}
+
+} // namespace
+
+Forwarder::Forwarder(boost::asio::io_context& aContext,
+                     const ForwardSettings& aSettings,
+                     WireProtocol aProtocol,
+                     std::shared_ptr<DirectorySource> aDirectory,
+                     EventLog& aLog)
+  : mContext(aContext)
+  , mSettings(aSettings)
+  , mProtocol(std::move(aProtocol))
+  , mDirectory(std::move(aDirectory))
+  , mLog(aLog)
+  , mFollower(FollowerSettingsOf(aSettings))
+  , mChooser(ChooserSettings(), aSettings.mZone, NewIncarnation().mValue)
+  , mConnections(aContext, mCounters)
+  , mAcceptor(aContext)
+  , mDirectoryTimer(aContext)
+  , mStopTimer(aContext)
+  , mRandom(NewIncarnation().mValue)
+{
+}
+
+void
+Forwarder::Start()
+{
+  Listen();
+  Accept();
+  CallDirectory();
+}
+
+void
+Forwarder::Listen()
+{
+  const tcp::endpoint endpoint(
+    boost::asio::ip::make_address(mSettings.mCallers.mAddress),
+    mSettings.mCallers.mPort);
+  mAcceptor.open(endpoint.protocol());
+  mAcceptor.set_option(tcp::acceptor::reuse_address(true));
+  mAcceptor.bind(endpoint);
+  mAcceptor.listen();
+}
+
+void
+Forwarder::Accept()
+{
+  mAcceptor.async_accept([this](const Error& aError, tcp::socket aSocket) {
+    if (aError == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (!aError) {
+      auto caller =
+        std::make_shared<CallerConnection>(*this, std::move(aSocket));
+      mCallers.insert(caller);
+      caller->Start();
+    } else {
+      mLog.Write(Event::AcceptFailed, { { "error", aError.message() } });
+    }
+    Accept();
+  });
+}
+
+bool
+Forwarder::IsReady() const
+{
+  return !mIsStopping && mFollower.HasRead() && mFollower.Document();
+}
+
+Milliseconds
+Forwarder::DirectoryAge() const
+{
+  return std::chrono::duration_cast<Milliseconds>(mFollower.Age(BootNow()));
+}
+
+RetryBudget&
+Forwarder::Budget(const PoolName& aPool)
+{
+  const auto found = mBudgets.find(aPool);
+  if (found != mBudgets.end()) {
+    return found->second;
+  }
+  RetryBudgetSettings settings;
+  settings.mShare = mSettings.mRetryShare * kLimitShare;
+  settings.mReserve = std::max(1.0, mSettings.mRetryReserve / kPlannedEntries);
+  return mBudgets.emplace(aPool, RetryBudget(settings)).first->second;
+}
+
+double
+Forwarder::ColdRequestsPerSecond(const ForwardPool& aPool) const
+{
+  if (aPool.mColdRequestsPerSecond <= 0.0) {
+    return 0.0;
+  }
+  return (aPool.mColdRequestsPerSecond * mSettings.mColdFactor +
+          mSettings.mColdReserve) *
+         kLimitShare / kPlannedEntries;
+}
+
+double
+Forwarder::Random()
+{
+  return std::uniform_real_distribution<double>(0.0, 1.0)(mRandom);
+}
+
+void
+Forwarder::Remove(const std::shared_ptr<CallerConnection>& aConnection)
+{
+  mCallers.erase(aConnection);
+}
+
+void
+Forwarder::CallDirectory()
+{
+  const FollowerStep step = mFollower.Next();
+  mDirectoryTimer.expires_after(step.mDelay);
+  mDirectoryTimer.async_wait([this, step](const Error& aError) {
+    if (aError) {
+      return;
+    }
+    mCounters.mDirectoryCalls += 1;
+    const bool isRead = step.mKind == FollowerStep::Kind::ReadAll;
+    const auto take = [this, isRead](const DirectoryResult& aResult) {
+      mCounters.mDirectoryFailures += aResult ? 0 : 1;
+      const Timestamp now = BootNow();
+      const FollowerNews news = isRead ? mFollower.RecordRead(aResult, now)
+                                       : mFollower.RecordWatch(aResult, now);
+      if (news.mWasLost) {
+        mLog.Write(Event::DirectoryLost,
+                   { { "error", DirectoryErrorText(aResult.error()) },
+                     { "listAgeMs", DirectoryAge().count() } });
+      }
+      TakeNews(news);
+      CallDirectory();
+    };
+    if (isRead) {
+      mDirectory->ReadAll(take);
+    } else {
+      mDirectory->Watch(step.mRevision, FollowerSettings().mWait, take);
+    }
+  });
+}
+
+void
+Forwarder::TakeNews(const FollowerNews& aNews)
+{
+  if (aNews.mWasRegained) {
+    mLog.Write(
+      Event::DirectoryRegained,
+      { { "outageMs",
+          std::chrono::duration_cast<Milliseconds>(aNews.mOutage).count() } });
+  }
+  if (aNews.mHasNewDocument) {
+    const ForwardingDocument& document = *Document();
+    mLog.Write(Event::DocumentAccepted,
+               { { "document", document.mVersion },
+                 { "routes", document.mRoutes.size() },
+                 { "teams", document.mTeams.size() } });
+  }
+  for (const auto& [id, change] : aNews.mBackends) {
+    mLog.Write(
+      Event::ListObserved,
+      { { "server", id.Text() }, { "change", BackendChangeText(change) } });
+    const bool isGone =
+      change == BackendChange::Removed || change == BackendChange::Restarted;
+    if (isGone) {
+      mChooser.Forget(id);
+      mConnections.CloseIdle(id);
+    }
+  }
+  for (const InstanceId& id : mFollower.Backends().RemoveExpired(BootNow())) {
+    mLog.Write(Event::ListObserved,
+               { { "server", id.Text() }, { "change", "removed" } });
+    mChooser.Forget(id);
+    mConnections.CloseIdle(id);
+  }
+  for (const ZoneEvacuation& zone : aNews.mZones) {
+    mLog.Write(
+      Event::ZoneChanged,
+      { { "zone", zone.mZone.Text() }, { "evacuated", zone.mIsEvacuated } });
+  }
+  for (const UnreadableItem& item : aNews.mUnreadable) {
+    mCounters.mUnreadableItems += 1;
+    mLog.Write(Event::ItemUnreadable,
+               { { "item", item.mKey }, { "reason", item.mReason } });
+  }
+}
+
+void
+Forwarder::Stop()
+{
+  if (mIsStopping) {
+    return;
+  }
+  mIsStopping = true;
+  mStopAt = BootNow();
+  mLog.Write(Event::ShutdownStep,
+             { { "step", "serving without readiness" },
+               { "connections", mCallers.size() } });
+  EndIfDone();
+}
+
+void
+Forwarder::EndIfDone()
+{
+  const Microseconds passed = BootNow() - mStopAt;
+  const bool isOver = passed >= mSettings.mShutdownBound - kEndMargin;
+  if (passed >= kServeWhileStopping) {
+    const auto callers = mCallers;
+    for (const auto& caller : callers) {
+      caller->CloseIfIdle();
+    }
+  }
+  if (isOver || (passed >= kServeWhileStopping && mCallers.empty())) {
+    mLog.Write(Event::ShutdownStep,
+               { { "step", "ending" }, { "connections", mCallers.size() } });
+    mContext.stop();
+    return;
+  }
+  mStopTimer.expires_after(kStopCheck);
+  mStopTimer.async_wait([this](const Error& aError) {
+    if (!aError) {
+      EndIfDone();
+    }
+  });
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "../libmedlarkeel/forwarding/backendchooser.h"
+#include "../libmedlarkeel/forwarding/directoryfollower.h"
+#include "../libmedlarkeel/retrybudget.h"
+#include "../libmedlarkeelnet/eventlog.h"
+#include "backendconnections.h"
+#include "forwardcounters.h"
+#include "forwardsettings.h"
+#include "wireprotocol.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace medlarkeel {
+
+class CallerConnection;
+
+/**
+ * An entry that sends requests straight to backend servers: what all its
+ * connections share. One thread runs it.
+ */
+class Forwarder
+{
+public:
+  /** @param aDirectory Where documents and backend servers are published. */
+  Forwarder(boost::asio::io_context& aContext,
+            const ForwardSettings& aSettings,
+            WireProtocol aProtocol,
+            std::shared_ptr<DirectorySource> aDirectory,
+            EventLog& aLog);
+
+  /** Listens and begins to follow the directory. */
+  void Start();
+
+  /** Ends gracefully: no work is cut before the shutdown bound is near. */
+  void Stop();
+
+  /** @return Whether the balancer may send new connections. */
+  bool IsReady() const;
+
+  /** @return Whether the process ends, so that connections are closed. */
+  bool IsStopping() const { return mIsStopping; }
+
+  boost::asio::io_context& Context() { return mContext; }
+  const ForwardSettings& OwnSettings() const { return mSettings; }
+  const WireProtocol& Protocol() const { return mProtocol; }
+  const ForwardingDocumentPointer& Document() const
+  {
+    return mFollower.Document();
+  }
+  BackendList& Backends() { return mFollower.Backends(); }
+  BackendChooser& Chooser() { return mChooser; }
+  BackendConnections& Connections() { return mConnections; }
+  ForwardCounters& Counters() { return mCounters; }
+  EventLog& Log() { return mLog; }
+
+  /** @return Time since the directory was last heard of. */
+  Milliseconds DirectoryAge() const;
+
+  /** @return The retry budget of a pool. */
+  RetryBudget& Budget(const PoolName& aPool);
+
+  /** @return Requests per second that this entry sends to a cold server. */
+  double ColdRequestsPerSecond(const ForwardPool& aPool) const;
+
+  /** @return A number from 0 to 1, for shares and jitter. */
+  double Random();
+
+  /** Notes that a connection has ended. */
+  void Remove(const std::shared_ptr<CallerConnection>& aConnection);
+
+private:
+  void Listen();
+  void Accept();
+  void CallDirectory();
+  void TakeNews(const FollowerNews& aNews);
+  void EndIfDone();
+
+  boost::asio::io_context& mContext;
+  ForwardSettings mSettings;
+  WireProtocol mProtocol;
+  std::shared_ptr<DirectorySource> mDirectory;
+  EventLog& mLog;
+  DirectoryFollower mFollower;
+  BackendChooser mChooser;
+  ForwardCounters mCounters;
+  BackendConnections mConnections;
+  std::unordered_map<PoolName, RetryBudget> mBudgets;
+  std::unordered_set<std::shared_ptr<CallerConnection>> mCallers;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mDirectoryTimer;
+  boost::asio::steady_timer mStopTimer;
+  std::mt19937_64 mRandom;
+  bool mIsStopping = false;
+  Timestamp mStopAt;
+};
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/forwardsettings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "../libmedlarkeel/settings.h"
+
+namespace medlarkeel {
+
+/** What a forwarding entry is told at its start. */
+struct ForwardSettings
+{
+  InstanceId mNode;
+  ZoneName mZone;
+  /** Where callers connect. */
+  Endpoint mCallers;
+  /** Where the balancer asks whether the entry takes new connections. */
+  Endpoint mReadiness;
+  /** Where metrics are served as text. */
+  Endpoint mMetrics;
+  /** Where documents and backend servers are published. */
+  Endpoint mDirectory;
+  /** Interval in which backend servers renew their entries. */
+  Milliseconds mHeartbeat{ 1200 };
+  /** Time between the request to end and the end of the process. */
+  Milliseconds mShutdownBound{ 8000 };
+  /** Further attempts that a pool takes for each request. */
+  double mRetryShare = 0.2;
+  /** Further attempts beyond the share, of all entries together. */
+  double mRetryReserve = 50.0;
+  /** Multiple of a cold server's rate that all entries together may send. */
+  double mColdFactor = 1.5;
+  /** Requests per second beyond that, of all entries together. */
+  double mColdReserve = 5.0;
+};
+
+using ForwardSettingsResult = BOOST_OUTCOME_V2_NAMESPACE::result<
+  ForwardSettings,
+  std::vector<DocumentProblem>,
+  BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+
+/**
+ * @param aText The settings as JSON text.
+ * @return The settings, or every mistake found in them.
+ */
+ForwardSettingsResult
+ParseForwardSettings(std::string_view aText);
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/medlarkeelforward/main.cpp
@@ -0,0 +1,138 @@
+#include "../../platform/storeclient.h"
+#include "../../platform/wireprotocol.h"
+#include "../libmedlarkeelforward/forwarder.h"
+#include "../libmedlarkeelforward/statusserver.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+DEFINE_string(settings,
+              "",
+              "settings file; MEDLARKEEL_CONFIG names it when empty");
+
+namespace medlarkeel {
+
+namespace {
+
+constexpr int kSettingsRejected = 2;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+std::string
+SettingsPath()
+{
+  if (!FLAGS_settings.empty()) {
+    return FLAGS_settings;
+  }
+  const char* path = std::getenv("MEDLARKEEL_CONFIG");
+  return path == nullptr ? "" : path;
+}
+
+ForwardSettingsResult
+ReadSettings()
+{
+  std::ifstream file(SettingsPath());
+  const std::string text((std::istreambuf_iterator<char>(file)),
+                         std::istreambuf_iterator<char>());
+  return ParseForwardSettings(text);
+}
+
+StatusPage
+ReadinessPage(const Forwarder& aForwarder)
+{
+  return aForwarder.IsReady() ? StatusPage{ 200, "ready\n" }
+                              : StatusPage{ kUnavailable, "not ready\n" };
+}
+
+StatusPage
+MetricsPage(Forwarder& aForwarder, const std::string& aPath)
+{
+  if (aPath != "/metrics") {
+    return { kNotFound, "no such page\n" };
+  }
+  return { 200,
+           RenderForwardCounters(aForwarder.Counters(),
+                                 aForwarder.Log().DroppedLines()) };
+}
+
+/** Keeps answering signals until the process ends. */
+void
+WaitForSignal(boost::asio::signal_set& aSignals,
+              Forwarder& aForwarder,
+              EventLog& aLog)
+{
+  aSignals.async_wait(
+    [&](const boost::system::error_code& aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        const ForwardSettingsResult settings = ReadSettings();
+        aLog.Write(Event::SettingsReloaded,
+                   { { "valid", settings.has_value() },
+                     { "effect", "none before the next start" } });
+      } else {
+        aForwarder.Stop();
+      }
+      WaitForSignal(aSignals, aForwarder, aLog);
+    });
+}
+
+int
+Run(const ForwardSettings& aSettings)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context context(1);
+  EventLog log(aSettings.mNode.Text(),
+               std::make_shared<spdlog::sinks::stdout_sink_mt>());
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+  auto directory =
+    std::make_shared<platform::StoreClient>(context, aSettings.mDirectory);
+  Forwarder forwarder(
+    context, aSettings, platform::PlatformProtocol(), directory, log);
+  const StatusServer readiness(
+    context, aSettings.mReadiness, [&](const std::string&) {
+      return ReadinessPage(forwarder);
+    });
+  const StatusServer metrics(
+    context, aSettings.mMetrics, [&](const std::string& aPath) {
+      return MetricsPage(forwarder, aPath);
+    });
+  WaitForSignal(signals, forwarder, log);
+  forwarder.Start();
+  log.Write(Event::Started, { { "zone", aSettings.mZone.Text() } });
+  context.run();
+  log.Write(Event::Stopped);
+  return 0;
+}
+
+} // namespace
+
+} // namespace medlarkeel
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::SetUsageMessage("an entry that sends requests to backend servers");
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  const medlarkeel::ForwardSettingsResult settings = medlarkeel::ReadSettings();
+  if (!settings) {
+    for (const medlarkeel::DocumentProblem& problem : settings.error()) {
+      std::cerr << medlarkeel::ProblemText(problem) << '\n';
+    }
+    return medlarkeel::kSettingsRejected;
+  }
+  try {
+    return medlarkeel::Run(settings.value());
+  } catch (const std::exception& error) {
+    std::cerr << "the process can't run: " << error.what() << '\n';
+    return 1;
+  }
+}
