Stop listening three seconds after the request to end

Ruled out: requests on kept connections, which are closed when idle. No attempt is begun any more when less than 20 ms are left (the server's own 504 was repeated).

--- a/src/libmedlarkeel/forwarding/attemptdecision.cpp
+++ b/src/libmedlarkeel/forwarding/attemptdecision.cpp
@@ -64,13 +64,14 @@
 NextStep
 DecideNextStep(const ForwardRoute& aRoute,
                const AttemptHistory& aHistory,
-               AttemptOutcome aOutcome)
+               AttemptOutcome aOutcome,
+               bool aHasTime)
 {
   const bool mayRunAgain = !aHistory.mMayHaveRun || aRoute.MayRunAgain();
   const bool hasAttempts = aHistory.mSent < aRoute.mMostAttempts &&
                            aHistory.mConnectFailures < kMostConnectFailures &&
                            aHistory.mMisdirected < kMostMisdirected;
-  if (aOutcome != AttemptOutcome::TimedOut && mayRunAgain && hasAttempts) {
+  if (aOutcome != AttemptOutcome::TimedOut && aHasTime && mayRunAgain && hasAttempts) {
     return NextStep::TryAnother;
   }
   return FinalStep(aHistory, aOutcome);
--- a/src/libmedlarkeel/forwarding/attemptdecision.h
+++ b/src/libmedlarkeel/forwarding/attemptdecision.h
@@ -59,12 +59,14 @@
  * @param aRoute Route of the request.
  * @param aHistory All attempts, the last one included.
  * @param aOutcome How the last attempt ended.
+ * @param aHasTime Whether a further attempt could end in time.
  * @return What follows; TryAnother still needs the retry budget.
  */
 NextStep
 DecideNextStep(const ForwardRoute& aRoute,
                const AttemptHistory& aHistory,
-               AttemptOutcome aOutcome);
+               AttemptOutcome aOutcome,
+               bool aHasTime);
 
 /** @return What follows when no further attempt can be made. */
 NextStep
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -39,6 +39,9 @@
 constexpr double kRetrySpreadShare = 0.7;
 constexpr Milliseconds kRetryWithoutRoute{ 500 };
 
+/** Time left below which a further attempt isn't worth its work. */
+constexpr Milliseconds kLeastTimeForAttempt{ 20 };
+
 /** Time that is taken off what a backend server is given, for the way back. */
 constexpr Milliseconds kReturnTime{ 5 };
 
@@ -604,7 +607,8 @@
     TryBackend();
     return;
   }
-  NextStep step = DecideNextStep(*mRoute, mHistory, aOutcome);
+  NextStep step = DecideNextStep(
+    *mRoute, mHistory, aOutcome, now + kLeastTimeForAttempt < mGiveUpAt);
   const bool wasSent = mHistory.mSent + mHistory.mMisdirected > 0;
   if (step == NextStep::TryAnother && wasSent && !TakesRetry()) {
     step = FinalStep(mHistory, aOutcome);
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -265,6 +265,9 @@
   const Microseconds passed = BootNow() - mStopAt;
   const bool isOver = passed >= mSettings.mShutdownBound - kEndMargin;
   if (passed >= kServeWhileStopping) {
+    // The balancer goes on sending connections where no other entry is left.
+    Error ignored; // A closed acceptor is what is wanted.
+    mAcceptor.close(ignored);
     const auto callers = mCallers;
     for (const auto& caller : callers) {
       caller->CloseIfIdle();
