Trial: entries tell each other their loads by datagrams; shares by the number of entries

Cause looked for: each entry sees a third of the load, cold servers got one request in two seconds, and 32 entries were planned with where three run.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -47,11 +47,11 @@
 BackendChooser::Choose(const std::vector<const ListedBackend*>& aUsable,
                        const std::optional<PromptDescription>& aPrompt,
                        const std::set<InstanceId>& aExcluded,
-                       double aColdPerSecond,
+                       const ColdLimit& aColdLimit,
                        Timestamp aNow)
 {
   const std::vector<const ListedBackend*> candidates =
-    Candidates(aUsable, aExcluded, aColdPerSecond, aNow);
+    Candidates(aUsable, aExcluded, aColdLimit, aNow);
   if (candidates.empty()) {
     return std::nullopt;
   }
@@ -72,23 +72,23 @@
 std::vector<const ListedBackend*>
 BackendChooser::Candidates(const std::vector<const ListedBackend*>& aUsable,
                            const std::set<InstanceId>& aExcluded,
-                           double aColdPerSecond,
+                           const ColdLimit& aColdLimit,
                            Timestamp aNow)
 {
   std::vector<const ListedBackend*> sound;
   std::vector<const ListedBackend*> avoided;
-  std::vector<const ListedBackend*> cold;
   for (const ListedBackend* server : aUsable) {
     if (aExcluded.count(server->mEntry.mId) != 0) {
       continue;
     }
     ServerState& state = mServers[server->mEntry.mId];
     if (aNow < server->mColdUntil) {
-      const bool isLimited = aColdPerSecond > 0.0;
-      const Microseconds pause(
-        isLimited ? static_cast<std::int64_t>(1e6 / aColdPerSecond) : 0);
-      if (aNow >= state.mLastColdRequest + pause) {
-        cold.push_back(server);
+      std::deque<Timestamp>& sent = state.mColdRequests;
+      while (!sent.empty() && sent.front() + mSettings.mColdWindow <= aNow) {
+        sent.pop_front();
+      }
+      if (sent.size() < aColdLimit(server->mEntry.mId)) {
+        sound.push_back(server);
       }
     } else if (state.mHealth.IsAvoided(aNow)) {
       avoided.push_back(server);
@@ -96,10 +96,7 @@
       sound.push_back(server);
     }
   }
-  if (!sound.empty()) {
-    return sound;
-  }
-  return avoided.empty() ? cold : avoided;
+  return sound.empty() ? avoided : sound;
 }
 
 std::set<InstanceId>
@@ -160,9 +157,14 @@
 BackendChooser::ModelCost(const ListedBackend& aServer,
                           const PromptDescription& aPrompt,
                           std::uint32_t aUnread,
-                          bool aIsForShort) const
+                          bool aIsForShort,
+                          Timestamp aNow) const
 {
+  const ServerLoad others = OtherLoad(aServer.mEntry.mId);
   double cost = aUnread;
+  cost += others.mUnreadTokens;
+  cost += mSettings.mRunningTokens * others.mRequests;
+  cost += aNow < aServer.mColdUntil ? mSettings.mColdTokens : 0.0;
   const auto found = mServers.find(aServer.mEntry.mId);
   if (found != mServers.end()) {
     const ServerState& state = found->second;
@@ -205,7 +207,7 @@
     const std::uint32_t unread =
       UnreadTokens(*server, aPrompt, server == home, aNow);
     const bool isForShort = forShort.count(server->mEntry.mId) != 0;
-    const double cost = ModelCost(*server, aPrompt, unread, isForShort);
+    const double cost = ModelCost(*server, aPrompt, unread, isForShort, aNow);
     if (isFirst || cost < choice.mCost) {
       choice.mId = server->mEntry.mId;
       choice.mCost = cost;
@@ -264,7 +266,7 @@
   state.mReading += 1;
   state.mUnreadTokens += aChoice.mUnreadTokens;
   if (aChoice.mIsCold) {
-    state.mLastColdRequest = aNow;
+    state.mColdRequests.push_back(aNow);
   }
   if (!aPrompt) {
     return;
@@ -333,7 +335,31 @@
 BackendChooser::Running(const InstanceId& aId) const
 {
   const auto found = mServers.find(aId);
-  return found == mServers.end() ? 0 : found->second.mRequests;
+  const std::size_t own =
+    found == mServers.end() ? 0 : found->second.mRequests;
+  return own + OtherLoad(aId).mRequests;
+}
+
+ServerLoad
+BackendChooser::OtherLoad(const InstanceId& aId) const
+{
+  const auto found = mOtherLoads.find(ServerHash(aId));
+  return found == mOtherLoads.end() ? ServerLoad() : found->second;
+}
+
+ServerLoads
+BackendChooser::OwnLoads() const
+{
+  ServerLoads loads;
+  for (const auto& [id, state] : mServers) {
+    if (state.mRequests > 0) {
+      loads[ServerHash(id)] = {
+        static_cast<std::uint32_t>(state.mRequests),
+        static_cast<std::uint32_t>(std::max(0.0, state.mUnreadTokens))
+      };
+    }
+  }
+  return loads;
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -2,9 +2,12 @@
 
 #include "backendhealth.h"
 #include "backendlist.h"
+#include "peerview.h"
 #include "promptdescription.h"
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <optional>
 #include <random>
 #include <set>
@@ -23,6 +26,11 @@
   double mLongOnShortTokens = 24'000.0;
   /** Added for a server in another availability zone. */
   double mOtherZoneTokens = 1500.0;
+  /** Added for a cold server, which holds no parts and is slower. */
+  double mColdTokens = 3000.0;
+  /** Window of the limit on cold servers: a second, and the spread of travel
+   * times. */
+  Microseconds mColdWindow = std::chrono::milliseconds(1150);
   /** Added for each stream that is running on the server. */
   double mRunningTokens = 150.0;
   /** Share of the shared tokens that the first server by hash is taken to
@@ -76,20 +84,28 @@
                  ZoneName aZone,
                  std::uint64_t aSeed);
 
+  using ColdLimit = std::function<std::size_t(const InstanceId& aServer)>;
+
   /**
    * @param aUsable The servers of the pool that may get work.
    * @param aPrompt The prompt, or nothing for plain services.
    * @param aExcluded Servers that the request was sent to before.
-   * @param aColdPerSecond Requests per second that this process may send to
-   * one cold server.
+   * @param aColdLimit Finds how many requests this entry may send to a cold
+   * server within the window.
    */
   std::optional<BackendChoice> Choose(
     const std::vector<const ListedBackend*>& aUsable,
     const std::optional<PromptDescription>& aPrompt,
     const std::set<InstanceId>& aExcluded,
-    double aColdPerSecond,
+    const ColdLimit& aColdLimit,
     Timestamp aNow);
 
+  /** Takes over what the other entries have in progress. */
+  void SetOtherLoads(ServerLoads aLoads) { mOtherLoads = std::move(aLoads); }
+
+  /** @return What this entry has in progress. */
+  ServerLoads OwnLoads() const;
+
   /** Notes that a request goes to the chosen server. */
   void RecordStarted(const BackendChoice& aChoice,
                      const std::optional<PromptDescription>& aPrompt,
@@ -112,7 +128,7 @@
   /** Drops what is known about a server, whose process has ended. */
   void Forget(const InstanceId& aId);
 
-  /** @return Requests sent and not ended yet. */
+  /** @return Requests of all entries that were sent and not ended yet. */
   std::size_t Running(const InstanceId& aId) const;
 
 private:
@@ -124,13 +140,14 @@
     double mUnreadTokens = 0.0;
     std::unordered_map<std::uint64_t, Timestamp> mSentParts;
     BackendHealth mHealth;
-    Timestamp mLastColdRequest;
+    /** When requests were sent to the server while it was cold. */
+    std::deque<Timestamp> mColdRequests;
   };
 
   std::vector<const ListedBackend*> Candidates(
     const std::vector<const ListedBackend*>& aUsable,
     const std::set<InstanceId>& aExcluded,
-    double aColdPerSecond,
+    const ColdLimit& aColdLimit,
     Timestamp aNow);
   std::set<InstanceId> ShortPromptServers(
     const std::vector<const ListedBackend*>& aUsable) const;
@@ -141,7 +158,9 @@
   double ModelCost(const ListedBackend& aServer,
                    const PromptDescription& aPrompt,
                    std::uint32_t aUnread,
-                   bool aIsForShort) const;
+                   bool aIsForShort,
+                   Timestamp aNow) const;
+  ServerLoad OtherLoad(const InstanceId& aId) const;
   void RecordDemand(const PromptDescription& aPrompt,
                     std::uint32_t aUnread,
                     Timestamp aNow);
@@ -157,6 +176,7 @@
   ZoneName mZone;
   std::mt19937_64 mRandom;
   std::unordered_map<InstanceId, ServerState> mServers;
+  ServerLoads mOtherLoads;
   /** Prompt tokens to be read lately, weighted by age. */
   double mShortTokens = 0.0;
   double mLongTokens = 0.0;
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "../types.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace medlarkeel {
+
+/** What an entry has in progress at a backend server. */
+struct ServerLoad
+{
+  std::uint32_t mRequests = 0;
+  /** Estimated prompt tokens that the server hasn't read yet. */
+  std::uint32_t mUnreadTokens = 0;
+};
+
+/** Loads by the hash of the backend server's id. */
+using ServerLoads = std::unordered_map<std::uint32_t, ServerLoad>;
+
+/** @return The hash by which entries name a backend server to each other. */
+std::uint32_t
+ServerHash(const InstanceId& aId);
+
+/** What one entry tells the others. */
+struct PeerReport
+{
+  /** IP number of the sender. */
+  std::string mAddress;
+  /** Rises with each report of one life of a process, and between lives. */
+  std::uint64_t mSequence = 0;
+  ServerLoads mLoads;
+  /** IP numbers of entries that the sender knows; may be left out. */
+  std::vector<std::string> mKnown;
+};
+
+struct PeerSettings
+{
+  /** Shortest time between two reports to one peer: a fraction of the time
+   * that prompts wait at a loaded server. */
+  Milliseconds mLeastInterval{ 200 };
+  /** Added for each entry, so that the traffic of an entry stays bounded. */
+  Milliseconds mIntervalPerEntry{ 25 };
+  /** Time after which the load of a silent peer isn't counted. */
+  Milliseconds mLoadLife{ 1500 };
+  /** Time after which a silent peer isn't counted as an entry: longer than
+   * partitions, during which it goes on using its share of limits. */
+  Milliseconds mPeerLife{ 60'000 };
+  /** Entries that are assumed before a peer was heard of. */
+  std::size_t mAssumedEntries = 32;
+};
+
+/** What an entry knows of the others: how many there are and their loads. */
+class PeerView
+{
+public:
+  /**
+   * @param aOwn The own IP number.
+   * @param aSeeds IP numbers of entries that may be up.
+   */
+  PeerView(const PeerSettings& aSettings,
+           std::string aOwn,
+           std::vector<std::string> aSeeds);
+
+  /** Takes a report over unless a newer one of the peer is known. */
+  void Record(const PeerReport& aReport, Timestamp aNow);
+
+  /** @return Whom to send reports to. */
+  std::vector<std::string> Targets(Timestamp aNow) const;
+
+  /** @return Pause between two rounds of reports. */
+  Milliseconds Interval(Timestamp aNow) const;
+
+  /** @return Entries that share the limits of the fleet, this one included. */
+  std::size_t EntryCount(Timestamp aNow) const;
+
+  /** @return Whether this entry is among the first aCount for a server. */
+  bool IsAmongFirst(const InstanceId& aServer,
+                    std::size_t aCount,
+                    Timestamp aNow) const;
+
+  /** @return The sum of what the other entries have in progress. */
+  ServerLoads OtherLoads(Timestamp aNow) const;
+
+private:
+  struct Peer
+  {
+    Timestamp mHeardAt;
+    std::uint64_t mSequence = 0;
+    ServerLoads mLoads;
+  };
+
+  PeerSettings mSettings;
+  std::string mOwn;
+  std::vector<std::string> mSeeds;
+  std::map<std::string, Peer> mPeers;
+};
+
+} // namespace medlarkeel
--- a/src/libmedlarkeel/retrybudget.h
+++ b/src/libmedlarkeel/retrybudget.h
@@ -30,6 +30,9 @@
   /** Notes a request's first attempt, which pays for a part of a retry. */
   void RecordFirstAttempt();
 
+  /** Sets the most retries that are kept; the balance doesn't rise by it. */
+  void SetReserve(double aReserve) { mSettings.mReserve = aReserve; }
+
   /** @return Whether a retry may be sent; it is counted when it may. */
   bool TryTakeRetry();
 
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -238,7 +238,9 @@
   const auto choice = chooser.Choose(mForwarder.Backends().Usable(mPool->mName),
                                      mPrompt,
                                      mTried,
-                                     mForwarder.ColdRequestsPerSecond(*mPool),
+                                     [this](const InstanceId& aServer) {
+                     return mForwarder.ColdLimit(*mPool, aServer);
+                   },
                                      now);
   if (!choice) {
     Follow(FinalStep(mHistory, AttemptOutcome::NotSent),
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -3,7 +3,7 @@
 #include "../libmedlarkeelnet/bootclock.h"
 #include "callerconnection.h"
 
-#include <boost/asio/post.hpp>
+#include <limits>
 
 namespace medlarkeel {
 
@@ -12,14 +12,14 @@
 using boost::asio::ip::tcp;
 using Error = boost::system::error_code;
 
-/** Entries that are planned with where limits hold for all together; the
- * platform tells no process how many there are. */
-constexpr double kPlannedEntries = 32.0;
-
 /** Part of a limit that is planned with; the rest covers requests that are
  * counted in another window than here. */
 constexpr double kLimitShare = 0.9;
 
+/** Part of the retry reserve that is used: a process that was replaced within
+ * the window may have used its part before. */
+constexpr double kReserveShare = 0.45;
+
 /** Time for which connections are still accepted after the request to end:
  * the balancer asks each second and takes an entry out after two misses. */
 constexpr Milliseconds kServeWhileStopping{ 3000 };
@@ -73,6 +73,11 @@
   , mLog(aLog)
   , mFollower(FollowerSettingsOf(aSettings))
   , mChooser(ChooserSettings(), aSettings.mZone, NewIncarnation().mValue)
+  , mPeers(PeerSettings(), aSettings.mPeers.mAddress, aSettings.mSeeds)
+  , mPeerChannel(aContext,
+                 aSettings.mPeers,
+                 mPeers,
+                 [this]() { return mChooser.OwnLoads(); })
   , mConnections(aContext, mCounters)
   , mAcceptor(aContext)
   , mDirectoryTimer(aContext)
@@ -86,6 +91,7 @@
 {
   Listen();
   Accept();
+  mPeerChannel.Start();
   CallDirectory();
 }
 
@@ -135,25 +141,36 @@
 RetryBudget&
 Forwarder::Budget(const PoolName& aPool)
 {
-  const auto found = mBudgets.find(aPool);
-  if (found != mBudgets.end()) {
-    return found->second;
-  }
-  RetryBudgetSettings settings;
-  settings.mShare = mSettings.mRetryShare * kLimitShare;
-  settings.mReserve = std::max(1.0, mSettings.mRetryReserve / kPlannedEntries);
-  return mBudgets.emplace(aPool, RetryBudget(settings)).first->second;
+  const auto entries = static_cast<double>(mPeers.EntryCount(BootNow()));
+  const double reserve =
+    std::max(1.0, mSettings.mRetryReserve * kReserveShare / entries);
+  const RetryBudgetSettings settings{ mSettings.mRetryShare * kLimitShare,
+                                      reserve };
+  RetryBudget& budget =
+    mBudgets.emplace(aPool, RetryBudget(settings)).first->second;
+  budget.SetReserve(reserve);
+  return budget;
 }
 
-double
-Forwarder::ColdRequestsPerSecond(const ForwardPool& aPool) const
+std::size_t
+Forwarder::ColdLimit(const ForwardPool& aPool, const InstanceId& aServer) const
 {
   if (aPool.mColdRequestsPerSecond <= 0.0) {
-    return 0.0;
+    return std::numeric_limits<std::size_t>::max();
   }
-  return (aPool.mColdRequestsPerSecond * mSettings.mColdFactor +
-          mSettings.mColdReserve) *
-         kLimitShare / kPlannedEntries;
+  const Timestamp now = BootNow();
+  const auto all = static_cast<std::size_t>(
+    kLimitShare * (aPool.mColdRequestsPerSecond * mSettings.mColdFactor +
+                   mSettings.mColdReserve));
+  const std::size_t each = all / mPeers.EntryCount(now);
+  return each > 0 ? each : (mPeers.IsAmongFirst(aServer, all, now) ? 1 : 0);
+}
+
+BackendChooser&
+Forwarder::Chooser()
+{
+  mChooser.SetOtherLoads(mPeers.OtherLoads(BootNow()));
+  return mChooser;
 }
 
 double
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -7,6 +7,7 @@
 #include "backendconnections.h"
 #include "forwardcounters.h"
 #include "forwardsettings.h"
+#include "peerchannel.h"
 #include "wireprotocol.h"
 
 #include <boost/asio/io_context.hpp>
@@ -56,7 +57,8 @@
     return mFollower.Document();
   }
   BackendList& Backends() { return mFollower.Backends(); }
-  BackendChooser& Chooser() { return mChooser; }
+  /** @return The chooser, which knows the present loads. */
+  BackendChooser& Chooser();
   BackendConnections& Connections() { return mConnections; }
   ForwardCounters& Counters() { return mCounters; }
   EventLog& Log() { return mLog; }
@@ -67,8 +69,10 @@
   /** @return The retry budget of a pool. */
   RetryBudget& Budget(const PoolName& aPool);
 
-  /** @return Requests per second that this entry sends to a cold server. */
-  double ColdRequestsPerSecond(const ForwardPool& aPool) const;
+  /** @return Requests that this entry may send to a cold server within a
+   * second. */
+  std::size_t ColdLimit(const ForwardPool& aPool,
+                        const InstanceId& aServer) const;
 
   /** @return A number from 0 to 1, for shares and jitter. */
   double Random();
@@ -90,6 +94,8 @@
   EventLog& mLog;
   DirectoryFollower mFollower;
   BackendChooser mChooser;
+  PeerView mPeers;
+  PeerChannel mPeerChannel;
   ForwardCounters mCounters;
   BackendConnections mConnections;
   std::unordered_map<PoolName, RetryBudget> mBudgets;
--- a/src/libmedlarkeelforward/forwardsettings.cpp
+++ b/src/libmedlarkeelforward/forwardsettings.cpp
@@ -43,6 +43,21 @@
   }
 }
 
+/** Reads an endpoint of which only the IP number is used. */
+void
+ReadSeed(const nlohmann::json& aItem,
+         const std::string& aPath,
+         ProblemList& aProblems,
+         std::vector<std::string>& aOut)
+{
+  Endpoint seed;
+  if (aItem.is_string() && ParseEndpoint(aItem.get<std::string>(), seed)) {
+    aOut.push_back(seed.mAddress);
+  } else {
+    aProblems.Add(aPath, kEndpointExpected, aItem.dump());
+  }
+}
+
 } // namespace
 
 ForwardSettingsResult
@@ -62,6 +77,12 @@
     ReadEndpoint(reader, "callers", settings.mCallers);
     ReadEndpoint(reader, "readiness", settings.mReadiness);
     ReadEndpoint(reader, "metrics", settings.mMetrics);
+    ReadEndpoint(reader, "peers", settings.mPeers);
+    reader.Items("seeds",
+                 Presence::Required,
+                 [&](const nlohmann::json& aItem, const std::string& aPath) {
+                   ReadSeed(aItem, aPath, problems, settings.mSeeds);
+                 });
     ReadEndpoint(reader, "directory", settings.mDirectory);
     const IntegerRange time{ 1, kMostMilliseconds, "ms" };
     reader.Duration(
--- a/src/libmedlarkeelforward/forwardsettings.h
+++ b/src/libmedlarkeelforward/forwardsettings.h
@@ -15,6 +15,10 @@
   Endpoint mReadiness;
   /** Where metrics are served as text. */
   Endpoint mMetrics;
+  /** Where reports of the other entries arrive; they use the same port. */
+  Endpoint mPeers;
+  /** IP numbers of entries that may be up at the start. */
+  std::vector<std::string> mSeeds;
   /** Where documents and backend servers are published. */
   Endpoint mDirectory;
   /** Interval in which backend servers renew their entries. */
--- /dev/null
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -0,0 +1,144 @@
+#include "peerchannel.h"
+
+#include "../libmedlarkeelnet/bootclock.h"
+
+#include <nlohmann/json.hpp>
+
+namespace medlarkeel {
+
+namespace {
+
+using boost::asio::ip::udp;
+using Error = boost::system::error_code;
+using Json = nlohmann::json;
+
+} // namespace
+
+std::string
+EncodePeerReport(const PeerReport& aReport)
+{
+  Json loads = Json::array();
+  for (const auto& [server, load] : aReport.mLoads) {
+    loads.push_back(server);
+    loads.push_back(load.mRequests);
+    loads.push_back(load.mUnreadTokens);
+  }
+  Json report{ { "a", aReport.mAddress },
+               { "s", aReport.mSequence },
+               { "l", std::move(loads) } };
+  if (!aReport.mKnown.empty()) {
+    report["k"] = aReport.mKnown;
+  }
+  std::string bytes;
+  Json::to_cbor(report, bytes);
+  return bytes;
+}
+
+std::optional<PeerReport>
+DecodePeerReport(std::string_view aBytes)
+{
+  constexpr std::size_t kNumbersPerLoad = 3;
+  try {
+    const Json report = Json::from_cbor(aBytes);
+    PeerReport decoded;
+    decoded.mAddress = report.at("a").get<std::string>();
+    decoded.mSequence = report.at("s").get<std::uint64_t>();
+    const Json& loads = report.at("l");
+    if (loads.size() % kNumbersPerLoad != 0 ||
+        !IsIpNumber(decoded.mAddress)) {
+      return std::nullopt;
+    }
+    for (std::size_t i = 0; i < loads.size(); i += kNumbersPerLoad) {
+      decoded.mLoads[loads[i].get<std::uint32_t>()] = {
+        loads[i + 1].get<std::uint32_t>(), loads[i + 2].get<std::uint32_t>()
+      };
+    }
+    if (report.contains("k")) {
+      decoded.mKnown = report.at("k").get<std::vector<std::string>>();
+    }
+    return decoded;
+  } catch (const Json::exception&) {
+    return std::nullopt; // Counted by the caller.
+  }
+}
+
+PeerChannel::PeerChannel(boost::asio::io_context& aContext,
+                         const Endpoint& aOwn,
+                         PeerView& aView,
+                         std::function<ServerLoads()> aLoads)
+  : mSocket(aContext,
+            udp::endpoint(boost::asio::ip::make_address(aOwn.mAddress),
+                          aOwn.mPort))
+  , mTimer(aContext)
+  , mAddress(aOwn.mAddress)
+  , mView(aView)
+  , mLoads(std::move(aLoads))
+  , mSequence(NewIncarnation().mValue)
+{
+  mSocket.non_blocking(true);
+}
+
+void
+PeerChannel::Start()
+{
+  Receive();
+  Send();
+}
+
+void
+PeerChannel::Receive()
+{
+  mSocket.async_receive_from(
+    boost::asio::buffer(mBuffer),
+    mSender,
+    [this](const Error& aError, std::size_t aSize) {
+      if (aError == boost::asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        const auto report =
+          DecodePeerReport(std::string_view(mBuffer.data(), aSize));
+        // A report counts only when it comes from the address it names.
+        const bool isSound =
+          report && report->mAddress == mSender.address().to_string();
+        if (isSound) {
+          mView.Record(*report, BootNow());
+        } else {
+          mUnreadable += 1;
+        }
+      }
+      Receive();
+    });
+}
+
+void
+PeerChannel::Send()
+{
+  const Timestamp now = BootNow();
+  PeerReport report;
+  report.mAddress = mAddress;
+  report.mSequence = ++mSequence;
+  report.mLoads = mLoads();
+  const std::vector<std::string> targets = mView.Targets(now);
+  if (mRounds++ % kRoundsBetweenNames == 0) {
+    report.mKnown = targets;
+  }
+  const std::string bytes = EncodePeerReport(report);
+  const std::uint16_t port = mSocket.local_endpoint().port();
+  for (const std::string& target : targets) {
+    Error ignored; // The next round replaces a lost report.
+    mSocket.send_to(
+      boost::asio::buffer(bytes),
+      udp::endpoint(boost::asio::ip::make_address(target), port),
+      0,
+      ignored);
+  }
+  mTimer.expires_after(mView.Interval(now));
+  mTimer.async_wait([this](const Error& aError) {
+    if (!aError) {
+      Send();
+    }
+  });
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/peerchannel.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "../libmedlarkeel/forwarding/peerview.h"
+#include "../libmedlarkeel/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace medlarkeel {
+
+/** @return A report as bytes. */
+std::string
+EncodePeerReport(const PeerReport& aReport);
+
+/** @return The report in the bytes, or nothing when they can't be read. */
+std::optional<PeerReport>
+DecodePeerReport(std::string_view aBytes);
+
+/**
+ * Exchanges reports with the other entries by datagrams: a lost one is
+ * replaced by the next.
+ */
+class PeerChannel
+{
+public:
+  /**
+   * @param aOwn Where reports arrive; the port is the same at all entries.
+   * @param aLoads Finds what this entry has in progress.
+   */
+  PeerChannel(boost::asio::io_context& aContext,
+              const Endpoint& aOwn,
+              PeerView& aView,
+              std::function<ServerLoads()> aLoads);
+
+  void Start();
+
+  /** @return Datagrams that could not be read. */
+  std::uint64_t Unreadable() const { return mUnreadable; }
+
+private:
+  void Receive();
+  void Send();
+
+  /** Rounds of reports between two that name the known entries. */
+  static constexpr std::uint64_t kRoundsBetweenNames = 8;
+
+  boost::asio::ip::udp::socket mSocket;
+  boost::asio::ip::udp::endpoint mSender;
+  boost::asio::steady_timer mTimer;
+  std::array<char, 16384> mBuffer{};
+  std::string mAddress;
+  PeerView& mView;
+  std::function<ServerLoads()> mLoads;
+  std::uint64_t mSequence;
+  std::uint64_t mRounds = 0;
+  std::uint64_t mUnreadable = 0;
+};
+
+} // namespace medlarkeel
