--- a/src/libmedlarkeel/forwarding/attemptdecision.cpp
+++ b/src/libmedlarkeel/forwarding/attemptdecision.cpp
@@ -71,7 +71,8 @@
   const bool hasAttempts = aHistory.mSent < aRoute.mMostAttempts &&
                            aHistory.mConnectFailures < kMostConnectFailures &&
                            aHistory.mMisdirected < kMostMisdirected;
-  if (aOutcome != AttemptOutcome::TimedOut && aHasTime && mayRunAgain && hasAttempts) {
+  if (aOutcome != AttemptOutcome::TimedOut && aHasTime && mayRunAgain &&
+      hasAttempts) {
     return NextStep::TryAnother;
   }
   return FinalStep(aHistory, aOutcome);
--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -161,7 +161,7 @@
                           Timestamp aNow) const
 {
   const ServerLoad others = OtherLoad(aServer.mEntry.mId);
-  double cost = aUnread;
+  double cost = mSettings.mUnreadWeight * aUnread;
   cost += others.mUnreadTokens;
   cost += mSettings.mRunningTokens * others.mRequests;
   cost += aNow < aServer.mColdUntil ? mSettings.mColdTokens : 0.0;
@@ -335,8 +335,7 @@
 BackendChooser::Running(const InstanceId& aId) const
 {
   const auto found = mServers.find(aId);
-  const std::size_t own =
-    found == mServers.end() ? 0 : found->second.mRequests;
+  const std::size_t own = found == mServers.end() ? 0 : found->second.mRequests;
   return own + OtherLoad(aId).mRequests;
 }
 
@@ -353,10 +352,9 @@
   ServerLoads loads;
   for (const auto& [id, state] : mServers) {
     if (state.mRequests > 0) {
-      loads[ServerHash(id)] = {
-        static_cast<std::uint32_t>(state.mRequests),
-        static_cast<std::uint32_t>(std::max(0.0, state.mUnreadTokens))
-      };
+      loads[ServerHash(id)] = { static_cast<std::uint32_t>(state.mRequests),
+                                static_cast<std::uint32_t>(
+                                  std::max(0.0, state.mUnreadTokens)) };
     }
   }
   return loads;
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -59,8 +59,7 @@
 Milliseconds
 PeerView::Interval(Timestamp aNow) const
 {
-  const auto entries =
-    static_cast<std::int64_t>(Targets(aNow).size() + 1);
+  const auto entries = static_cast<std::int64_t>(Targets(aNow).size() + 1);
   return std::max(mSettings.mLeastInterval,
                   mSettings.mIntervalPerEntry * entries);
 }
--- /dev/null
+++ b/tests/core/test_attemptdecision.cpp
@@ -0,0 +1,117 @@
+#include "forwarding/attemptdecision.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace medlarkeel {
+
+namespace {
+
+ForwardRoute
+Route(RepeatRule aRule, int aAttempts)
+{
+  ForwardRoute route;
+  route.mRepeatRule = aRule;
+  route.mMostAttempts = aAttempts;
+  return route;
+}
+
+NextStep
+StepAfter(const ForwardRoute& aRoute,
+          std::initializer_list<AttemptOutcome> aOutcomes)
+{
+  AttemptHistory history;
+  AttemptOutcome last = AttemptOutcome::NotSent;
+  for (const AttemptOutcome outcome : aOutcomes) {
+    history.Record(outcome);
+    last = outcome;
+  }
+  return DecideNextStep(aRoute, history, last, true);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(attemptdecision)
+
+BOOST_AUTO_TEST_CASE(RequestThatMayHaveRunIsNeverSentAgain)
+{
+  const ForwardRoute once = Route(RepeatRule::AtMostOnce, 3);
+  for (const AttemptOutcome outcome :
+       { AttemptOutcome::Broken, AttemptOutcome::TimedOut }) {
+    BOOST_CHECK(StepAfter(once, { outcome }) != NextStep::TryAnother);
+    BOOST_CHECK(StepAfter(once, { outcome }) != NextStep::RefuseNotRun);
+  }
+  BOOST_CHECK(StepAfter(once, { AttemptOutcome::Failed }) ==
+              NextStep::PassAnswer);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalIsTrueOnlyWhileNothingMayHaveRun)
+{
+  const ForwardRoute repeatable = Route(RepeatRule::Repeatable, 2);
+  BOOST_CHECK(
+    StepAfter(repeatable, { AttemptOutcome::NotRun, AttemptOutcome::NotRun }) ==
+    NextStep::RefuseNotRun);
+  BOOST_CHECK(
+    StepAfter(repeatable, { AttemptOutcome::Broken, AttemptOutcome::NotRun }) ==
+    NextStep::FailUnknown);
+}
+
+BOOST_AUTO_TEST_CASE(AttemptsOfTheRouteAreNotExceeded)
+{
+  BOOST_CHECK(StepAfter(Route(RepeatRule::Repeatable, 2),
+                        { AttemptOutcome::Failed }) == NextStep::TryAnother);
+  BOOST_CHECK(StepAfter(Route(RepeatRule::Repeatable, 2),
+                        { AttemptOutcome::Failed, AttemptOutcome::Failed }) ==
+              NextStep::PassAnswer);
+  BOOST_CHECK(StepAfter(Route(RepeatRule::AtMostOnce, 1),
+                        { AttemptOutcome::NotRun }) == NextStep::RefuseNotRun);
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsThatCannotBeMadeAreNoAttempts)
+{
+  const ForwardRoute once = Route(RepeatRule::AtMostOnce, 1);
+  BOOST_CHECK(StepAfter(once, { AttemptOutcome::NotSent }) ==
+              NextStep::TryAnother);
+  BOOST_CHECK(StepAfter(once, { AttemptOutcome::Misdirected }) ==
+              NextStep::TryAnother);
+  BOOST_CHECK(StepAfter(once,
+                        { AttemptOutcome::NotSent,
+                          AttemptOutcome::NotSent,
+                          AttemptOutcome::NotSent }) == NextStep::RefuseNotRun);
+}
+
+BOOST_AUTO_TEST_CASE(ResumableStreamMayGoOnElsewhere)
+{
+  ForwardRoute stream = Route(RepeatRule::AtMostOnce, 2);
+  stream.mIsStream = true;
+  stream.mIsResumable = true;
+  BOOST_CHECK(StepAfter(stream, { AttemptOutcome::Broken }) ==
+              NextStep::TryAnother);
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsTriedWithoutTime)
+{
+  AttemptHistory history;
+  history.Record(AttemptOutcome::Failed);
+  BOOST_CHECK(DecideNextStep(Route(RepeatRule::Repeatable, 2),
+                             history,
+                             AttemptOutcome::Failed,
+                             false) == NextStep::PassAnswer);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersThatPromiseTooMuchAreNotPassedOn)
+{
+  BOOST_TEST(!JudgeAnswer(200, false).has_value());
+  BOOST_TEST(!JudgeAnswer(404, false).has_value());
+  BOOST_CHECK(JudgeAnswer(500, false) == AttemptOutcome::Failed);
+  BOOST_CHECK(JudgeAnswer(504, false) == AttemptOutcome::Failed);
+  BOOST_CHECK(JudgeAnswer(503, true) == AttemptOutcome::NotRun);
+  BOOST_CHECK(JudgeAnswer(421, false) == AttemptOutcome::Misdirected);
+  // Without the statement, the request may have run.
+  for (const int status : { 503, 429, 408 }) {
+    BOOST_CHECK(JudgeAnswer(status, false) == AttemptOutcome::Broken);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/core/test_backendchooser.cpp
@@ -0,0 +1,264 @@
+#include "forwarding/backendchooser.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+namespace medlarkeel {
+
+namespace {
+
+const Timestamp kStart{ Seconds(1000) };
+constexpr std::size_t kUnlimited = 1000;
+
+/** Servers of one pool, spread over three availability zones. */
+struct ServerPool
+{
+  explicit ServerPool(std::size_t aSize)
+    : mServers(aSize)
+  {
+    for (std::size_t i = 0; i < aSize; ++i) {
+      mServers[i].mEntry.mId = InstanceId("server-" + std::to_string(i));
+      mServers[i].mEntry.mZone = ZoneName("zone-" + std::to_string(i % 3));
+    }
+  }
+
+  std::vector<const ListedBackend*> Usable() const
+  {
+    std::vector<const ListedBackend*> usable;
+    for (const ListedBackend& server : mServers) {
+      usable.push_back(&server);
+    }
+    return usable;
+  }
+
+  std::vector<ListedBackend> mServers;
+};
+
+std::optional<PromptDescription>
+Prompt(std::uint64_t aShared, std::uint32_t aSharedTokens, std::uint32_t aOwn)
+{
+  static std::uint64_t sOwnId = 1U << 20U;
+  PromptDescription prompt;
+  prompt.mParts = { { aShared, aSharedTokens }, { ++sOwnId, aOwn } };
+  prompt.mPromptTokens = aSharedTokens + aOwn;
+  return prompt;
+}
+
+BackendChooser
+NewChooser(const char* aZone = "zone-0")
+{
+  return { ChooserSettings(), ZoneName(aZone), 1 };
+}
+
+std::optional<BackendChoice>
+Choose(BackendChooser& aChooser,
+       const ServerPool& aPool,
+       const std::optional<PromptDescription>& aPrompt,
+       std::size_t aColdLimit = kUnlimited,
+       Timestamp aNow = kStart,
+       const std::set<InstanceId>& aExcluded = {})
+{
+  return aChooser.Choose(
+    aPool.Usable(),
+    aPrompt,
+    aExcluded,
+    [aColdLimit](const InstanceId&) { return aColdLimit; },
+    aNow);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(backendchooser)
+
+BOOST_AUTO_TEST_CASE(SharedPartsMeetAtOneServer)
+{
+  const ServerPool pool(12);
+  BackendChooser one = NewChooser();
+  BackendChooser other = NewChooser();
+  for (std::uint64_t key = 1; key < 30; ++key) {
+    const auto prompt = Prompt(key, 13'000, 3000);
+    const auto choice = Choose(one, pool, prompt);
+    BOOST_CHECK(choice->mId == Choose(other, pool, prompt)->mId);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LoadedServerIsLeftForOthers)
+{
+  const ServerPool pool(12);
+  BackendChooser chooser = NewChooser();
+  std::map<InstanceId, int> sent;
+  for (int i = 0; i < 24; ++i) {
+    const auto prompt = Prompt(5, 13'000, 3000);
+    const auto choice = Choose(chooser, pool, prompt);
+    chooser.RecordStarted(*choice, prompt, kStart);
+    sent[choice->mId] += 1;
+  }
+  BOOST_TEST(sent.size() > 2U);
+  for (const auto& [id, count] : sent) {
+    BOOST_TEST(count < 20);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LoadOfOtherEntriesCounts)
+{
+  const ServerPool pool(2);
+  BackendChooser chooser = NewChooser();
+  const auto prompt = Prompt(5, 1000, 5000);
+  const InstanceId first = Choose(chooser, pool, prompt)->mId;
+  chooser.SetOtherLoads({ { ServerHash(first), { 20, 200'000 } } });
+  BOOST_CHECK(Choose(chooser, pool, prompt)->mId != first);
+}
+
+/** Long drafts arrive in a wave while short announcements go on: replays the
+ * load in which short prompts waited behind long ones. */
+BOOST_AUTO_TEST_CASE(ShortPromptsAreKeptApartFromAWaveOfLongOnes)
+{
+  const ServerPool pool(12);
+  BackendChooser chooser = NewChooser();
+  std::set<InstanceId> withLong;
+  std::map<InstanceId, int> withShort;
+  for (std::uint64_t i = 0; i < 120; ++i) {
+    const auto longPrompt = Prompt(i % 40, 13'000, 3700);
+    const auto longChoice = Choose(chooser, pool, longPrompt);
+    chooser.RecordStarted(*longChoice, longPrompt, kStart);
+    withLong.insert(longChoice->mId);
+    const auto shortPrompt = Prompt(1000 + i % 150, 350, 1110);
+    const auto shortChoice = Choose(chooser, pool, shortPrompt);
+    chooser.RecordStarted(*shortChoice, shortPrompt, kStart);
+    if (i >= 40) {
+      withShort[shortChoice->mId] += 1;
+    }
+    chooser.RecordFirstByte(*longChoice);
+    chooser.RecordEnded(*longChoice, true);
+    chooser.RecordFirstByte(*shortChoice);
+    chooser.RecordEnded(*shortChoice, true);
+  }
+  int beside = 0;
+  for (const auto& [id, count] : withShort) {
+    beside += withLong.count(id) != 0 ? count : 0;
+  }
+  // At most one in ten may stand beside long prompts, the naive share is all.
+  BOOST_TEST(beside <= 8);
+}
+
+BOOST_AUTO_TEST_CASE(ColdServerGetsNoMoreThanItsShare)
+{
+  ServerPool pool(1);
+  pool.mServers[0].mColdUntil = kStart + Seconds(10);
+  BackendChooser chooser = NewChooser();
+  const auto prompt = Prompt(1, 100, 100);
+  for (int i = 0; i < 3; ++i) {
+    const auto choice = Choose(chooser, pool, prompt, 3);
+    BOOST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->mIsCold);
+    chooser.RecordStarted(*choice, prompt, kStart);
+  }
+  BOOST_TEST(!Choose(chooser, pool, prompt, 3).has_value());
+  const Timestamp later = kStart + ChooserSettings().mColdWindow;
+  BOOST_TEST(Choose(chooser, pool, prompt, 3, later).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(UnreachableServerIsAvoidedWhileOthersServe)
+{
+  const ServerPool pool(3);
+  BackendChooser chooser = NewChooser();
+  const auto prompt = Prompt(5, 13'000, 3000);
+  const InstanceId home = Choose(chooser, pool, prompt)->mId;
+  chooser.RecordUnreachable(home, kStart);
+  BOOST_CHECK(Choose(chooser, pool, prompt)->mId != home);
+  const Timestamp later = kStart + Seconds(20);
+  BOOST_CHECK(Choose(chooser, pool, prompt, kUnlimited, later)->mId == home);
+}
+
+BOOST_AUTO_TEST_CASE(AvoidedServersServeWhenNoOtherIsLeft)
+{
+  const ServerPool pool(2);
+  BackendChooser chooser = NewChooser();
+  chooser.RecordUnreachable(InstanceId("server-0"), kStart);
+  chooser.RecordUnreachable(InstanceId("server-1"), kStart);
+  BOOST_TEST(Choose(chooser, pool, Prompt(1, 1, 1)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TriedServerIsNotChosenAgain)
+{
+  const ServerPool pool(2);
+  BackendChooser chooser = NewChooser();
+  const auto first = Choose(chooser, pool, std::nullopt);
+  const auto second =
+    Choose(chooser, pool, std::nullopt, kUnlimited, kStart, { first->mId });
+  BOOST_CHECK(second->mId != first->mId);
+  BOOST_TEST(!Choose(chooser,
+                     pool,
+                     std::nullopt,
+                     kUnlimited,
+                     kStart,
+                     { first->mId, second->mId })
+                .has_value());
+}
+
+BOOST_AUTO_TEST_CASE(PlainRequestsGoWhereFewestRun)
+{
+  const ServerPool pool(3);
+  BackendChooser chooser = NewChooser();
+  std::map<InstanceId, int> sent;
+  for (int i = 0; i < 30; ++i) {
+    const auto choice = Choose(chooser, pool, std::nullopt);
+    chooser.RecordStarted(*choice, std::nullopt, kStart);
+    sent[choice->mId] += 1;
+  }
+  for (const auto& [id, count] : sent) {
+    BOOST_TEST(count >= 9);
+    BOOST_TEST(count <= 11);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EndedRequestsLeaveNoLoad)
+{
+  const ServerPool pool(1);
+  BackendChooser chooser = NewChooser();
+  const auto prompt = Prompt(5, 13'000, 3000);
+  const auto choice = Choose(chooser, pool, prompt);
+  chooser.RecordStarted(*choice, prompt, kStart);
+  BOOST_TEST(chooser.OwnLoads().size() == 1U);
+  chooser.RecordEnded(*choice, false);
+  BOOST_TEST(chooser.OwnLoads().empty());
+}
+
+BOOST_AUTO_TEST_CASE(FewFailuresOfOneInSevenDoNotCount)
+{
+  BackendHealth health;
+  const BackendHealthSettings settings;
+  Timestamp now = kStart;
+  for (int i = 0; i < 70; ++i) {
+    now += Milliseconds(100);
+    if (i % 7 == 0) {
+      health.RecordFailure(now, settings);
+    } else {
+      health.RecordSuccess(now, settings);
+    }
+    BOOST_TEST(!health.IsAvoided(now));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatFailsEverySecondRequestIsAvoided)
+{
+  BackendHealth health;
+  const BackendHealthSettings settings;
+  Timestamp now = kStart;
+  bool wasAvoided = false;
+  for (int i = 0; i < 20; ++i) {
+    now += Milliseconds(100);
+    if (i % 2 == 0) {
+      health.RecordFailure(now, settings);
+    } else {
+      health.RecordSuccess(now, settings);
+    }
+    wasAvoided = wasAvoided || health.IsAvoided(now);
+  }
+  BOOST_TEST(wasAvoided);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/core/test_backendlist.cpp
@@ -0,0 +1,109 @@
+#include "forwarding/backendlist.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace medlarkeel {
+
+namespace {
+
+const Timestamp kStart{ Seconds(1000) };
+const PoolName kPool("pool");
+
+BackendEntry
+Entry(const char* aId, std::uint64_t aRevision)
+{
+  BackendEntry entry;
+  entry.mId = InstanceId(aId);
+  entry.mPool = kPool;
+  entry.mEndpoint = { "10.0.0.1", 80 };
+  entry.mZone = ZoneName("a");
+  entry.mRevision = aRevision;
+  return entry;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(backendlist)
+
+BOOST_AUTO_TEST_CASE(DrainingServerAndEvacuatedZoneGetNothing)
+{
+  BackendList list;
+  list.Put(Entry("one", 1), kStart);
+  BOOST_TEST(list.Usable(kPool).size() == 1U);
+  list.SetEvacuated(ZoneName("a"), true);
+  BOOST_TEST(list.Usable(kPool).empty());
+  list.SetEvacuated(ZoneName("a"), false);
+  BackendEntry draining = Entry("one", 2);
+  draining.mIsDraining = true;
+  BOOST_CHECK(list.Put(draining, kStart) == BackendChange::Draining);
+  BOOST_TEST(list.Usable(kPool).empty());
+}
+
+BOOST_AUTO_TEST_CASE(OlderEntryChangesNothing)
+{
+  BackendList list;
+  BackendEntry draining = Entry("one", 5);
+  draining.mIsDraining = true;
+  list.Put(draining, kStart);
+  BOOST_CHECK(list.Put(Entry("one", 4), kStart) == BackendChange::None);
+  BOOST_TEST(list.Usable(kPool).empty());
+}
+
+BOOST_AUTO_TEST_CASE(EntryOlderThanItsRemovalStaysAway)
+{
+  BackendList list;
+  list.Put(Entry("one", 1), kStart);
+  list.Remove(InstanceId("one"), 3, kStart);
+  BOOST_CHECK(list.Put(Entry("one", 2), kStart) == BackendChange::None);
+  BOOST_CHECK(list.Put(Entry("one", 4), kStart) == BackendChange::Added);
+}
+
+BOOST_AUTO_TEST_CASE(MissingServerIsKeptForAWhileAfterAnOutage)
+{
+  BackendList list;
+  list.Put(Entry("one", 1), kStart);
+  list.RecordRegained(kStart, Seconds(2));
+  BOOST_CHECK(list.Remove(InstanceId("one"), 2, kStart) ==
+              BackendChange::RemovalDelayed);
+  BOOST_TEST(list.Usable(kPool).size() == 1U);
+  BOOST_TEST(list.RemoveExpired(kStart + Seconds(1)).empty());
+  BOOST_TEST(list.RemoveExpired(kStart + Seconds(2)).size() == 1U);
+  BOOST_TEST(list.Usable(kPool).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatIsBackAfterAnOutageStays)
+{
+  BackendList list;
+  list.Put(Entry("one", 1), kStart);
+  list.RecordRegained(kStart, Seconds(2));
+  list.Remove(InstanceId("one"), 2, kStart);
+  list.Put(Entry("one", 3), kStart + Seconds(1));
+  BOOST_TEST(list.RemoveExpired(kStart + Seconds(3)).empty());
+  BOOST_TEST(list.Usable(kPool).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RestartUnderTheSameIdIsNoticed)
+{
+  BackendList list;
+  list.Put(Entry("one", 1), kStart);
+  list.RecordMisdirected(InstanceId("one"));
+  BOOST_TEST(list.Usable(kPool).empty());
+  BackendEntry again = Entry("one", 2);
+  again.mStartedAt = Milliseconds(77);
+  BOOST_CHECK(list.Put(again, kStart) == BackendChange::Restarted);
+  BOOST_TEST(list.Usable(kPool).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ColdTimeCountsFromTheReading)
+{
+  BackendList list;
+  BackendEntry cold = Entry("one", 1);
+  cold.mColdRemaining = Milliseconds(500);
+  list.Put(cold, kStart);
+  BOOST_CHECK(list.Find(InstanceId("one"))->mColdUntil ==
+              kStart + Milliseconds(500));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/core/test_eventframer.cpp
@@ -0,0 +1,55 @@
+#include "forwarding/eventframer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+namespace medlarkeel {
+
+BOOST_AUTO_TEST_SUITE(eventframer)
+
+BOOST_AUTO_TEST_CASE(PartialEventIsHeldBack)
+{
+  EventFramer framer;
+  BOOST_TEST(framer.Push("id: 1\ndata: a\n\nid: 2\nda") ==
+             "id: 1\ndata: a\n\n");
+  BOOST_TEST(framer.LastEventId() == "1");
+  BOOST_TEST(framer.HasPartialEvent());
+  BOOST_TEST(framer.Push("ta: b\n\n") == "id: 2\ndata: b\n\n");
+  BOOST_TEST(framer.LastEventId() == "2");
+  BOOST_TEST(!framer.HasPartialEvent());
+}
+
+BOOST_AUTO_TEST_CASE(LinesMayEndWithReturns)
+{
+  EventFramer framer;
+  BOOST_TEST(framer.Push("id:7\r\ndata: a\r\n\r\n") ==
+             "id:7\r\ndata: a\r\n\r\n");
+  BOOST_TEST(framer.LastEventId() == "7");
+}
+
+RC_BOOST_PROP(AnySplitGivesTheSameBytesAndWholeEvents, ())
+{
+  const auto count = *rc::gen::inRange(1, 8);
+  std::string body;
+  for (int i = 0; i < count; ++i) {
+    body += "id: " + std::to_string(i) + "\ndata: x\n\n";
+  }
+  EventFramer framer;
+  std::string passed;
+  std::size_t begin = 0;
+  while (begin < body.size()) {
+    const auto size = *rc::gen::inRange<std::size_t>(1, 9);
+    const std::string events = framer.Push(body.substr(begin, size));
+    const bool isWhole =
+      events.empty() || events.substr(events.size() - 2) == "\n\n";
+    RC_ASSERT(isWhole);
+    passed += events;
+    begin += size;
+  }
+  RC_ASSERT(passed == body);
+  RC_ASSERT(framer.LastEventId() == std::to_string(count - 1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/core/test_peerview.cpp
@@ -0,0 +1,84 @@
+#include "forwarding/peerview.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace medlarkeel {
+
+namespace {
+
+const Timestamp kStart{ Seconds(1000) };
+
+PeerReport
+Report(const std::string& aAddress, std::uint64_t aSequence)
+{
+  PeerReport report;
+  report.mAddress = aAddress;
+  report.mSequence = aSequence;
+  report.mLoads[7] = { 2, 300 };
+  return report;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peerview)
+
+BOOST_AUTO_TEST_CASE(ManyEntriesAreAssumedUntilOneIsHeard)
+{
+  const PeerSettings settings;
+  PeerView view(settings, "10.0.0.1", { "10.0.0.1", "10.0.0.2" });
+  BOOST_TEST(view.EntryCount(kStart) == settings.mAssumedEntries);
+  view.Record(Report("10.0.0.2", 1), kStart);
+  BOOST_TEST(view.EntryCount(kStart) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(EntriesKnownToOthersAreCountedAndTold)
+{
+  PeerView view(PeerSettings(), "10.0.0.1", { "10.0.0.2" });
+  PeerReport report = Report("10.0.0.2", 1);
+  report.mKnown = { "10.0.0.1", "10.0.0.3" };
+  view.Record(report, kStart);
+  BOOST_TEST(view.EntryCount(kStart) == 3U);
+  BOOST_TEST(view.Targets(kStart).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(LoadOfASilentPeerIsForgottenBeforeItsShareOfLimits)
+{
+  const PeerSettings settings;
+  PeerView view(settings, "10.0.0.1", {});
+  view.Record(Report("10.0.0.2", 1), kStart);
+  BOOST_TEST(view.OtherLoads(kStart)[7].mUnreadTokens == 300U);
+  const Timestamp later = kStart + settings.mLoadLife + Milliseconds(1);
+  BOOST_TEST(view.OtherLoads(later).empty());
+  BOOST_TEST(view.EntryCount(later) == 2U);
+  BOOST_TEST(view.EntryCount(kStart + settings.mPeerLife) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(OvertakenReportIsIgnored)
+{
+  PeerView view(PeerSettings(), "10.0.0.1", {});
+  view.Record(Report("10.0.0.2", 5), kStart);
+  PeerReport old = Report("10.0.0.2", 4);
+  old.mLoads[7] = { 9, 9 };
+  view.Record(old, kStart);
+  BOOST_TEST(view.OtherLoads(kStart)[7].mRequests == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AsManyEntriesAsAskedAreAmongTheFirst)
+{
+  constexpr std::size_t kEntries = 30;
+  constexpr std::size_t kFirst = 15;
+  std::vector<std::string> addresses;
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i + 1));
+  }
+  std::size_t among = 0;
+  for (const std::string& own : addresses) {
+    const PeerView view(PeerSettings(), own, addresses);
+    among += view.IsAmongFirst(InstanceId("server"), kFirst, kStart) ? 1 : 0;
+  }
+  BOOST_TEST(among == kFirst);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/forward/fakebackend.cpp
@@ -0,0 +1,152 @@
+#include "fakebackend.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <strings.h>
+
+namespace medlarkeel {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using Error = boost::system::error_code;
+
+tcp::endpoint
+AnyPort()
+{
+  return { boost::asio::ip::make_address("127.0.0.1"), 0 };
+}
+
+} // namespace
+
+std::uint16_t
+FreePort()
+{
+  boost::asio::io_context context;
+  const tcp::acceptor acceptor(context, AnyPort());
+  return acceptor.local_endpoint().port();
+}
+
+std::string
+FieldOf(const std::string& aHead, const std::string& aName)
+{
+  std::size_t begin = 0;
+  while (begin < aHead.size()) {
+    const std::size_t end = std::min(aHead.find("\r\n", begin), aHead.size());
+    const std::string line = aHead.substr(begin, end - begin);
+    const bool matches =
+      line.size() > aName.size() + 1 && line[aName.size()] == ':' &&
+      strncasecmp(line.c_str(), aName.c_str(), aName.size()) == 0;
+    if (matches) {
+      return line.substr(line.find_first_not_of(' ', aName.size() + 1));
+    }
+    begin = end + 2;
+  }
+  return {};
+}
+
+FakeBackend::FakeBackend(Script aScript)
+  : mScript(std::move(aScript))
+  , mAcceptor(mContext, AnyPort())
+  , mAddress{ "127.0.0.1", mAcceptor.local_endpoint().port() }
+  , mAcceptThread([this]() { Accept(); })
+{
+}
+
+FakeBackend::~FakeBackend()
+{
+  mIsEnding = true;
+  // Wakes the accepting thread, which then finds that the test has ended.
+  Error ignored;
+  tcp::socket waker(mContext);
+  waker.connect(
+    { boost::asio::ip::make_address(mAddress.mAddress), mAddress.mPort },
+    ignored);
+  mAcceptThread.join();
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    for (Socket& socket : mSockets) {
+      socket.shutdown(Socket::shutdown_both, ignored);
+    }
+  }
+  for (std::thread& thread : mThreads) {
+    thread.join();
+  }
+}
+
+std::vector<std::string>
+FakeBackend::Requests() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mRequests;
+}
+
+void
+FakeBackend::Accept()
+{
+  while (!mIsEnding) {
+    tcp::socket socket(mContext);
+    Error error;
+    mAcceptor.accept(socket, error);
+    if (error || mIsEnding) {
+      return;
+    }
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mSockets.push_back(std::move(socket));
+    Socket& kept = mSockets.back();
+    mThreads.emplace_back([this, &kept]() { Serve(kept); });
+  }
+}
+
+void
+FakeBackend::Serve(Socket& aSocket)
+{
+  std::string input;
+  std::array<char, 4096> buffer{};
+  while (true) {
+    const std::size_t head = input.find("\r\n\r\n");
+    const std::string length =
+      head == std::string::npos ? "" : FieldOf(input, "Content-Length");
+    const std::size_t size =
+      head + 4 + (length.empty() ? 0 : std::stoul(length));
+    if (head != std::string::npos && input.size() >= size) {
+      const std::string request = input.substr(0, size);
+      input.erase(0, size);
+      {
+        const std::lock_guard<std::mutex> lock(mMutex);
+        mRequests.push_back(request);
+      }
+      mScript(aSocket, request);
+      continue;
+    }
+    Error error;
+    const std::size_t read =
+      aSocket.read_some(boost::asio::buffer(buffer), error);
+    if (error) {
+      mClosed += 1;
+      return;
+    }
+    input.append(buffer.data(), read);
+  }
+}
+
+void
+WriteBytes(tcp::socket& aSocket, const std::string& aBytes)
+{
+  Error ignored;
+  boost::asio::write(aSocket, boost::asio::buffer(aBytes), ignored);
+}
+
+std::string
+AnswerTo(const std::string& aRequest,
+         int aStatus,
+         const std::string& aBody,
+         const std::string& aExtra)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " Some\r\nRequest: " + FieldOf(aRequest, "Request") + "\r\n" + aExtra +
+         "Proof: p1\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/forward/fakebackend.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "../../src/libmedlarkeel/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace medlarkeel {
+
+/** @return A port of the loopback address that is free at the moment. */
+std::uint16_t
+FreePort();
+
+/** The value of a header field in a head, or an empty text. */
+std::string
+FieldOf(const std::string& aHead, const std::string& aName);
+
+/** A backend server whose answers a test scripts; a thread a connection. */
+class FakeBackend
+{
+public:
+  /** Gets one request and the connection, and writes the answer. */
+  using Script = std::function<void(boost::asio::ip::tcp::socket& aSocket,
+                                    const std::string& aRequest)>;
+
+  explicit FakeBackend(Script aScript);
+  ~FakeBackend();
+  FakeBackend(const FakeBackend&) = delete;
+  FakeBackend& operator=(const FakeBackend&) = delete;
+
+  const Endpoint& Address() const { return mAddress; }
+
+  /** @return All requests so far, head and body. */
+  std::vector<std::string> Requests() const;
+
+  /** @return Connections that the other side has closed. */
+  int ClosedConnections() const { return mClosed; }
+
+private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void Accept();
+  void Serve(Socket& aSocket);
+
+  Script mScript;
+  boost::asio::io_context mContext;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  Endpoint mAddress;
+  mutable std::mutex mMutex;
+  std::vector<std::string> mRequests;
+  std::list<Socket> mSockets;
+  std::vector<std::thread> mThreads;
+  std::atomic<int> mClosed{ 0 };
+  std::atomic<bool> mIsEnding{ false };
+  std::thread mAcceptThread;
+};
+
+/** Writes bytes; a connection that ended is left to the test to notice. */
+void
+WriteBytes(boost::asio::ip::tcp::socket& aSocket, const std::string& aBytes);
+
+/**
+ * @param aRequest The request, whose id is repeated.
+ * @param aExtra Further header lines with their line ends.
+ * @return A whole answer.
+ */
+std::string
+AnswerTo(const std::string& aRequest,
+         int aStatus,
+         const std::string& aBody,
+         const std::string& aExtra = "");
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/forward/forwardfixture.cpp
@@ -0,0 +1,258 @@
+#include "forwardfixture.h"
+
+#include "messageparser.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <spdlog/sinks/null_sink.h>
+
+#include <future>
+
+namespace medlarkeel {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using Error = boost::system::error_code;
+
+WireProtocol
+TestProtocol()
+{
+  WireProtocol names;
+  names.mRequestId = "Request";
+  names.mTimeLeft = "Time-Left";
+  names.mKeyScheme = "Key ";
+  names.mTeam = "Team";
+  names.mExpectedBackend = "Expected";
+  names.mNotRun = "Not-Run";
+  names.mPriority = "Rank";
+  names.mPromptParts = "Parts";
+  names.mPromptSize = "Size";
+  names.mReserved = { "Team", "Expected", "Rank", "Authorization" };
+  return names;
+}
+
+ForwardRoute
+Route(const char* aPrefix, RepeatRule aRule, int aAttempts)
+{
+  ForwardRoute route;
+  route.mName = aPrefix;
+  route.mHost = "host";
+  route.mPathPrefix = aPrefix;
+  route.mRepeatRule = aRule;
+  route.mMostAttempts = aAttempts;
+  route.mTimeout = ForwardFixture::kRouteTimeout;
+  route.mLatencyTarget = Milliseconds(300);
+  route.mPools = { { PoolName("pool"), 1 } };
+  return route;
+}
+
+ForwardingDocumentPointer
+TestDocument()
+{
+  auto document = std::make_shared<ForwardingDocument>();
+  document->mVersion = 1;
+  document->mRoutes = { Route("/once/", RepeatRule::AtMostOnce, 1),
+                        Route("/again/", RepeatRule::Repeatable, 2),
+                        Route("/stream/", RepeatRule::AtMostOnce, 1),
+                        Route("/resume/", RepeatRule::AtMostOnce, 2),
+                        Route("/open/", RepeatRule::AtMostOnce, 1) };
+  document->mRoutes[2].mIsStream = true;
+  document->mRoutes[3].mIsStream = true;
+  document->mRoutes[3].mIsResumable = true;
+  document->mRoutes[4].mIsPublic = true;
+  document->mPools[PoolName("pool")].mName = PoolName("pool");
+  document->mTeams = { { TeamName("team-1"), std::nullopt } };
+  document->mKeys = { { "secret", 0 } };
+  document->mLimits.mHeaderTimeout = Milliseconds(500);
+  return document;
+}
+
+} // namespace
+
+FakeDirectory::FakeDirectory(boost::asio::io_context& aContext)
+  : mContext(aContext)
+  , mTimer(aContext)
+{
+}
+
+void
+FakeDirectory::ReadAll(Handler aHandler)
+{
+  boost::asio::post(mContext, [this, aHandler = std::move(aHandler)]() {
+    aHandler(DirectoryChanges{ mContent, mRevision });
+  });
+}
+
+void
+FakeDirectory::Watch(std::uint64_t, Milliseconds aWait, Handler aHandler)
+{
+  mTimer.expires_after(aWait);
+  mTimer.async_wait([this, aHandler = std::move(aHandler)](const Error&) {
+    aHandler(DirectoryChanges{ {}, mRevision });
+  });
+}
+
+void
+FakeDirectory::Set(std::vector<DirectoryChange> aContent)
+{
+  mContent = std::move(aContent);
+  mRevision += 1;
+}
+
+int
+SeenAnswer::Status() const
+{
+  constexpr std::size_t kStatusBegin = 9;
+  return mHead.size() > kStatusBegin ? std::stoi(mHead.substr(kStatusBegin))
+                                     : 0;
+}
+
+Caller::Caller(std::uint16_t aPort)
+  : mSocket(mContext)
+{
+  Error error;
+  mSocket.connect({ boost::asio::ip::make_address("127.0.0.1"), aPort }, error);
+  mIsConnected = !error;
+}
+
+void
+Caller::Send(const std::string& aBytes)
+{
+  WriteBytes(mSocket, aBytes);
+}
+
+SeenAnswer
+Caller::Read()
+{
+  SeenAnswer answer;
+  AnswerParser parser;
+  std::array<char, 4096> buffer{};
+  ParseState state = ParseState::NeedMore;
+  Error error;
+  while (true) {
+    if (answer.mHead.empty()) {
+      answer.mHead = mInput.substr(0, FindHeadEnd(mInput).value_or(0));
+    }
+    if (!answer.mHead.empty()) {
+      state = Feed(parser, mInput);
+    }
+    if (state != ParseState::NeedMore || error) {
+      break;
+    }
+    const std::size_t size =
+      mSocket.read_some(boost::asio::buffer(buffer), error);
+    mInput.append(buffer.data(), size);
+  }
+  answer.mBody = parser.TakeBody();
+  answer.mIsWhole = state == ParseState::Done;
+  return answer;
+}
+
+void
+Caller::Close()
+{
+  Error ignored;
+  mSocket.close(ignored);
+}
+
+ForwardFixture::ForwardFixture()
+  : mWork(mContext.get_executor())
+  , mDirectory(std::make_shared<FakeDirectory>(mContext))
+  , mLog("entry-1", std::make_shared<spdlog::sinks::null_sink_mt>())
+{
+  mSettings.mNode = InstanceId("entry-1");
+  mSettings.mZone = ZoneName("zone-0");
+  mSettings.mCallers = { "127.0.0.1", FreePort() };
+  mSettings.mPeers = { "127.0.0.1", FreePort() };
+}
+
+ForwardFixture::~ForwardFixture()
+{
+  mWork.reset();
+  mContext.stop();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+  mBackends.clear();
+}
+
+FakeBackend&
+ForwardFixture::AddBackend(FakeBackend::Script aScript)
+{
+  mBackends.push_back(std::make_unique<FakeBackend>(std::move(aScript)));
+  BackendEntry entry;
+  entry.mId = InstanceId("server-" + std::to_string(mContent.size()));
+  entry.mPool = PoolName("pool");
+  entry.mZone = ZoneName("zone-0");
+  entry.mEndpoint = mBackends.back()->Address();
+  entry.mRevision = 1;
+  mContent.emplace_back(entry);
+  return *mBackends.back();
+}
+
+void
+ForwardFixture::AddUnreachable()
+{
+  BackendEntry entry;
+  entry.mId = InstanceId("server-" + std::to_string(mContent.size()));
+  entry.mPool = PoolName("pool");
+  entry.mZone = ZoneName("zone-0");
+  entry.mEndpoint = { "127.0.0.1", FreePort() };
+  entry.mRevision = 1;
+  mContent.emplace_back(entry);
+}
+
+void
+ForwardFixture::Start(bool aHasDocument)
+{
+  if (aHasDocument) {
+    mContent.emplace_back(TestDocument());
+  }
+  mDirectory->Set(mContent);
+  mForwarder = std::make_unique<Forwarder>(
+    mContext, mSettings, TestProtocol(), mDirectory, mLog);
+  mForwarder->Start();
+  mThread = std::thread([this]() { mContext.run(); });
+  constexpr Milliseconds kPause{ 5 };
+  constexpr int kMostPauses = 1000;
+  bool hasRead = !aHasDocument;
+  for (int i = 0; i < kMostPauses && !hasRead; ++i) {
+    Run([&](const Forwarder& aForwarder) { hasRead = aForwarder.IsReady(); });
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+void
+ForwardFixture::Run(const std::function<void(Forwarder&)>& aTask)
+{
+  std::promise<void> done;
+  boost::asio::post(mContext, [&]() {
+    aTask(*mForwarder);
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+std::string
+ForwardFixture::RequestText(const std::string& aPath,
+                            const std::string& aFields,
+                            const std::string& aBody)
+{
+  std::string text = "POST " + aPath + " HTTP/1.1\r\nHost: host\r\n" +
+                     "Request: r-1\r\nAuthorization: Key secret\r\n" + aFields;
+  text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
+  return text + aBody;
+}
+
+SeenAnswer
+ForwardFixture::Call(const std::string& aPath,
+                     const std::string& aFields,
+                     const std::string& aBody)
+{
+  Caller caller(Port());
+  caller.Send(RequestText(aPath, aFields, aBody));
+  return caller.Read();
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/forward/forwardfixture.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "fakebackend.h"
+#include "forwarder.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace medlarkeel {
+
+/** A directory whose content a test sets. */
+class FakeDirectory : public DirectorySource
+{
+public:
+  explicit FakeDirectory(boost::asio::io_context& aContext);
+
+  void ReadAll(Handler aHandler) override;
+  void Watch(std::uint64_t aRevision,
+             Milliseconds aWait,
+             Handler aHandler) override;
+
+  /** Only on the thread of the context, or before it runs. */
+  void Set(std::vector<DirectoryChange> aContent);
+
+private:
+  boost::asio::io_context& mContext;
+  boost::asio::steady_timer mTimer;
+  std::vector<DirectoryChange> mContent;
+  std::uint64_t mRevision = 1;
+};
+
+/** What a test sees of an answer. */
+struct SeenAnswer
+{
+  std::string mHead;
+  std::string mBody;
+  /** Whether the body's framing shows that it is whole. */
+  bool mIsWhole = false;
+
+  int Status() const;
+  std::string Field(const std::string& aName) const
+  {
+    return FieldOf(mHead, aName);
+  }
+};
+
+/** A caller's connection that sends and reads blockingly. */
+class Caller
+{
+public:
+  explicit Caller(std::uint16_t aPort);
+
+  /** @return Whether the connection could be made. */
+  bool IsConnected() const { return mIsConnected; }
+  void Send(const std::string& aBytes);
+  /** Reads one answer, or up to the end of the connection. */
+  SeenAnswer Read();
+  void Close();
+
+private:
+  boost::asio::io_context mContext;
+  boost::asio::ip::tcp::socket mSocket;
+  std::string mInput;
+  bool mIsConnected = false;
+};
+
+/**
+ * A forwarder on loopback before fake backend servers. Routes of the host
+ * "host": /once/ (one attempt, at most once), /again/ (repeatable, two
+ * attempts), /stream/ (at most once), /resume/ (resumable, two attempts),
+ * /open/ (public, at most once).
+ */
+class ForwardFixture
+{
+public:
+  ForwardFixture();
+  ~ForwardFixture();
+  ForwardFixture(const ForwardFixture&) = delete;
+  ForwardFixture& operator=(const ForwardFixture&) = delete;
+
+  /** Adds a backend server; before Start. */
+  FakeBackend& AddBackend(FakeBackend::Script aScript);
+
+  /** Lists a server at an address that nobody serves; before Start. */
+  void AddUnreachable();
+
+  /** Publishes what was added, and runs until it has been read. */
+  void Start(bool aHasDocument = true);
+
+  /** Runs a task on the forwarder's thread and waits for it. */
+  void Run(const std::function<void(Forwarder&)>& aTask);
+
+  /** Sends one request on a connection of its own and reads the answer. */
+  SeenAnswer Call(const std::string& aPath,
+                  const std::string& aFields = "",
+                  const std::string& aBody = "");
+
+  /** @return The text of a request. */
+  static std::string RequestText(const std::string& aPath,
+                                 const std::string& aFields = "",
+                                 const std::string& aBody = "");
+
+  std::uint16_t Port() const { return mSettings.mCallers.mPort; }
+
+  static constexpr Milliseconds kRouteTimeout{ 1000 };
+
+private:
+  ForwardSettings mSettings;
+  boost::asio::io_context mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork;
+  std::shared_ptr<FakeDirectory> mDirectory;
+  EventLog mLog;
+  std::unique_ptr<Forwarder> mForwarder;
+  std::vector<std::unique_ptr<FakeBackend>> mBackends;
+  std::vector<DirectoryChange> mContent;
+  std::thread mThread;
+};
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/forward/test_forwarder.cpp
@@ -0,0 +1,429 @@
+#include "forwardfixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+
+namespace medlarkeel {
+
+namespace {
+
+using Socket = boost::asio::ip::tcp::socket;
+using Clock = std::chrono::steady_clock;
+
+/** Longest time until a cancelled request is cancelled at its server too. */
+constexpr Milliseconds kCancelBound{ 500 };
+
+FakeBackend::Script
+Answering(int aStatus, std::string aBody, std::string aExtra = "")
+{
+  return [=](Socket& aSocket, const std::string& aRequest) {
+    WriteBytes(aSocket, AnswerTo(aRequest, aStatus, aBody, aExtra));
+  };
+}
+
+std::string
+StreamHead(const std::string& aRequest)
+{
+  return "HTTP/1.1 200 OK\r\nRequest: " + FieldOf(aRequest, "Request") +
+         "\r\nProof: p1\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string
+ChunkOf(const std::string& aText)
+{
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", aText.size());
+  return size.data() + aText + "\r\n";
+}
+
+/** Sends part of a stream and breaks off in the middle of an event. */
+void
+BreakStream(Socket& aSocket, const std::string& aRequest)
+{
+  WriteBytes(aSocket,
+             StreamHead(aRequest) + ChunkOf("id: 1\ndata: a\n\n") +
+               ChunkOf("id: 2\nda"));
+  aSocket.shutdown(Socket::shutdown_both);
+}
+
+template<typename Condition>
+bool
+BecomesTrue(Milliseconds aBound, const Condition& aCondition)
+{
+  const auto end = Clock::now() + aBound;
+  while (Clock::now() < end) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  return aCondition();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(forwarder)
+
+BOOST_AUTO_TEST_CASE(AnswerIsPassedOnUnchanged)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend(Answering(200, "whole body"));
+  fixture.Start();
+  const SeenAnswer answer = fixture.Call("/once/x?y=1", "", "question");
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.mIsWhole);
+  BOOST_TEST(answer.mBody == "whole body");
+  BOOST_TEST(answer.Field("Proof") == "p1");
+  const std::string request = backend.Requests().at(0);
+  BOOST_TEST(request.find("POST /once/x?y=1 HTTP/1.1\r\n") == 0U);
+  BOOST_TEST(request.substr(request.size() - 8) == "question");
+}
+
+BOOST_AUTO_TEST_CASE(ServerSeesTheTeamAndNeverTheKey)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend(Answering(200, ""));
+  fixture.Start();
+  fixture.Call("/once/x", "tEaM: forged\r\nEXPECTED: forged\r\nRank: 0\r\n");
+  const std::string request = backend.Requests().at(0);
+  BOOST_TEST(FieldOf(request, "Team") == "team-1");
+  BOOST_TEST(FieldOf(request, "Expected") == "server-0");
+  BOOST_TEST(request.find("forged") == std::string::npos);
+  BOOST_TEST(request.find("secret") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(TimeLeftShrinks)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend(Answering(200, ""));
+  fixture.Start();
+  fixture.Call("/once/x", "Time-Left: 300\r\n");
+  fixture.Call("/once/x", "Time-Left: 90000\r\n");
+  BOOST_TEST(std::stoi(FieldOf(backend.Requests().at(0), "Time-Left")) < 300);
+  BOOST_TEST(std::stoi(FieldOf(backend.Requests().at(1), "Time-Left")) <
+             ForwardFixture::kRouteTimeout.count());
+}
+
+BOOST_AUTO_TEST_CASE(UnknownKeysAndPathsReachNoServer)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend(Answering(200, ""));
+  fixture.Start();
+  BOOST_TEST(fixture.Call("/none/x").Status() == 404);
+  Caller caller(fixture.Port());
+  caller.Send("GET /once/x HTTP/1.1\r\nHost: host\r\nRequest: r\r\n"
+              "Authorization: Key other\r\n\r\n");
+  BOOST_TEST(caller.Read().Status() == 401);
+  caller.Send("GET /open/x HTTP/1.1\r\nHost: host\r\nRequest: r\r\n\r\n");
+  BOOST_TEST(caller.Read().Status() == 200);
+  BOOST_TEST(backend.Requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EntryWithoutADocumentRefusesWithATimeToComeBack)
+{
+  ForwardFixture fixture;
+  fixture.Start(false);
+  const SeenAnswer answer = fixture.Call("/once/x");
+  BOOST_TEST(answer.Status() == 503);
+  BOOST_TEST(!answer.Field("Retry-After").empty());
+  fixture.Run(
+    [](const Forwarder& aForwarder) { BOOST_TEST(!aForwarder.IsReady()); });
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswerOfARequestThatRunsOnceIsNeitherRepeatedNorDenied)
+{
+  ForwardFixture fixture;
+  const auto drop = [](Socket& aSocket, const std::string&) {
+    aSocket.shutdown(Socket::shutdown_both);
+  };
+  FakeBackend& one = fixture.AddBackend(drop);
+  FakeBackend& other = fixture.AddBackend(drop);
+  fixture.Start();
+  const SeenAnswer answer = fixture.Call("/once/x");
+  BOOST_TEST(answer.Status() == 502);
+  BOOST_TEST(answer.Field("Proof").empty());
+  BOOST_TEST(one.Requests().size() + other.Requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(UntrueRefusalOfAServerIsNotPassedOn)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(Answering(503, "busy"));
+  fixture.Start();
+  BOOST_TEST(fixture.Call("/once/x").Status() == 502);
+}
+
+BOOST_AUTO_TEST_CASE(StatedRefusalTellsWhenToComeBack)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(Answering(503, "full", "Not-Run: 1\r\n"));
+  fixture.Start();
+  const SeenAnswer answer = fixture.Call("/once/x");
+  BOOST_TEST(answer.Status() == 503);
+  BOOST_TEST(std::stod(answer.Field("Retry-After")) > 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(RepeatableRequestIsTriedAtASecondServer)
+{
+  ForwardFixture fixture;
+  std::atomic<int> failures{ 0 };
+  const auto failOnce = [&](Socket& aSocket, const std::string& aRequest) {
+    const bool fails = failures++ == 0;
+    WriteBytes(aSocket,
+               AnswerTo(aRequest, fails ? 500 : 200, fails ? "no" : "yes"));
+  };
+  fixture.AddBackend(failOnce);
+  fixture.AddBackend(failOnce);
+  fixture.Start();
+  const SeenAnswer answer = fixture.Call("/again/x");
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.mBody == "yes");
+}
+
+BOOST_AUTO_TEST_CASE(UnreachableServerCostsNoRequest)
+{
+  ForwardFixture fixture;
+  fixture.AddUnreachable();
+  fixture.AddBackend(Answering(200, "served"));
+  fixture.Start();
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(fixture.Call("/once/x").Status() == 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReusedAddressIsLeft)
+{
+  ForwardFixture fixture;
+  FakeBackend& other = fixture.AddBackend(Answering(421, ""));
+  fixture.AddBackend(Answering(200, "served"));
+  fixture.Start();
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(fixture.Call("/once/x").Status() == 200);
+  }
+  BOOST_TEST(other.Requests().size() <= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CutAnswerDoesNotLookWhole)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(BreakStream);
+  fixture.Start();
+  const SeenAnswer answer = fixture.Call("/stream/x");
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(!answer.mIsWhole);
+  BOOST_TEST(answer.mBody == "id: 1\ndata: a\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(ShortenedAnswerIsNoSuccess)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend([](Socket& aSocket, const std::string& aRequest) {
+    const std::string whole = AnswerTo(aRequest, 200, "whole body");
+    WriteBytes(aSocket, whole.substr(0, whole.size() - 3));
+    aSocket.shutdown(Socket::shutdown_both);
+  });
+  fixture.Start();
+  BOOST_TEST(fixture.Call("/once/x").Status() == 502);
+}
+
+BOOST_AUTO_TEST_CASE(BrokenStreamGoesOnBehindTheLastWholeEvent)
+{
+  ForwardFixture fixture;
+  std::atomic<int> runs{ 0 };
+  std::string resumedFrom;
+  const auto breakOnce = [&](Socket& aSocket, const std::string& aRequest) {
+    if (runs++ == 0) {
+      BreakStream(aSocket, aRequest);
+      return;
+    }
+    resumedFrom = FieldOf(aRequest, "Last-Event-Id");
+    WriteBytes(aSocket,
+               StreamHead(aRequest) + ChunkOf("id: 2\ndata: b\n\n") +
+                 "0\r\n\r\n");
+  };
+  fixture.AddBackend(breakOnce);
+  fixture.AddBackend(breakOnce);
+  fixture.Start();
+  const SeenAnswer answer = fixture.Call("/resume/x");
+  BOOST_TEST(answer.mIsWhole);
+  BOOST_TEST(answer.mBody == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(resumedFrom == "1");
+}
+
+BOOST_AUTO_TEST_CASE(AnswerOfAnEarlierRequestIsSkipped)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend([](Socket& aSocket, const std::string& aRequest) {
+    WriteBytes(aSocket,
+               AnswerTo("Request: other\r\n", 200, "not yours") +
+                 AnswerTo(aRequest, 200, "yours"));
+  });
+  fixture.Start();
+  const SeenAnswer answer = fixture.Call("/once/x");
+  BOOST_TEST(answer.mBody == "yours");
+}
+
+BOOST_AUTO_TEST_CASE(BytesBehindAnAnswerReachNobody)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend([](Socket& aSocket, const std::string& aRequest) {
+    WriteBytes(aSocket,
+               AnswerTo(aRequest, 200, "yours") +
+                 AnswerTo(aRequest, 200, "again"));
+  });
+  fixture.Start();
+  for (int i = 0; i < 3; ++i) {
+    const SeenAnswer answer = fixture.Call("/once/x");
+    BOOST_TEST(answer.Status() == 200);
+    BOOST_TEST(answer.mBody == "yours");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnswerUntilTheEndOfItsConnectionIsWhole)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend([](Socket& aSocket, const std::string& aRequest) {
+    WriteBytes(aSocket,
+               "HTTP/1.1 200 OK\r\nRequest: " + FieldOf(aRequest, "Request") +
+                 "\r\n\r\nuntil the end");
+    aSocket.shutdown(Socket::shutdown_both);
+  });
+  fixture.Start();
+  const SeenAnswer answer = fixture.Call("/once/x");
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.mBody == "until the end");
+}
+
+BOOST_AUTO_TEST_CASE(LeavingCallerEndsTheWork)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend([](Socket&, const std::string&) {});
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send(ForwardFixture::RequestText("/once/x"));
+  BOOST_REQUIRE(
+    BecomesTrue(kCancelBound, [&]() { return !backend.Requests().empty(); }));
+  caller.Close();
+  BOOST_TEST(BecomesTrue(kCancelBound,
+                         [&]() { return backend.ClosedConnections() == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(SilentServerIsGivenUpAtTheTimeLimit)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend([](Socket&, const std::string&) {});
+  fixture.Start();
+  const auto begin = Clock::now();
+  BOOST_TEST(fixture.Call("/once/x").Status() == 504);
+  const auto passed = Clock::now() - begin;
+  BOOST_CHECK(passed >= ForwardFixture::kRouteTimeout);
+  BOOST_CHECK(passed < ForwardFixture::kRouteTimeout + kCancelBound);
+  BOOST_TEST(BecomesTrue(kCancelBound,
+                         [&]() { return backend.ClosedConnections() == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(KeptConnectionServesOneRequestAfterTheOther)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(Answering(200, "yes", "Keep-Alive: timeout=5\r\n"));
+  fixture.Start();
+  Caller caller(fixture.Port());
+  for (int i = 0; i < 3; ++i) {
+    caller.Send(ForwardFixture::RequestText("/once/x"));
+    BOOST_TEST(caller.Read().mBody == "yes");
+  }
+  caller.Send(ForwardFixture::RequestText("/once/x") +
+              ForwardFixture::RequestText("/once/y"));
+  BOOST_TEST(caller.Read().mBody == "yes");
+  BOOST_TEST(caller.Read().mBody == "yes");
+  fixture.Run([](Forwarder& aForwarder) {
+    BOOST_TEST(aForwarder.Counters().mConnectionsOpened == 1U);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedRequestArrivesWithItsLength)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend(Answering(200, ""));
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send("POST /once/x HTTP/1.1\r\nHost: host\r\nRequest: r\r\n"
+              "Authorization: Key secret\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  BOOST_TEST(caller.Read().Status() == 200);
+  const std::string request = backend.Requests().at(0);
+  BOOST_TEST(request.substr(request.size() - 5) == "abcde");
+}
+
+BOOST_AUTO_TEST_CASE(MalformedRequestsAreRejectedAndReachNoServer)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend(Answering(200, ""));
+  fixture.Start();
+  const std::string begin =
+    "POST /once/x HTTP/1.1\r\nHost: host\r\nRequest: r\r\n"
+    "Authorization: Key secret\r\n";
+  for (const char* rest : {
+         "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+         "Content-Length: +5\r\n\r\nabcde",
+         "Content-Length: 5,5\r\n\r\nabcde",
+         "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+         "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+         "Transfer-Encoding: chunked\r\n\r\n-1\r\nabc\r\n0\r\n\r\n",
+         "Folded: a\r\n b\r\n\r\n",
+         "Space : a\r\n\r\n",
+         "Host: other\r\n\r\n",
+         "no colon\r\n\r\n",
+         "Time-Left: soon\r\n\r\n",
+       }) {
+    Caller caller(fixture.Port());
+    caller.Send(begin + rest);
+    BOOST_TEST(caller.Read().Status() == 400, rest);
+  }
+  BOOST_TEST(backend.Requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(SlowAndLargeHeadsAreRejected)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(Answering(200, ""));
+  fixture.Start();
+  Caller slow(fixture.Port());
+  slow.Send("POST /once/x HTTP/1.1\r\n");
+  BOOST_TEST(slow.Read().Status() == 408);
+  Caller large(fixture.Port());
+  large.Send("GET /" + std::string(20'000, 'a') + " HTTP/1.1\r\n\r\n");
+  BOOST_TEST(large.Read().Status() == 431);
+  Caller body(fixture.Port());
+  body.Send("POST /once/x HTTP/1.1\r\nHost: host\r\n"
+            "Content-Length: 99999999\r\n\r\n");
+  BOOST_TEST(body.Read().Status() == 413);
+}
+
+/** The balancer goes on sending connections where no other entry is left;
+ * those taken until the end were cut (hunt-bb9d-7, hunt-bb9d-19). */
+BOOST_AUTO_TEST_CASE(EndingEntryStopsTakingConnectionsInTimeToFinishThem)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(Answering(200, "yes"));
+  fixture.Start();
+  Caller idle(fixture.Port());
+  idle.Send(ForwardFixture::RequestText("/once/x"));
+  BOOST_TEST(idle.Read().Status() == 200);
+  fixture.Run([](Forwarder& aForwarder) {
+    aForwarder.Stop();
+    BOOST_TEST(!aForwarder.IsReady());
+  });
+  const SeenAnswer answer = fixture.Call("/once/x");
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.Field("Connection") == "close");
+  constexpr Milliseconds kStopsListening{ 3500 };
+  BOOST_TEST(BecomesTrue(
+    kStopsListening, [&]() { return !Caller(fixture.Port()).IsConnected(); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/forward/test_forwardsettings.cpp
@@ -0,0 +1,85 @@
+#include "forwardcounters.h"
+#include "forwardsettings.h"
+#include "peerchannel.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace medlarkeel {
+
+namespace {
+
+const char* const kSettings = R"({
+  "node": "entry-1", "zone": "a",
+  "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81",
+  "metrics": "10.0.0.1:82", "peers": "10.0.0.1:82",
+  "seeds": ["10.0.0.1:9", "10.0.0.2:9"], "directory": "10.0.0.9:83",
+  "heartbeatMs": 1200, "shutdownBoundSeconds": 8.0, "retryShare": 0.2,
+  "retryReserve": 52, "coldFactor": 1.5, "coldReserve": 5 })";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(forwardsettings)
+
+BOOST_AUTO_TEST_CASE(SettingsAreRead)
+{
+  const ForwardSettingsResult settings = ParseForwardSettings(kSettings);
+  BOOST_REQUIRE(settings.has_value());
+  BOOST_TEST(settings.value().mShutdownBound.count() == 8000);
+  BOOST_TEST(settings.value().mCallers.mPort == 80);
+  BOOST_TEST(settings.value().mSeeds.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(EveryMistakeIsReportedAtOnce)
+{
+  const ForwardSettingsResult settings = ParseForwardSettings(R"({
+    "node": "", "zone": "a", "callers": "host:80", "readiness": "10.0.0.1",
+    "metrics": "10.0.0.1:82", "peers": "10.0.0.1:82", "seeds": ["x"],
+    "directory": "10.0.0.9:83", "heartbeatMs": 0, "extra": 1,
+    "shutdownBoundSeconds": 8.0, "retryShare": 0.2, "retryReserve": 52,
+    "coldFactor": 1.5, "coldReserve": 5 })");
+  BOOST_REQUIRE(!settings.has_value());
+  BOOST_TEST(settings.error().size() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(CountersAreRenderedAsText)
+{
+  ForwardCounters counters;
+  counters.mRequests = 3;
+  counters.mFirstByte.Record(7.0);
+  const std::string text = RenderForwardCounters(counters, 2);
+  BOOST_TEST(text.find("medlarkeel_forward_requests_total 3") !=
+             std::string::npos);
+  BOOST_TEST(text.find("medlarkeel_forward_log_lines_dropped_total 2") !=
+             std::string::npos);
+  BOOST_TEST(
+    text.find("medlarkeel_forward_first_byte_ms_bucket{le=\"10\"} 1") !=
+    std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(PeerReportsSurviveTheirEncoding)
+{
+  PeerReport report;
+  report.mAddress = "10.0.0.1";
+  report.mSequence = 7;
+  report.mLoads[4'000'000'000U] = { 3, 40'000 };
+  report.mKnown = { "10.0.0.2" };
+  const auto decoded = DecodePeerReport(EncodePeerReport(report));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->mAddress == report.mAddress);
+  BOOST_TEST(decoded->mSequence == 7U);
+  BOOST_TEST(decoded->mLoads.at(4'000'000'000U).mUnreadTokens == 40'000U);
+  BOOST_TEST(decoded->mKnown.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(BytesThatAreNoReportAreRefused)
+{
+  BOOST_TEST(!DecodePeerReport("").has_value());
+  BOOST_TEST(!DecodePeerReport("not a report").has_value());
+  PeerReport report;
+  report.mAddress = "no address";
+  BOOST_TEST(!DecodePeerReport(EncodePeerReport(report)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
--- /dev/null
+++ b/tests/platform/test_storeitems.cpp
@@ -0,0 +1,164 @@
+#include "storeitems.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace medlarkeel::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json
+Item(const std::string& aKey, const std::string& aValue, int aRevision)
+{
+  namespace base64 = boost::beast::detail::base64;
+  std::string encoded(base64::encoded_size(aValue.size()), '\0');
+  encoded.resize(base64::encode(encoded.data(), aValue.data(), aValue.size()));
+  return { { "key", aKey },
+           { "value", encoded },
+           { "revision", aRevision },
+           { "created", 1 },
+           { "lease", 0 } };
+}
+
+StorePage
+Page(const Json& aItems)
+{
+  const Json body{ { "items", aItems },
+                   { "has-more", false },
+                   { "current-rev", 9 } };
+  StorePageResult page = ParseStorePage(body.dump(), "items");
+  BOOST_REQUIRE(page.has_value());
+  return page.value();
+}
+
+const char* const kServer =
+  R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1",
+  "slots":64,"state":"ready","cold-remaining-ms":250.5,"sequence":4,
+  "born":1700000000000})";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(storeitems)
+
+BOOST_AUTO_TEST_CASE(BackendServerIsDecoded)
+{
+  const StorePage page = Page(Json::array({ Item("servers/i-1", kServer, 5) }));
+  BOOST_TEST(page.mContent.mRevision == 9U);
+  const auto& entry = std::get<BackendEntry>(page.mContent.mChanges.at(0));
+  BOOST_TEST(entry.mId.Text() == "i-1");
+  BOOST_TEST(entry.mPool.Text() == "s");
+  BOOST_TEST(entry.mEndpoint.mPort == 8080);
+  BOOST_TEST(entry.mColdRemaining.count() == 250);
+  BOOST_TEST(entry.mStartedAt->count() == 1700000000000);
+  BOOST_TEST(entry.mRevision == 5U);
+  BOOST_TEST(!entry.mIsDraining);
+}
+
+BOOST_AUTO_TEST_CASE(ForgedEntriesNameNoServerAndLeaveTheOthers)
+{
+  Json items = Json::array({ Item("servers/good", kServer, 5) });
+  for (const char* value :
+       { "",
+         "not json",
+         "[]",
+         "7",
+         R"({"service":"s"})",
+         R"({"service":"s","address":"10.1.1.1:1","zone":"z","state":"odd",
+             "cold-remaining-ms":0,"sequence":1})",
+         R"({"service":7,"address":"10.1.1.1:1","zone":"z","state":"ready",
+             "cold-remaining-ms":0,"sequence":1})",
+         R"({"service":"s","address":"host:1","zone":"z","state":"ready",
+             "cold-remaining-ms":0,"sequence":1})",
+         R"({"service":"s","address":"10.1.1.1:1","zone":"z","state":"ready",
+             "cold-remaining-ms":"0","sequence":1})",
+         R"({"service":"s","address":"10.1.1.1:1","zone":"z","state":"ready",
+             "cold-remaining-ms":0,"sequence":1,"born":1.5})",
+         R"({"service":"s","address":"10.1.1.1:1","zone":"z","state":"ready",
+             "cold-remaining-ms":0,"sequence":"x"})" }) {
+    items.push_back(Item("servers/forged", value, 6));
+  }
+  items.push_back({ { "key", "servers/raw" },
+                    { "value", "%%%" },
+                    { "revision", 7 },
+                    { "lease", 0 } });
+  const StorePage page = Page(items);
+  std::size_t unreadable = 0;
+  std::size_t entries = 0;
+  for (const DirectoryChange& change : page.mContent.mChanges) {
+    unreadable += std::holds_alternative<UnreadableItem>(change) ? 1 : 0;
+    entries += std::holds_alternative<BackendEntry>(change) ? 1 : 0;
+  }
+  BOOST_TEST(entries == 1U);
+  BOOST_TEST(unreadable == items.size() - 1);
+}
+
+BOOST_AUTO_TEST_CASE(RemovalsAndZonesAreDecoded)
+{
+  const Json body{
+    { "events",
+      { { { "key", "servers/i-1" }, { "revision", 8 }, { "tombstone", true } },
+        Item("op/evacuate/z", "{}", 9),
+        { { "key", "op/evacuate/z" },
+          { "revision", 10 },
+          { "tombstone", true } } } },
+    { "current-rev", 10 }
+  };
+  StorePageResult page = ParseStorePage(body.dump(), "events");
+  BOOST_REQUIRE(page.has_value());
+  const auto& changes = page.value().mContent.mChanges;
+  BOOST_REQUIRE(changes.size() == 3U);
+  BOOST_TEST(std::get<BackendRemoval>(changes[0]).mRevision == 8U);
+  BOOST_TEST(std::get<ZoneEvacuation>(changes[1]).mIsEvacuated);
+  BOOST_TEST(!std::get<ZoneEvacuation>(changes[2]).mIsEvacuated);
+}
+
+BOOST_AUTO_TEST_CASE(DocumentIsDecoded)
+{
+  const char* value = R"({"version":7,"routes":[
+    {"name":"r","host":"h","path-prefix":"/a/","kind":"streaming",
+     "timeout-ms":8000,"target-latency-ms":1500,"priority":2,
+     "weighted-services":[{"service":"s","weight":90},
+                          {"service":"t","weight":10}],
+     "max-attempts":2,"public":false,"stream-resume":true},
+    {"name":"q","host":"h","path-prefix":"/b/","kind":"idempotent",
+     "timeout-ms":80,"target-latency-ms":15,"service":"s"}],
+    "services":[{"name":"s","max-connections":360,"cold-start-s":3.0,
+                 "cold-per-s":8.4,"engine":{"slots":64}}],
+    "limits":{"max-header-bytes":100,"max-body-bytes":200,
+              "header-timeout-ms":3,"idle-timeout-ms":4},
+    "tenants":[{"name":"one","api-keys":["k1","k2"],"priority":1}]})";
+  const StorePage page = Page(Json::array({ Item("op/config", value, 5) }));
+  const auto document =
+    std::get<ForwardingDocumentPointer>(page.mContent.mChanges.at(0));
+  BOOST_TEST(document->mVersion == 7U);
+  const ForwardRoute* stream = document->FindRoute("h", "/a/x");
+  BOOST_REQUIRE(stream != nullptr);
+  BOOST_TEST(stream->mIsStream);
+  BOOST_TEST(stream->mIsResumable);
+  BOOST_CHECK(stream->mRepeatRule == RepeatRule::AtMostOnce);
+  BOOST_TEST(stream->mPools.size() == 2U);
+  BOOST_CHECK(document->FindRoute("h", "/b/")->mRepeatRule ==
+              RepeatRule::Repeatable);
+  BOOST_TEST(document->mPools.at(PoolName("s")).mIsModel);
+  BOOST_TEST(document->mLimits.mHeaderBytes == 100U);
+  BOOST_TEST(document->FindTeam("k2")->mName.Text() == "one");
+  BOOST_TEST(document->FindTeam("k2")->mTier->mValue == 1);
+}
+
+BOOST_AUTO_TEST_CASE(BodyThatIsNoPageIsRefused)
+{
+  for (const char* body : { "",
+                            "{}",
+                            "[]",
+                            R"({"items":[]})",
+                            R"({"current-rev":"x","items":[]})" }) {
+    BOOST_TEST(!ParseStorePage(body, "items").has_value());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel::platform
