--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace medlarkeel {
 
@@ -132,22 +133,24 @@
                              Timestamp aNow) const
 {
   const auto found = mServers.find(aServer.mEntry.mId);
+  const std::size_t sharedParts =
+    aPrompt.mParts.empty() ? 0 : aPrompt.mParts.size() - 1;
   double cached = 0.0;
-  for (std::size_t i = 0; i + 1 < aPrompt.mParts.size(); ++i) {
-    const PromptPart& part = aPrompt.mParts[i];
-    bool wasSent = false;
-    if (found != mServers.end()) {
-      const auto sent = found->second.mSentParts.find(part.mId);
-      wasSent = sent != found->second.mSentParts.end() &&
-                aNow - sent->second < mSettings.mCacheMemory;
-    }
-    if (wasSent) {
-      cached += part.mTokens;
-    } else if (aIsHome) {
-      cached += part.mTokens * mSettings.mHomeCachedShare;
-    } else {
-      break;
+  double shared = 0.0;
+  for (std::size_t i = 0; i < sharedParts; ++i) {
+    shared += aPrompt.mParts[i].mTokens;
+    if (found == mServers.end()) {
+      continue;
     }
+    const auto sent = found->second.mSentParts.find(
+      static_cast<std::uint32_t>(aPrompt.mParts[i].mId));
+    const bool isHeld = sent != found->second.mSentParts.end() &&
+                        aNow - sent->second < mSettings.mCacheMemory;
+    // A server that holds a part holds all parts before it.
+    cached = isHeld ? shared : cached;
+  }
+  if (aIsHome) {
+    cached = std::max(cached, shared * mSettings.mHomeCachedShare);
   }
   const double unread = std::max(0.0, aPrompt.mPromptTokens - cached);
   return static_cast<std::uint32_t>(unread);
@@ -275,11 +278,40 @@
   if (state.mSentParts.size() > kMostSentParts) {
     state.mSentParts.clear();
   }
+  const std::uint64_t key = aPrompt->AffinityKey();
   for (const PromptPart& part : aPrompt->mParts) {
-    state.mSentParts[part.mId] = aNow;
+    Timestamp& sentAt =
+      state.mSentParts[static_cast<std::uint32_t>(part.mId)];
+    if (part.mId == key && aNow - sentAt >= mSettings.mTellAgain) {
+      mSentParts.push_back({ ServerHash(aChoice.mId),
+                             static_cast<std::uint32_t>(part.mId) });
+    }
+    sentAt = aNow;
   }
 }
 
+void
+BackendChooser::RecordOtherSent(const std::vector<SentPart>& aSent,
+                                Timestamp aNow)
+{
+  std::unordered_map<std::uint32_t, ServerState*> byHash;
+  for (auto& [id, state] : mServers) {
+    byHash[ServerHash(id)] = &state;
+  }
+  for (const SentPart& part : aSent) {
+    const auto found = byHash.find(part.mServer);
+    if (found != byHash.end()) {
+      found->second->mSentParts[part.mPart] = aNow;
+    }
+  }
+}
+
+std::vector<SentPart>
+BackendChooser::TakeSentParts()
+{
+  return std::exchange(mSentParts, {});
+}
+
 void
 BackendChooser::RecordFirstByte(const BackendChoice& aChoice)
 {
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -42,6 +42,8 @@
   /** Time after which a prompt's part that wasn't sent again isn't counted as
    * cached any more. */
   Microseconds mCacheMemory = std::chrono::seconds(30);
+  /** Time within which a part that was sent again isn't told again. */
+  Microseconds mTellAgain = std::chrono::seconds(5);
   /** Time over which the sizes of prompts are averaged. */
   Microseconds mDemandMemory = std::chrono::seconds(4);
   BackendHealthSettings mHealth;
@@ -106,6 +108,13 @@
   /** Takes over what the other entries have in progress. */
   void SetOtherLoads(ServerLoads aLoads) { mOtherLoads = std::move(aLoads); }
 
+  /** Takes over what another entry sent lately. */
+  void RecordOtherSent(const std::vector<SentPart>& aSent, Timestamp aNow);
+
+  /** @return Last shared parts that were sent since the last call, each once
+   * in a while. */
+  std::vector<SentPart> TakeSentParts();
+
   /** @return What this entry has in progress. */
   ServerLoads OwnLoads() const;
 
@@ -141,7 +150,8 @@
     std::size_t mRequests = 0;
     std::size_t mReading = 0;
     double mUnreadTokens = 0.0;
-    std::unordered_map<std::uint64_t, Timestamp> mSentParts;
+    /** When parts were last sent there, by the lower half of their id. */
+    std::unordered_map<std::uint32_t, Timestamp> mSentParts;
     BackendHealth mHealth;
     /** When requests were sent to the server while it was cold. */
     std::deque<Timestamp> mColdRequests;
@@ -180,6 +190,7 @@
   std::mt19937_64 mRandom;
   std::unordered_map<InstanceId, ServerState> mServers;
   ServerLoads mOtherLoads;
+  std::vector<SentPart> mSentParts;
   /** Prompt tokens to be read lately, weighted by age. */
   double mShortTokens = 0.0;
   double mLongTokens = 0.0;
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -22,15 +22,15 @@
 {
 }
 
-void
+bool
 PeerView::Record(const PeerReport& aReport, Timestamp aNow)
 {
   if (aReport.mAddress == mOwn) {
-    return;
+    return false;
   }
   Peer& peer = mPeers[aReport.mAddress];
   if (aReport.mSequence <= peer.mSequence) {
-    return;
+    return false;
   }
   peer.mHeardAt = aNow;
   peer.mSequence = aReport.mSequence;
@@ -41,6 +41,7 @@
       mPeers[known].mHeardAt = aNow;
     }
   }
+  return true;
 }
 
 std::vector<std::string>
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -25,6 +25,15 @@
 std::uint32_t
 ServerHash(const InstanceId& aId);
 
+/** A shared part of a prompt that was sent to a backend server. */
+struct SentPart
+{
+  /** Hash of the server's id. */
+  std::uint32_t mServer = 0;
+  /** Lower half of the part's id. */
+  std::uint32_t mPart = 0;
+};
+
 /** What one entry tells the others. */
 struct PeerReport
 {
@@ -33,6 +42,8 @@
   /** Rises with each report of one life of a process, and between lives. */
   std::uint64_t mSequence = 0;
   ServerLoads mLoads;
+  /** Last shared parts of prompts that were sent since the last report. */
+  std::vector<SentPart> mSent;
   /** IP numbers of entries that the sender knows; may be left out. */
   std::vector<std::string> mKnown;
 };
@@ -43,7 +54,7 @@
    * that prompts wait at a loaded server. */
   Milliseconds mLeastInterval{ 200 };
   /** Added for each entry, so that the traffic of an entry stays bounded. */
-  Milliseconds mIntervalPerEntry{ 25 };
+  Milliseconds mIntervalPerEntry{ 15 };
   /** Time after which the load of a silent peer isn't counted. */
   Milliseconds mLoadLife{ 1500 };
   /** Time after which a silent peer isn't counted as an entry: longer than
@@ -65,8 +76,8 @@
            std::string aOwn,
            std::vector<std::string> aSeeds);
 
-  /** Takes a report over unless a newer one of the peer is known. */
-  void Record(const PeerReport& aReport, Timestamp aNow);
+  /** Takes a report over. @return Whether it is newer than the known one. */
+  bool Record(const PeerReport& aReport, Timestamp aNow);
 
   /** @return Whom to send reports to. */
   std::vector<std::string> Targets(Timestamp aNow) const;
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -51,11 +51,16 @@
   return "unknown";
 }
 
+/** Pauses between calls for changes that fit into the time in which a change
+ * must be in force: room for a silent call and a full reading besides. */
+constexpr int kPausesPerBound = 4;
+
 FollowerSettings
 FollowerSettingsOf(const ForwardSettings& aSettings)
 {
   FollowerSettings settings;
   settings.mOutage = aSettings.mHeartbeat * 2;
+  settings.mPause = aSettings.mChangeBound / kPausesPerBound;
   return settings;
 }
 
@@ -74,10 +79,17 @@
   , mFollower(FollowerSettingsOf(aSettings))
   , mChooser(ChooserSettings(), aSettings.mZone, NewIncarnation().mValue)
   , mPeers(PeerSettings(), aSettings.mPeers.mAddress, aSettings.mSeeds)
-  , mPeerChannel(aContext,
-                 aSettings.mPeers,
-                 mPeers,
-                 [this]() { return mChooser.OwnLoads(); })
+  , mPeerChannel(
+      aContext,
+      aSettings.mPeers,
+      mPeers,
+      [this](PeerReport& aReport) {
+        aReport.mLoads = mChooser.OwnLoads();
+        aReport.mSent = mChooser.TakeSentParts();
+      },
+      [this](const PeerReport& aReport) {
+        mChooser.RecordOtherSent(aReport.mSent, BootNow());
+      })
   , mConnections(aContext, mCounters)
   , mAcceptor(aContext)
   , mDirectoryTimer(aContext)
--- a/src/libmedlarkeelforward/forwardsettings.cpp
+++ b/src/libmedlarkeelforward/forwardsettings.cpp
@@ -87,6 +87,8 @@
     const IntegerRange time{ 1, kMostMilliseconds, "ms" };
     reader.Duration(
       "heartbeatMs", Presence::Required, time, settings.mHeartbeat);
+    reader.Duration(
+      "changeBoundMs", Presence::Required, time, settings.mChangeBound);
     double shutdownSeconds = 0.0;
     reader.Number("shutdownBoundSeconds",
                   Presence::Required,
--- a/src/libmedlarkeelforward/forwardsettings.h
+++ b/src/libmedlarkeelforward/forwardsettings.h
@@ -23,6 +23,8 @@
   Endpoint mDirectory;
   /** Interval in which backend servers renew their entries. */
   Milliseconds mHeartbeat{ 1200 };
+  /** Time in which a change that was published must be in force. */
+  Milliseconds mChangeBound{ 2000 };
   /** Time between the request to end and the end of the process. */
   Milliseconds mShutdownBound{ 8000 };
   /** Further attempts that a pool takes for each request. */
--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -26,6 +26,14 @@
   Json report{ { "a", aReport.mAddress },
                { "s", aReport.mSequence },
                { "l", std::move(loads) } };
+  if (!aReport.mSent.empty()) {
+    Json sent = Json::array();
+    for (const SentPart& part : aReport.mSent) {
+      sent.push_back(part.mServer);
+      sent.push_back(part.mPart);
+    }
+    report["p"] = std::move(sent);
+  }
   if (!aReport.mKnown.empty()) {
     report["k"] = aReport.mKnown;
   }
@@ -53,6 +61,13 @@
         loads[i + 1].get<std::uint32_t>(), loads[i + 2].get<std::uint32_t>()
       };
     }
+    if (report.contains("p")) {
+      const Json& sent = report.at("p");
+      for (std::size_t i = 0; i + 1 < sent.size(); i += 2) {
+        decoded.mSent.push_back({ sent[i].get<std::uint32_t>(),
+                                  sent[i + 1].get<std::uint32_t>() });
+      }
+    }
     if (report.contains("k")) {
       decoded.mKnown = report.at("k").get<std::vector<std::string>>();
     }
@@ -65,14 +80,16 @@
 PeerChannel::PeerChannel(boost::asio::io_context& aContext,
                          const Endpoint& aOwn,
                          PeerView& aView,
-                         std::function<ServerLoads()> aLoads)
+                         std::function<void(PeerReport&)> aFill,
+                         std::function<void(const PeerReport&)> aTake)
   : mSocket(aContext,
             udp::endpoint(boost::asio::ip::make_address(aOwn.mAddress),
                           aOwn.mPort))
   , mTimer(aContext)
   , mAddress(aOwn.mAddress)
   , mView(aView)
-  , mLoads(std::move(aLoads))
+  , mFill(std::move(aFill))
+  , mTake(std::move(aTake))
   , mSequence(NewIncarnation().mValue)
 {
   mSocket.non_blocking(true);
@@ -101,10 +118,10 @@
         // A report counts only when it comes from the address it names.
         const bool isSound =
           report && report->mAddress == mSender.address().to_string();
-        if (isSound) {
-          mView.Record(*report, BootNow());
-        } else {
+        if (!isSound) {
           mUnreadable += 1;
+        } else if (mView.Record(*report, BootNow())) {
+          mTake(*report);
         }
       }
       Receive();
@@ -118,7 +135,7 @@
   PeerReport report;
   report.mAddress = mAddress;
   report.mSequence = ++mSequence;
-  report.mLoads = mLoads();
+  mFill(report);
   const std::vector<std::string> targets = mView.Targets(now);
   if (mRounds++ % kRoundsBetweenNames == 0) {
     report.mKnown = targets;
--- a/src/libmedlarkeelforward/peerchannel.h
+++ b/src/libmedlarkeelforward/peerchannel.h
@@ -32,12 +32,14 @@
 public:
   /**
    * @param aOwn Where reports arrive; the port is the same at all entries.
-   * @param aLoads Finds what this entry has in progress.
+   * @param aFill Adds what this entry does to a report.
+   * @param aTake Gets each new report.
    */
   PeerChannel(boost::asio::io_context& aContext,
               const Endpoint& aOwn,
               PeerView& aView,
-              std::function<ServerLoads()> aLoads);
+              std::function<void(PeerReport&)> aFill,
+              std::function<void(const PeerReport&)> aTake);
 
   void Start();
 
@@ -57,7 +59,8 @@
   std::array<char, 16384> mBuffer{};
   std::string mAddress;
   PeerView& mView;
-  std::function<ServerLoads()> mLoads;
+  std::function<void(PeerReport&)> mFill;
+  std::function<void(const PeerReport&)> mTake;
   std::uint64_t mSequence;
   std::uint64_t mRounds = 0;
   std::uint64_t mUnreadable = 0;
--- a/tests/core/test_backendchooser.cpp
+++ b/tests/core/test_backendchooser.cpp
@@ -110,6 +110,27 @@
   BOOST_CHECK(Choose(chooser, pool, prompt)->mId != first);
 }
 
+BOOST_AUTO_TEST_CASE(PartsThatAnotherEntrySentAreTakenForHeld)
+{
+  const ServerPool pool(12);
+  BackendChooser one = NewChooser();
+  BackendChooser other = NewChooser();
+  const auto prompt = Prompt(5, 13'000, 3000);
+  const auto home = Choose(one, pool, prompt);
+  Choose(other, pool, prompt);
+  one.SetOtherLoads({ { ServerHash(home->mId), { 20, 200'000 } } });
+  const auto elsewhere = Choose(one, pool, prompt);
+  BOOST_REQUIRE(elsewhere->mId != home->mId);
+  one.RecordStarted(*elsewhere, prompt, kStart);
+  one.RecordEnded(*elsewhere, false);
+  const auto sent = one.TakeSentParts();
+  BOOST_REQUIRE(sent.size() == 1U);
+  BOOST_TEST(one.TakeSentParts().empty());
+  other.RecordOtherSent(sent, kStart);
+  other.SetOtherLoads({ { ServerHash(home->mId), { 20, 200'000 } } });
+  BOOST_CHECK(Choose(other, pool, prompt)->mId == elsewhere->mId);
+}
+
 /** Long drafts arrive in a wave while short announcements go on: replays the
  * load in which short prompts waited behind long ones. */
 BOOST_AUTO_TEST_CASE(ShortPromptsAreKeptApartFromAWaveOfLongOnes)
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -13,7 +13,7 @@
   "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81",
   "metrics": "10.0.0.1:82", "peers": "10.0.0.1:82",
   "seeds": ["10.0.0.1:9", "10.0.0.2:9"], "directory": "10.0.0.9:83",
-  "heartbeatMs": 1200, "shutdownBoundSeconds": 8.0, "retryShare": 0.2,
+  "heartbeatMs": 1200, "changeBoundMs": 2000, "shutdownBoundSeconds": 8.0, "retryShare": 0.2,
   "retryReserve": 52, "coldFactor": 1.5, "coldReserve": 5 })";
 
 } // namespace
@@ -34,7 +34,7 @@
   const ForwardSettingsResult settings = ParseForwardSettings(R"({
     "node": "", "zone": "a", "callers": "host:80", "readiness": "10.0.0.1",
     "metrics": "10.0.0.1:82", "peers": "10.0.0.1:82", "seeds": ["x"],
-    "directory": "10.0.0.9:83", "heartbeatMs": 0, "extra": 1,
+    "directory": "10.0.0.9:83", "heartbeatMs": 0, "changeBoundMs": 2000, "extra": 1,
     "shutdownBoundSeconds": 8.0, "retryShare": 0.2, "retryReserve": 52,
     "coldFactor": 1.5, "coldReserve": 5 })");
   BOOST_REQUIRE(!settings.has_value());
@@ -63,12 +63,15 @@
   report.mSequence = 7;
   report.mLoads[4'000'000'000U] = { 3, 40'000 };
   report.mKnown = { "10.0.0.2" };
+  report.mSent = { { 4'000'000'000U, 7 } };
   const auto decoded = DecodePeerReport(EncodePeerReport(report));
   BOOST_REQUIRE(decoded.has_value());
   BOOST_TEST(decoded->mAddress == report.mAddress);
   BOOST_TEST(decoded->mSequence == 7U);
   BOOST_TEST(decoded->mLoads.at(4'000'000'000U).mUnreadTokens == 40'000U);
   BOOST_TEST(decoded->mKnown.size() == 1U);
+  BOOST_TEST(decoded->mSent.at(0).mServer == 4'000'000'000U);
+  BOOST_TEST(decoded->mSent.at(0).mPart == 7U);
 }
 
 BOOST_AUTO_TEST_CASE(BytesThatAreNoReportAreRefused)
