Let most entries rely on the four that follow the directory

An entry now calls only when no other's knowledge is fresh, when a fresh one differs (digest of list, zones and document version), or after 8 s.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -280,11 +280,10 @@
   }
   const std::uint64_t key = aPrompt->AffinityKey();
   for (const PromptPart& part : aPrompt->mParts) {
-    Timestamp& sentAt =
-      state.mSentParts[static_cast<std::uint32_t>(part.mId)];
+    Timestamp& sentAt = state.mSentParts[static_cast<std::uint32_t>(part.mId)];
     if (part.mId == key && aNow - sentAt >= mSettings.mTellAgain) {
-      mSentParts.push_back({ ServerHash(aChoice.mId),
-                             static_cast<std::uint32_t>(part.mId) });
+      mSentParts.push_back(
+        { ServerHash(aChoice.mId), static_cast<std::uint32_t>(part.mId) });
     }
     sentAt = aNow;
   }
--- a/src/libmedlarkeel/forwarding/backendlist.cpp
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -1,5 +1,7 @@
 #include "backendlist.h"
 
+#include "../rendezvous.h"
+
 namespace medlarkeel {
 
 namespace {
@@ -149,6 +151,26 @@
   return usable;
 }
 
+std::uint64_t
+BackendList::Digest() const
+{
+  std::uint64_t digest = 0;
+  for (const auto& [id, backend] : mBackends) {
+    const BackendEntry& entry = backend.mEntry;
+    const std::uint64_t start = static_cast<std::uint64_t>(
+      entry.mStartedAt.value_or(Milliseconds(0)).count());
+    const std::uint64_t state = (entry.mIsDraining ? 1U : 0U) +
+                                (entry.mColdRemaining.count() > 0 ? 2U : 0U);
+    // A sum doesn't depend on the order of the servers.
+    digest +=
+      HashText(id.Text() + EndpointText(entry.mEndpoint), start + state);
+  }
+  for (const ZoneName& zone : mEvacuated) {
+    digest += HashText(zone.Text());
+  }
+  return digest;
+}
+
 const ListedBackend*
 BackendList::Find(const InstanceId& aId) const
 {
--- a/src/libmedlarkeel/forwarding/backendlist.h
+++ b/src/libmedlarkeel/forwarding/backendlist.h
@@ -97,6 +97,10 @@
   /** @return The servers of a pool that may get new work. */
   std::vector<const ListedBackend*> Usable(const PoolName& aPool) const;
 
+  /** @return A digest of what the list says, but for the age of its entries;
+   * the same at all processes that know the same. */
+  std::uint64_t Digest() const;
+
   /** @return The server, or nothing when it isn't listed. */
   const ListedBackend* Find(const InstanceId& aId) const;
 
--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -38,6 +38,12 @@
 {
 }
 
+std::uint64_t
+DirectoryFollower::Digest() const
+{
+  return mBackends.Digest() + (mDocument ? mDocument->mVersion : 0);
+}
+
 FollowerNews
 DirectoryFollower::RecordRead(const DirectoryResult& aResult, Timestamp aNow)
 {
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -77,6 +77,9 @@
   /** @return Whether everything was read at least once. */
   bool HasRead() const { return mHasRead; }
 
+  /** @return A digest of the document's version and the list. */
+  std::uint64_t Digest() const;
+
   /** @return Time since the last answer with content. */
   Microseconds Age(Timestamp aNow) const { return aNow - mLastContact; }
 
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -35,6 +35,8 @@
   peer.mHeardAt = aNow;
   peer.mSequence = aReport.mSequence;
   peer.mLoads = aReport.mLoads;
+  peer.mDirectoryDigest = aReport.mDirectoryDigest;
+  peer.mDirectoryHeardAt = aNow - aReport.mDirectoryAge;
   for (const std::string& known : aReport.mKnown) {
     if (known != mOwn && mPeers.count(known) == 0) {
       // Counted from now on; its own reports follow once it is told of us.
@@ -89,6 +91,26 @@
   return before < aCount;
 }
 
+bool
+PeerView::MayRelyOnOthers(std::uint64_t aDigest, Timestamp aNow) const
+{
+  if (IsAmongFirst(
+        InstanceId("directory"), mSettings.mDirectoryReaders, aNow)) {
+    return false;
+  }
+  bool isConfirmed = false;
+  for (const auto& [address, peer] : mPeers) {
+    if (aNow - peer.mDirectoryHeardAt > mSettings.mFreshDirectory) {
+      continue;
+    }
+    if (peer.mDirectoryDigest != aDigest) {
+      return false;
+    }
+    isConfirmed = true;
+  }
+  return isConfirmed;
+}
+
 ServerLoads
 PeerView::OtherLoads(Timestamp aNow) const
 {
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -42,6 +42,10 @@
   /** Rises with each report of one life of a process, and between lives. */
   std::uint64_t mSequence = 0;
   ServerLoads mLoads;
+  /** Digest of the directory as the sender knows it. */
+  std::uint64_t mDirectoryDigest = 0;
+  /** Time since the sender last heard from the directory. */
+  Milliseconds mDirectoryAge{ 0 };
   /** Last shared parts of prompts that were sent since the last report. */
   std::vector<SentPart> mSent;
   /** IP numbers of entries that the sender knows; may be left out. */
@@ -60,6 +64,12 @@
   /** Time after which a silent peer isn't counted as an entry: longer than
    * partitions, during which it goes on using its share of limits. */
   Milliseconds mPeerLife{ 60'000 };
+  /** Age up to which a peer's knowledge of the directory is fresh: with one
+   * interval of reports and a call it stays below the bound of a change. */
+  Milliseconds mFreshDirectory{ 1200 };
+  /** Entries that follow the directory themselves, so that the others notice a
+   * change although some are cut off or replaced. */
+  std::size_t mDirectoryReaders = 4;
   /** Entries that are assumed before a peer was heard of. */
   std::size_t mAssumedEntries = 32;
 };
@@ -93,6 +103,15 @@
                     std::size_t aCount,
                     Timestamp aNow) const;
 
+  /**
+   * Tells whether calling the directory would bring nothing new.
+   *
+   * @param aDigest Digest of what this entry knows.
+   * @return Whether others follow the directory, heard from it just now, and
+   * know the same.
+   */
+  bool MayRelyOnOthers(std::uint64_t aDigest, Timestamp aNow) const;
+
   /** @return The sum of what the other entries have in progress. */
   ServerLoads OtherLoads(Timestamp aNow) const;
 
@@ -102,6 +121,9 @@
     Timestamp mHeardAt;
     std::uint64_t mSequence = 0;
     ServerLoads mLoads;
+    std::uint64_t mDirectoryDigest = 0;
+    /** When the peer last heard from the directory. */
+    Timestamp mDirectoryHeardAt;
   };
 
   PeerSettings mSettings;
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -235,13 +235,14 @@
     return;
   }
   BackendChooser& chooser = mForwarder.Chooser();
-  const auto choice = chooser.Choose(mForwarder.Backends().Usable(mPool->mName),
-                                     mPrompt,
-                                     mTried,
-                                     [this](const InstanceId& aServer) {
-                     return mForwarder.ColdLimit(*mPool, aServer);
-                   },
-                                     now);
+  const auto choice = chooser.Choose(
+    mForwarder.Backends().Usable(mPool->mName),
+    mPrompt,
+    mTried,
+    [this](const InstanceId& aServer) {
+      return mForwarder.ColdLimit(*mPool, aServer);
+    },
+    now);
   if (!choice) {
     Follow(FinalStep(mHistory, AttemptOutcome::NotSent),
            AttemptOutcome::NotSent);
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -51,6 +51,13 @@
   return "unknown";
 }
 
+/** Longest time for which an entry relies on others: well below the time for
+ * which the directory keeps its history. */
+constexpr Milliseconds kMostQuiet{ 8000 };
+
+/** Pause between two looks at what the others know. */
+constexpr Milliseconds kPeerCheck{ 150 };
+
 /** Pauses between calls for changes that fit into the time in which a change
  * must be in force: room for a silent call and a full reading besides. */
 constexpr int kPausesPerBound = 4;
@@ -85,6 +92,8 @@
       mPeers,
       [this](PeerReport& aReport) {
         aReport.mLoads = mChooser.OwnLoads();
+        aReport.mDirectoryDigest = mFollower.Digest();
+        aReport.mDirectoryAge = DirectoryAge();
         aReport.mSent = mChooser.TakeSentParts();
       },
       [this](const PeerReport& aReport) {
@@ -199,15 +208,28 @@
 
 void
 Forwarder::CallDirectory()
+{
+  CallDirectoryLater(mFollower.Next().mDelay);
+}
+
+void
+Forwarder::CallDirectoryLater(Milliseconds aDelay)
 {
   const FollowerStep step = mFollower.Next();
-  mDirectoryTimer.expires_after(step.mDelay);
+  mDirectoryTimer.expires_after(aDelay);
   mDirectoryTimer.async_wait([this, step](const Error& aError) {
     if (aError) {
       return;
     }
-    mCounters.mDirectoryCalls += 1;
     const bool isRead = step.mKind == FollowerStep::Kind::ReadAll;
+    const Timestamp now = BootNow();
+    const bool isQuiet = !isRead && mFollower.Age(now) < kMostQuiet &&
+                         mPeers.MayRelyOnOthers(mFollower.Digest(), now);
+    if (isQuiet) {
+      CallDirectoryLater(kPeerCheck);
+      return;
+    }
+    mCounters.mDirectoryCalls += 1;
     const auto take = [this, isRead](const DirectoryResult& aResult) {
       mCounters.mDirectoryFailures += aResult ? 0 : 1;
       const Timestamp now = BootNow();
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -84,6 +84,7 @@
   void Listen();
   void Accept();
   void CallDirectory();
+  void CallDirectoryLater(Milliseconds aDelay);
   void TakeNews(const FollowerNews& aNews);
   void EndIfDone();
 
--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -25,7 +25,9 @@
   }
   Json report{ { "a", aReport.mAddress },
                { "s", aReport.mSequence },
-               { "l", std::move(loads) } };
+               { "l", std::move(loads) },
+               { "d", aReport.mDirectoryDigest },
+               { "g", aReport.mDirectoryAge.count() } };
   if (!aReport.mSent.empty()) {
     Json sent = Json::array();
     for (const SentPart& part : aReport.mSent) {
@@ -52,8 +54,7 @@
     decoded.mAddress = report.at("a").get<std::string>();
     decoded.mSequence = report.at("s").get<std::uint64_t>();
     const Json& loads = report.at("l");
-    if (loads.size() % kNumbersPerLoad != 0 ||
-        !IsIpNumber(decoded.mAddress)) {
+    if (loads.size() % kNumbersPerLoad != 0 || !IsIpNumber(decoded.mAddress)) {
       return std::nullopt;
     }
     for (std::size_t i = 0; i < loads.size(); i += kNumbersPerLoad) {
@@ -61,11 +62,13 @@
         loads[i + 1].get<std::uint32_t>(), loads[i + 2].get<std::uint32_t>()
       };
     }
+    decoded.mDirectoryDigest = report.at("d").get<std::uint64_t>();
+    decoded.mDirectoryAge = Milliseconds(report.at("g").get<std::int64_t>());
     if (report.contains("p")) {
       const Json& sent = report.at("p");
       for (std::size_t i = 0; i + 1 < sent.size(); i += 2) {
-        decoded.mSent.push_back({ sent[i].get<std::uint32_t>(),
-                                  sent[i + 1].get<std::uint32_t>() });
+        decoded.mSent.push_back(
+          { sent[i].get<std::uint32_t>(), sent[i + 1].get<std::uint32_t>() });
       }
     }
     if (report.contains("k")) {
@@ -82,9 +85,9 @@
                          PeerView& aView,
                          std::function<void(PeerReport&)> aFill,
                          std::function<void(const PeerReport&)> aTake)
-  : mSocket(aContext,
-            udp::endpoint(boost::asio::ip::make_address(aOwn.mAddress),
-                          aOwn.mPort))
+  : mSocket(
+      aContext,
+      udp::endpoint(boost::asio::ip::make_address(aOwn.mAddress), aOwn.mPort))
   , mTimer(aContext)
   , mAddress(aOwn.mAddress)
   , mView(aView)
@@ -144,11 +147,10 @@
   const std::uint16_t port = mSocket.local_endpoint().port();
   for (const std::string& target : targets) {
     Error ignored; // The next round replaces a lost report.
-    mSocket.send_to(
-      boost::asio::buffer(bytes),
-      udp::endpoint(boost::asio::ip::make_address(target), port),
-      0,
-      ignored);
+    mSocket.send_to(boost::asio::buffer(bytes),
+                    udp::endpoint(boost::asio::ip::make_address(target), port),
+                    0,
+                    ignored);
   }
   mTimer.expires_after(mView.Interval(now));
   mTimer.async_wait([this](const Error& aError) {
--- a/tests/core/test_backendlist.cpp
+++ b/tests/core/test_backendlist.cpp
@@ -104,6 +104,30 @@
               kStart + Milliseconds(500));
 }
 
+BOOST_AUTO_TEST_CASE(DigestTellsWhatCountsForChoices)
+{
+  BackendList one;
+  BackendList other;
+  one.Put(Entry("a", 1), kStart);
+  one.Put(Entry("b", 2), kStart);
+  other.Put(Entry("b", 7), kStart);
+  other.Put(Entry("a", 8), kStart);
+  BOOST_TEST(one.Digest() == other.Digest());
+  const std::uint64_t before = one.Digest();
+  BackendEntry draining = Entry("a", 9);
+  draining.mIsDraining = true;
+  one.Put(draining, kStart);
+  BOOST_TEST(one.Digest() != before);
+  one.Put(Entry("a", 10), kStart);
+  BOOST_TEST(one.Digest() == before);
+  BackendEntry cold = Entry("a", 11);
+  cold.mColdRemaining = Milliseconds(1);
+  one.Put(cold, kStart);
+  BOOST_TEST(one.Digest() != before);
+  other.SetEvacuated(ZoneName("a"), true);
+  BOOST_TEST(other.Digest() != before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/core/test_peerview.cpp
+++ b/tests/core/test_peerview.cpp
@@ -53,6 +53,41 @@
   BOOST_TEST(view.EntryCount(kStart + settings.mPeerLife) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(OthersAreReliedOnOnlyWhileTheyAreFreshAndAgree)
+{
+  const PeerSettings settings;
+  std::vector<std::string> addresses;
+  for (int i = 1; i <= 30; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i));
+  }
+  std::size_t readers = 0;
+  for (const std::string& own : addresses) {
+    PeerView view(settings, own, addresses);
+    BOOST_TEST(!view.MayRelyOnOthers(5, kStart));
+    PeerReport report = Report("10.0.1.1", 1);
+    report.mDirectoryDigest = 5;
+    report.mDirectoryAge = Milliseconds(200);
+    view.Record(report, kStart);
+    if (!view.MayRelyOnOthers(5, kStart)) {
+      ++readers;
+      continue;
+    }
+    BOOST_TEST(!view.MayRelyOnOthers(6, kStart));
+    BOOST_TEST(!view.MayRelyOnOthers(5, kStart + settings.mFreshDirectory));
+    PeerReport other = Report("10.0.1.2", 1);
+    other.mDirectoryDigest = 7;
+    view.Record(other, kStart);
+    BOOST_TEST(!view.MayRelyOnOthers(5, kStart));
+    other.mSequence = 2;
+    other.mDirectoryAge = settings.mFreshDirectory + Milliseconds(1);
+    view.Record(other, kStart);
+    BOOST_TEST(view.MayRelyOnOthers(5, kStart));
+  }
+  // The two that only report may take places of readers.
+  BOOST_TEST(readers <= settings.mDirectoryReaders);
+  BOOST_TEST(readers >= settings.mDirectoryReaders - 2);
+}
+
 BOOST_AUTO_TEST_CASE(OvertakenReportIsIgnored)
 {
   PeerView view(PeerSettings(), "10.0.0.1", {});
