Agree over the fleet on the share of servers for short prompts

Cause: each of 30 entries took the share from its own ten requests a second, so that the servers for short prompts of one were those for long prompts of another; a long prompt's reading lengthens the pauses beyond 200 ms.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -111,13 +111,15 @@
                        server);
   }
   std::sort(order.begin(), order.end());
-  const double total = mShortTokens + mLongTokens;
-  const double share = total > 0.0 ? mShortTokens / total : 0.0;
+  const double shortTokens = mDemand.mShortTokens + mOtherDemand.mShortTokens;
+  const double longTokens = mDemand.mLongTokens + mOtherDemand.mLongTokens;
+  const double total = shortTokens + longTokens;
+  const double share = total > 0.0 ? shortTokens / total : 0.0;
   const auto size = static_cast<double>(order.size());
   const auto wanted = static_cast<std::size_t>(std::lround(share * size));
-  const std::size_t least = mShortTokens > 0.0 && order.size() > 1 ? 1 : 0;
+  const std::size_t least = shortTokens > 0.0 && order.size() > 1 ? 1 : 0;
   const std::size_t most =
-    mLongTokens > 0.0 && !order.empty() ? order.size() - 1 : order.size();
+    longTokens > 0.0 && !order.empty() ? order.size() - 1 : order.size();
   const std::size_t count = std::min(std::max(wanted, least), most);
   std::set<InstanceId> servers;
   for (std::size_t i = 0; i < count; ++i) {
@@ -243,20 +245,27 @@
   return choice;
 }
 
-void
-BackendChooser::RecordDemand(const PromptDescription& aPrompt,
-                             std::uint32_t aUnread,
-                             Timestamp aNow)
+PromptDemand
+BackendChooser::OwnDemand(Timestamp aNow)
 {
   const double memory =
     std::chrono::duration<double>(mSettings.mDemandMemory).count();
   const double passed = std::chrono::duration<double>(aNow - mDemandAt).count();
   const double kept = std::exp(-std::max(0.0, passed) / memory);
-  mShortTokens *= kept;
-  mLongTokens *= kept;
+  mDemand.mShortTokens *= kept;
+  mDemand.mLongTokens *= kept;
   mDemandAt = aNow;
+  return mDemand;
+}
+
+void
+BackendChooser::RecordDemand(const PromptDescription& aPrompt,
+                             std::uint32_t aUnread,
+                             Timestamp aNow)
+{
+  OwnDemand(aNow);
   const bool isShort = aPrompt.mPromptTokens < mSettings.mShortPromptTokens;
-  (isShort ? mShortTokens : mLongTokens) += aUnread;
+  (isShort ? mDemand.mShortTokens : mDemand.mLongTokens) += aUnread;
 }
 
 void
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -108,6 +108,12 @@
   /** Takes over what the other entries have in progress. */
   void SetOtherLoads(ServerLoads aLoads) { mOtherLoads = std::move(aLoads); }
 
+  /** Takes over the demand of the other entries. */
+  void SetOtherDemand(const PromptDemand& aDemand) { mOtherDemand = aDemand; }
+
+  /** @return The own demand. */
+  PromptDemand OwnDemand(Timestamp aNow);
+
   /** Takes over what another entry sent lately. */
   void RecordOtherSent(const std::vector<SentPart>& aSent, Timestamp aNow);
 
@@ -191,9 +197,9 @@
   std::unordered_map<InstanceId, ServerState> mServers;
   ServerLoads mOtherLoads;
   std::vector<SentPart> mSentParts;
-  /** Prompt tokens to be read lately, weighted by age. */
-  double mShortTokens = 0.0;
-  double mLongTokens = 0.0;
+  PromptDemand mOtherDemand;
+  PromptDemand mDemand;
+  /** When the own demand was last weighted. */
   Timestamp mDemandAt;
 };
 
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -35,6 +35,7 @@
   peer.mHeardAt = aNow;
   peer.mSequence = aReport.mSequence;
   peer.mLoads = aReport.mLoads;
+  peer.mDemand = aReport.mDemand;
   peer.mDirectoryDigest = aReport.mDirectoryDigest;
   peer.mDirectoryHeardAt = aNow - aReport.mDirectoryAge;
   for (const std::string& known : aReport.mKnown) {
@@ -111,6 +112,19 @@
   return isConfirmed;
 }
 
+PromptDemand
+PeerView::OtherDemand(Timestamp aNow) const
+{
+  PromptDemand sum;
+  for (const auto& [address, peer] : mPeers) {
+    if (aNow - peer.mHeardAt <= mSettings.mLoadLife) {
+      sum.mShortTokens += peer.mDemand.mShortTokens;
+      sum.mLongTokens += peer.mDemand.mLongTokens;
+    }
+  }
+  return sum;
+}
+
 ServerLoads
 PeerView::OtherLoads(Timestamp aNow) const
 {
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -18,6 +18,13 @@
   std::uint32_t mUnreadTokens = 0;
 };
 
+/** Prompt tokens that were to be read lately, weighted by age. */
+struct PromptDemand
+{
+  double mShortTokens = 0.0;
+  double mLongTokens = 0.0;
+};
+
 /** Loads by the hash of the backend server's id. */
 using ServerLoads = std::unordered_map<std::uint32_t, ServerLoad>;
 
@@ -42,6 +49,7 @@
   /** Rises with each report of one life of a process, and between lives. */
   std::uint64_t mSequence = 0;
   ServerLoads mLoads;
+  PromptDemand mDemand;
   /** Digest of the directory as the sender knows it. */
   std::uint64_t mDirectoryDigest = 0;
   /** Time since the sender last heard from the directory. */
@@ -112,6 +120,9 @@
    */
   bool MayRelyOnOthers(std::uint64_t aDigest, Timestamp aNow) const;
 
+  /** @return The sum of the other entries' demand. */
+  PromptDemand OtherDemand(Timestamp aNow) const;
+
   /** @return The sum of what the other entries have in progress. */
   ServerLoads OtherLoads(Timestamp aNow) const;
 
@@ -121,6 +132,7 @@
     Timestamp mHeardAt;
     std::uint64_t mSequence = 0;
     ServerLoads mLoads;
+    PromptDemand mDemand;
     std::uint64_t mDirectoryDigest = 0;
     /** When the peer last heard from the directory. */
     Timestamp mDirectoryHeardAt;
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -92,6 +92,7 @@
       mPeers,
       [this](PeerReport& aReport) {
         aReport.mLoads = mChooser.OwnLoads();
+        aReport.mDemand = mChooser.OwnDemand(BootNow());
         aReport.mDirectoryDigest = mFollower.Digest();
         aReport.mDirectoryAge = DirectoryAge();
         aReport.mSent = mChooser.TakeSentParts();
@@ -190,7 +191,9 @@
 BackendChooser&
 Forwarder::Chooser()
 {
-  mChooser.SetOtherLoads(mPeers.OtherLoads(BootNow()));
+  const Timestamp now = BootNow();
+  mChooser.SetOtherLoads(mPeers.OtherLoads(now));
+  mChooser.SetOtherDemand(mPeers.OtherDemand(now));
   return mChooser;
 }
 
--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -2,6 +2,7 @@
 
 #include "../libmedlarkeelnet/bootclock.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace medlarkeel {
@@ -12,6 +13,13 @@
 using Error = boost::system::error_code;
 using Json = nlohmann::json;
 
+/** Whole numbers take fewer bytes. */
+std::uint64_t
+Rounded(double aTokens)
+{
+  return static_cast<std::uint64_t>(std::max(0.0, aTokens));
+}
+
 } // namespace
 
 std::string
@@ -26,6 +34,9 @@
   Json report{ { "a", aReport.mAddress },
                { "s", aReport.mSequence },
                { "l", std::move(loads) },
+               { "q",
+                 { Rounded(aReport.mDemand.mShortTokens),
+                   Rounded(aReport.mDemand.mLongTokens) } },
                { "d", aReport.mDirectoryDigest },
                { "g", aReport.mDirectoryAge.count() } };
   if (!aReport.mSent.empty()) {
@@ -62,6 +73,8 @@
         loads[i + 1].get<std::uint32_t>(), loads[i + 2].get<std::uint32_t>()
       };
     }
+    decoded.mDemand.mShortTokens = report.at("q").at(0).get<double>();
+    decoded.mDemand.mLongTokens = report.at("q").at(1).get<double>();
     decoded.mDirectoryDigest = report.at("d").get<std::uint64_t>();
     decoded.mDirectoryAge = Milliseconds(report.at("g").get<std::int64_t>());
     if (report.contains("p")) {
