--- a/src/medlarkeelctl/main.cpp
+++ b/src/medlarkeelctl/main.cpp
@@ -25,7 +25,7 @@
     "status --nodes IP:PORT,...   what each node acts on",
     RunStatus },
   { "explain",
-    "explain REQUEST_ID --nodes IP:PORT,...\n"
+    "explain REQUEST_ID --nodes IP:PORT,... | --log FILE\n"
     "                                 decisions on one request",
     RunExplain },
   { "report",
--- a/tests/processes/test_medlarkeelctl.cpp
+++ b/tests/processes/test_medlarkeelctl.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <memory>
 #include <sys/wait.h>
 
@@ -148,6 +149,25 @@
   BOOST_TEST(RunProgram("explain request-2" + nodes).mExitCode == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ExplainReadsALogFile)
+{
+  const std::string path = "explain-log-test.txt";
+  std::ofstream(path)
+    << "entry-1 {\"time\":\"t1\",\"event\":405,\"name\":\"attempt\","
+       "\"node\":\"entry-1\",\"request\":\"r-1\",\"server\":\"s-7\"}\n"
+       "{\"event\":404,\"request\":\"r-12\"}\n"
+       "not json about r-1\n"
+       "{\"time\":\"t2\",\"event\":401,\"request\":\"r-1\",\"status\":502}\n";
+  const Outcome found = RunProgram("explain r-1 --log " + path);
+  BOOST_TEST(found.mExitCode == 0);
+  BOOST_TEST(Contains(found.mOutput, "405 attempt  server=\"s-7\""));
+  BOOST_TEST(Contains(found.mOutput, "status=502"));
+  BOOST_TEST(!Contains(found.mOutput, "404"));
+  BOOST_TEST(RunProgram("explain r-2 --log " + path).mExitCode == 1);
+  BOOST_TEST(RunProgram("explain r-1 --log /no/such/file").mExitCode == 2);
+  std::remove(path.c_str());
+}
+
 BOOST_AUTO_TEST_CASE(NodeWithoutAnswerIsNamed)
 {
   const AnsweringNode node(EntryStatus("entry-1"));
