--- a/src/libmedlarkeel/forwarding/attemptdecision.cpp
+++ b/src/libmedlarkeel/forwarding/attemptdecision.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-/** Connections that are tried for one request; each takes a time-out at most.
- */
-constexpr int kMostConnectFailures = 3;
+/** Connections that are tried for one request: a zone of a dozen servers may
+ * be down before the list says so; a refused connection costs no time. */
+constexpr int kMostConnectFailures = 6;
 
 /** Sends to reused addresses that one request survives. */
 constexpr int kMostMisdirected = 2;
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -788,7 +788,7 @@
                       { "reason", aReason },
                       { "elapsedMs", Elapsed().count() },
                       { "firstByteMs", firstByte.count() },
-                      { "sent", mHistory.mSent },
+                      { "failedSends", mHistory.mSent },
                       { "mayHaveRun", mHistory.mMayHaveRun },
                       { "document", mDocument ? mDocument->mVersion : 0 },
                       { "listAgeMs", mForwarder.DirectoryAge().count() } };
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -192,6 +192,21 @@
   }
 }
 
+/** Three servers of a zone were down before the list said so: a request was
+ * refused after three connections (vpl-renewals trouble-1). */
+BOOST_AUTO_TEST_CASE(ServersOfAZoneThatAreDownCostNoRequest)
+{
+  ForwardFixture fixture;
+  for (int i = 0; i < 4; ++i) {
+    fixture.AddUnreachable();
+  }
+  fixture.AddBackend(Answering(200, "served"));
+  fixture.Start();
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(fixture.Call("/once/x").Status() == 200);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ReusedAddressIsLeft)
 {
   ForwardFixture fixture;
