Spill prompts to the next two servers by hash

Cause: 30 entries act on loads that are up to half a second old, and all chose the same least loaded server; parts were read again on servers drawn at random. Servers that aren't among a prompt's first three cost 5000 tokens more.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -16,21 +16,31 @@
 /** Parts that are remembered for one server. */
 constexpr std::size_t kMostSentParts = 4096;
 
-/** @return The server that comes first for a key among those given. */
-const ListedBackend*
-HomeOf(const std::vector<const ListedBackend*>& aServers, std::uint64_t aKey)
+/** @return The servers that come first for a key, the first one in front. */
+std::vector<const ListedBackend*>
+FirstFor(const std::vector<const ListedBackend*>& aServers,
+         std::uint64_t aKey,
+         std::size_t aCount)
 {
-  const ListedBackend* home = nullptr;
-  std::uint64_t best = 0;
+  std::vector<std::pair<std::uint64_t, const ListedBackend*>> order;
+  order.reserve(aServers.size());
   for (const ListedBackend* server : aServers) {
-    const std::uint64_t score =
-      RendezvousScore(aKey, HashText(server->mEntry.mId.Text()));
-    if (home == nullptr || score > best) {
-      home = server;
-      best = score;
-    }
+    order.emplace_back(
+      RendezvousScore(aKey, HashText(server->mEntry.mId.Text())), server);
   }
-  return home;
+  const auto count =
+    static_cast<std::ptrdiff_t>(std::min(aCount, order.size()));
+  std::partial_sort(order.begin(),
+                    order.begin() + count,
+                    order.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return aLeft.first > aRight.first;
+                    });
+  std::vector<const ListedBackend*> first;
+  for (std::ptrdiff_t i = 0; i < count; ++i) {
+    first.push_back(order[static_cast<std::size_t>(i)].second);
+  }
+  return first;
 }
 
 } // namespace
@@ -205,14 +215,19 @@
     }
   }
   const std::uint64_t key = aPrompt.AffinityKey();
-  const ListedBackend* home = key == 0 ? nullptr : HomeOf(lane, key);
+  const std::vector<const ListedBackend*> first =
+    FirstFor(lane, key, key == 0 ? 0 : mSettings.mFirstServers);
   BackendChoice choice;
   bool isFirst = true;
   for (const ListedBackend* server : aCandidates) {
-    const std::uint32_t unread =
-      UnreadTokens(*server, aPrompt, server == home, aNow);
+    const auto place = std::find(first.begin(), first.end(), server);
+    const bool isHome = !first.empty() && place == first.begin();
+    const std::uint32_t unread = UnreadTokens(*server, aPrompt, isHome, aNow);
     const bool isForShort = forShort.count(server->mEntry.mId) != 0;
-    const double cost = ModelCost(*server, aPrompt, unread, isForShort, aNow);
+    double cost = ModelCost(*server, aPrompt, unread, isForShort, aNow);
+    if (!first.empty() && place == first.end()) {
+      cost += mSettings.mNotFirstTokens;
+    }
     if (isFirst || cost < choice.mCost) {
       choice.mId = server->mEntry.mId;
       choice.mCost = cost;
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -36,6 +36,11 @@
   Microseconds mColdWindow = std::chrono::milliseconds(1150);
   /** Added for each stream that is running on the server. */
   double mRunningTokens = 150.0;
+  /** Servers that come first for a prompt by hash. Entries that act on the
+   * same old loads so leave a busy server for different ones. */
+  std::size_t mFirstServers = 3;
+  /** Added for all other servers. */
+  double mNotFirstTokens = 5000.0;
   /** Share of the shared tokens that the first server by hash is taken to
    * hold although this entry hasn't sent them there. */
   double mHomeCachedShare = 0.7;
