--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -22,7 +22,7 @@
   std::uint32_t mShortPromptTokens = 4096;
   /** Weight of the request's own unread tokens against those that wait:
    * reading a part once more also delays everything behind it. */
-  double mUnreadWeight = 3.0;
+  double mUnreadWeight = 6.0;
   /** Added for a short prompt outside the servers kept for short prompts. */
   double mShortElsewhereTokens = 6000.0;
   /** Added for a long prompt on a server that is kept for short ones. */
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -299,7 +299,7 @@
     hasLength =
       hasLength || isLength || SameFieldName(name, "transfer-encoding");
     if (!isDropped) {
-      text += name + ": " + value + "\r\n";
+      text.append(name).append(": ").append(value).append("\r\n");
     }
   }
   const Milliseconds left = std::chrono::duration_cast<Milliseconds>(
--- a/src/libmedlarkeelforward/messageparser.cpp
+++ b/src/libmedlarkeelforward/messageparser.cpp
@@ -36,7 +36,9 @@
 std::string_view
 Trimmed(std::string_view aText)
 {
-  const auto isBlank = [](char c) { return c == ' ' || c == '\t'; };
+  const auto isBlank = [](char aCharacter) {
+    return aCharacter == ' ' || aCharacter == '\t';
+  };
   while (!aText.empty() && isBlank(aText.front())) {
     aText.remove_prefix(1);
   }
@@ -72,8 +74,10 @@
       return "repeated header field";
     }
   }
-  const bool isDigits = std::all_of(
-    value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; });
+  const bool isDigits =
+    std::all_of(value.begin(), value.end(), [](char aDigit) {
+      return aDigit >= '0' && aDigit <= '9';
+    });
   if (SameFieldName(name, "content-length") && (value.empty() || !isDigits)) {
     return "invalid content length";
   }
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -15,7 +15,7 @@
 constexpr Milliseconds kCancelBound{ 500 };
 
 FakeBackend::Script
-Answering(int aStatus, std::string aBody, std::string aExtra = "")
+Answering(int aStatus, const std::string& aBody, const std::string& aExtra = "")
 {
   return [=](Socket& aSocket, const std::string& aRequest) {
     WriteBytes(aSocket, AnswerTo(aRequest, aStatus, aBody, aExtra));
