Don't take time in which others confirmed the directory for an outage

Cause: an entry that relies on the directory readers calls after up to 8 s, took that for the end of an outage and kept servers that had left for 2.3 s. Ruled out: loss of reports, the digest. The new core test fails without RecordConfirmed's time.

--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -117,11 +117,12 @@
 void
 DirectoryFollower::RecordContact(FollowerNews& aNews, Timestamp aNow)
 {
-  if (mHasRead && aNow - mLastContact > mSettings.mOutage) {
+  const Timestamp known = std::max(mLastContact, mConfirmedAt);
+  if (mHasRead && aNow - known > mSettings.mOutage) {
     mBackends.RecordRegained(aNow, mSettings.mHold);
   }
   aNews.mWasRegained = mIsLost;
-  aNews.mOutage = mHasRead ? aNow - mLastContact : Microseconds(0);
+  aNews.mOutage = mHasRead ? aNow - known : Microseconds(0);
   mIsLost = false;
   mRetry = mSettings.mFirstRetry;
   mLastContact = aNow;
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -68,6 +68,10 @@
   /** Takes over the answer to a call for changes. */
   FollowerNews RecordWatch(const DirectoryResult& aResult, Timestamp aNow);
 
+  /** Notes that others heard from the directory and know the same, so that
+   * the time without calls of its own isn't an outage. */
+  void RecordConfirmed(Timestamp aNow) { mConfirmedAt = aNow; }
+
   /** @return The document in force, or nothing before the first one. */
   const ForwardingDocumentPointer& Document() const { return mDocument; }
 
@@ -98,6 +102,7 @@
   bool mIsLost = false;
   Milliseconds mRetry;
   Timestamp mLastContact;
+  Timestamp mConfirmedAt;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -229,6 +229,7 @@
     const bool isQuiet = !isRead && mFollower.Age(now) < kMostQuiet &&
                          mPeers.MayRelyOnOthers(mFollower.Digest(), now);
     if (isQuiet) {
+      mFollower.RecordConfirmed(now);
       CallDirectoryLater(kPeerCheck);
       return;
     }
--- a/tests/core/test_directoryfollower.cpp
+++ b/tests/core/test_directoryfollower.cpp
@@ -116,6 +116,20 @@
   BOOST_TEST(follower.Backends().Usable(kPool).empty());
 }
 
+/** An entry that relied on others took its next call for the end of an outage
+ * and went on using a server that had left (day growth on vpl-renewals). */
+BOOST_AUTO_TEST_CASE(TimeInWhichOthersConfirmedIsNoOutage)
+{
+  const FollowerSettings settings;
+  DirectoryFollower follower{ settings };
+  follower.RecordRead(Changes(9, { Entry("one", 5) }), kStart);
+  const Timestamp later = kStart + settings.mOutage * 3;
+  follower.RecordConfirmed(later - Milliseconds(200));
+  follower.RecordWatch(Changes(20, { BackendRemoval{ InstanceId("one"), 20 } }),
+                       later);
+  BOOST_TEST(follower.Backends().Usable(kPool).empty());
+}
+
 BOOST_AUTO_TEST_CASE(ZoneThatIsNoLongerEvacuatedComesBack)
 {
   DirectoryFollower follower{ FollowerSettings() };
