--- a/src/libmedlarkeelforward/answertext.cpp
+++ b/src/libmedlarkeelforward/answertext.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/http/status.hpp>
+#include <charconv>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
@@ -66,6 +67,18 @@
   return text + body;
 }
 
+std::optional<std::int64_t>
+ParseWholeNumber(std::string_view aText)
+{
+  std::int64_t value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, value);
+  if (result.ec != std::errc() || result.ptr != end || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 bool
 IsConnectionField(std::string_view aName)
 {
--- a/src/libmedlarkeelforward/answertext.h
+++ b/src/libmedlarkeelforward/answertext.h
@@ -3,6 +3,7 @@
 #include "../libmedlarkeel/types.h"
 #include "messageparser.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -52,6 +53,10 @@
 /** The end of a body in chunks. */
 extern const std::string_view kLastChunk;
 
+/** @return The number, or nothing when the text is no whole number from 0. */
+std::optional<std::int64_t>
+ParseWholeNumber(std::string_view aText);
+
 /** @return Whether a field concerns one connection only. */
 bool
 IsConnectionField(std::string_view aName);
