Refresh the chooser's view once a choice; drop what nothing calls

Found in the last read: every note of a first byte, an end or a success summed the loads of all peers, which only a choice uses. The limits in force were looked up in five places of the caller's connection. NoBackend, MessageHead's count, the framer's drop and OwnSettings had no caller.

--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -69,14 +69,6 @@
   bool mIsOtherZone = false;
 };
 
-/** Why no backend server can take a request. */
-enum class NoBackend
-{
-  NoneListed,
-  AllExcluded,
-  ColdLimit
-};
-
 /**
  * Chooses backend servers. Short prompts are kept away from long ones on a
  * number of servers that follows the load, shared parts of prompts are sent to
--- a/src/libmedlarkeel/forwarding/eventframer.h
+++ b/src/libmedlarkeel/forwarding/eventframer.h
@@ -24,9 +24,6 @@
   /** @return Whether bytes of an unfinished event are held. */
   bool HasPartialEvent() const { return !mHeld.empty(); }
 
-  /** Drops an unfinished event; the next bytes begin a new one. */
-  void DropPartialEvent() { mHeld.clear(); }
-
   /** @return The bytes held back, at the regular end of a body. */
   std::string TakeRest() { return std::move(mHeld); }
 
--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -30,13 +30,18 @@
 {
 }
 
+CallerLimits
+CallerConnection::Limits() const
+{
+  const ForwardingDocumentPointer& document = mForwarder.Document();
+  return document ? document->mLimits : CallerLimits();
+}
+
 void
 CallerConnection::Start()
 {
   ApplySocketOptions(mSocket);
-  const ForwardingDocumentPointer& document = mForwarder.Document();
-  StartTimer(document ? document->mLimits.mIdleTimeout
-                      : CallerLimits().mIdleTimeout);
+  StartTimer(Limits().mIdleTimeout);
   Read();
 }
 
@@ -86,9 +91,7 @@
   }
   if (!mHasBegun) {
     mHasBegun = true;
-    const ForwardingDocumentPointer& document = mForwarder.Document();
-    StartTimer(document ? document->mLimits.mHeaderTimeout
-                        : CallerLimits().mHeaderTimeout);
+    StartTimer(Limits().mHeaderTimeout);
   }
   if (!mParser && !ProcessHead()) {
     return;
@@ -99,8 +102,7 @@
 bool
 CallerConnection::ProcessHead()
 {
-  const ForwardingDocumentPointer& document = mForwarder.Document();
-  const CallerLimits limits = document ? document->mLimits : CallerLimits();
+  const CallerLimits limits = Limits();
   const std::optional<std::size_t> end = FindHeadEnd(mInput);
   if (end.value_or(mInput.size()) > limits.mHeaderBytes) {
     Reject(kHeadTooLarge, "the head is too large");
@@ -143,8 +145,7 @@
 void
 CallerConnection::ProcessBody()
 {
-  const ForwardingDocumentPointer& document = mForwarder.Document();
-  const CallerLimits limits = document ? document->mLimits : CallerLimits();
+  const CallerLimits limits = Limits();
   const ParseState state = Feed(*mParser, mInput);
   if (state == ParseState::Invalid) {
     Reject(kBadRequest, "the body can't be read");
@@ -256,9 +257,7 @@
     Write();
     return;
   }
-  const ForwardingDocumentPointer& document = mForwarder.Document();
-  StartTimer(document ? document->mLimits.mIdleTimeout
-                      : CallerLimits().mIdleTimeout);
+  StartTimer(Limits().mIdleTimeout);
   boost::asio::post(mSocket.get_executor(), [self = shared_from_this()]() {
     self->Process();
     self->Read();
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -44,6 +44,8 @@
 private:
   using Error = boost::system::error_code;
 
+  /** @return The limits in force, or the usual ones before a document. */
+  CallerLimits Limits() const;
   void Read();
   void TakeBytes(const Error& aError, std::size_t aSize);
   void Process();
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -64,6 +64,7 @@
     TimeOut();
     return;
   }
+  mForwarder.RefreshChooser();
   BackendChooser& chooser = mForwarder.Chooser();
   const auto choice = chooser.Choose(
     mForwarder.Backends().Usable(mPool->mName),
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -188,13 +188,12 @@
   return each > 0 ? each : (mPeers.IsAmongFirst(aServer, all, now) ? 1 : 0);
 }
 
-BackendChooser&
-Forwarder::Chooser()
+void
+Forwarder::RefreshChooser()
 {
   const Timestamp now = BootNow();
   mChooser.SetOtherLoads(mPeers.OtherLoads(now));
   mChooser.SetOtherDemand(mPeers.OtherDemand(now));
-  return mChooser;
 }
 
 double
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -50,15 +50,16 @@
   bool IsStopping() const { return mIsStopping; }
 
   boost::asio::io_context& Context() { return mContext; }
-  const ForwardSettings& OwnSettings() const { return mSettings; }
   const WireProtocol& Protocol() const { return mProtocol; }
   const ForwardingDocumentPointer& Document() const
   {
     return mFollower.Document();
   }
   BackendList& Backends() { return mFollower.Backends(); }
-  /** @return The chooser, which knows the present loads. */
-  BackendChooser& Chooser();
+  BackendChooser& Chooser() { return mChooser; }
+
+  /** Tells the chooser what the other entries said last; before a choice. */
+  void RefreshChooser();
   BackendConnections& Connections() { return mConnections; }
   ForwardCounters& Counters() { return mCounters; }
   EventLog& Log() { return mLog; }
--- a/src/libmedlarkeelforward/messageparser.cpp
+++ b/src/libmedlarkeelforward/messageparser.cpp
@@ -113,15 +113,6 @@
   return nullptr;
 }
 
-std::size_t
-MessageHead::Count(std::string_view aName) const
-{
-  return static_cast<std::size_t>(std::count_if(
-    mFields.begin(), mFields.end(), [&](const HeaderField& aField) {
-      return SameFieldName(aField.first, aName);
-    }));
-}
-
 std::string_view
 FindHeadFault(std::string_view aHead)
 {
--- a/src/libmedlarkeelforward/messageparser.h
+++ b/src/libmedlarkeelforward/messageparser.h
@@ -27,9 +27,6 @@
 
   /** @return The first field of that name in any case, or nothing. */
   const std::string* Find(std::string_view aName) const;
-
-  /** @return How many fields have that name. */
-  std::size_t Count(std::string_view aName) const;
 };
 
 /** @return Whether two field names are the same but for their case. */
