--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -86,27 +86,35 @@
 
 std::size_t
 PeerView::EntryCount(Timestamp aNow) const
+{
+  const std::size_t known = Targets(aNow).size() + 1;
+  return known + UnknownCount(known, aNow);
+}
+
+std::size_t
+PeerView::UnknownCount(std::size_t aKnown, Timestamp aNow) const
 {
   const bool hasHeard =
     std::any_of(mPeers.begin(), mPeers.end(), [](const auto& aPeer) {
       return aPeer.second.mSequence != 0;
     });
-  const std::size_t known = Targets(aNow).size() + 1;
-  const bool isAlone = known == 1;
+  const bool isAlone = aKnown == 1;
   const bool isComplete =
     (hasHeard || isAlone) && aNow - mStartedAt >= mSettings.mLearnTime;
-  return isComplete ? known : std::max(known, mSettings.mAssumedEntries);
+  return isComplete || aKnown > mSettings.mAssumedEntries
+           ? 0
+           : mSettings.mAssumedEntries - aKnown;
 }
 
 std::size_t
-PeerView::KnownBefore(std::uint64_t aKey, Timestamp aNow) const
+PeerView::CountBefore(std::uint64_t aKey,
+                      const std::vector<std::string>& aTargets) const
 {
   const std::uint64_t own = RendezvousScore(aKey, HashText(mOwn));
-  std::size_t before = 0;
-  for (const std::string& target : Targets(aNow)) {
-    before += RendezvousScore(aKey, HashText(target)) > own ? 1 : 0;
-  }
-  return before;
+  return static_cast<std::size_t>(std::count_if(
+    aTargets.begin(), aTargets.end(), [&](const std::string& aTarget) {
+      return RendezvousScore(aKey, HashText(aTarget)) > own;
+    }));
 }
 
 bool
@@ -117,15 +125,16 @@
   /** Keeps the number that takes itself for one of the first below the limit
    * although it is left to chance: half of it is expected. */
   constexpr double kUnknownWeight = 2.0;
-  const std::uint64_t key = HashText(aServer.Text());
-  const auto unknown =
-    static_cast<double>(EntryCount(aNow) - Targets(aNow).size() - 1);
   constexpr auto kMostScore =
     static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  const std::uint64_t key = HashText(aServer.Text());
+  const std::vector<std::string> targets = Targets(aNow);
+  const auto unknown =
+    static_cast<double>(UnknownCount(targets.size() + 1, aNow));
   const double shareBefore =
     1.0 -
     static_cast<double>(RendezvousScore(key, HashText(mOwn))) / kMostScore;
-  const double before = static_cast<double>(KnownBefore(key, aNow)) +
+  const double before = static_cast<double>(CountBefore(key, targets)) +
                         kUnknownWeight * unknown * shareBefore;
   return before < static_cast<double>(aCount);
 }
@@ -133,7 +142,8 @@
 bool
 PeerView::MayRelyOnOthers(std::uint64_t aDigest, Timestamp aNow) const
 {
-  if (KnownBefore(HashText("directory"), aNow) < mSettings.mDirectoryReaders) {
+  if (CountBefore(HashText("directory"), Targets(aNow)) <
+      mSettings.mDirectoryReaders) {
     return false;
   }
   bool isConfirmed = false;
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -143,8 +143,15 @@
   ServerLoads OtherLoads(Timestamp aNow) const;
 
 private:
-  /** Entries that come before this one for a key. */
-  std::size_t KnownBefore(std::uint64_t aKey, Timestamp aNow) const;
+  /**
+   * @param aKnown Entries that were heard of, this one included.
+   * @return Entries that may be up besides.
+   */
+  std::size_t UnknownCount(std::size_t aKnown, Timestamp aNow) const;
+
+  /** @return How many of the targets come before this entry for a key. */
+  std::size_t CountBefore(std::uint64_t aKey,
+                          const std::vector<std::string>& aTargets) const;
 
   struct Peer
   {
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -83,11 +83,9 @@
       mCounters,
       mLog,
       [this](PeerReport& aReport) {
-        aReport.mLoads = mChooser.OwnLoads();
-        aReport.mDemand = mChooser.OwnDemand(BootNow());
+        mChooser.FillReport(aReport, BootNow());
         aReport.mDirectoryDigest = mFollower.Digest();
         aReport.mDirectoryAge = DirectoryAge();
-        aReport.mSent = mChooser.TakeSentParts();
       },
       [this](const PeerReport& aReport) {
         mChooser.RecordOtherSent(aReport.mSent, BootNow());
@@ -183,9 +181,7 @@
 void
 Forwarder::RefreshChooser()
 {
-  const Timestamp now = BootNow();
-  mChooser.SetOtherLoads(mPeers.OtherLoads(now));
-  mChooser.SetOtherDemand(mPeers.OtherDemand(now));
+  mChooser.TakeOthers(mPeers, BootNow());
 }
 
 double
--- a/src/libmedlarkeelforward/forwardsettings.cpp
+++ b/src/libmedlarkeelforward/forwardsettings.cpp
@@ -8,28 +8,10 @@
 
 constexpr const char* kEndpointExpected = "\"IP number:port\"";
 
-bool
-ParseEndpoint(std::string_view aText, Endpoint& aOut)
-{
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string_view::npos || !IsIpNumber(aText.substr(0, colon))) {
-    return false;
-  }
-  const char* end = aText.data() + aText.size();
-  std::uint16_t port = 0;
-  const auto result = std::from_chars(aText.data() + colon + 1, end, port);
-  if (result.ec != std::errc() || result.ptr != end || port == 0) {
-    return false;
-  }
-  aOut = { std::string(aText.substr(0, colon)), port };
-  return true;
-}
-
 bool
 IsEndpoint(std::string_view aText)
 {
-  Endpoint ignored;
-  return ParseEndpoint(aText, ignored);
+  return ParseEndpointText(aText).has_value();
 }
 
 void
@@ -38,9 +20,7 @@
   const TextRule rule{ kEndpointExpected, IsEndpoint };
   std::string text;
   aReader.Text(aKey, Presence::Required, rule, text);
-  if (!text.empty()) {
-    ParseEndpoint(text, aOut);
-  }
+  aOut = ParseEndpointText(text).value_or(aOut);
 }
 
 /** Reads an endpoint of which only the IP number is used. */
@@ -50,9 +30,11 @@
          ProblemList& aProblems,
          std::vector<std::string>& aOut)
 {
-  Endpoint seed;
-  if (aItem.is_string() && ParseEndpoint(aItem.get<std::string>(), seed)) {
-    aOut.push_back(seed.mAddress);
+  const auto seed = aItem.is_string()
+                      ? ParseEndpointText(aItem.get<std::string>())
+                      : std::nullopt;
+  if (seed) {
+    aOut.push_back(seed->mAddress);
   } else {
     aProblems.Add(aPath, kEndpointExpected, aItem.dump());
   }
@@ -60,6 +42,22 @@
 
 } // namespace
 
+std::optional<Endpoint>
+ParseEndpointText(std::string_view aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos || !IsIpNumber(aText.substr(0, colon))) {
+    return std::nullopt;
+  }
+  const char* end = aText.data() + aText.size();
+  std::uint16_t port = 0;
+  const auto result = std::from_chars(aText.data() + colon + 1, end, port);
+  if (result.ec != std::errc() || result.ptr != end || port == 0) {
+    return std::nullopt;
+  }
+  return Endpoint{ std::string(aText.substr(0, colon)), port };
+}
+
 ForwardSettingsResult
 ParseForwardSettings(std::string_view aText)
 {
--- a/src/libmedlarkeelforward/forwardsettings.h
+++ b/src/libmedlarkeelforward/forwardsettings.h
@@ -37,6 +37,10 @@
   double mColdReserve = 5.0;
 };
 
+/** @return The endpoint in "IP number:port", or nothing. */
+std::optional<Endpoint>
+ParseEndpointText(std::string_view aText);
+
 using ForwardSettingsResult = BOOST_OUTCOME_V2_NAMESPACE::result<
   ForwardSettings,
   std::vector<DocumentProblem>,
--- a/tests/core/test_examples.cpp
+++ b/tests/core/test_examples.cpp
@@ -3,29 +3,15 @@
 #include "routetable.h"
 
 #include "../examplekeys.h"
+#include "../support/sourcefile.h"
 #include "testdocument.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-#include <fstream>
-#include <iterator>
-
 namespace medlarkeel {
 
 namespace {
 
-std::string
-SourceFile(const std::string& aName)
-{
-  const char* folder = std::getenv("MEDLARKEEL_SOURCE");
-  BOOST_REQUIRE(folder != nullptr);
-  std::ifstream file(std::string(folder) + "/" + aName);
-  BOOST_REQUIRE(file.is_open());
-  return { std::istreambuf_iterator<char>(file),
-           std::istreambuf_iterator<char>() };
-}
-
 EnvironmentDocument
 Example(const std::string& aName)
 {
--- a/tests/forward/forwardfixture.h
+++ b/tests/forward/forwardfixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../support/freeport.h"
 #include "fakebackend.h"
 #include "forwarder.h"
 
--- a/tests/platform/fakeserver.cpp
+++ b/tests/platform/fakeserver.cpp
@@ -39,16 +39,6 @@
   return "id: " + number + "\ndata: " + aRequestId + "-" + number + "\n\n";
 }
 
-std::string
-ChunkText(const std::string& aBytes)
-{
-  std::array<char, 16> size{};
-  const int length =
-    std::snprintf(size.data(), size.size(), "%zx\r\n", aBytes.size());
-  return std::string(size.data(), static_cast<std::size_t>(length)) + aBytes +
-         "\r\n";
-}
-
 std::size_t
 BodySize(const std::string& aHead)
 {
@@ -285,7 +275,8 @@
                        mNextEvent == 1 + mServer.mSettings.mEvents / 2;
     if (isLast) {
       FinishRun(kOk);
-      Write(mOutput + "0\r\n\r\n");
+      mOutput += kLastChunk;
+      Write(std::move(mOutput));
       return;
     }
     if (isCut) {
@@ -294,7 +285,7 @@
       Write(mOutput + "20\r\nid: ");
       return;
     }
-    mOutput += ChunkText(EventText(mId, mNextEvent));
+    mOutput += Chunk(EventText(mId, mNextEvent));
     mNextEvent += 1;
     boost::asio::async_write(
       mSocket,
--- a/tests/platform/fakeserver.h
+++ b/tests/platform/fakeserver.h
@@ -80,8 +80,6 @@
   FakeServer(const FakeServer&) = delete;
   FakeServer& operator=(const FakeServer&) = delete;
 
-  const FakeServerSettings& Settings() const { return mSettings; }
-
   /** Does this to the next answers. */
   void SetFault(ServerFault aFault, int aAnswers);
 
--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -288,13 +288,11 @@
   Run([&]() { mTrouble = aTrouble; });
 }
 
-namespace {
-
 Json
-ItemJson(const std::string& aKey,
-         const std::string& aBytes,
-         std::uint64_t aRevision,
-         std::uint64_t aCreated)
+StoreItem(const std::string& aKey,
+          const std::string& aBytes,
+          std::uint64_t aRevision,
+          std::uint64_t aCreated)
 {
   return { { "key", aKey },
            { "value", EncodeBase64(aBytes) },
@@ -303,8 +301,6 @@
            { "lease", 0 } };
 }
 
-} // namespace
-
 FakeStore::Reply
 FakeStore::ReadKey(const std::string& aKey) const
 {
@@ -313,7 +309,7 @@
     return { kNotFound, { { "current-rev", mRevision } } };
   }
   const Item& item = found->second;
-  Json body = ItemJson(aKey, item.mBytes, item.mRevision, item.mCreated);
+  Json body = StoreItem(aKey, item.mBytes, item.mRevision, item.mCreated);
   body["current-rev"] = mRevision;
   return { kOk, body };
 }
@@ -332,7 +328,7 @@
       hasMore = true;
       break;
     }
-    items.push_back(ItemJson(key, item.mBytes, item.mRevision, item.mCreated));
+    items.push_back(StoreItem(key, item.mBytes, item.mRevision, item.mCreated));
   }
   return { kOk,
            { { "items", items },
@@ -355,7 +351,7 @@
     if (change.mItem) {
       const Item& item = *change.mItem;
       events.push_back(
-        ItemJson(change.mKey, item.mBytes, item.mRevision, item.mCreated));
+        StoreItem(change.mKey, item.mBytes, item.mRevision, item.mCreated));
     } else {
       events.push_back({ { "key", change.mKey },
                          { "revision", change.mRevision },
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -18,6 +18,13 @@
 
 namespace medlarkeel {
 
+/** @return An item as the store hands it out. */
+nlohmann::json
+StoreItem(const std::string& aKey,
+          const std::string& aBytes,
+          std::uint64_t aRevision,
+          std::uint64_t aCreated);
+
 /** What goes wrong at the store. */
 enum class StoreTrouble : std::uint8_t
 {
--- a/tests/platform/loopbackplatform.cpp
+++ b/tests/platform/loopbackplatform.cpp
@@ -1,10 +1,11 @@
 #include "loopbackplatform.h"
 
+#include "../support/sourcefile.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <cstdlib>
 #include <fstream>
-#include <iterator>
 #include <unistd.h>
 
 namespace medlarkeel {
@@ -173,10 +174,6 @@
 std::string
 LoopbackPlatform::SettingsText(const EntryProcess& aEntry) const
 {
-  std::ifstream file(EnvironmentOr("MEDLARKEEL_SOURCE", ".") +
-                     "/platform/settings.json.template");
-  const std::string text((std::istreambuf_iterator<char>(file)),
-                         std::istreambuf_iterator<char>());
   const auto at = [&aEntry](std::uint16_t aPort) {
     return aEntry.mAddress + ":" + std::to_string(aPort);
   };
@@ -194,14 +191,14 @@
       { { "address", store.mAddress + ":" + std::to_string(store.mPort) } } },
     { "heartbeat-ms", 1200 },
     { "bounds",
-      { { "drain-ms", mBounds.mDrain.count() },
-        { "grace-s", mBounds.mGraceSeconds },
-        { "retry-budget-ratio", mBounds.mRetryRatio },
-        { "retry-slack", mBounds.mRetrySlack },
-        { "cold-overage", mBounds.mColdOverage },
-        { "cold-slack", mBounds.mColdSlack } } }
+      { { "drain-ms", 2000 },
+        { "grace-s", 8.0 },
+        { "retry-budget-ratio", 0.2 },
+        { "retry-slack", 52.0 },
+        { "cold-overage", 1.5 },
+        { "cold-slack", 5.0 } } }
   };
-  return Render(text, values);
+  return Render(SourceFile("platform/settings.json.template"), values);
 }
 
 EntryProcess&
--- a/tests/platform/loopbackplatform.h
+++ b/tests/platform/loopbackplatform.h
@@ -20,17 +20,6 @@
   std::unique_ptr<ChildProcess> mProcess;
 };
 
-/** Bounds in the settings that the platform gives its processes. */
-struct PlatformBounds
-{
-  Milliseconds mDrain{ 2000 };
-  double mGraceSeconds = 8.0;
-  double mRetryRatio = 0.2;
-  double mRetrySlack = 52.0;
-  double mColdOverage = 1.5;
-  double mColdSlack = 5.0;
-};
-
 /**
  * The whole path on loopback: the store, backend servers and entries, which
  * are processes of medlarkeelforward with settings rendered from the deploy
@@ -92,7 +81,6 @@
 
   std::filesystem::path mFolder;
   FakeStore mStore;
-  PlatformBounds mBounds;
   std::vector<std::unique_ptr<FakeServer>> mServers;
   std::vector<std::unique_ptr<EntryProcess>> mEntries;
   nlohmann::json mDocument;
--- a/tests/platform/test_storeitems.cpp
+++ b/tests/platform/test_storeitems.cpp
@@ -1,6 +1,7 @@
 #include "storeitems.h"
 
-#include <boost/beast/core/detail/base64.hpp>
+#include "fakestore.h"
+
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -11,16 +12,11 @@
 using Json = nlohmann::json;
 
 Json
-Item(const std::string& aKey, const std::string& aValue, int aRevision)
+Item(const std::string& aKey,
+     const std::string& aValue,
+     std::uint64_t aRevision)
 {
-  namespace base64 = boost::beast::detail::base64;
-  std::string encoded(base64::encoded_size(aValue.size()), '\0');
-  encoded.resize(base64::encode(encoded.data(), aValue.data(), aValue.size()));
-  return { { "key", aKey },
-           { "value", encoded },
-           { "revision", aRevision },
-           { "created", 1 },
-           { "lease", 0 } };
+  return StoreItem(aKey, aValue, aRevision, 1);
 }
 
 StorePage
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -118,7 +118,7 @@
            { "zone", aZone },
            { "region", kRegion },
            { "httpListen", LocalEndpoint(aHttpPort) },
-           { "grpcListen", LocalEndpoint(ProcessHarness::FreePort()) },
+           { "grpcListen", LocalEndpoint(FreePort()) },
            { "platform", LocalEndpoint(PlatformPortFor(aId)) },
            { "control",
              { { "configurationPollMs", 300 },
@@ -206,7 +206,7 @@
 {
   auto entry = std::make_unique<EntryProcess>();
   entry->mId = "entry-" + std::to_string(mEntries.size() + 1);
-  entry->mPort = ProcessHarness::FreePort();
+  entry->mPort = FreePort();
   entry->mProcess = &StartDaemon(
     entry->mId, SettingsOf(entry->mId, "entry", aZone, entry->mPort), "");
   mEntries.push_back(std::move(entry));
@@ -232,8 +232,8 @@
   auto pair = std::make_unique<BackendPair>();
   pair->mPool = aPool;
   pair->mId = aPool + "-" + std::to_string(mPairs.size() + 1);
-  pair->mBackendPort = ProcessHarness::FreePort();
-  pair->mAgentHttpPort = ProcessHarness::FreePort();
+  pair->mBackendPort = FreePort();
+  pair->mAgentHttpPort = FreePort();
   aArguments.push_back("--port=" + std::to_string(pair->mBackendPort));
   pair->mProgram = aProgram;
   pair->mArguments = std::move(aArguments);
@@ -254,8 +254,8 @@
 Fleet::ReplaceAgent(BackendPair& aPair)
 {
   nlohmann::json settings = aPair.mAgentSettings;
-  settings["httpListen"] = LocalEndpoint(ProcessHarness::FreePort());
-  settings["grpcListen"] = LocalEndpoint(ProcessHarness::FreePort());
+  settings["httpListen"] = LocalEndpoint(FreePort());
+  settings["grpcListen"] = LocalEndpoint(FreePort());
   const std::string path =
     mHarness.WriteFile(aPair.mId + "-next.json", settings.dump(2));
   ChildProcess& process = mHarness.Start(
@@ -268,7 +268,7 @@
 std::uint16_t
 Fleet::AddWeightStore(std::vector<std::string> aArguments)
 {
-  const std::uint16_t port = ProcessHarness::FreePort();
+  const std::uint16_t port = FreePort();
   aArguments.push_back("--port=" + std::to_string(port));
   mProcesses["weightstore"] =
     &mHarness.Start("weightstore", "fakeweightstore", aArguments);
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -153,7 +153,7 @@
   /** Platform's port and own gRPC port of each daemon. */
   std::map<std::string, std::pair<std::uint16_t, std::uint16_t>> mLinkedPorts;
   CallerKey mKey{ "alfa1", "s3cretOfAlfa1" };
-  std::uint16_t mPlatformPort = ProcessHarness::FreePort();
+  std::uint16_t mPlatformPort = FreePort();
   nlohmann::json mDocument;
   nlohmann::json mAgentSettings = nlohmann::json::object();
   std::vector<std::unique_ptr<BackendPair>> mPairs;
--- a/tests/processes/links.cpp
+++ b/tests/processes/links.cpp
@@ -35,7 +35,7 @@
            const std::string& aTo,
            std::uint16_t aTarget)
 {
-  const std::uint16_t port = ProcessHarness::FreePort();
+  const std::uint16_t port = FreePort();
   Apply([&] {
     mRelays[{ aFrom, aTo }] =
       std::make_unique<LinkRelay>(mContext, port, aTarget);
--- a/tests/processes/processharness.h
+++ b/tests/processes/processharness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../support/childprocess.h"
+#include "../support/freeport.h"
 #include "../support/waituntil.h"
 #include "httpclient.h"
 
@@ -25,9 +26,6 @@
   ProcessHarness(const ProcessHarness&) = delete;
   ProcessHarness& operator=(const ProcessHarness&) = delete;
 
-  /** @return A port of the loopback address that nobody listens on. */
-  static std::uint16_t FreePort();
-
   /**
    * Starts one of the project's programs.
    *
--- a/tests/processes/test_standins.cpp
+++ b/tests/processes/test_standins.cpp
@@ -26,7 +26,7 @@
   }
 
   ProcessHarness mHarness;
-  std::uint16_t mPort = ProcessHarness::FreePort();
+  std::uint16_t mPort = FreePort();
   ChildProcess* mProcess = nullptr;
 };
 
--- a/tests/support/loopback.cpp
+++ b/tests/support/loopback.cpp
@@ -17,15 +17,6 @@
 
 } // namespace
 
-std::uint16_t
-FreePort()
-{
-  boost::asio::io_context context;
-  const tcp::acceptor acceptor(
-    context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-  return acceptor.local_endpoint().port();
-}
-
 std::string
 FieldOf(const std::string& aHead, const std::string& aName)
 {
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -8,10 +8,6 @@
 
 namespace medlarkeel {
 
-/** @return A port of the loopback address that nobody listens on. */
-std::uint16_t
-FreePort();
-
 /** @return The value of a head's field, or an empty text. */
 std::string
 FieldOf(const std::string& aHead, const std::string& aName);
