--- a/bench/experiment/main.cpp
+++ b/bench/experiment/main.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -14,6 +15,10 @@
 DEFINE_string(policies,
               "product,flat-weights",
               "policies to compare, separated by commas");
+DEFINE_string(set,
+              "",
+              "settings that replace those of all policies, as "
+              "NAME=VALUE separated by commas");
 DEFINE_int32(seeds, 5, "seeds that each policy is played with");
 DEFINE_string(json, "", "file that gets the results as JSON");
 
@@ -31,6 +36,8 @@
 {
   const char* mName;
   BackendChooserSettings (*mSettings)();
+  /** Whether requests are turned away under overload. */
+  bool mRefuses = true;
 };
 
 BackendChooserSettings
@@ -87,8 +94,9 @@
   return settings;
 }
 
-constexpr std::array<Policy, 6> kPolicies{
+constexpr std::array<Policy, 7> kPolicies{
   { { "product", Product },
+    { "no-refusals", Product, false },
     { "flat-weights", FlatWeights },
     { "flat-unread-weight", FlatUnreadWeight },
     { "no-stream-tokens", NoStreamTokens },
@@ -96,6 +104,65 @@
     { "no-separation", NoSeparation } }
 };
 
+/** Settings of the choice that --set may replace. */
+struct ChooserSetting
+{
+  const char* mName;
+  double BackendChooserSettings::*mValue;
+};
+
+constexpr std::array<ChooserSetting, 13> kChooserSettings{
+  { { "unreadWeight", &BackendChooserSettings::mUnreadWeight },
+    { "unreadWeightByBacklog",
+      &BackendChooserSettings::mUnreadWeightByBacklog },
+    { "longQueueTokens", &BackendChooserSettings::mLongQueueTokens },
+    { "longQueueWeight", &BackendChooserSettings::mLongQueueWeight },
+    { "fullBacklog", &BackendChooserSettings::mFullBacklog },
+    { "streamTokens", &BackendChooserSettings::mStreamTokens },
+    { "shortElsewhereTokens", &BackendChooserSettings::mShortElsewhereTokens },
+    { "longOnShortTokens", &BackendChooserSettings::mLongOnShortTokens },
+    { "otherZoneTokens", &BackendChooserSettings::mOtherZoneTokens },
+    { "runningTokens", &BackendChooserSettings::mRunningTokens },
+    { "beyondSlotsTokens", &BackendChooserSettings::mBeyondSlotsTokens },
+    { "notFirstTokens", &BackendChooserSettings::mNotFirstTokens },
+    { "homeCachedShare", &BackendChooserSettings::mHomeCachedShare } }
+};
+
+/** Settings of refusals that --set may replace. */
+struct AdmissionSetting
+{
+  const char* mName;
+  double AdmissionSettings::*mValue;
+};
+
+constexpr std::array<AdmissionSetting, 4> kAdmissionSettings{
+  { { "firstRefusal", &AdmissionSettings::mFirstRefusal },
+    { "allRefused", &AdmissionSettings::mAllRefused },
+    { "returnShift", &AdmissionSettings::mReturnShift },
+    { "backlogShare", &AdmissionSettings::mBacklogShare } }
+};
+
+/** @return Whether a setting has that name; it is replaced then. */
+bool
+Replace(const std::string& aName, double aValue, FleetPolicy& aPolicy)
+{
+  for (const ChooserSetting& setting : kChooserSettings) {
+    if (aName == setting.mName) {
+      aPolicy.mChooser.*setting.mValue = aValue;
+      return true;
+    }
+  }
+  for (const AdmissionSetting& setting : kAdmissionSettings) {
+    if (aName == setting.mName) {
+      if (aPolicy.mAdmission) {
+        (*aPolicy.mAdmission).*setting.mValue = aValue;
+      }
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<std::string>
 Split(const std::string& aText)
 {
@@ -149,41 +216,81 @@
   return *middle;
 }
 
+/** @return The decisions of a policy with what --set replaces, or nothing
+ * when --set can't be read. */
+std::optional<FleetPolicy>
+MakePolicy(const Policy& aPolicy)
+{
+  FleetPolicy policy;
+  policy.mChooser = aPolicy.mSettings();
+  if (!aPolicy.mRefuses) {
+    policy.mAdmission.reset();
+  }
+  if (FLAGS_set.empty()) {
+    return policy;
+  }
+  for (const std::string& item : Split(FLAGS_set)) {
+    const std::size_t equals = std::min(item.find('='), item.size());
+    char* end = nullptr;
+    const std::string value =
+      equals < item.size() ? item.substr(equals + 1) : "";
+    const double number = std::strtod(value.c_str(), &end);
+    const bool isNumber = !value.empty() && *end == '\0';
+    if (!isNumber || !Replace(item.substr(0, equals), number, policy)) {
+      std::cerr << "can't use the setting \"" << item << "\"\n";
+      return std::nullopt;
+    }
+  }
+  return policy;
+}
+
 /** Plays one policy with all seeds and prints a line a class. */
 Json
-PlayPolicy(const Policy& aPolicy, const LoadPlan& aPlan)
+PlayPolicy(const Policy& aPolicy,
+           const FleetPolicy& aDecisions,
+           const LoadPlan& aPlan)
 {
   std::vector<std::vector<double>> onTime(aPlan.mClasses.size());
   std::vector<std::vector<double>> medians(aPlan.mClasses.size());
+  std::vector<std::vector<double>> refused(aPlan.mClasses.size());
   std::vector<double> readAgain;
+  std::vector<double> readInVain;
   for (int seed = 1; seed <= FLAGS_seeds; ++seed) {
     std::cerr << aPolicy.mName << ": seed " << seed << " of " << FLAGS_seeds
               << '\n';
-    EmulatedFleet fleet(
-      aPlan, aPolicy.mSettings(), static_cast<std::uint64_t>(seed));
+    EmulatedFleet fleet(aPlan, aDecisions, static_cast<std::uint64_t>(seed));
     const FleetOutcome outcome = fleet.Play();
     for (std::size_t i = 0; i < outcome.mClasses.size(); ++i) {
       onTime[i].push_back(outcome.mClasses[i].OnTimeShare());
       medians[i].push_back(Median(outcome.mClasses[i].mFirstEventMs));
+      refused[i].push_back(outcome.mClasses[i].RefusedShare());
     }
+    readInVain.push_back(static_cast<double>(outcome.mReadInVain));
     readAgain.push_back(static_cast<double>(outcome.mReadAgain));
   }
   constexpr double kThousand = 1000.0;
   const double again = EstimateOf(readAgain).mMean / kThousand;
-  Json result{ { "policy", aPolicy.mName }, { "readAgainThousands", again } };
+  const double inVain = EstimateOf(readInVain).mMean / kThousand;
+  Json result{ { "policy", aPolicy.mName },
+               { "readAgainThousands", again },
+               { "readInVainThousands", inVain } };
   for (std::size_t i = 0; i < onTime.size(); ++i) {
     const Estimate share = EstimateOf(onTime[i]);
     const double first = EstimateOf(medians[i]).mMean;
-    std::printf("%-20s %-12s %7.3f +- %.3f %12.1f %14.0f\n",
+    const double away = EstimateOf(refused[i]).mMean;
+    std::printf("%-20s %-12s %7.3f +- %.3f %8.3f %12.1f %14.0f %16.0f\n",
                 aPolicy.mName,
                 aPlan.mClasses[i].mName.c_str(),
                 share.mMean,
                 share.mHalfWidth,
+                away,
                 first,
-                again);
+                again,
+                inVain);
     result["classes"].push_back({ { "class", aPlan.mClasses[i].mName },
                                   { "onTime", share.mMean },
                                   { "halfWidth", share.mHalfWidth },
+                                  { "refused", away },
                                   { "medianFirstEventMs", first } });
   }
   return result;
@@ -207,12 +314,14 @@
     return kUsageError;
   }
   Json results = Json::array();
-  std::printf("%-20s %-12s %-16s %12s %14s\n",
+  std::printf("%-20s %-12s %-17s %8s %12s %14s %16s\n",
               "policy",
               "class",
               "on time",
+              "refused",
               "median ms",
-              "read again/1k");
+              "read again/1k",
+              "read in vain/1k");
   for (const std::string& name : Split(FLAGS_policies)) {
     const auto* policy = std::find_if(
       kPolicies.begin(), kPolicies.end(), [&name](const Policy& aPolicy) {
@@ -222,7 +331,11 @@
       std::cerr << "no policy is named \"" << name << "\"\n";
       return kUsageError;
     }
-    results.push_back(PlayPolicy(*policy, plan.value()));
+    const std::optional<FleetPolicy> decisions = MakePolicy(*policy);
+    if (!decisions) {
+      return kUsageError;
+    }
+    results.push_back(PlayPolicy(*policy, *decisions, plan.value()));
   }
   if (!FLAGS_json.empty()) {
     std::ofstream out(FLAGS_json);
--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -29,6 +29,8 @@
   DirectoryRegained = 303,
   ItemUnreadable = 304,
   PeerReportLost = 305,
+  BackendLeaving = 306,
+  BackendPaused = 307,
 
   RequestRouted = 400,
   RequestRefused = 401,
@@ -36,6 +38,7 @@
   StreamFailed = 403,
   RequestCompleted = 404,
   BackendAttemptFailed = 405,
+  RequestTurnedAway = 406,
 
   ReservationGranted = 500,
   ReservationRefused = 501,
--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace medlarkeel {
@@ -76,6 +77,8 @@
   for (const ListedBackend* server : candidates) {
     if (server->mEntry.mId == choice.mId) {
       choice.mEndpoint = server->mEntry.mEndpoint;
+      choice.mBoot = server->mBoot;
+      choice.mWaitingTokens = WaitingTokens(choice.mId);
       choice.mIsCold = aNow < server->mColdUntil;
       choice.mIsOtherZone = server->mEntry.mZone != mZone;
     }
@@ -92,7 +95,8 @@
   std::vector<const ListedBackend*> sound;
   std::vector<const ListedBackend*> avoided;
   for (const ListedBackend* server : aUsable) {
-    if (aExcluded.count(server->mEntry.mId) != 0) {
+    if (aExcluded.count(server->mEntry.mId) != 0 ||
+        AskedForNoRequests(server->mBoot, aNow)) {
       continue;
     }
     ServerState& state = mServers[server->mEntry.mId];
@@ -177,9 +181,7 @@
 {
   double tokens = 0.0;
   for (const ListedBackend* server : aUsable) {
-    tokens += OtherLoad(server->mEntry.mId).mUnreadTokens;
-    const auto found = mServers.find(server->mEntry.mId);
-    tokens += found == mServers.end() ? 0.0 : found->second.mUnreadTokens;
+    tokens += WaitingTokens(server->mEntry.mId);
   }
   return aUsable.empty() ? 0.0 : tokens / static_cast<double>(aUsable.size());
 }
@@ -191,24 +193,24 @@
                           bool aIsForShort,
                           Timestamp aNow) const
 {
-  const ServerLoad others = OtherLoad(aServer.mEntry.mId);
   const double weight =
     mSettings.mUnreadWeight +
     mSettings.mUnreadWeightByBacklog * mBacklog / kBacklogUnit;
-  double waiting = others.mUnreadTokens;
-  double running = others.mRequests;
-  const auto found = mServers.find(aServer.mEntry.mId);
-  if (found != mServers.end()) {
-    waiting += found->second.mUnreadTokens;
-    running += static_cast<double>(found->second.mRequests);
-  }
+  const double waiting = WaitingTokens(aServer.mEntry.mId);
   const double beyond =
     std::max(0.0, waiting - mBacklog - mSettings.mLongQueueTokens);
   double cost = weight * aUnread + waiting;
   cost += mSettings.mLongQueueWeight * beyond;
-  cost += mSettings.mRunningTokens * running;
-  cost += aNow < aServer.mColdUntil ? mSettings.mColdTokens : 0.0;
+  cost +=
+    mSettings.mRunningTokens * static_cast<double>(Running(aServer.mEntry.mId));
   const bool isShort = aPrompt.mPromptTokens < mSettings.mShortPromptTokens;
+  if (isShort && aServer.mEntry.mSlots > 0) {
+    const double beyondSlots =
+      static_cast<double>(Running(aServer.mEntry.mId)) -
+      mSettings.mFreeSlotShare * aServer.mEntry.mSlots;
+    cost += mSettings.mBeyondSlotsTokens * std::max(0.0, beyondSlots);
+  }
+  cost += aNow < aServer.mColdUntil ? mSettings.mColdTokens : 0.0;
   if (isShort && !aIsForShort) {
     cost += mSettings.mShortElsewhereTokens;
   }
@@ -258,6 +260,9 @@
       isFirst = false;
     }
   }
+  choice.mIsShortPrompt = isShort;
+  choice.mPoolLoad = LoadOf(aUsable, aNow);
+  choice.mLaneLoad = LoadOf(lane.empty() ? aCandidates : lane, aNow);
   return choice;
 }
 
@@ -267,10 +272,17 @@
 {
   /** A server in the own zone wins below this difference in requests. */
   constexpr double kOtherZoneRequests = 0.5;
+  constexpr std::size_t kDrawn = 2;
+  std::vector<const ListedBackend*> drawn;
+  std::sample(aCandidates.begin(),
+              aCandidates.end(),
+              std::back_inserter(drawn),
+              kDrawn,
+              mRandom);
   BackendChoice choice;
   bool isFirst = true;
   std::uniform_real_distribution<double> tie(0.0, 0.25);
-  for (const ListedBackend* server : aCandidates) {
+  for (const ListedBackend* server : drawn) {
     double cost = static_cast<double>(Running(server->mEntry.mId));
     cost += server->mEntry.mZone != mZone ? kOtherZoneRequests : 0.0;
     cost += tie(mRandom);
@@ -283,6 +295,21 @@
   return choice;
 }
 
+void
+BackendChooser::TakeOthers(const PeerView& aPeers, Timestamp aNow)
+{
+  SetOtherLoads(aPeers.OtherLoads(aNow));
+  mOtherDemand = aPeers.OtherDemand(aNow);
+}
+
+void
+BackendChooser::FillReport(PeerReport& aReport, Timestamp aNow)
+{
+  aReport.mLoads = OwnLoads();
+  aReport.mDemand = OwnDemand(aNow);
+  aReport.mSent = TakeSentParts();
+}
+
 PromptDemand
 BackendChooser::OwnDemand(Timestamp aNow)
 {
@@ -388,6 +415,86 @@
   }
 }
 
+MeanLoad
+BackendChooser::LoadOf(const std::vector<const ListedBackend*>& aServers,
+                       Timestamp aNow) const
+{
+  MeanLoad load;
+  std::size_t servers = 0;
+  std::size_t slots = 0;
+  std::size_t running = 0;
+  for (const ListedBackend* server : aServers) {
+    const InstanceId& id = server->mEntry.mId;
+    const auto known = mServers.find(id);
+    const bool isAvoided =
+      known != mServers.end() && known->second.mHealth.IsAvoided(aNow);
+    if (isAvoided || aNow < server->mColdUntil) {
+      continue;
+    }
+    servers += 1;
+    load.mUnreadTokens += WaitingTokens(id);
+    if (server->mEntry.mSlots > 0) {
+      slots += server->mEntry.mSlots;
+      running += Running(id);
+    }
+  }
+  if (servers > 0) {
+    load.mUnreadTokens /= static_cast<double>(servers);
+  }
+  if (slots > 0) {
+    load.mSlotShare = static_cast<double>(running) / static_cast<double>(slots);
+  }
+  return load;
+}
+
+bool
+BackendChooser::AskedForNoRequests(BootHash aBoot, Timestamp aNow) const
+{
+  const auto found = mNotBefore.find(aBoot);
+  return found != mNotBefore.end() && aNow < found->second;
+}
+
+void
+BackendChooser::RecordNotBefore(BootHash aBoot,
+                                Timestamp aNotBefore,
+                                Timestamp aNow)
+{
+  for (auto entry = mNotBefore.begin(); entry != mNotBefore.end();) {
+    entry = entry->second <= aNow ? mNotBefore.erase(entry) : std::next(entry);
+  }
+  Timestamp& notBefore = mNotBefore[aBoot];
+  notBefore = std::max(notBefore, aNotBefore);
+}
+
+std::optional<Timestamp>
+BackendChooser::EarliestReturn(const std::vector<const ListedBackend*>& aUsable,
+                               Timestamp aNow) const
+{
+  std::optional<Timestamp> earliest;
+  for (const ListedBackend* server : aUsable) {
+    if (!AskedForNoRequests(server->mBoot, aNow)) {
+      return std::nullopt;
+    }
+    const Timestamp notBefore = mNotBefore.at(server->mBoot);
+    earliest = earliest ? std::min(*earliest, notBefore) : notBefore;
+  }
+  return earliest;
+}
+
+void
+BackendChooser::RecordFull(const ListedBackend& aServer, Timestamp aNow)
+{
+  BackendHealth& health = mServers[aServer.mEntry.mId].mHealth;
+  const std::size_t slots = aServer.mEntry.mSlots;
+  // A server that refuses although few requests are there isn't sound.
+  const bool isFull = slots > 0 && 2 * Running(aServer.mEntry.mId) >= slots;
+  if (isFull) {
+    health.RecordBusy(aNow, mSettings.mHealth);
+  } else {
+    health.RecordFailure(aNow, mSettings.mHealth);
+  }
+}
+
 void
 BackendChooser::RecordSuccess(const InstanceId& aId, Timestamp aNow)
 {
@@ -420,6 +527,15 @@
   return own + OtherLoad(aId).mRequests;
 }
 
+double
+BackendChooser::WaitingTokens(const InstanceId& aId) const
+{
+  const auto found = mServers.find(aId);
+  const double own =
+    found == mServers.end() ? 0.0 : found->second.mUnreadTokens;
+  return own + OtherLoad(aId).mUnreadTokens;
+}
+
 ServerLoad
 BackendChooser::OtherLoad(const InstanceId& aId) const
 {
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -38,11 +38,11 @@
   /** Prompt tokens that could be read in the time that the events of a usual
    * answer take from a loaded server. Short prompts bring many answers, so
    * they need more servers than the tokens of their prompts tell. */
-  double mStreamTokens = 3000.0;
+  double mStreamTokens = 2500.0;
   /** Added for a short prompt outside the servers kept for short prompts. */
   double mShortElsewhereTokens = 6000.0;
   /** Added for a long prompt on a server that is kept for short ones. */
-  double mLongOnShortTokens = 24'000.0;
+  double mLongOnShortTokens = 72'000.0;
   /** Added for a server in another availability zone. */
   double mOtherZoneTokens = 1500.0;
   /** Added for a cold server, which holds no parts and is slower. */
@@ -52,6 +52,11 @@
   Microseconds mColdWindow = std::chrono::milliseconds(1150);
   /** Added for each stream that is running on the server. */
   double mRunningTokens = 150.0;
+  /** Share of a server's slots up to which requests only slow each other. */
+  double mFreeSlotShare = 0.75;
+  /** Added for a short prompt and each request beyond that share: it would
+   * wait, or another be preempted, however few tokens are to be read. */
+  double mBeyondSlotsTokens = 1000.0;
   /** Servers that come first for a prompt by hash. Entries that act on the
    * same old loads so leave a busy server for different ones. */
   std::size_t mFirstServers = 3;
@@ -70,6 +75,16 @@
   BackendHealthSettings mHealth;
 };
 
+/** What a number of servers have to do, on average. */
+struct MeanLoad
+{
+  /** Requests in progress as a share of the slots; 0 when no server tells how
+   * many it has. */
+  double mSlotShare = 0.0;
+  /** Prompt tokens that a server hasn't read yet. */
+  double mUnreadTokens = 0.0;
+};
+
 /** Why a backend server was chosen. */
 struct BackendChoice
 {
@@ -79,6 +94,17 @@
   double mCost = 0.0;
   /** Estimated prompt tokens that the server doesn't hold yet. */
   std::uint32_t mUnreadTokens = 0;
+  /** Estimated prompt tokens of other requests that it reads before. */
+  double mWaitingTokens = 0.0;
+  BootHash mBoot = 0;
+  /** Load of all servers of the pool, and of those that prompts of its size
+   * are kept on. */
+  MeanLoad mPoolLoad;
+  MeanLoad mLaneLoad;
+  bool mIsShortPrompt = false;
+
+  /** @return Prompt tokens that the server reads before the first event. */
+  double TokensAhead() const { return mWaitingTokens + mUnreadTokens; }
   /** Servers that could have been chosen. */
   std::size_t mCandidates = 0;
   bool mIsCold = false;
@@ -121,8 +147,11 @@
   /** Takes over what the other entries have in progress. */
   void SetOtherLoads(ServerLoads aLoads) { mOtherLoads = std::move(aLoads); }
 
-  /** Takes over the demand of the other entries. */
-  void SetOtherDemand(const PromptDemand& aDemand) { mOtherDemand = aDemand; }
+  /** Takes over loads and demand of the other entries. */
+  void TakeOthers(const PeerView& aPeers, Timestamp aNow);
+
+  /** Adds what this entry does and has sent since the last report. */
+  void FillReport(PeerReport& aReport, Timestamp aNow);
 
   /** @return The own demand. */
   PromptDemand OwnDemand(Timestamp aNow);
@@ -152,6 +181,18 @@
    */
   void RecordEnded(const BackendChoice& aChoice, bool aHadFirstByte);
 
+  /** Notes that a server refused a request because it is full. */
+  void RecordFull(const ListedBackend& aServer, Timestamp aNow);
+
+  /** Notes that a server asked for no requests before a time. */
+  void RecordNotBefore(BootHash aBoot, Timestamp aNotBefore, Timestamp aNow);
+
+  /** @return When the first of the servers may be sent to again, if all of
+   * them asked for no requests; else nothing. */
+  std::optional<Timestamp> EarliestReturn(
+    const std::vector<const ListedBackend*>& aUsable,
+    Timestamp aNow) const;
+
   void RecordSuccess(const InstanceId& aId, Timestamp aNow);
   void RecordFailure(const InstanceId& aId, Timestamp aNow);
   void RecordUnreachable(const InstanceId& aId, Timestamp aNow);
@@ -187,6 +228,9 @@
                              const PromptDescription& aPrompt,
                              bool aIsHome,
                              Timestamp aNow) const;
+  /** @return The mean load of the servers that aren't avoided or cold. */
+  MeanLoad LoadOf(const std::vector<const ListedBackend*>& aServers,
+                  Timestamp aNow) const;
   /** @return Unread tokens that wait at a server on average. */
   double MeanBacklog(const std::vector<const ListedBackend*>& aUsable) const;
   double ModelCost(const ListedBackend& aServer,
@@ -194,10 +238,19 @@
                    std::uint32_t aUnread,
                    bool aIsForShort,
                    Timestamp aNow) const;
+  bool AskedForNoRequests(BootHash aBoot, Timestamp aNow) const;
   ServerLoad OtherLoad(const InstanceId& aId) const;
+  /** @return Unread tokens of all entries at a server. */
+  double WaitingTokens(const InstanceId& aId) const;
   void RecordDemand(const PromptDescription& aPrompt,
                     std::uint32_t aUnread,
                     Timestamp aNow);
+  /**
+   * Load pattern: short calls to few servers from many entries, each of which
+   * knows the calls of the others late. If all of them took the server that
+   * looks least busy, or that of their zone, it would be full while others are
+   * idle; so each takes the less busy of two servers drawn by chance.
+   */
   BackendChoice ChoosePlain(
     const std::vector<const ListedBackend*>& aCandidates);
   BackendChoice ChooseModel(
@@ -210,6 +263,8 @@
   ZoneName mZone;
   std::mt19937_64 mRandom;
   std::unordered_map<InstanceId, ServerState> mServers;
+  /** Until when servers asked for no requests. */
+  std::unordered_map<BootHash, Timestamp> mNotBefore;
   ServerLoads mOtherLoads;
   std::vector<SentPart> mSentParts;
   PromptDemand mOtherDemand;
--- a/src/libmedlarkeel/forwarding/backendhealth.cpp
+++ b/src/libmedlarkeel/forwarding/backendhealth.cpp
@@ -37,6 +37,13 @@
   Avoid(aNow, aSettings);
 }
 
+void
+BackendHealth::RecordBusy(Timestamp aNow,
+                          const BackendHealthSettings& aSettings)
+{
+  mAvoidUntil = std::max(mAvoidUntil, aNow + aSettings.mBusyTime);
+}
+
 void
 BackendHealth::Decay(Timestamp aNow, const BackendHealthSettings& aSettings)
 {
--- a/src/libmedlarkeel/forwarding/backendhealth.h
+++ b/src/libmedlarkeel/forwarding/backendhealth.h
@@ -17,6 +17,9 @@
   /** First time of avoidance after failures; doubles while they go on. */
   Microseconds mAvoidTime = std::chrono::milliseconds(1000);
   Microseconds mMostAvoidTime = std::chrono::milliseconds(8000);
+  /** Time for which a full server is avoided: one or two requests of a plain
+   * service end in it. */
+  Microseconds mBusyTime = std::chrono::milliseconds(100);
 };
 
 /** What one entry has seen of a backend server's failures. */
@@ -32,6 +35,9 @@
   void RecordUnreachable(Timestamp aNow,
                          const BackendHealthSettings& aSettings);
 
+  /** Notes that the server was full; this is no failure. */
+  void RecordBusy(Timestamp aNow, const BackendHealthSettings& aSettings);
+
   /** @return Whether the server should get no work while others can. */
   bool IsAvoided(Timestamp aNow) const { return aNow < mAvoidUntil; }
 
--- a/src/libmedlarkeel/forwarding/backendlist.cpp
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -9,6 +9,13 @@
 /** Removed ids that are remembered against late, older entries. */
 constexpr std::size_t kMostRemoved = 1024;
 
+/** Lives of processes that are remembered as ending. */
+constexpr std::size_t kMostLeaving = 4096;
+
+/** Time for which the word of another entry holds: it is repeated with each
+ * report while the server is listed, and reports may be lost for seconds. */
+constexpr Microseconds kToldLeavingLife = std::chrono::seconds(10);
+
 bool
 IsRestart(const BackendEntry& aBefore, const BackendEntry& aAfter)
 {
@@ -19,6 +26,15 @@
 
 } // namespace
 
+BootHash
+BootOf(const BackendEntry& aEntry)
+{
+  const auto start = static_cast<std::uint64_t>(
+    aEntry.mStartedAt.value_or(Milliseconds(0)).count());
+  return static_cast<BootHash>(
+    HashText(aEntry.mId.Text() + EndpointText(aEntry.mEndpoint), start));
+}
+
 BackendChange
 BackendList::Put(const BackendEntry& aEntry, Timestamp aNow)
 {
@@ -40,6 +56,7 @@
   }
   ListedBackend& backend = mBackends[aEntry.mId];
   backend.mEntry = aEntry;
+  backend.mBoot = BootOf(aEntry);
   backend.mColdUntil = aNow + aEntry.mColdRemaining;
   backend.mRemoveAt.reset();
   if (aEntry.mIsDraining) {
@@ -137,14 +154,52 @@
   }
 }
 
+bool
+BackendList::RecordLeaving(BootHash aBoot)
+{
+  if (mLeaving.size() >= kMostLeaving) {
+    mLeaving.clear();
+  }
+  return mLeaving.insert(aBoot).second;
+}
+
+void
+BackendList::RecordToldLeaving(const std::vector<BootHash>& aBoots,
+                               Timestamp aNow)
+{
+  if (mToldLeaving.size() >= kMostLeaving) {
+    mToldLeaving.clear();
+  }
+  for (const BootHash boot : aBoots) {
+    mToldLeaving[boot] = aNow + kToldLeavingLife;
+  }
+}
+
+std::vector<BootHash>
+BackendList::LeavingBoots() const
+{
+  std::vector<BootHash> boots;
+  for (const auto& [id, backend] : mBackends) {
+    if (!backend.mEntry.mIsDraining && mLeaving.count(backend.mBoot) != 0) {
+      boots.push_back(backend.mBoot);
+    }
+  }
+  return boots;
+}
+
 std::vector<const ListedBackend*>
-BackendList::Usable(const PoolName& aPool) const
+BackendList::Usable(const PoolName& aPool, Timestamp aNow) const
 {
+  const auto isLeaving = [&](BootHash aBoot) {
+    const auto told = mToldLeaving.find(aBoot);
+    return mLeaving.count(aBoot) != 0 ||
+           (told != mToldLeaving.end() && aNow < told->second);
+  };
   std::vector<const ListedBackend*> usable;
   for (const auto& [id, backend] : mBackends) {
     if (backend.mEntry.mPool == aPool && !backend.mEntry.mIsDraining &&
         mEvacuated.count(backend.mEntry.mZone) == 0 &&
-        mMisdirected.count(id) == 0) {
+        mMisdirected.count(id) == 0 && !isLeaving(backend.mBoot)) {
       usable.push_back(&backend);
     }
   }
--- a/src/libmedlarkeel/forwarding/backendlist.h
+++ b/src/libmedlarkeel/forwarding/backendlist.h
@@ -8,10 +8,16 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace medlarkeel {
 
+/** Names one life of a backend server's process: another process under the
+ * same id or at the same address has another one. */
+using BootHash = std::uint32_t;
+
 /** What a backend server says of itself in the platform's list. */
 struct BackendEntry
 {
@@ -22,16 +28,23 @@
   bool mIsDraining = false;
   /** How much longer the backend server is cold, when the entry was read. */
   Milliseconds mColdRemaining{ 0 };
+  /** Requests that the server works on at once; 0 when it isn't known. */
+  std::uint32_t mSlots = 0;
   /** Wall clock time at which the process started, if it says so. */
   std::optional<Milliseconds> mStartedAt;
   /** Version of the entry in the list. */
   std::uint64_t mRevision = 0;
 };
 
+/** @return The life of a process that an entry stands for. */
+BootHash
+BootOf(const BackendEntry& aEntry);
+
 /** A backend server as this process knows it. */
 struct ListedBackend
 {
   BackendEntry mEntry;
+  BootHash mBoot = 0;
   /** The server is cold before this time. */
   Timestamp mColdUntil;
   /** The server is taken off the list at this time unless it reappears. */
@@ -94,8 +107,24 @@
   /** Notes that another process answers at the server's address. */
   void RecordMisdirected(const InstanceId& aId);
 
+  /**
+   * Notes that a server said in an answer that it is shutting down. This holds
+   * for the rest of its life, also when its entry lapses and comes back.
+   *
+   * @return Whether this is new.
+   */
+  bool RecordLeaving(BootHash aBoot);
+
+  /** Notes servers that another entry heard this of; holds for a while. */
+  void RecordToldLeaving(const std::vector<BootHash>& aBoots, Timestamp aNow);
+
+  /** @return Listed servers that told this entry that they are shutting down
+   * while their entries don't say so. */
+  std::vector<BootHash> LeavingBoots() const;
+
   /** @return The servers of a pool that may get new work. */
-  std::vector<const ListedBackend*> Usable(const PoolName& aPool) const;
+  std::vector<const ListedBackend*> Usable(const PoolName& aPool,
+                                           Timestamp aNow) const;
 
   /** @return A digest of what the list says, but for the age of its entries;
    * the same at all processes that know the same. */
@@ -111,6 +140,9 @@
   std::map<InstanceId, std::uint64_t> mRemovedRevisions;
   std::set<ZoneName> mEvacuated;
   std::set<InstanceId> mMisdirected;
+  std::unordered_set<BootHash> mLeaving;
+  /** Until when what other entries told holds. */
+  std::unordered_map<BootHash, Timestamp> mToldLeaving;
   Timestamp mHoldUntil;
 };
 
--- a/src/libmedlarkeel/forwarding/eventframer.h
+++ b/src/libmedlarkeel/forwarding/eventframer.h
@@ -24,6 +24,9 @@
   /** @return Whether bytes of an unfinished event are held. */
   bool HasPartialEvent() const { return !mHeld.empty(); }
 
+  /** @return Size of the unfinished event. */
+  std::size_t HeldBytes() const { return mHeld.size(); }
+
   /** @return The bytes held back, at the regular end of a body. */
   std::string TakeRest() { return std::move(mHeld); }
 
--- a/src/libmedlarkeel/forwarding/forwardingdocument.cpp
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.cpp
@@ -1,7 +1,51 @@
 #include "forwardingdocument.h"
 
+#include <algorithm>
+
 namespace medlarkeel {
 
+Milliseconds
+ForwardRoute::CallerPatience() const
+{
+  /** Callers leave after the longest of these times without an event. */
+  constexpr Milliseconds kLeastPatience{ 2000 };
+  constexpr int kTargets = 4;
+  constexpr int kPauses = 8;
+  const Milliseconds patience = std::max(
+    { kLeastPatience, mLatencyTarget * kTargets, mLongestPause * kPauses });
+  return std::min(patience, mTimeout);
+}
+
+void
+ForwardingDocument::IndexPools()
+{
+  for (auto& [name, pool] : mPools) {
+    pool.mTiers.clear();
+    pool.mLongestTarget = Milliseconds(0);
+    for (const ForwardRoute& route : mRoutes) {
+      const bool leadsHere =
+        std::any_of(route.mPools.begin(),
+                    route.mPools.end(),
+                    [poolName = name](const PoolShare& aShare) {
+                      return aShare.mPool == poolName;
+                    });
+      if (leadsHere) {
+        pool.mTiers.push_back(route.mTier);
+        pool.mLongestTarget =
+          std::max(pool.mLongestTarget, route.mLatencyTarget);
+      }
+    }
+    for (const ForwardTeam& team : mTeams) {
+      if (team.mTier) {
+        pool.mTiers.push_back(*team.mTier);
+      }
+    }
+    std::sort(pool.mTiers.begin(), pool.mTiers.end());
+    pool.mTiers.erase(std::unique(pool.mTiers.begin(), pool.mTiers.end()),
+                      pool.mTiers.end());
+  }
+}
+
 const ForwardRoute*
 ForwardingDocument::FindRoute(std::string_view aHost,
                               std::string_view aPath) const
--- a/src/libmedlarkeel/forwarding/forwardingdocument.h
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.h
@@ -46,6 +46,8 @@
   Milliseconds mTimeout{ 0 };
   /** Time within which the answer, or its first event, is of full use. */
   Milliseconds mLatencyTarget{ 0 };
+  /** Longest pause between events of a stream of full use; 0: not set. */
+  Milliseconds mLongestPause{ 0 };
   TierRank mTier;
   /** Backend servers that one request may be sent to. */
   int mMostAttempts = 1;
@@ -56,6 +58,10 @@
   {
     return mRepeatRule == RepeatRule::Repeatable || mIsResumable;
   }
+
+  /** @return Time after which callers leave a stream whose first event hasn't
+   * come; no more than the time-out. */
+  Milliseconds CallerPatience() const;
 };
 
 /** Backend servers that do the same work. */
@@ -66,6 +72,10 @@
   double mColdRequestsPerSecond = 0.0;
   /** Whether the backend servers are model engines. */
   bool mIsModel = false;
+  /** Tiers of the requests that may come, the most urgent first. */
+  std::vector<TierRank> mTiers;
+  /** Longest latency target of the routes that lead here. */
+  Milliseconds mLongestTarget{ 0 };
 };
 
 /** What callers may send, and how long they may take. */
@@ -103,6 +113,9 @@
   const ForwardRoute* FindRoute(std::string_view aHost,
                                 std::string_view aPath) const;
 
+  /** Derives what pools keep of the routes and teams; once all are added. */
+  void IndexPools();
+
   /** @return The team that holds the key, or nothing. */
   const ForwardTeam* FindTeam(const std::string& aKey) const;
 
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../types.h"
+#include "backendlist.h"
 
 #include <cstdint>
 #include <map>
@@ -56,6 +56,8 @@
   Milliseconds mDirectoryAge{ 0 };
   /** Last shared parts of prompts that were sent since the last report. */
   std::vector<SentPart> mSent;
+  /** Servers that told the sender that they are shutting down. */
+  std::vector<BootHash> mLeaving;
   /** IP numbers of entries that the sender knows; may be left out. */
   std::vector<std::string> mKnown;
 };
--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -17,6 +17,14 @@
 /** Way between an entry and a server, in one direction. */
 constexpr double kLinkMs = 1.0;
 
+Microseconds
+TimeOf(double aMilliseconds)
+{
+  constexpr double kMicrosecondsPerMillisecond = 1000.0;
+  return Microseconds(
+    static_cast<std::int64_t>(aMilliseconds * kMicrosecondsPerMillisecond));
+}
+
 } // namespace
 
 double
@@ -27,6 +35,14 @@
            : static_cast<double>(mOnTime) / static_cast<double>(mAsked);
 }
 
+double
+ClassOutcome::RefusedShare() const
+{
+  return mAsked == 0
+           ? 0.0
+           : static_cast<double>(mRefused) / static_cast<double>(mAsked);
+}
+
 double
 FleetOutcome::OnTimeShare() const
 {
@@ -38,13 +54,23 @@
 }
 
 EmulatedFleet::EmulatedFleet(const LoadPlan& aPlan,
-                             const BackendChooserSettings& aPolicy,
+                             const FleetPolicy& aPolicy,
                              std::uint64_t aSeed)
   : mPlan(aPlan)
+  , mRandom(aSeed)
   , mArrivals(Arrivals(aPlan, aSeed))
   , mProgress(mArrivals.size())
 {
   mOutcome.mClasses.resize(aPlan.mClasses.size());
+  for (const LoadClass& loadClass : aPlan.mClasses) {
+    mPool.mTiers.push_back(TierRank{ loadClass.mRank });
+    mPool.mLongestTarget =
+      std::max(mPool.mLongestTarget,
+               Milliseconds(static_cast<std::int64_t>(loadClass.mTargetMs)));
+  }
+  std::sort(mPool.mTiers.begin(), mPool.mTiers.end());
+  mPool.mTiers.erase(std::unique(mPool.mTiers.begin(), mPool.mTiers.end()),
+                     mPool.mTiers.end());
   std::vector<std::string> addresses;
   for (std::size_t i = 0; i < aPlan.mEntries; ++i) {
     addresses.push_back("10.0.0." + std::to_string(i + 1));
@@ -53,9 +79,15 @@
     Entry entry;
     entry.mAddress = addresses[i];
     entry.mChooser = std::make_unique<BackendChooser>(
-      aPolicy, ZoneName("zone-" + std::to_string(i % aPlan.mZones)), aSeed + i);
+      aPolicy.mChooser,
+      ZoneName("zone-" + std::to_string(i % aPlan.mZones)),
+      aSeed + i);
     entry.mPeers = std::make_unique<PeerView>(
       PeerSettings(), addresses[i], addresses, kEntriesStarted);
+    if (aPolicy.mAdmission) {
+      entry.mAdmission =
+        std::make_unique<AdmissionControl>(*aPolicy.mAdmission);
+    }
     mEntries.push_back(std::move(entry));
   }
   mServers.resize(aPlan.mServers);
@@ -64,6 +96,8 @@
     server.mListed.mEntry.mId = InstanceId("server-" + std::to_string(i));
     server.mListed.mEntry.mZone =
       ZoneName("zone-" + std::to_string(i % aPlan.mZones));
+    server.mListed.mEntry.mSlots =
+      static_cast<std::uint32_t>(aPlan.mSpeed.mSlots);
     server.mEngine = std::make_unique<EngineModel>(aPlan.mSpeed);
     mUsable.push_back(&server.mListed);
   }
@@ -72,9 +106,7 @@
 Timestamp
 EmulatedFleet::Now() const
 {
-  constexpr double kMicrosecondsPerMillisecond = 1000.0;
-  return kStart + Microseconds(static_cast<std::int64_t>(
-                    mNowMs * kMicrosecondsPerMillisecond));
+  return kStart + TimeOf(mNowMs);
 }
 
 void
@@ -117,6 +149,9 @@
     const PromptPart& shared = planned.mRequest.mPrompt.mParts.front();
     needed += seen.insert(shared.mId).second ? shared.mTokens : 0;
   }
+  for (const Server& server : mServers) {
+    mOutcome.mReadInVain += server.mEngine->TokensReadInVain();
+  }
   mOutcome.mReadAgain = read > needed ? read - needed : 0;
   return mOutcome;
 }
@@ -128,9 +163,7 @@
   PeerReport report;
   report.mAddress = entry.mAddress;
   report.mSequence = ++entry.mReports;
-  report.mLoads = entry.mChooser->OwnLoads();
-  report.mDemand = entry.mChooser->OwnDemand(Now());
-  report.mSent = entry.mChooser->TakeSentParts();
+  entry.mChooser->FillReport(report, Now());
   for (Entry& other : mEntries) {
     if (other.mPeers->Record(report, Now())) {
       other.mChooser->RecordOtherSent(report.mSent, Now());
@@ -145,22 +178,83 @@
 {
   const PlannedRequest& planned = mArrivals[aNumber];
   Entry& entry = mEntries[planned.mEntry];
-  mOutcome.mClasses[planned.mClass].mAsked += 1;
-  entry.mChooser->SetOtherLoads(entry.mPeers->OtherLoads(Now()));
-  entry.mChooser->SetOtherDemand(entry.mPeers->OtherDemand(Now()));
+  if (!mProgress[aNumber].mHasComeBack) {
+    mOutcome.mClasses[planned.mClass].mAsked += 1;
+  }
+  entry.mChooser->TakeOthers(*entry.mPeers, Now());
   const auto choice = entry.mChooser->Choose(
     mUsable,
     planned.mRequest.mPrompt,
     {},
     [](const InstanceId&) { return std::numeric_limits<std::size_t>::max(); },
     Now());
+  if (IsAdmitted(aNumber, *choice)) {
+    Send(aNumber, *choice);
+  }
+}
+
+bool
+EmulatedFleet::IsAdmitted(std::size_t aNumber, const BackendChoice& aChoice)
+{
+  const PlannedRequest& planned = mArrivals[aNumber];
+  const Entry& entry = mEntries[planned.mEntry];
+  if (!entry.mAdmission) {
+    return true;
+  }
+  std::uniform_real_distribution<double> chance(0.0, 1.0);
+  AdmissionRequest request;
+  request.mTier = TierRank{ planned.mRequest.mRank };
+  request.mPatience =
+    Milliseconds(static_cast<std::int64_t>(PatienceMs(planned.mClass)));
+  request.mChoice = aChoice;
+  request.mHasComeBack = mProgress[aNumber].mHasComeBack;
+  request.mChance = chance(mRandom);
+  request.mSpread = chance(mRandom);
+  const AdmissionDecision decision = entry.mAdmission->Decide(mPool, request);
+  if (decision.mVerdict == AdmissionVerdict::Admitted) {
+    return true;
+  }
   Progress& progress = mProgress[aNumber];
-  progress.mChoice = *choice;
+  const double backMs =
+    mNowMs + static_cast<double>(decision.mReturnAfter.count());
+  const double limitMs =
+    planned.mAtMs + mPlan.mClasses[planned.mClass].mLimitMs;
+  if (progress.mHasComeBack || backMs >= limitMs) {
+    progress.mIsOver = true;
+    mOutcome.mClasses[planned.mClass].mRefused += 1;
+    return false;
+  }
+  progress.mHasComeBack = true;
+  At(backMs, [this, aNumber]() { Arrive(aNumber); });
+  return false;
+}
+
+double
+EmulatedFleet::PatienceMs(std::size_t aClass) const
+{
+  ForwardRoute route;
+  const LoadClass& loadClass = mPlan.mClasses[aClass];
+  route.mTimeout = Milliseconds(static_cast<std::int64_t>(loadClass.mLimitMs));
+  route.mLatencyTarget =
+    Milliseconds(static_cast<std::int64_t>(loadClass.mTargetMs));
+  route.mLongestPause =
+    Milliseconds(static_cast<std::int64_t>(loadClass.mPauseMs));
+  return static_cast<double>(route.CallerPatience().count());
+}
+
+void
+EmulatedFleet::Send(std::size_t aNumber, const BackendChoice& aChoice)
+{
+  const PlannedRequest& planned = mArrivals[aNumber];
+  Entry& entry = mEntries[planned.mEntry];
+  Progress& progress = mProgress[aNumber];
+  progress.mChoice = aChoice;
+  progress.mSentMs = mNowMs;
   for (std::size_t i = 0; i < mServers.size(); ++i) {
-    const bool isChosen = mServers[i].mListed.mEntry.mId == choice->mId;
+    const bool isChosen = mServers[i].mListed.mEntry.mId == aChoice.mId;
     progress.mServer = isChosen ? i : progress.mServer;
   }
-  entry.mChooser->RecordStarted(*choice, planned.mRequest.mPrompt, Now());
+  entry.mChooser->RecordStarted(aChoice, planned.mRequest.mPrompt, Now());
   At(mNowMs + kLinkMs, [this, aNumber]() {
     const std::size_t server = mProgress[aNumber].mServer;
     mServers[server].mEngine->Add(mArrivals[aNumber].mRequest);
@@ -168,6 +262,11 @@
       Work(server);
     }
   });
+  At(mNowMs + PatienceMs(planned.mClass), [this, aNumber]() {
+    if (mProgress[aNumber].mFirstMs < 0.0) {
+      GiveUp(aNumber);
+    }
+  });
   At(planned.mAtMs + mPlan.mClasses[planned.mClass].mLimitMs,
      [this, aNumber]() { GiveUp(aNumber); });
 }
@@ -203,7 +302,12 @@
   const double seenMs = mNowMs + kLinkMs;
   if (progress.mFirstMs < 0.0) {
     progress.mFirstMs = seenMs - planned.mAtMs;
-    mEntries[planned.mEntry].mChooser->RecordFirstByte(progress.mChoice);
+    Entry& entry = mEntries[planned.mEntry];
+    entry.mChooser->RecordFirstByte(progress.mChoice);
+    if (entry.mAdmission) {
+      entry.mAdmission->RecordFirstEvent(progress.mChoice.TokensAhead(),
+                                         TimeOf(seenMs - progress.mSentMs));
+    }
   } else {
     progress.mLongestPauseMs =
       std::max(progress.mLongestPauseMs, seenMs - progress.mLastEventMs);
@@ -240,6 +344,11 @@
     outcome.mGivenUp += 1;
     return;
   }
+  if (const auto& admission = mEntries[planned.mEntry].mAdmission) {
+    admission->RecordStream(
+      progress.mChoice.mIsShortPrompt,
+      TimeOf(mNowMs + kLinkMs - planned.mAtMs - progress.mFirstMs));
+  }
   outcome.mFirstEventMs.push_back(progress.mFirstMs);
   (isOnTime ? outcome.mOnTime : outcome.mLate) += 1;
 }
--- a/src/libmedlarkeelemulator/emulatedfleet.h
+++ b/src/libmedlarkeelemulator/emulatedfleet.h
@@ -1,11 +1,13 @@
 #pragma once
 
-#include "../libmedlarkeel/forwarding/backendchooser.h"
+#include "../libmedlarkeel/forwarding/admissioncontrol.h"
 #include "loadplan.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
+#include <random>
 #include <vector>
 
 namespace medlarkeel {
@@ -19,15 +21,21 @@
   std::size_t mLate = 0;
   /** The caller left before the end. */
   std::size_t mGivenUp = 0;
+  /** Turned away, and again when they came back. */
+  std::size_t mRefused = 0;
   /** Times to the first event, in milliseconds. */
   std::vector<double> mFirstEventMs;
 
   double OnTimeShare() const;
+  double RefusedShare() const;
 };
 
 struct FleetOutcome
 {
   std::vector<ClassOutcome> mClasses;
+  /** Tokens of prompts that were read for callers who had left before their
+   * first event. */
+  std::uint64_t mReadInVain = 0;
   /** Tokens of shared parts that were read although a server had read them. */
   std::uint64_t mReadAgain = 0;
 
@@ -36,6 +44,14 @@
   double OnTimeShare() const;
 };
 
+/** The decisions of the entries. */
+struct FleetPolicy
+{
+  BackendChooserSettings mChooser;
+  /** Nothing is turned away without them. */
+  std::optional<AdmissionSettings> mAdmission = AdmissionSettings();
+};
+
 /**
  * Entries and model engines in virtual time, without sockets. The entries run
  * the product's own choice and exchange what they know as their processes do.
@@ -44,7 +60,7 @@
 {
 public:
   EmulatedFleet(const LoadPlan& aPlan,
-                const BackendChooserSettings& aPolicy,
+                const FleetPolicy& aPolicy,
                 std::uint64_t aSeed);
 
   /** Plays the whole plan. */
@@ -57,6 +73,7 @@
     std::string mAddress;
     std::unique_ptr<BackendChooser> mChooser;
     std::unique_ptr<PeerView> mPeers;
+    std::unique_ptr<AdmissionControl> mAdmission;
     std::uint64_t mReports = 0;
   };
 
@@ -74,6 +91,8 @@
     std::size_t mServer = 0;
     double mFirstMs = -1.0;
     double mLastEventMs = 0.0;
+    double mSentMs = 0.0;
+    bool mHasComeBack = false;
     double mLongestPauseMs = 0.0;
     bool mIsOver = false;
   };
@@ -89,12 +108,19 @@
   void At(double aAtMs, std::function<void()> aRun);
   void Exchange(std::size_t aEntry);
   void Arrive(std::size_t aNumber);
+  /** @return Whether the request is sent; its caller comes back once. */
+  bool IsAdmitted(std::size_t aNumber, const BackendChoice& aChoice);
+  void Send(std::size_t aNumber, const BackendChoice& aChoice);
+  /** @return Time after which a caller leaves that got no first event. */
+  double PatienceMs(std::size_t aClass) const;
   void Work(std::size_t aServer);
   void TakeToken(const EngineToken& aToken);
   void GiveUp(std::size_t aNumber);
   void RecordEnd(std::size_t aNumber, bool aIsComplete);
 
   LoadPlan mPlan;
+  ForwardPool mPool;
+  std::mt19937_64 mRandom;
   std::vector<PlannedRequest> mArrivals;
   std::vector<Progress> mProgress;
   std::vector<Entry> mEntries;
--- a/src/libmedlarkeelemulator/enginemodel.cpp
+++ b/src/libmedlarkeelemulator/enginemodel.cpp
@@ -4,6 +4,12 @@
 
 namespace medlarkeel {
 
+namespace {
+
+constexpr double kMillionth = 1e-6;
+
+} // namespace
+
 EngineModel::EngineModel(const EngineSpeed& aSpeed)
   : mSpeed(aSpeed)
 {
@@ -26,8 +32,11 @@
     return aRequest.mNumber == aNumber;
   };
   mWaiting.remove_if(hasNumber);
-  mRunning.remove_if(
-    [&hasNumber](const Run& aRun) { return hasNumber(aRun.mRequest); });
+  mRunning.remove_if([&](const Run& aRun) {
+    const bool isCancelled = hasNumber(aRun.mRequest);
+    mTokensReadInVain += isCancelled && aRun.mMade == 0 ? aRun.mRead : 0;
+    return isCancelled;
+  });
 }
 
 EngineStep
@@ -48,7 +57,13 @@
       continue;
     }
     const std::uint64_t part = std::min(room, run.mUnread);
+    step.mTimeMs +=
+      mSpeed.mMsPerMillionPairs * kMillionth * static_cast<double>(part) *
+      static_cast<double>(run.mRequest.mPrompt.mPromptTokens -
+                          std::min<std::uint64_t>(
+                            run.mUnread, run.mRequest.mPrompt.mPromptTokens));
     run.mUnread -= part;
+    run.mRead += part;
     room -= part;
     read += part;
     if (run.mUnread == 0) {
@@ -66,7 +81,7 @@
 EngineModel::Admit()
 {
   while (mRunning.size() < mSpeed.mSlots && !mWaiting.empty()) {
-    Run run{ std::move(mWaiting.front()), 0, 0 };
+    Run run{ std::move(mWaiting.front()), 0, 0, 0 };
     mWaiting.pop_front();
     // The last token of a prompt is always read: it brings the first answer.
     run.mUnread =
--- a/src/libmedlarkeelemulator/enginemodel.h
+++ b/src/libmedlarkeelemulator/enginemodel.h
@@ -17,6 +17,9 @@
   /** Added for each answer in the step. */
   double mStepMsPerAnswer = 0.0445;
   double mPromptTokensPerMs = 50.7;
+  /** Added for each million pairs of a token that is read and one before it
+   * in its prompt. */
+  double mMsPerMillionPairs = 0.0;
   /** Prompt tokens that one step reads at most. */
   std::uint32_t mChunkTokens = 1024;
   std::size_t mSlots = 64;
@@ -69,6 +72,10 @@
   /** Works for one step. */
   EngineStep Step();
 
+  /** @return Tokens that were read of prompts whose callers left before they
+   * were read whole. */
+  std::uint64_t TokensReadInVain() const { return mTokensReadInVain; }
+
   /** @return Tokens of shared parts that were read, also once more. */
   std::uint64_t SharedTokensRead() const { return mSharedTokensRead; }
 
@@ -77,6 +84,7 @@
   {
     EngineRequest mRequest;
     std::uint64_t mUnread = 0;
+    std::uint64_t mRead = 0;
     std::uint32_t mMade = 0;
   };
 
@@ -100,6 +108,7 @@
   std::unordered_map<std::uint64_t, std::list<KeptPart>::iterator> mKeptById;
   std::uint64_t mKeptTokens = 0;
   std::uint64_t mSharedTokensRead = 0;
+  std::uint64_t mTokensReadInVain = 0;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeelemulator/loadplan.cpp
+++ b/src/libmedlarkeelemulator/loadplan.cpp
@@ -15,6 +15,7 @@
 const NumberRange kTime{ 0.0, kMostMilliseconds, "ms" };
 const NumberRange kSeconds{ 0.0, 3600.0, "s" };
 const NumberRange kFactor{ 0.0, 1000.0, "times" };
+const NumberRange kShare{ 0.0, 1.0, "of all" };
 const IntegerRange kRank{ 0, 9, "" };
 const IntegerRange kCount{ 1, 1'000'000, "items" };
 const TextRule kAnyText{ "a text", [](std::string_view) { return true; } };
@@ -77,7 +78,8 @@
   reader.Text("class", Presence::Optional, kAnyText, burst.mClass);
   reader.Number("from", Presence::Required, kSeconds, burst.mFromSeconds);
   reader.Number("to", Presence::Required, kSeconds, burst.mToSeconds);
-  reader.Number("factor", Presence::Required, kFactor, burst.mFactor);
+  reader.Number("factor", Presence::Optional, kFactor, burst.mFactor);
+  reader.Number("hotShare", Presence::Optional, kShare, burst.mHotShare);
   reader.RefuseUnknownKeys();
   aPlan.mBursts.push_back(std::move(burst));
 }
@@ -92,6 +94,12 @@
                  Presence::Optional,
                  kTokens,
                  aSpeed.mPromptTokensPerMs);
+  aReader.Number(
+    "msPerMillionPairs", Presence::Optional, kTime, aSpeed.mMsPerMillionPairs);
+  aReader.Number(
+    "chunkTokens", Presence::Optional, kCount, aSpeed.mChunkTokens);
+  aReader.Number(
+    "memoryTokens", Presence::Optional, kCount, aSpeed.mMemoryTokens);
   aReader.Number("slots", Presence::Optional, kCount, aSpeed.mSlots);
 }
 
@@ -114,19 +122,27 @@
   return static_cast<std::uint32_t>(std::max(1.0, Draw(aSize, aRandom)));
 }
 
-double
-FactorAt(const LoadPlan& aPlan, const LoadClass& aClass, double aAtMs)
+/** What the bursts make of a class at one time. */
+struct BurstEffect
+{
+  double mFactor = 1.0;
+  double mHotShare = 0.0;
+};
+
+BurstEffect
+EffectAt(const LoadPlan& aPlan, const LoadClass& aClass, double aAtMs)
 {
   const double seconds = aAtMs / kMillisecondsPerSecond;
-  double factor = 1.0;
+  BurstEffect effect;
   for (const LoadBurst& burst : aPlan.mBursts) {
     const bool applies = burst.mClass.empty() || burst.mClass == aClass.mName;
     if (applies && burst.mFromSeconds <= seconds &&
         seconds < burst.mToSeconds) {
-      factor *= burst.mFactor;
+      effect.mFactor *= burst.mFactor;
+      effect.mHotShare = std::max(effect.mHotShare, burst.mHotShare);
     }
   }
-  return factor;
+  return effect;
 }
 
 /** Arrivals of one class by thinning those of its highest rate. */
@@ -154,7 +170,8 @@
   const std::uint64_t firstId = (aClass + 1) << 32U;
   const double end = aPlan.mSeconds * kMillisecondsPerSecond;
   for (double at = pauses(aRandom); at < end; at += pauses(aRandom)) {
-    if (kept(aRandom) >= FactorAt(aPlan, loadClass, at)) {
+    const BurstEffect effect = EffectAt(aPlan, loadClass, at);
+    if (kept(aRandom) >= effect.mFactor) {
       continue;
     }
     PlannedRequest planned;
@@ -162,7 +179,9 @@
     planned.mClass = aClass;
     planned.mEntry = entries(aRandom);
     planned.mRequest.mRank = loadClass.mRank;
-    const std::uint64_t part = parts(aRandom);
+    const bool isHot =
+      effect.mHotShare > 0.0 && kept(aRandom) < most * effect.mHotShare;
+    const std::uint64_t part = isHot ? 0 : parts(aRandom);
     const std::uint32_t own = DrawTokens(loadClass.mOwnTokens, aRandom);
     PromptDescription& prompt = planned.mRequest.mPrompt;
     prompt.mParts = { { firstId + part, sharedTokens[part] },
--- a/src/libmedlarkeelemulator/loadplan.h
+++ b/src/libmedlarkeelemulator/loadplan.h
@@ -41,7 +41,7 @@
   double mLimitMs = 10'000.0;
 };
 
-/** A time in which a class is asked for more often. */
+/** A time in which a class is asked for more often, or for one part of it. */
 struct LoadBurst
 {
   /** Name of the class; empty for all. */
@@ -49,6 +49,8 @@
   double mFromSeconds = 0.0;
   double mToSeconds = 0.0;
   double mFactor = 1.0;
+  /** Share of the requests that ask for the same shared part. */
+  double mHotShare = 0.0;
 };
 
 /** A fleet and what it is asked for. */
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -108,6 +108,7 @@
 Exchange::ReadTimeLimit()
 {
   mGiveUpAt = mArrived + mRoute->mTimeout;
+  mTimeLimit = mRoute->mTimeout;
   const std::string* field = mHead.Find(mForwarder.Protocol().mTimeLeft);
   if (field == nullptr) {
     return true;
@@ -117,7 +118,8 @@
     Reject(kBadRequest, "the time limit isn't a number");
     return false;
   }
-  mGiveUpAt = std::min(mGiveUpAt, mArrived + Milliseconds(*left));
+  mTimeLimit = Milliseconds(*left);
+  mGiveUpAt = std::min(mGiveUpAt, mArrived + mTimeLimit);
   return true;
 }
 
@@ -214,13 +216,9 @@
   if (wasSent) {
     mHistory.Record(AttemptOutcome::TimedOut);
     mForwarder.Chooser().RecordFailure(attempt->mChoice.mId, BootNow());
+    ReleaseAttempt(attempt, false);
   }
-  if (attempt) {
-    if (wasSent) {
-      ReleaseAttempt(attempt, false);
-    }
-    mAttempt.reset();
-  }
+  mAttempt.reset();
   if (mHasAnswered) {
     CutStream("the time limit passed");
     return;
@@ -284,6 +282,9 @@
 Milliseconds
 Exchange::RetryTime()
 {
+  if (mReturnAfter) {
+    return *mReturnAfter;
+  }
   const Milliseconds target =
     mRoute == nullptr ? kRetryWithoutRoute : mRoute->mLatencyTarget;
   const double share =
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -58,6 +58,12 @@
     bool mIsPaused = false;
     /** How a failed answer counts once it is complete. */
     std::optional<AttemptOutcome> mFailure;
+    Timestamp mBegunAt;
+    Timestamp mFirstByteAt;
+    /** Interim answers, and those to other requests, that were skipped. */
+    int mOtherAnswers = 0;
+    /** Body bytes of skipped answers. */
+    std::size_t mForeignBytes = 0;
   };
   using AttemptPointer = std::shared_ptr<Attempt>;
 
@@ -68,6 +74,10 @@
   void PickPool();
   void StartTimer();
   void TryBackend();
+  void StartAttempt(const BackendChoice& aChoice);
+  /** @return Whether the request may be sent; it is refused if not. */
+  bool IsAdmitted(const BackendChoice& aChoice);
+  TierRank Tier() const;
   void SendRequest(const AttemptPointer& aAttempt);
   std::string RequestText(const Attempt& aAttempt) const;
   void ReadAnswer(const AttemptPointer& aAttempt);
@@ -75,6 +85,10 @@
                  const Error& aError,
                  std::size_t aSize);
   bool TakeHead(const AttemptPointer& aAttempt);
+  /** @return Whether one more answer before the right one is allowed. */
+  bool SkipsOtherAnswer(const AttemptPointer& aAttempt);
+  /** Notes what a server says of itself in the head of an answer. */
+  void RecordServerState(const Attempt& aAttempt, const MessageHead& aHead);
   void TakeBody(const AttemptPointer& aAttempt, ParseState aState);
   void PassEvents(const AttemptPointer& aAttempt, bool aIsEnd);
   void FinishAnswer(const AttemptPointer& aAttempt);
@@ -94,6 +108,8 @@
   bool IsStreamAnswer(const Attempt& aAttempt) const;
   Milliseconds Elapsed() const;
   Milliseconds RetryTime();
+  /** Notes at the chooser how an attempt has failed. */
+  void RecordFailure(const Attempt& aAttempt, AttemptOutcome aOutcome);
   bool TakesRetry();
 
   Forwarder& mForwarder;
@@ -109,11 +125,15 @@
   std::optional<PromptDescription> mPrompt;
   Timestamp mArrived;
   Timestamp mGiveUpAt;
+  /** How long the caller waits in all, as it said; else the route's time. */
+  Milliseconds mTimeLimit{ 0 };
   boost::asio::steady_timer mTimer;
   AttemptHistory mHistory;
   std::set<InstanceId> mTried;
   AttemptPointer mAttempt;
   std::optional<BackendChoice> mLastChoice;
+  /** When a refused caller should come back, if that is known. */
+  std::optional<Milliseconds> mReturnAfter;
   /** Whether the head of the answer has been passed on. */
   bool mHasAnswered = false;
   bool mIsChunked = true;
--- /dev/null
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -0,0 +1,321 @@
+#include "exchange.h"
+
+#include "../libmedlarkeel/forwarding/requestedpause.h"
+#include "../libmedlarkeelnet/bootclock.h"
+#include "callerconnection.h"
+
+namespace medlarkeel {
+
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstFailure = 300;
+constexpr int kUnavailable = 503;
+
+/** Bytes that wait for the caller before the answer isn't read further. */
+constexpr std::size_t kMostPending = 262'144;
+
+/** Answers up to this size are passed on only when they are whole. */
+constexpr std::size_t kMostHeldBody = 1U << 20U;
+
+/** Size of a head, of a line between chunks or of trailers beyond which the
+ * bytes are taken for no answer. */
+constexpr std::size_t kMostHeadBytes = 65'536;
+
+/** Size of one event beyond which the bytes are taken for no stream. */
+constexpr std::size_t kMostEventBytes = 1U << 20U;
+
+/** Answers that may stand before that to the request: interim ones, and late
+ * ones to earlier requests on the connection. */
+constexpr int kMostOtherAnswers = 8;
+
+/** Characters of a server's field that are logged. */
+constexpr std::size_t kLoggedFieldSize = 40;
+
+} // namespace
+
+void
+Exchange::ReadAnswer(const AttemptPointer& aAttempt)
+{
+  aAttempt->mConnection->mSocket.async_read_some(
+    boost::asio::buffer(aAttempt->mBuffer),
+    [self = shared_from_this(), aAttempt](const Error& aError,
+                                          std::size_t aSize) {
+      if (self->mIsDone || self->mAttempt != aAttempt) {
+        return;
+      }
+      self->TakeBytes(aAttempt, aError, aSize);
+    });
+}
+
+void
+Exchange::TakeBytes(const AttemptPointer& aAttempt,
+                    const Error& aError,
+                    std::size_t aSize)
+{
+  if (aError) {
+    const bool isCleanEnd = aError == boost::asio::error::eof;
+    if (isCleanEnd && aAttempt->mHasHead && aAttempt->mParser->need_eof()) {
+      Error error;
+      aAttempt->mParser->put_eof(error);
+      TakeBody(aAttempt, error ? ParseState::Invalid : ParseState::Done);
+      return;
+    }
+    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    return;
+  }
+  aAttempt->mInput.append(aAttempt->mBuffer.data(), aSize);
+  while (!mIsDone && mAttempt == aAttempt) {
+    if (!aAttempt->mHasHead && !TakeHead(aAttempt)) {
+      break;
+    }
+    ParseState state = Feed(*aAttempt->mParser, aAttempt->mInput);
+    if (state == ParseState::NeedMore &&
+        aAttempt->mInput.size() > kMostHeadBytes) {
+      state = ParseState::Invalid;
+    }
+    const bool isForeign = aAttempt->mIsForeign;
+    TakeBody(aAttempt, state);
+    if (!isForeign || state != ParseState::Done) {
+      break;
+    }
+  }
+  if (mIsDone || mAttempt != aAttempt) {
+    return;
+  }
+  if (!aAttempt->mIsPaused) {
+    ReadAnswer(aAttempt);
+  }
+}
+
+void
+Exchange::ResumeReading()
+{
+  // Reading pauses only while bytes for the caller are pending.
+  if (mAttempt && mAttempt->mIsPaused && !mIsDone) {
+    mAttempt->mIsPaused = false;
+    ReadAnswer(mAttempt);
+  }
+}
+
+bool
+Exchange::TakeHead(const AttemptPointer& aAttempt)
+{
+  const std::optional<std::size_t> end = FindHeadEnd(aAttempt->mInput);
+  if (!end) {
+    if (aAttempt->mInput.size() > kMostHeadBytes) {
+      EndAttempt(aAttempt, AttemptOutcome::Broken);
+    }
+    return false;
+  }
+  std::string head = aAttempt->mInput.substr(0, *end);
+  aAttempt->mInput.erase(0, *end);
+  auto parser = std::make_unique<AnswerParser>();
+  if (mHead.mMethod == "HEAD") {
+    parser->skip(true);
+  }
+  const bool isSound =
+    FindHeadFault(head).empty() && Feed(*parser, head) != ParseState::Invalid;
+  if (!isSound) {
+    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    return false;
+  }
+  if (parser->Head().mStatus < kFirstFinalStatus) {
+    return SkipsOtherAnswer(aAttempt) && TakeHead(aAttempt);
+  }
+  RecordServerState(*aAttempt, parser->Head());
+  const std::string* id = parser->Head().Find(mForwarder.Protocol().mRequestId);
+  aAttempt->mIsForeign = id != nullptr && *id != mRequestId;
+  const bool isUnusable =
+    id == nullptr || (aAttempt->mIsForeign && parser->need_eof());
+  if (isUnusable) {
+    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    return false;
+  }
+  if (aAttempt->mIsForeign && !SkipsOtherAnswer(aAttempt)) {
+    return false;
+  }
+  if (!aAttempt->mIsForeign) {
+    const bool saysNotRun =
+      parser->Head().Find(mForwarder.Protocol().mNotRun) != nullptr;
+    aAttempt->mFailure = JudgeAnswer(parser->Head().mStatus, saysNotRun);
+  }
+  aAttempt->mParser = std::move(parser);
+  aAttempt->mHasHead = true;
+  return true;
+}
+
+bool
+Exchange::SkipsOtherAnswer(const AttemptPointer& aAttempt)
+{
+  aAttempt->mOtherAnswers += 1;
+  if (aAttempt->mOtherAnswers <= kMostOtherAnswers) {
+    return true;
+  }
+  EndAttempt(aAttempt, AttemptOutcome::Broken);
+  return false;
+}
+
+void
+Exchange::RecordServerState(const Attempt& aAttempt, const MessageHead& aHead)
+{
+  const BackendChoice& choice = aAttempt.mChoice;
+  const std::string* leaving = aHead.Find(mForwarder.Protocol().mLeaving);
+  const bool isLeaving = leaving != nullptr && *leaving != "0";
+  if (isLeaving && mForwarder.Backends().RecordLeaving(choice.mBoot)) {
+    mForwarder.Log().Write(
+      Event::BackendLeaving,
+      { { "server", choice.mId.Text() }, { "request", mRequestId } });
+  }
+  const std::string* pause = aHead.Find("Retry-After");
+  if (aHead.mStatus != kUnavailable || pause == nullptr) {
+    return;
+  }
+  const Timestamp now = BootNow();
+  const RequestedPause requested = ParseRequestedPause(*pause);
+  mForwarder.Chooser().RecordNotBefore(
+    choice.mBoot, now + requested.mTime, now);
+  mForwarder.Log().Write(Event::BackendPaused,
+                         { { "server", choice.mId.Text() },
+                           { "request", mRequestId },
+                           { "pauseMs", requested.mTime.count() },
+                           { "usual", requested.mIsUsual },
+                           { "field", pause->substr(0, kLoggedFieldSize) } });
+}
+
+bool
+Exchange::IsStreamAnswer(const Attempt& aAttempt) const
+{
+  return mRoute->mIsStream && !aAttempt.mFailure &&
+         aAttempt.mParser->Head().mStatus < kFirstFailure;
+}
+
+void
+Exchange::TakeBody(const AttemptPointer& aAttempt, ParseState aState)
+{
+  if (aState == ParseState::Invalid) {
+    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    return;
+  }
+  if (aAttempt->mIsForeign) {
+    aAttempt->mForeignBytes += aAttempt->mParser->TakeBody().size();
+    if (aAttempt->mForeignBytes > kMostHeldBody) {
+      EndAttempt(aAttempt, AttemptOutcome::Broken);
+      return;
+    }
+    if (aState == ParseState::Done) {
+      aAttempt->mHasHead = false;
+      aAttempt->mIsForeign = false;
+    }
+    return;
+  }
+  const bool hasBody = !aAttempt->mParser->Body().empty();
+  if (hasBody && !aAttempt->mHasFirstByte) {
+    aAttempt->mHasFirstByte = true;
+    aAttempt->mFirstByteAt = BootNow();
+    mForwarder.Chooser().RecordFirstByte(aAttempt->mChoice);
+    if (mPrompt && IsStreamAnswer(*aAttempt)) {
+      mForwarder.Admission(mPool->mName)
+        .RecordFirstEvent(aAttempt->mChoice.TokensAhead(),
+                          aAttempt->mFirstByteAt - aAttempt->mBegunAt);
+    }
+    if (mFirstByteAfter.count() == 0) {
+      mFirstByteAfter = aAttempt->mFirstByteAt - mArrived;
+    }
+  }
+  const bool isDone = aState == ParseState::Done;
+  if (IsStreamAnswer(*aAttempt)) {
+    PassEvents(aAttempt, isDone);
+    return;
+  }
+  if (mHasAnswered) {
+    // The run that should go on with a stream brought something else.
+    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    return;
+  }
+  if (aAttempt->mParser->Body().size() > kMostHeldBody) {
+    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    return;
+  }
+  if (!isDone) {
+    return;
+  }
+  if (aAttempt->mFailure) {
+    EndAttempt(aAttempt, *aAttempt->mFailure);
+    return;
+  }
+  FinishAnswer(aAttempt);
+}
+
+void
+Exchange::PassEvents(const AttemptPointer& aAttempt, bool aIsEnd)
+{
+  std::string events = aAttempt->mFramer.Push(aAttempt->mParser->TakeBody());
+  if (aAttempt->mFramer.HeldBytes() > kMostEventBytes) {
+    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    return;
+  }
+  if (aIsEnd) {
+    events += aAttempt->mFramer.TakeRest();
+  }
+  if (!aAttempt->mFramer.LastEventId().empty()) {
+    mLastEventId = aAttempt->mFramer.LastEventId();
+  }
+  std::string text;
+  if (!mHasAnswered && (!events.empty() || aIsEnd)) {
+    mHasAnswered = true;
+    mIsChunked = mHead.mVersion >= 11;
+    mKeepOpen = mKeepOpen && mIsChunked && !mForwarder.IsStopping();
+    text =
+      ForwardedHead(aAttempt->mParser->Head(),
+                    mIsChunked ? BodyFraming::Chunked : BodyFraming::UntilClose,
+                    0,
+                    mKeepOpen);
+  }
+  text += mIsChunked ? Chunk(events) : events;
+  if (aIsEnd && mIsChunked) {
+    text += kLastChunk;
+  }
+  mCaller->Send(std::move(text));
+  if (aIsEnd) {
+    FinishAnswer(aAttempt);
+    return;
+  }
+  aAttempt->mIsPaused = mCaller->PendingBytes() >= kMostPending;
+}
+
+void
+Exchange::FinishAnswer(const AttemptPointer& aAttempt)
+{
+  const Timestamp now = BootNow();
+  mForwarder.Chooser().RecordSuccess(aAttempt->mChoice.mId, now);
+  if (mPrompt && IsStreamAnswer(*aAttempt)) {
+    mForwarder.Admission(mPool->mName)
+      .RecordStream(aAttempt->mChoice.mIsShortPrompt,
+                    now - aAttempt->mFirstByteAt);
+  }
+  const int status = aAttempt->mParser->Head().mStatus;
+  if (!mHasAnswered) {
+    PassWhole(aAttempt->mParser->Head(), aAttempt->mParser->Body());
+  }
+  ReleaseAttempt(aAttempt, true);
+  mForwarder.Counters().mAnswered += 1;
+  LogEnd(Event::RequestCompleted, status, "answered");
+  Finish(mKeepOpen);
+}
+
+void
+Exchange::PassWhole(const MessageHead& aHead, const std::string& aBody)
+{
+  mHasAnswered = true;
+  mKeepOpen = mKeepOpen && !mForwarder.IsStopping();
+  std::size_t length = aBody.size();
+  const std::string* told = aHead.Find("Content-Length");
+  if (mHead.mMethod == "HEAD" && told != nullptr) {
+    length = static_cast<std::size_t>(ParseWholeNumber(*told).value_or(0));
+  }
+  mCaller->Send(ForwardedHead(aHead, BodyFraming::Length, length, mKeepOpen) +
+                aBody);
+}
+
+} // namespace medlarkeel
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -5,27 +5,29 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <cmath>
 
 namespace medlarkeel {
 
 namespace {
 
-constexpr int kFirstFinalStatus = 200;
-constexpr int kFirstFailure = 300;
-
 /** Idle time after which a connection isn't used for requests that may run
  * only once: the server might close it as the request arrives. */
 constexpr Microseconds kMostIdleForOnce = std::chrono::seconds(2);
 constexpr Microseconds kMostIdle = std::chrono::seconds(60);
 
+constexpr int kUnavailable = 503;
+
+/** Time over which callers' returns are spread when all servers of a pool
+ * asked for no requests. */
+constexpr Milliseconds kReturnSpread{ 500 };
+
 /** Idle time of servers that don't tell theirs; whole seconds are told. */
 constexpr Microseconds kUntoldKeepAlive = std::chrono::milliseconds(500);
 
-/** Bytes that wait for the caller before the answer isn't read further. */
-constexpr std::size_t kMostPending = 262'144;
-
-/** Answers up to this size are passed on only when they are whole. */
-constexpr std::size_t kMostHeldBody = 1U << 20U;
+/** Time by which a caller's limit is below the route's when part of it is
+ * used; more than clocks and travel take. */
+constexpr Milliseconds kUsedTime{ 50 };
 
 /** Time left below which a further attempt isn't worth its work. */
 constexpr Milliseconds kLeastTimeForAttempt{ 20 };
@@ -54,6 +56,12 @@
                  : kUntoldKeepAlive;
 }
 
+std::int64_t
+Percent(double aShare)
+{
+  return std::llround(aShare * 100.0);
+}
+
 } // namespace
 
 void
@@ -66,8 +74,10 @@
   }
   mForwarder.RefreshChooser();
   BackendChooser& chooser = mForwarder.Chooser();
+  const std::vector<const ListedBackend*> usable =
+    mForwarder.Backends().Usable(mPool->mName, now);
   const auto choice = chooser.Choose(
-    mForwarder.Backends().Usable(mPool->mName),
+    usable,
     mPrompt,
     mTried,
     [this](const InstanceId& aServer) {
@@ -75,19 +85,79 @@
     },
     now);
   if (!choice) {
+    if (const auto earliest = chooser.EarliestReturn(usable, now)) {
+      mReturnAfter =
+        std::chrono::duration_cast<Milliseconds>(*earliest - now) +
+        Milliseconds(static_cast<std::int64_t>(
+          mForwarder.Random() * static_cast<double>(kReturnSpread.count())));
+    }
     Follow(FinalStep(mHistory, AttemptOutcome::NotSent),
            AttemptOutcome::NotSent);
     return;
   }
-  auto attempt = std::make_shared<Attempt>();
-  attempt->mChoice = *choice;
   mLastChoice = choice;
+  if (IsAdmitted(*choice)) {
+    StartAttempt(*choice);
+  }
+}
+
+TierRank
+Exchange::Tier() const
+{
+  return mTeam != nullptr ? mTeam->mTier.value_or(mRoute->mTier)
+                          : mRoute->mTier;
+}
+
+bool
+Exchange::IsAdmitted(const BackendChoice& aChoice)
+{
+  const bool isFirst =
+    mHistory.mSent + mHistory.mConnectFailures + mHistory.mMisdirected == 0;
+  if (!mPrompt || !isFirst || mHasAnswered) {
+    return true;
+  }
+  const Timestamp now = BootNow();
+  AdmissionRequest request;
+  request.mTier = Tier();
+  request.mPatience =
+    std::min(mRoute->CallerPatience(),
+             std::chrono::duration_cast<Milliseconds>(mGiveUpAt - now));
+  request.mChoice = aChoice;
+  request.mHasComeBack = mTimeLimit + kUsedTime < mRoute->mTimeout;
+  request.mChance = mForwarder.Random();
+  request.mSpread = mForwarder.Random();
+  const AdmissionDecision decision =
+    mForwarder.Admission(mPool->mName).Decide(*mPool, request);
+  if (decision.mVerdict == AdmissionVerdict::Admitted) {
+    return true;
+  }
+  mForwarder.Counters().mRefusedOverloaded += 1;
+  mForwarder.Log().Write(
+    Event::RequestTurnedAway,
+    { { "request", mRequestId },
+      { "reason", AdmissionVerdictText(decision.mVerdict) },
+      { "tier", request.mTier.mValue },
+      { "loadPercent", Percent(decision.mLoad) },
+      { "expectedMs", decision.mExpected.count() },
+      { "patienceMs", request.mPatience.count() },
+      { "returnAfterMs", decision.mReturnAfter.count() } });
+  mReturnAfter = decision.mReturnAfter;
+  Refuse(kUnavailable, AdmissionVerdictText(decision.mVerdict));
+  return false;
+}
+
+void
+Exchange::StartAttempt(const BackendChoice& aChoice)
+{
+  auto attempt = std::make_shared<Attempt>();
+  attempt->mChoice = aChoice;
+  attempt->mBegunAt = BootNow();
   mAttempt = attempt;
-  mTried.insert(choice->mId);
-  chooser.RecordStarted(*choice, mPrompt, now);
+  mTried.insert(aChoice.mId);
+  mForwarder.Chooser().RecordStarted(aChoice, mPrompt, attempt->mBegunAt);
   mForwarder.Connections().Acquire(
-    choice->mId,
-    choice->mEndpoint,
+    aChoice.mId,
+    aChoice.mEndpoint,
     mRoute->MayRunAgain() ? kMostIdle : kMostIdleForOnce,
     [self = shared_from_this(),
      attempt](const BackendConnectionPointer& aConnection) {
@@ -142,9 +212,7 @@
     text += names.mTeam + ": " + mTeam->mName.Text() + "\r\n";
   }
   if (mPrompt) {
-    const TierRank tier =
-      mTeam != nullptr ? mTeam->mTier.value_or(mRoute->mTier) : mRoute->mTier;
-    const int rank = std::clamp(tier.mValue, 0, names.mMostPriority);
+    const int rank = std::clamp(Tier().mValue, 0, names.mMostPriority);
     text += names.mPriority + ": " + std::to_string(rank) + "\r\n";
   }
   if (resumes) {
@@ -170,223 +238,6 @@
   ReadAnswer(aAttempt);
 }
 
-void
-Exchange::ReadAnswer(const AttemptPointer& aAttempt)
-{
-  aAttempt->mConnection->mSocket.async_read_some(
-    boost::asio::buffer(aAttempt->mBuffer),
-    [self = shared_from_this(), aAttempt](const Error& aError,
-                                          std::size_t aSize) {
-      if (self->mIsDone || self->mAttempt != aAttempt) {
-        return;
-      }
-      self->TakeBytes(aAttempt, aError, aSize);
-    });
-}
-
-void
-Exchange::TakeBytes(const AttemptPointer& aAttempt,
-                    const Error& aError,
-                    std::size_t aSize)
-{
-  if (aError) {
-    const bool isCleanEnd = aError == boost::asio::error::eof;
-    if (isCleanEnd && aAttempt->mHasHead && aAttempt->mParser->need_eof()) {
-      Error error;
-      aAttempt->mParser->put_eof(error);
-      TakeBody(aAttempt, error ? ParseState::Invalid : ParseState::Done);
-      return;
-    }
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
-    return;
-  }
-  aAttempt->mInput.append(aAttempt->mBuffer.data(), aSize);
-  while (!mIsDone && mAttempt == aAttempt) {
-    if (!aAttempt->mHasHead && !TakeHead(aAttempt)) {
-      break;
-    }
-    const ParseState state = Feed(*aAttempt->mParser, aAttempt->mInput);
-    const bool isForeign = aAttempt->mIsForeign;
-    TakeBody(aAttempt, state);
-    if (!isForeign || state != ParseState::Done) {
-      break;
-    }
-  }
-  if (mIsDone || mAttempt != aAttempt) {
-    return;
-  }
-  if (!aAttempt->mIsPaused) {
-    ReadAnswer(aAttempt);
-  }
-}
-
-void
-Exchange::ResumeReading()
-{
-  // Reading pauses only while bytes for the caller are pending.
-  if (mAttempt && mAttempt->mIsPaused && !mIsDone) {
-    mAttempt->mIsPaused = false;
-    ReadAnswer(mAttempt);
-  }
-}
-
-bool
-Exchange::TakeHead(const AttemptPointer& aAttempt)
-{
-  const std::optional<std::size_t> end = FindHeadEnd(aAttempt->mInput);
-  if (!end) {
-    if (aAttempt->mInput.size() > kMostHeldBody) {
-      EndAttempt(aAttempt, AttemptOutcome::Broken);
-    }
-    return false;
-  }
-  std::string head = aAttempt->mInput.substr(0, *end);
-  aAttempt->mInput.erase(0, *end);
-  auto parser = std::make_unique<AnswerParser>();
-  if (mHead.mMethod == "HEAD") {
-    parser->skip(true);
-  }
-  const bool isSound =
-    FindHeadFault(head).empty() && Feed(*parser, head) != ParseState::Invalid;
-  if (!isSound) {
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
-    return false;
-  }
-  if (parser->Head().mStatus < kFirstFinalStatus) {
-    return TakeHead(aAttempt);
-  }
-  const std::string* id = parser->Head().Find(mForwarder.Protocol().mRequestId);
-  aAttempt->mIsForeign = id != nullptr && *id != mRequestId;
-  const bool isUnusable =
-    id == nullptr || (aAttempt->mIsForeign && parser->need_eof());
-  if (isUnusable) {
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
-    return false;
-  }
-  if (!aAttempt->mIsForeign) {
-    const bool saysNotRun =
-      parser->Head().Find(mForwarder.Protocol().mNotRun) != nullptr;
-    aAttempt->mFailure = JudgeAnswer(parser->Head().mStatus, saysNotRun);
-  }
-  aAttempt->mParser = std::move(parser);
-  aAttempt->mHasHead = true;
-  return true;
-}
-
-bool
-Exchange::IsStreamAnswer(const Attempt& aAttempt) const
-{
-  return mRoute->mIsStream && !aAttempt.mFailure &&
-         aAttempt.mParser->Head().mStatus < kFirstFailure;
-}
-
-void
-Exchange::TakeBody(const AttemptPointer& aAttempt, ParseState aState)
-{
-  if (aState == ParseState::Invalid) {
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
-    return;
-  }
-  if (aAttempt->mIsForeign) {
-    if (aState == ParseState::Done) {
-      aAttempt->mHasHead = false;
-      aAttempt->mIsForeign = false;
-    }
-    return;
-  }
-  const bool hasBody = !aAttempt->mParser->Body().empty();
-  if (hasBody && !aAttempt->mHasFirstByte) {
-    aAttempt->mHasFirstByte = true;
-    mForwarder.Chooser().RecordFirstByte(aAttempt->mChoice);
-    if (mFirstByteAfter.count() == 0) {
-      mFirstByteAfter = BootNow() - mArrived;
-    }
-  }
-  const bool isDone = aState == ParseState::Done;
-  if (IsStreamAnswer(*aAttempt)) {
-    PassEvents(aAttempt, isDone);
-    return;
-  }
-  if (mHasAnswered) {
-    // The run that should go on with a stream brought something else.
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
-    return;
-  }
-  if (aAttempt->mParser->Body().size() > kMostHeldBody) {
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
-    return;
-  }
-  if (!isDone) {
-    return;
-  }
-  if (aAttempt->mFailure) {
-    EndAttempt(aAttempt, *aAttempt->mFailure);
-    return;
-  }
-  FinishAnswer(aAttempt);
-}
-
-void
-Exchange::PassEvents(const AttemptPointer& aAttempt, bool aIsEnd)
-{
-  std::string events = aAttempt->mFramer.Push(aAttempt->mParser->TakeBody());
-  if (aIsEnd) {
-    events += aAttempt->mFramer.TakeRest();
-  }
-  if (!aAttempt->mFramer.LastEventId().empty()) {
-    mLastEventId = aAttempt->mFramer.LastEventId();
-  }
-  std::string text;
-  if (!mHasAnswered && (!events.empty() || aIsEnd)) {
-    mHasAnswered = true;
-    mIsChunked = mHead.mVersion >= 11;
-    mKeepOpen = mKeepOpen && mIsChunked && !mForwarder.IsStopping();
-    text =
-      ForwardedHead(aAttempt->mParser->Head(),
-                    mIsChunked ? BodyFraming::Chunked : BodyFraming::UntilClose,
-                    0,
-                    mKeepOpen);
-  }
-  text += mIsChunked ? Chunk(events) : events;
-  if (aIsEnd && mIsChunked) {
-    text += kLastChunk;
-  }
-  mCaller->Send(std::move(text));
-  if (aIsEnd) {
-    FinishAnswer(aAttempt);
-    return;
-  }
-  aAttempt->mIsPaused = mCaller->PendingBytes() >= kMostPending;
-}
-
-void
-Exchange::FinishAnswer(const AttemptPointer& aAttempt)
-{
-  mForwarder.Chooser().RecordSuccess(aAttempt->mChoice.mId, BootNow());
-  const int status = aAttempt->mParser->Head().mStatus;
-  if (!mHasAnswered) {
-    PassWhole(aAttempt->mParser->Head(), aAttempt->mParser->Body());
-  }
-  ReleaseAttempt(aAttempt, true);
-  mForwarder.Counters().mAnswered += 1;
-  LogEnd(Event::RequestCompleted, status, "answered");
-  Finish(mKeepOpen);
-}
-
-void
-Exchange::PassWhole(const MessageHead& aHead, const std::string& aBody)
-{
-  mHasAnswered = true;
-  mKeepOpen = mKeepOpen && !mForwarder.IsStopping();
-  std::size_t length = aBody.size();
-  const std::string* told = aHead.Find("Content-Length");
-  if (mHead.mMethod == "HEAD" && told != nullptr) {
-    length = static_cast<std::size_t>(ParseWholeNumber(*told).value_or(0));
-  }
-  mCaller->Send(ForwardedHead(aHead, BodyFraming::Length, length, mKeepOpen) +
-                aBody);
-}
-
 void
 Exchange::ReleaseAttempt(const AttemptPointer& aAttempt, bool aIsReusable)
 {
@@ -407,16 +258,37 @@
   mAttempt.reset();
 }
 
+void
+Exchange::RecordFailure(const Attempt& aAttempt, AttemptOutcome aOutcome)
+{
+  const Timestamp now = BootNow();
+  const InstanceId& id = aAttempt.mChoice.mId;
+  const ListedBackend* listed = mForwarder.Backends().Find(id);
+  switch (aOutcome) {
+    case AttemptOutcome::NotSent:
+      return; // The attempt to connect has noted it.
+    case AttemptOutcome::Misdirected:
+      mForwarder.Backends().RecordMisdirected(id);
+      return;
+    case AttemptOutcome::NotRun:
+      if (listed != nullptr) {
+        mForwarder.Chooser().RecordFull(*listed, now);
+      }
+      return;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::Broken:
+    case AttemptOutcome::TimedOut:
+      mForwarder.Chooser().RecordFailure(id, now);
+      return;
+  }
+}
+
 void
 Exchange::EndAttempt(const AttemptPointer& aAttempt, AttemptOutcome aOutcome)
 {
   const Timestamp now = BootNow();
   mHistory.Record(aOutcome);
-  if (aOutcome == AttemptOutcome::Misdirected) {
-    mForwarder.Backends().RecordMisdirected(aAttempt->mChoice.mId);
-  } else if (aOutcome != AttemptOutcome::NotSent) {
-    mForwarder.Chooser().RecordFailure(aAttempt->mChoice.mId, now);
-  }
+  RecordFailure(*aAttempt, aOutcome);
   const bool hasAnswer = aAttempt->mHasHead && aAttempt->mParser != nullptr;
   mForwarder.Log().Write(
     Event::BackendAttemptFailed,
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -14,6 +14,7 @@
   { "requests_total", &ForwardCounters::mRequests },
   { "answered_total", &ForwardCounters::mAnswered },
   { "refused_not_run_total", &ForwardCounters::mRefusedNotRun },
+  { "refused_overloaded_total", &ForwardCounters::mRefusedOverloaded },
   { "failed_unknown_total", &ForwardCounters::mFailedUnknown },
   { "rejected_total", &ForwardCounters::mRejected },
   { "callers_gone_total", &ForwardCounters::mCallersGone },
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -31,6 +31,8 @@
   std::uint64_t mRequests = 0;
   std::uint64_t mAnswered = 0;
   std::uint64_t mRefusedNotRun = 0;
+  /** Of those: turned away because the backend servers are overloaded. */
+  std::uint64_t mRefusedOverloaded = 0;
   std::uint64_t mFailedUnknown = 0;
   std::uint64_t mRejected = 0;
   std::uint64_t mCallersGone = 0;
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -84,11 +84,13 @@
       mLog,
       [this](PeerReport& aReport) {
         mChooser.FillReport(aReport, BootNow());
+        aReport.mLeaving = mFollower.Backends().LeavingBoots();
         aReport.mDirectoryDigest = mFollower.Digest();
         aReport.mDirectoryAge = DirectoryAge();
       },
       [this](const PeerReport& aReport) {
         mChooser.RecordOtherSent(aReport.mSent, BootNow());
+        mFollower.Backends().RecordToldLeaving(aReport.mLeaving, BootNow());
       })
   , mConnections(aContext, mCounters)
   , mAcceptor(aContext)
@@ -150,6 +152,13 @@
   return std::chrono::duration_cast<Milliseconds>(mFollower.Age(BootNow()));
 }
 
+AdmissionControl&
+Forwarder::Admission(const PoolName& aPool)
+{
+  return mAdmissions.emplace(aPool, AdmissionControl(AdmissionSettings()))
+    .first->second;
+}
+
 RetryBudget&
 Forwarder::Budget(const PoolName& aPool)
 {
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../libmedlarkeel/forwarding/admissioncontrol.h"
 #include "../libmedlarkeel/forwarding/backendchooser.h"
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
 #include "../libmedlarkeel/retrybudget.h"
@@ -67,6 +68,9 @@
   /** @return Time since the directory was last heard of. */
   Milliseconds DirectoryAge() const;
 
+  /** @return What decides which requests for a pool are turned away. */
+  AdmissionControl& Admission(const PoolName& aPool);
+
   /** @return The retry budget of a pool. */
   RetryBudget& Budget(const PoolName& aPool);
 
@@ -101,6 +105,7 @@
   PeerChannel mPeerChannel;
   BackendConnections mConnections;
   std::unordered_map<PoolName, RetryBudget> mBudgets;
+  std::unordered_map<PoolName, AdmissionControl> mAdmissions;
   std::unordered_set<std::shared_ptr<CallerConnection>> mCallers;
   boost::asio::ip::tcp::acceptor mAcceptor;
   boost::asio::steady_timer mDirectoryTimer;
--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -47,6 +47,9 @@
     }
     report["p"] = std::move(sent);
   }
+  if (!aReport.mLeaving.empty()) {
+    report["v"] = aReport.mLeaving;
+  }
   if (!aReport.mKnown.empty()) {
     report["k"] = aReport.mKnown;
   }
@@ -84,6 +87,9 @@
           { sent[i].get<std::uint32_t>(), sent[i + 1].get<std::uint32_t>() });
       }
     }
+    if (report.contains("v")) {
+      decoded.mLeaving = report.at("v").get<std::vector<BootHash>>();
+    }
     if (report.contains("k")) {
       decoded.mKnown = report.at("k").get<std::vector<std::string>>();
     }
--- a/src/libmedlarkeelforward/wireprotocol.h
+++ b/src/libmedlarkeelforward/wireprotocol.h
@@ -20,6 +20,8 @@
   std::string mExpectedBackend;
   /** Present in answers to requests that did not run. */
   std::string mNotRun;
+  /** Present in the answers of backend servers that are shutting down. */
+  std::string mLeaving;
   /** Rank of the request at the backend server, 0 first. */
   std::string mPriority;
   /** Greatest rank that backend servers know. */
--- a/tests/core/test_backendchooser.cpp
+++ b/tests/core/test_backendchooser.cpp
@@ -284,6 +284,95 @@
   BOOST_TEST(wasAvoided);
 }
 
+BOOST_AUTO_TEST_CASE(ServerThatAskedForNoRequestsGetsNone)
+{
+  ServerPool pool(2);
+  pool.mServers[0].mBoot = 1;
+  pool.mServers[1].mBoot = 2;
+  BackendChooser chooser = NewChooser();
+  const auto prompt = Prompt(5, 13'000, 3000);
+  chooser.RecordNotBefore(1, kStart + Seconds(2), kStart);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_CHECK(Choose(chooser, pool, std::nullopt)->mBoot == 2U);
+    BOOST_CHECK(Choose(chooser, pool, prompt)->mBoot == 2U);
+  }
+  BOOST_CHECK(!chooser.EarliestReturn(pool.Usable(), kStart));
+  chooser.RecordNotBefore(2, kStart + Seconds(1), kStart);
+  BOOST_TEST(!Choose(chooser, pool, prompt).has_value());
+  BOOST_CHECK(*chooser.EarliestReturn(pool.Usable(), kStart) ==
+              kStart + Seconds(1));
+  const Timestamp later = kStart + Seconds(2);
+  BOOST_TEST(Choose(chooser, pool, prompt, kUnlimited, later).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ShorterPauseDoesNotEndALongerOne)
+{
+  const ServerPool pool(1);
+  BackendChooser chooser = NewChooser();
+  chooser.RecordNotBefore(0, kStart + Seconds(5), kStart);
+  chooser.RecordNotBefore(0, kStart + Seconds(1), kStart);
+  const Timestamp between = kStart + Seconds(3);
+  BOOST_TEST(!Choose(chooser, pool, std::nullopt, kUnlimited, between));
+}
+
+/** Many entries that know each other's calls late begin calls at once, most of
+ * them in the zone of one server: replays the load in which that server was
+ * full while the others were idle. */
+BOOST_AUTO_TEST_CASE(PlainCallsOfManyEntriesSpreadOverAllServers)
+{
+  constexpr int kEntries = 100;
+  const ServerPool pool(8);
+  std::map<InstanceId, int> calls;
+  for (int entry = 0; entry < kEntries; ++entry) {
+    BackendChooser chooser(BackendChooserSettings(),
+                           ZoneName("zone-2"),
+                           static_cast<std::uint64_t>(entry));
+    calls[Choose(chooser, pool, std::nullopt)->mId] += 1;
+  }
+  // The two servers of the zone get less than all of it, and all get some.
+  BOOST_TEST(calls.size() == 8U);
+  for (const auto& [id, count] : calls) {
+    BOOST_TEST(count <= kEntries / 3);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FullServerIsNoFailingServer)
+{
+  ServerPool pool(2);
+  for (ListedBackend& server : pool.mServers) {
+    server.mEntry.mSlots = 6;
+  }
+  BackendChooser chooser = NewChooser();
+  const InstanceId first = pool.mServers[0].mEntry.mId;
+  chooser.SetOtherLoads({ { ServerHash(first), { 6, 0 } } });
+  for (int i = 0; i < 10; ++i) {
+    chooser.RecordFull(pool.mServers[0], kStart);
+  }
+  chooser.SetOtherLoads({});
+  const Timestamp soon = kStart + Milliseconds(300);
+  std::set<InstanceId> chosen;
+  for (int i = 0; i < 40; ++i) {
+    chosen.insert(Choose(chooser, pool, std::nullopt, kUnlimited, soon)->mId);
+  }
+  BOOST_TEST(chosen.count(first) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatRefusesWithoutLoadIsAvoided)
+{
+  ServerPool pool(2);
+  pool.mServers[0].mEntry.mSlots = 6;
+  BackendChooser chooser = NewChooser();
+  const InstanceId first = pool.mServers[0].mEntry.mId;
+  for (int i = 0; i < 10; ++i) {
+    chooser.RecordFull(pool.mServers[0], kStart);
+  }
+  const Timestamp soon = kStart + Milliseconds(300);
+  for (int i = 0; i < 40; ++i) {
+    BOOST_CHECK(Choose(chooser, pool, std::nullopt, kUnlimited, soon)->mId !=
+                first);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/core/test_backendlist.cpp
+++ b/tests/core/test_backendlist.cpp
@@ -29,14 +29,14 @@
 {
   BackendList list;
   list.Put(Entry("one", 1), kStart);
-  BOOST_TEST(list.Usable(kPool).size() == 1U);
+  BOOST_TEST(list.Usable(kPool, kStart).size() == 1U);
   list.SetEvacuated(ZoneName("a"), true);
-  BOOST_TEST(list.Usable(kPool).empty());
+  BOOST_TEST(list.Usable(kPool, kStart).empty());
   list.SetEvacuated(ZoneName("a"), false);
   BackendEntry draining = Entry("one", 2);
   draining.mIsDraining = true;
   BOOST_CHECK(list.Put(draining, kStart) == BackendChange::Draining);
-  BOOST_TEST(list.Usable(kPool).empty());
+  BOOST_TEST(list.Usable(kPool, kStart).empty());
 }
 
 BOOST_AUTO_TEST_CASE(OlderEntryChangesNothing)
@@ -46,7 +46,7 @@
   draining.mIsDraining = true;
   list.Put(draining, kStart);
   BOOST_CHECK(list.Put(Entry("one", 4), kStart) == BackendChange::None);
-  BOOST_TEST(list.Usable(kPool).empty());
+  BOOST_TEST(list.Usable(kPool, kStart).empty());
 }
 
 BOOST_AUTO_TEST_CASE(EntryOlderThanItsRemovalStaysAway)
@@ -65,10 +65,10 @@
   list.RecordRegained(kStart, Seconds(2));
   BOOST_CHECK(list.Remove(InstanceId("one"), 2, kStart) ==
               BackendChange::RemovalDelayed);
-  BOOST_TEST(list.Usable(kPool).size() == 1U);
+  BOOST_TEST(list.Usable(kPool, kStart).size() == 1U);
   BOOST_TEST(list.RemoveExpired(kStart + Seconds(1)).empty());
   BOOST_TEST(list.RemoveExpired(kStart + Seconds(2)).size() == 1U);
-  BOOST_TEST(list.Usable(kPool).empty());
+  BOOST_TEST(list.Usable(kPool, kStart).empty());
 }
 
 BOOST_AUTO_TEST_CASE(ServerThatIsBackAfterAnOutageStays)
@@ -79,7 +79,7 @@
   list.Remove(InstanceId("one"), 2, kStart);
   list.Put(Entry("one", 3), kStart + Seconds(1));
   BOOST_TEST(list.RemoveExpired(kStart + Seconds(3)).empty());
-  BOOST_TEST(list.Usable(kPool).size() == 1U);
+  BOOST_TEST(list.Usable(kPool, kStart).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(RestartUnderTheSameIdIsNoticed)
@@ -87,11 +87,42 @@
   BackendList list;
   list.Put(Entry("one", 1), kStart);
   list.RecordMisdirected(InstanceId("one"));
-  BOOST_TEST(list.Usable(kPool).empty());
+  BOOST_TEST(list.Usable(kPool, kStart).empty());
   BackendEntry again = Entry("one", 2);
   again.mStartedAt = Milliseconds(77);
   BOOST_CHECK(list.Put(again, kStart) == BackendChange::Restarted);
-  BOOST_TEST(list.Usable(kPool).size() == 1U);
+  BOOST_TEST(list.Usable(kPool, kStart).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatSaysItLeavesGetsNothingForTheRestOfItsLife)
+{
+  BackendList list;
+  list.Put(Entry("one", 1), kStart);
+  const BootHash boot = list.Find(InstanceId("one"))->mBoot;
+  BOOST_TEST(list.RecordLeaving(boot));
+  BOOST_TEST(!list.RecordLeaving(boot));
+  BOOST_TEST(list.Usable(kPool, kStart).empty());
+  BOOST_TEST(list.LeavingBoots().size() == 1U);
+  // Its entry lapses and comes back, still without saying so.
+  list.Remove(InstanceId("one"), 2, kStart);
+  list.Put(Entry("one", 3), kStart);
+  BOOST_TEST(list.Usable(kPool, kStart + Seconds(60)).empty());
+  BackendEntry again = Entry("one", 4);
+  again.mStartedAt = Milliseconds(77);
+  list.Put(again, kStart);
+  BOOST_TEST(list.Usable(kPool, kStart).size() == 1U);
+  BOOST_TEST(list.LeavingBoots().empty());
+}
+
+BOOST_AUTO_TEST_CASE(WordOfAnotherEntryThatAServerLeavesAges)
+{
+  BackendList list;
+  list.Put(Entry("one", 1), kStart);
+  const BootHash boot = list.Find(InstanceId("one"))->mBoot;
+  list.RecordToldLeaving({ boot }, kStart);
+  BOOST_TEST(list.Usable(kPool, kStart).empty());
+  BOOST_TEST(list.LeavingBoots().empty());
+  BOOST_TEST(list.Usable(kPool, kStart + Seconds(60)).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(ColdTimeCountsFromTheReading)
--- a/tests/core/test_directoryfollower.cpp
+++ b/tests/core/test_directoryfollower.cpp
@@ -103,9 +103,9 @@
   follower.RecordWatch(DirectoryError::Unreachable, kStart + Seconds(1));
   const Timestamp back = kStart + settings.mOutage + Seconds(1);
   follower.RecordRead(Changes(20, {}), back);
-  BOOST_TEST(follower.Backends().Usable(kPool).size() == 1U);
+  BOOST_TEST(follower.Backends().Usable(kPool, kStart).size() == 1U);
   follower.Backends().RemoveExpired(back + settings.mHold);
-  BOOST_TEST(follower.Backends().Usable(kPool).empty());
+  BOOST_TEST(follower.Backends().Usable(kPool, kStart).empty());
 }
 
 BOOST_AUTO_TEST_CASE(ServerMissingWithoutAnOutageIsGoneAtOnce)
@@ -113,7 +113,7 @@
   DirectoryFollower follower{ FollowerSettings() };
   follower.RecordRead(Changes(9, { Entry("one", 5) }), kStart);
   follower.RecordRead(Changes(20, {}), kStart + Seconds(1));
-  BOOST_TEST(follower.Backends().Usable(kPool).empty());
+  BOOST_TEST(follower.Backends().Usable(kPool, kStart).empty());
 }
 
 /** An entry that relied on others took its next call for the end of an outage
@@ -127,7 +127,7 @@
   follower.RecordConfirmed(later - Milliseconds(200));
   follower.RecordWatch(Changes(20, { BackendRemoval{ InstanceId("one"), 20 } }),
                        later);
-  BOOST_TEST(follower.Backends().Usable(kPool).empty());
+  BOOST_TEST(follower.Backends().Usable(kPool, kStart).empty());
 }
 
 BOOST_AUTO_TEST_CASE(ZoneThatIsNoLongerEvacuatedComesBack)
@@ -146,7 +146,7 @@
   const FollowerNews news = follower.RecordRead(
     Changes(9, { UnreadableItem{ "key", "reason" }, Entry("one", 5) }), kStart);
   BOOST_TEST(news.mUnreadable.size() == 1U);
-  BOOST_TEST(follower.Backends().Usable(kPool).size() == 1U);
+  BOOST_TEST(follower.Backends().Usable(kPool, kStart).size() == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/emulator/test_emulatedfleet.cpp
+++ b/tests/emulator/test_emulatedfleet.cpp
@@ -1,10 +1,8 @@
 #include "emulatedfleet.h"
 
-#include <boost/test/unit_test.hpp>
+#include "../support/sourcefile.h"
 
-#include <cstdlib>
-#include <fstream>
-#include <iterator>
+#include <boost/test/unit_test.hpp>
 
 namespace medlarkeel {
 
@@ -13,24 +11,26 @@
 LoadPlan
 ReadPlan(const std::string& aName)
 {
-  const char* source = std::getenv("MEDLARKEEL_SOURCE");
-  std::ifstream file(std::string(source == nullptr ? "." : source) +
-                     "/bench/experiment/plans/" + aName);
-  const std::string text((std::istreambuf_iterator<char>(file)),
-                         std::istreambuf_iterator<char>());
-  LoadPlanResult plan = ParseLoadPlan(text);
+  LoadPlanResult plan =
+    ParseLoadPlan(SourceFile("bench/experiment/plans/" + aName));
   BOOST_REQUIRE(plan.has_value());
   return plan.value();
 }
 
 FleetOutcome
-Play(const LoadPlan& aPlan,
-     const BackendChooserSettings& aPolicy,
-     std::uint64_t aSeed = 1)
+Play(const LoadPlan& aPlan, const FleetPolicy& aPolicy, std::uint64_t aSeed = 1)
 {
   return EmulatedFleet(aPlan, aPolicy, aSeed).Play();
 }
 
+/** @return The policy with another choice of servers; nothing is refused, so
+ * that only the choice is compared. */
+FleetPolicy
+ChoiceOnly(const BackendChooserSettings& aChooser)
+{
+  return { aChooser, std::nullopt };
+}
+
 /** Sums over the seeds of a comparison. */
 struct Sums
 {
@@ -46,7 +46,7 @@
   const LoadPlan plan = ReadPlan("burst-of-long-prompts.json");
   Sums sums;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    const FleetOutcome outcome = Play(plan, aPolicy, seed);
+    const FleetOutcome outcome = Play(plan, ChoiceOnly(aPolicy), seed);
     sums.mShortOnTime += outcome.mClasses[kShort].OnTimeShare();
     sums.mReadAgain += outcome.mReadAgain;
   }
@@ -60,10 +60,11 @@
 BOOST_AUTO_TEST_CASE(EveryRequestHasOneOutcome)
 {
   const LoadPlan plan = ReadPlan("calm.json");
-  const FleetOutcome outcome = Play(plan, BackendChooserSettings());
+  const FleetOutcome outcome = Play(plan, FleetPolicy());
   for (const ClassOutcome& seen : outcome.mClasses) {
     BOOST_TEST(seen.mAsked > 0U);
-    BOOST_TEST(seen.mOnTime + seen.mLate + seen.mGivenUp == seen.mAsked);
+    BOOST_TEST(seen.mOnTime + seen.mLate + seen.mGivenUp + seen.mRefused ==
+               seen.mAsked);
   }
 }
 
@@ -71,8 +72,8 @@
 {
   LoadPlan plan = ReadPlan("calm.json");
   plan.mSeconds = 4.0;
-  const FleetOutcome one = Play(plan, BackendChooserSettings());
-  const FleetOutcome other = Play(plan, BackendChooserSettings());
+  const FleetOutcome one = Play(plan, FleetPolicy());
+  const FleetOutcome other = Play(plan, FleetPolicy());
   BOOST_TEST(one.mReadAgain == other.mReadAgain);
   BOOST_TEST(one.OnTimeShare() == other.OnTimeShare());
 }
@@ -93,6 +94,33 @@
              PlayBurst(flat).mShortOnTime);
 }
 
+/** Three times the calm load for twelve seconds, more than the engines read:
+ * queues grow beyond what callers wait for unless some are turned away. */
+BOOST_AUTO_TEST_CASE(MoreThanBearableIsTurnedAwayInOrderOfTiers)
+{
+  constexpr std::size_t kLong = 0;
+  constexpr std::size_t kShort = 2;
+  const LoadPlan plan = ReadPlan("more-than-bearable.json");
+  const FleetOutcome with = Play(plan, FleetPolicy());
+  const FleetOutcome without = Play(plan, ChoiceOnly(BackendChooserSettings()));
+  BOOST_TEST(with.OnTimeShare() > without.OnTimeShare());
+  BOOST_TEST(with.mClasses[kShort].OnTimeShare() >
+             without.mClasses[kShort].OnTimeShare());
+  BOOST_TEST(with.mReadInVain < without.mReadInVain);
+  for (std::size_t i = kLong; i < kShort; ++i) {
+    BOOST_TEST(with.mClasses[i + 1].RefusedShare() <=
+               with.mClasses[i].RefusedShare());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsTurnedAwayWhenCalm)
+{
+  const FleetOutcome outcome = Play(ReadPlan("calm.json"), FleetPolicy());
+  for (const ClassOutcome& seen : outcome.mClasses) {
+    BOOST_TEST(seen.mRefused == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/forward/forwardfixture.cpp
+++ b/tests/forward/forwardfixture.cpp
@@ -21,6 +21,7 @@
   names.mTeam = "Team";
   names.mExpectedBackend = "Expected";
   names.mNotRun = "Not-Run";
+  names.mLeaving = "Leaving";
   names.mPriority = "Rank";
   names.mPromptParts = "Parts";
   names.mPromptSize = "Size";
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -1,5 +1,9 @@
 #include "forwardfixture.h"
 
+#include "../support/waituntil.h"
+#include "answertext.h"
+
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
@@ -30,36 +34,46 @@
          "\r\nProof: p1\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
-std::string
-ChunkOf(const std::string& aText)
-{
-  std::array<char, 16> size{};
-  std::snprintf(size.data(), size.size(), "%zx\r\n", aText.size());
-  return size.data() + aText + "\r\n";
-}
-
 /** Sends part of a stream and breaks off in the middle of an event. */
 void
 BreakStream(Socket& aSocket, const std::string& aRequest)
 {
   WriteBytes(aSocket,
-             StreamHead(aRequest) + ChunkOf("id: 1\ndata: a\n\n") +
-               ChunkOf("id: 2\nda"));
+             StreamHead(aRequest) + Chunk("id: 1\ndata: a\n\n") +
+               Chunk("id: 2\nda"));
   aSocket.shutdown(Socket::shutdown_both);
 }
 
-template<typename Condition>
-bool
-BecomesTrue(Milliseconds aBound, const Condition& aCondition)
+/** Writes a beginning, and then bytes until the other side closes. */
+FakeBackend::Script
+WithoutEnd(const std::function<std::string(const std::string&)>& aBeginning,
+           const std::string& aBytes)
 {
-  const auto end = Clock::now() + aBound;
-  while (Clock::now() < end) {
-    if (aCondition()) {
-      return true;
+  return [=](Socket& aSocket, const std::string& aRequest) {
+    WriteBytes(aSocket, aBeginning(aRequest));
+    boost::system::error_code error;
+    while (!error) {
+      boost::asio::write(aSocket, boost::asio::buffer(aBytes), error);
     }
-    std::this_thread::sleep_for(Milliseconds(5));
-  }
-  return aCondition();
+  };
+}
+
+/** Calls a backend server whose bytes don't end: the caller gets an answer of
+ * the entry before the route's time is over, and the connection is closed. */
+void
+CheckEndlessBytes(const FakeBackend::Script& aScript, const char* aPath)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend(aScript);
+  fixture.Start();
+  const auto begin = Clock::now();
+  const SeenAnswer answer = fixture.Call(aPath);
+  BOOST_TEST(answer.Status() == 502);
+  BOOST_TEST(answer.Field("Proof").empty());
+  BOOST_CHECK(Clock::now() - begin < ForwardFixture::kRouteTimeout);
+  // The script ends when its connection does.
+  BOOST_TEST(WaitUntil(kCancelBound,
+                       [&]() { return backend.ClosedConnections() == 1; }));
 }
 
 } // namespace
@@ -255,7 +269,7 @@
     }
     resumedFrom = FieldOf(aRequest, "Last-Event-Id");
     WriteBytes(aSocket,
-               StreamHead(aRequest) + ChunkOf("id: 2\ndata: b\n\n") +
+               StreamHead(aRequest) + Chunk("id: 2\ndata: b\n\n") +
                  "0\r\n\r\n");
   };
   fixture.AddBackend(breakOnce);
@@ -319,10 +333,10 @@
   Caller caller(fixture.Port());
   caller.Send(ForwardFixture::RequestText("/once/x"));
   BOOST_REQUIRE(
-    BecomesTrue(kCancelBound, [&]() { return !backend.Requests().empty(); }));
+    WaitUntil(kCancelBound, [&]() { return !backend.Requests().empty(); }));
   caller.Close();
-  BOOST_TEST(BecomesTrue(kCancelBound,
-                         [&]() { return backend.ClosedConnections() == 1; }));
+  BOOST_TEST(WaitUntil(kCancelBound,
+                       [&]() { return backend.ClosedConnections() == 1; }));
 }
 
 BOOST_AUTO_TEST_CASE(SilentServerIsGivenUpAtTheTimeLimit)
@@ -335,8 +349,8 @@
   const auto passed = Clock::now() - begin;
   BOOST_CHECK(passed >= ForwardFixture::kRouteTimeout);
   BOOST_CHECK(passed < ForwardFixture::kRouteTimeout + kCancelBound);
-  BOOST_TEST(BecomesTrue(kCancelBound,
-                         [&]() { return backend.ClosedConnections() == 1; }));
+  BOOST_TEST(WaitUntil(kCancelBound,
+                       [&]() { return backend.ClosedConnections() == 1; }));
 }
 
 BOOST_AUTO_TEST_CASE(KeptConnectionServesOneRequestAfterTheOther)
@@ -436,7 +450,7 @@
   BOOST_TEST(answer.Status() == 200);
   BOOST_TEST(answer.Field("Connection") == "close");
   constexpr Milliseconds kStopsListening{ 3500 };
-  BOOST_TEST(BecomesTrue(
+  BOOST_TEST(WaitUntil(
     kStopsListening, [&]() { return !Caller(fixture.Port()).IsConnected(); }));
 }
 
@@ -461,7 +475,7 @@
   fixture.Start();
   Caller caller(fixture.Port());
   caller.Send(ForwardFixture::RequestText("/stream/x"));
-  BOOST_REQUIRE(BecomesTrue(Milliseconds(1000), [&]() {
+  BOOST_REQUIRE(WaitUntil(Milliseconds(1000), [&]() {
     bool hasBegun = false;
     fixture.Run([&hasBegun](Forwarder& aForwarder) {
       hasBegun = aForwarder.Counters().mRequests > 0;
@@ -481,6 +495,135 @@
   BOOST_TEST(backend.Requests().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(HeadWithoutEndIsGivenUp)
+{
+  CheckEndlessBytes(
+    WithoutEnd([](const std::string&) { return "HTTP/1.1 200 OK\r\n"; },
+               "Field: " + std::string(8000, 'x') + "\r\n"),
+    "/once/x");
+}
+
+BOOST_AUTO_TEST_CASE(InterimAnswersWithoutEndAreGivenUp)
+{
+  CheckEndlessBytes(WithoutEnd([](const std::string&) { return ""; },
+                               "HTTP/1.1 103 Early\r\n\r\n"),
+                    "/once/x");
+}
+
+BOOST_AUTO_TEST_CASE(AnswersToOthersWithoutEndAreGivenUp)
+{
+  CheckEndlessBytes(WithoutEnd([](const std::string&) { return ""; },
+                               "HTTP/1.1 200 OK\r\nRequest: other\r\n"
+                               "Content-Length: 3\r\n\r\nabc"),
+                    "/once/x");
+}
+
+BOOST_AUTO_TEST_CASE(BodyOfAnAnswerToAnotherWithoutEndIsGivenUp)
+{
+  CheckEndlessBytes(WithoutEnd(
+                      [](const std::string&) {
+                        return "HTTP/1.1 200 OK\r\nRequest: other\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+                      },
+                      Chunk(std::string(16'000, 'x'))),
+                    "/once/x");
+}
+
+BOOST_AUTO_TEST_CASE(BodyWithoutEndIsGivenUp)
+{
+  CheckEndlessBytes(WithoutEnd(StreamHead, Chunk(std::string(16'000, 'x'))),
+                    "/once/x");
+}
+
+BOOST_AUTO_TEST_CASE(ChunkSizeWithoutEndIsGivenUp)
+{
+  CheckEndlessBytes(
+    WithoutEnd(
+      [](const std::string& aRequest) { return StreamHead(aRequest) + "5;x="; },
+      std::string(8000, 'x')),
+    "/once/x");
+}
+
+BOOST_AUTO_TEST_CASE(TrailersWithoutEndAreGivenUp)
+{
+  CheckEndlessBytes(WithoutEnd(
+                      [](const std::string& aRequest) {
+                        return StreamHead(aRequest) + "1\r\na\r\n0\r\n";
+                      },
+                      "Trailer: " + std::string(8000, 'x') + "\r\n"),
+                    "/once/x");
+}
+
+BOOST_AUTO_TEST_CASE(EventWithoutEndIsGivenUp)
+{
+  CheckEndlessBytes(WithoutEnd(StreamHead, Chunk(std::string(16'000, 'x'))),
+                    "/stream/x");
+}
+
+BOOST_AUTO_TEST_CASE(BytesBeyondTheLengthReachNobody)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend = fixture.AddBackend(WithoutEnd(
+    [](const std::string& aRequest) { return AnswerTo(aRequest, 200, "abc"); },
+    std::string(8000, 'x')));
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send(ForwardFixture::RequestText("/once/x"));
+  const SeenAnswer answer = caller.Read();
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.mBody == "abc");
+  BOOST_TEST(WaitUntil(kCancelBound,
+                       [&]() { return backend.ClosedConnections() == 1; }));
+}
+
+/** A server says in an answer that it shuts down, the list doesn't say so: no
+ * further request reaches it. */
+BOOST_AUTO_TEST_CASE(ServerThatSaysItLeavesGetsNoFurtherRequest)
+{
+  for (const int status : { 200, 500, 503 }) {
+    ForwardFixture fixture;
+    FakeBackend& leaving = fixture.AddBackend(
+      Answering(status, "a", "Leaving: 1\r\nNot-Run: 1\r\n"));
+    FakeBackend& other = fixture.AddBackend(Answering(200, "b"));
+    fixture.Start();
+    for (int i = 0; i < 20; ++i) {
+      fixture.Call("/again/x");
+    }
+    BOOST_TEST(leaving.Requests().size() <= 1U);
+    BOOST_TEST(other.Requests().size() >= 19U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ServerThatAsksForAPauseGetsNothingInIt)
+{
+  ForwardFixture fixture;
+  FakeBackend& full =
+    fixture.AddBackend(Answering(503, "", "Not-Run: 1\r\nRetry-After: 30\r\n"));
+  FakeBackend& other = fixture.AddBackend(Answering(200, "b"));
+  fixture.Start();
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(fixture.Call("/again/x").Status() == 200);
+  }
+  BOOST_TEST(full.Requests().size() <= 1U);
+  BOOST_TEST(other.Requests().size() == 20U);
+}
+
+/** All servers ask for a pause: callers are refused at once and told to come
+ * back when the first of them is over. */
+BOOST_AUTO_TEST_CASE(PauseOfAllServersIsPassedOnAsATimeToComeBack)
+{
+  ForwardFixture fixture;
+  FakeBackend& full =
+    fixture.AddBackend(Answering(503, "", "Not-Run: 1\r\nRetry-After: 5\r\n"));
+  fixture.Start();
+  fixture.Call("/once/x");
+  const SeenAnswer answer = fixture.Call("/once/x");
+  BOOST_TEST(answer.Status() == 503);
+  BOOST_TEST(std::stod(answer.Field("Retry-After")) > 4.0);
+  BOOST_TEST(std::stod(answer.Field("Retry-After")) < 6.0);
+  BOOST_TEST(full.Requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
