Tell news of the directory with reports; end a removal's delay within its bound

A removal that is published after an outage now waits three quarters of the bound at most, and a server whose delay is over gets nothing at once (two tests of backendlist, both fail without this).

Cause of the calls to the store on the large site: any peer with another digest made an entry call. Now only readers that know a newer revision count, and they tell the changes themselves, without gaps, with their reports; documents are still asked for. The check of OthersAreReliedOn... is replaced by one with the new meaning: a reader that is behind isn't asked for.

--- a/src/libmedlarkeel/forwarding/backendlist.cpp
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -2,6 +2,8 @@
 
 #include "../rendezvous.h"
 
+#include <algorithm>
+
 namespace medlarkeel {
 
 namespace {
@@ -24,6 +26,17 @@
          aBefore.mEndpoint.mPort != aAfter.mEndpoint.mPort;
 }
 
+std::uint64_t
+EntryDigest(const BackendEntry& aEntry)
+{
+  const auto start = static_cast<std::uint64_t>(
+    aEntry.mStartedAt.value_or(Milliseconds(0)).count());
+  const std::uint64_t state = (aEntry.mIsDraining ? 1U : 0U) +
+                              (aEntry.mColdRemaining.count() > 0 ? 2U : 0U);
+  return HashText(aEntry.mId.Text() + EndpointText(aEntry.mEndpoint),
+                  start + state);
+}
+
 } // namespace
 
 BootHash
@@ -57,6 +70,7 @@
   ListedBackend& backend = mBackends[aEntry.mId];
   backend.mEntry = aEntry;
   backend.mBoot = BootOf(aEntry);
+  backend.mDigest = EntryDigest(aEntry);
   backend.mColdUntil = aNow + aEntry.mColdRemaining;
   backend.mRemoveAt.reset();
   if (aEntry.mIsDraining) {
@@ -78,18 +92,29 @@
       (aRevision != 0 && aRevision < found->second.mEntry.mRevision)) {
     return BackendChange::None;
   }
-  if (aNow < mHoldUntil && !found->second.mEntry.mIsDraining) {
-    if (!found->second.mRemoveAt) {
-      found->second.mRemoveAt = mHoldUntil;
-    }
+  return RemoveAt(
+    found, aRevision, aNow, std::min(mHoldUntil, aNow + mMostDelay));
+}
+
+BackendChange
+BackendList::RemoveAt(BackendMap::iterator aPlace,
+                      std::uint64_t aRevision,
+                      Timestamp aNow,
+                      Timestamp aRemoveAt)
+{
+  const InstanceId id = aPlace->first;
+  ListedBackend& backend = aPlace->second;
+  if (aNow < aRemoveAt && !backend.mEntry.mIsDraining) {
+    backend.mRemoveAt =
+      std::min(backend.mRemoveAt.value_or(aRemoveAt), aRemoveAt);
     return BackendChange::RemovalDelayed;
   }
   if (mRemovedRevisions.size() >= kMostRemoved) {
     mRemovedRevisions.clear();
   }
-  mRemovedRevisions[aId] = aRevision;
-  mMisdirected.erase(aId);
-  mBackends.erase(found);
+  mRemovedRevisions[id] = aRevision;
+  mMisdirected.erase(id);
+  mBackends.erase(aPlace);
   return BackendChange::Removed;
 }
 
@@ -106,7 +131,8 @@
   }
   std::vector<std::pair<InstanceId, BackendChange>> changes;
   for (const InstanceId& id : missing) {
-    const BackendChange change = Remove(id, aRevision, aNow);
+    const BackendChange change =
+      RemoveAt(mBackends.find(id), aRevision, aNow, mHoldUntil);
     if (change != BackendChange::None) {
       changes.emplace_back(id, change);
     }
@@ -115,9 +141,12 @@
 }
 
 void
-BackendList::RecordRegained(Timestamp aNow, Microseconds aHold)
+BackendList::RecordRegained(Timestamp aNow,
+                            Microseconds aHold,
+                            Microseconds aMostDelay)
 {
   mHoldUntil = aNow + aHold;
+  mMostDelay = aMostDelay;
 }
 
 std::vector<InstanceId>
@@ -199,7 +228,8 @@
   for (const auto& [id, backend] : mBackends) {
     if (backend.mEntry.mPool == aPool && !backend.mEntry.mIsDraining &&
         mEvacuated.count(backend.mEntry.mZone) == 0 &&
-        mMisdirected.count(id) == 0 && !isLeaving(backend.mBoot)) {
+        mMisdirected.count(id) == 0 && !isLeaving(backend.mBoot) &&
+        (!backend.mRemoveAt || aNow < *backend.mRemoveAt)) {
       usable.push_back(&backend);
     }
   }
@@ -209,16 +239,10 @@
 std::uint64_t
 BackendList::Digest() const
 {
+  // A sum doesn't depend on the order of the servers.
   std::uint64_t digest = 0;
   for (const auto& [id, backend] : mBackends) {
-    const BackendEntry& entry = backend.mEntry;
-    const std::uint64_t start = static_cast<std::uint64_t>(
-      entry.mStartedAt.value_or(Milliseconds(0)).count());
-    const std::uint64_t state = (entry.mIsDraining ? 1U : 0U) +
-                                (entry.mColdRemaining.count() > 0 ? 2U : 0U);
-    // A sum doesn't depend on the order of the servers.
-    digest +=
-      HashText(id.Text() + EndpointText(entry.mEndpoint), start + state);
+    digest += backend.mDigest;
   }
   for (const ZoneName& zone : mEvacuated) {
     digest += HashText(zone.Text());
@@ -226,6 +250,13 @@
   return digest;
 }
 
+std::uint64_t
+BackendList::DigestOf(const InstanceId& aId) const
+{
+  const ListedBackend* backend = Find(aId);
+  return backend == nullptr ? 0 : backend->mDigest;
+}
+
 const ListedBackend*
 BackendList::Find(const InstanceId& aId) const
 {
--- a/src/libmedlarkeel/forwarding/backendlist.h
+++ b/src/libmedlarkeel/forwarding/backendlist.h
@@ -45,6 +45,8 @@
 {
   BackendEntry mEntry;
   BootHash mBoot = 0;
+  /** Of what the entry says, but for its age. */
+  std::uint64_t mDigest = 0;
   /** The server is cold before this time. */
   Timestamp mColdUntil;
   /** The server is taken off the list at this time unless it reappears. */
@@ -83,6 +85,10 @@
                        std::uint64_t aRevision,
                        Timestamp aNow);
 
+  /** @return A digest of what the list says of one server; 0 when it isn't
+   * listed. */
+  std::uint64_t DigestOf(const InstanceId& aId) const;
+
   /** Removes all but the listed ones. @return Those that were affected. */
   std::vector<std::pair<InstanceId, BackendChange>> KeepOnly(
     const std::set<InstanceId>& aListed,
@@ -93,8 +99,12 @@
    * Notes that the list can be read again after a time without contact.
    *
    * @param aHold How long missing entries are kept from now on.
+   * @param aMostDelay How long after its removal was published an entry is
+   * kept at most.
    */
-  void RecordRegained(Timestamp aNow, Microseconds aHold);
+  void RecordRegained(Timestamp aNow,
+                      Microseconds aHold,
+                      Microseconds aMostDelay);
 
   /** Removes entries whose delay is over. @return The ids removed. */
   std::vector<InstanceId> RemoveExpired(Timestamp aNow);
@@ -136,7 +146,15 @@
   std::size_t size() const { return mBackends.size(); }
 
 private:
-  std::map<InstanceId, ListedBackend> mBackends;
+  using BackendMap = std::map<InstanceId, ListedBackend>;
+
+  /** Removes a server now, or at a later time. */
+  BackendChange RemoveAt(BackendMap::iterator aPlace,
+                         std::uint64_t aRevision,
+                         Timestamp aNow,
+                         Timestamp aRemoveAt);
+
+  BackendMap mBackends;
   std::map<InstanceId, std::uint64_t> mRemovedRevisions;
   std::set<ZoneName> mEvacuated;
   std::set<InstanceId> mMisdirected;
@@ -144,6 +162,7 @@
   /** Until when what other entries told holds. */
   std::unordered_map<BootHash, Timestamp> mToldLeaving;
   Timestamp mHoldUntil;
+  Microseconds mMostDelay{ 0 };
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -41,6 +41,7 @@
   FollowerSettings settings;
   settings.mPause = aChangeBound / kPausesPerBound;
   settings.mOutage = aHeartbeat * 2;
+  settings.mMostRemovalDelay = aChangeBound * 3 / kPausesPerBound;
   return settings;
 }
 
@@ -89,6 +90,7 @@
   }
   mHasRead = true;
   mNext = { FollowerStep::Kind::Watch, mSettings.mPause, content.mRevision };
+  mNews.Restart(content.mRevision);
   return news;
 }
 
@@ -106,10 +108,77 @@
     return news;
   }
   RecordContact(news, aNow);
+  // Others may have told more while the call was under way.
+  const std::uint64_t known = mNext.mRevision;
+  std::vector<ToldChange> told;
   for (const DirectoryChange& change : content.mChanges) {
-    Apply(change, aNow, news);
+    const auto* zone = std::get_if<ZoneEvacuation>(&change);
+    if (zone != nullptr && zone->mRevision != 0 && zone->mRevision <= known) {
+      continue;
+    }
+    if (auto tellable = ApplyAndTell(change, aNow, news)) {
+      told.push_back(std::move(*tellable));
+    }
   }
-  mNext = { FollowerStep::Kind::Watch, mSettings.mPause, content.mRevision };
+  const bool hasDelayed = std::any_of(
+    news.mBackends.begin(), news.mBackends.end(), [](const auto& aChange) {
+      return aChange.second == BackendChange::RemovalDelayed;
+    });
+  const std::uint64_t revision = std::max(known, content.mRevision);
+  if (news.mHasNewDocument || hasDelayed) {
+    // The others have to ask for themselves.
+    mNews.Restart(revision);
+  } else {
+    mNews.Add(known, revision, std::move(told), aNow);
+  }
+  mNext = { FollowerStep::Kind::Watch, mSettings.mPause, revision };
+  return news;
+}
+
+std::optional<ToldChange>
+DirectoryFollower::ApplyAndTell(const DirectoryChange& aChange,
+                                Timestamp aNow,
+                                FollowerNews& aNews)
+{
+  if (const auto* entry = std::get_if<BackendEntry>(&aChange)) {
+    const std::uint64_t before = mBackends.DigestOf(entry->mId);
+    Apply(aChange, aNow, aNews);
+    return before != mBackends.DigestOf(entry->mId)
+             ? std::optional<ToldChange>(*entry)
+             : std::nullopt;
+  }
+  Apply(aChange, aNow, aNews);
+  if (const auto* removal = std::get_if<BackendRemoval>(&aChange)) {
+    return ToldChange(*removal);
+  }
+  if (const auto* zone = std::get_if<ZoneEvacuation>(&aChange)) {
+    return ToldChange(*zone);
+  }
+  return std::nullopt;
+}
+
+std::optional<FollowerNews>
+DirectoryFollower::RecordTold(const DirectoryNews& aNews, Timestamp aNow)
+{
+  const std::uint64_t known = mNext.mRevision;
+  const bool follows = mNext.mKind == FollowerStep::Kind::Watch && mHasRead &&
+                       aNews.mFrom <= known && known < aNews.mTo;
+  if (!follows) {
+    return std::nullopt;
+  }
+  FollowerNews news;
+  for (const ToldChange& change : aNews.mChanges) {
+    const std::uint64_t revision = std::visit(
+      Overloaded{ [](const auto& aChange) { return aChange.mRevision; } },
+      change);
+    if (revision > known) {
+      std::visit(Overloaded{ [&](const auto& aChange) {
+                   Apply(DirectoryChange(aChange), aNow, news);
+                 } },
+                 change);
+    }
+  }
+  mNext.mRevision = aNews.mTo;
   return news;
 }
 
@@ -131,7 +200,8 @@
 {
   const Timestamp known = std::max(mLastContact, mConfirmedAt);
   if (mHasRead && aNow - known > mSettings.mOutage) {
-    mBackends.RecordRegained(aNow, mSettings.mHold);
+    mBackends.RecordRegained(
+      aNow, mSettings.mHold, mSettings.mMostRemovalDelay);
   }
   aNews.mWasRegained = mIsLost;
   aNews.mOutage = mHasRead ? aNow - known : Microseconds(0);
@@ -140,6 +210,16 @@
   mLastContact = aNow;
 }
 
+void
+DirectoryFollower::ApplyZone(const ZoneEvacuation& aZone, FollowerNews& aNews)
+{
+  const bool wasEvacuated = mBackends.EvacuatedZones().count(aZone.mZone) != 0;
+  mBackends.SetEvacuated(aZone.mZone, aZone.mIsEvacuated);
+  if (wasEvacuated != aZone.mIsEvacuated) {
+    aNews.mZones.push_back(aZone);
+  }
+}
+
 void
 DirectoryFollower::Apply(const DirectoryChange& aChange,
                          Timestamp aNow,
@@ -164,14 +244,7 @@
                  note(aRemoval.mId,
                       mBackends.Remove(aRemoval.mId, aRemoval.mRevision, aNow));
                },
-               [&](const ZoneEvacuation& aZone) {
-                 const bool wasEvacuated =
-                   mBackends.EvacuatedZones().count(aZone.mZone) != 0;
-                 mBackends.SetEvacuated(aZone.mZone, aZone.mIsEvacuated);
-                 if (wasEvacuated != aZone.mIsEvacuated) {
-                   aNews.mZones.push_back(aZone);
-                 }
-               },
+               [&](const ZoneEvacuation& aZone) { ApplyZone(aZone, aNews); },
                [&](const UnreadableItem& aItem) {
                  aNews.mUnreadable.push_back(aItem);
                } },
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "directorysource.h"
+#include "directorynews.h"
 
 namespace medlarkeel {
 
@@ -13,6 +13,12 @@
   /** Longest wait for a change; backend servers beat at least that often, so
    * an empty answer shows that changes aren't delivered. */
   Milliseconds mWait{ 800 };
+  /** The same for a process that hasn't called for longer than that: changes
+   * are there already, so that a silent call is noticed sooner. */
+  Milliseconds mCatchUpWait{ 100 };
+  /** Longest time for which others are relied on: below the time for which the
+   * directory keeps its history. */
+  Milliseconds mMostQuiet{ 14'000 };
   /** First pause after a failed call; doubles up to the greatest. */
   Milliseconds mFirstRetry{ 100 };
   Milliseconds mMostRetry{ 500 };
@@ -21,6 +27,8 @@
   Milliseconds mOutage{ 2000 };
   /** How long such servers are kept: they re-register within two seconds. */
   Milliseconds mHold{ 2300 };
+  /** How long after its removal was published a server is kept at most. */
+  Milliseconds mMostRemovalDelay{ 1500 };
 };
 
 /**
@@ -69,12 +77,43 @@
   /** @return The next call. */
   FollowerStep Next() const { return mNext; }
 
+  /** @return Longest wait of a call for changes. */
+  Milliseconds Wait(Timestamp aNow) const
+  {
+    return Age(aNow) > mSettings.mWait ? mSettings.mCatchUpWait
+                                       : mSettings.mWait;
+  }
+
+  /** @return Whether the next call may be left out while others confirm what
+   * is known. */
+  bool MayStayQuiet(Timestamp aNow) const
+  {
+    return mNext.mKind == FollowerStep::Kind::Watch &&
+           Age(aNow) < mSettings.mMostQuiet;
+  }
+
   /** Takes over the answer to a full reading. */
   FollowerNews RecordRead(const DirectoryResult& aResult, Timestamp aNow);
 
   /** Takes over the answer to a call for changes. */
   FollowerNews RecordWatch(const DirectoryResult& aResult, Timestamp aNow);
 
+  /**
+   * Takes over what a reader of the directory told; an own call may be under
+   * way.
+   *
+   * @return What has changed; nothing when the news doesn't follow on what is
+   * known.
+   */
+  std::optional<FollowerNews> RecordTold(const DirectoryNews& aNews,
+                                         Timestamp aNow);
+
+  /** @return What the own calls brought lately, for the other entries. */
+  std::optional<DirectoryNews> News(Timestamp aNow) const
+  {
+    return mNews.News(aNow);
+  }
+
   /** Notes that others heard from the directory and know the same, so that
    * the time without calls of its own isn't an outage. */
   void RecordConfirmed(Timestamp aNow) { mConfirmedAt = aNow; }
@@ -91,6 +130,10 @@
   /** @return A digest of the document's version and the list. */
   std::uint64_t Digest() const;
 
+  /** @return Revision up to which the directory is known; 0 before a full
+   * reading. */
+  std::uint64_t Revision() const { return mNext.mRevision; }
+
   /** @return Time since the last answer with content. */
   Microseconds Age(Timestamp aNow) const { return aNow - mLastContact; }
 
@@ -100,11 +143,17 @@
   void Apply(const DirectoryChange& aChange,
              Timestamp aNow,
              FollowerNews& aNews);
+  void ApplyZone(const ZoneEvacuation& aZone, FollowerNews& aNews);
+  /** Applies a change. @return It, if it is to be told to others. */
+  std::optional<ToldChange> ApplyAndTell(const DirectoryChange& aChange,
+                                         Timestamp aNow,
+                                         FollowerNews& aNews);
 
   FollowerSettings mSettings;
   FollowerStep mNext;
   ForwardingDocumentPointer mDocument;
   BackendList mBackends;
+  DirectoryNewsLog mNews;
   bool mHasRead = false;
   bool mIsLost = false;
   Milliseconds mRetry;
--- a/src/libmedlarkeel/forwarding/directorysource.h
+++ b/src/libmedlarkeel/forwarding/directorysource.h
@@ -25,6 +25,8 @@
 {
   ZoneName mZone;
   bool mIsEvacuated = false;
+  /** Of the change; 0 when it isn't known. */
+  std::uint64_t mRevision = 0;
 };
 
 /** An item that can't be used; the last good one stays in force. */
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -8,6 +8,13 @@
 
 namespace medlarkeel {
 
+namespace {
+
+/** Orders entries by hash for who follows the directory. */
+constexpr const char* kReaderKey = "directory";
+
+} // namespace
+
 std::uint32_t
 ServerHash(const InstanceId& aId)
 {
@@ -53,6 +60,7 @@
   peer.mLoads = aReport.mLoads;
   peer.mDemand = aReport.mDemand;
   peer.mDirectoryDigest = aReport.mDirectoryDigest;
+  peer.mDirectoryRevision = aReport.mDirectoryRevision;
   peer.mDirectoryHeardAt = aNow - aReport.mDirectoryAge;
   for (const std::string& known : aReport.mKnown) {
     if (known != mOwn && mPeers.count(known) == 0) {
@@ -139,22 +147,70 @@
   return before < static_cast<double>(aCount);
 }
 
+std::set<std::string>
+PeerView::Readers(Timestamp aNow) const
+{
+  const std::uint64_t key = HashText(kReaderKey);
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  for (const std::string& peer : LivePeers(aNow)) {
+    order.emplace_back(RendezvousScore(key, HashText(peer)), peer);
+  }
+  std::sort(order.rbegin(), order.rend());
+  std::set<std::string> readers;
+  for (const auto& [score, address] : order) {
+    if (readers.size() < mSettings.mDirectoryReaders) {
+      readers.insert(address);
+    }
+  }
+  return readers;
+}
+
+bool
+PeerView::IsReader(Timestamp aNow) const
+{
+  return CountBefore(HashText(kReaderKey), LivePeers(aNow)) <
+         mSettings.mDirectoryReaders;
+}
+
+std::vector<std::string>
+PeerView::LivePeers(Timestamp aNow) const
+{
+  std::vector<std::string> live;
+  for (const auto& [address, peer] : mPeers) {
+    if (peer.mSequence != 0 && aNow - peer.mHeardAt < mSettings.mReaderLife) {
+      live.push_back(address);
+    }
+  }
+  return live;
+}
+
+Microseconds
+PeerView::LoadLife(Timestamp aNow) const
+{
+  constexpr int kIntervals = 3;
+  return std::max(mSettings.mLoadLife, Interval(aNow) * kIntervals);
+}
+
 bool
-PeerView::MayRelyOnOthers(std::uint64_t aDigest, Timestamp aNow) const
+PeerView::MayRelyOnOthers(std::uint64_t aDigest,
+                          std::uint64_t aRevision,
+                          Timestamp aNow) const
 {
-  if (CountBefore(HashText("directory"), Targets(aNow)) <
-      mSettings.mDirectoryReaders) {
+  if (IsReader(aNow)) {
     return false;
   }
+  const std::set<std::string> readers = Readers(aNow);
   bool isConfirmed = false;
   for (const auto& [address, peer] : mPeers) {
-    if (aNow - peer.mDirectoryHeardAt > mSettings.mFreshDirectory) {
+    if (readers.count(address) == 0 ||
+        aNow - peer.mDirectoryHeardAt > mSettings.mFreshDirectory) {
       continue;
     }
-    if (peer.mDirectoryDigest != aDigest) {
+    const bool isSame = peer.mDirectoryDigest == aDigest;
+    if (!isSame && peer.mDirectoryRevision > aRevision) {
       return false;
     }
-    isConfirmed = true;
+    isConfirmed = isConfirmed || isSame;
   }
   return isConfirmed;
 }
@@ -163,8 +219,9 @@
 PeerView::OtherDemand(Timestamp aNow) const
 {
   PromptDemand sum;
+  const Microseconds life = LoadLife(aNow);
   for (const auto& [address, peer] : mPeers) {
-    if (aNow - peer.mHeardAt <= mSettings.mLoadLife) {
+    if (aNow - peer.mHeardAt <= life) {
       sum.mShortTokens += peer.mDemand.mShortTokens;
       sum.mLongTokens += peer.mDemand.mLongTokens;
     }
@@ -176,8 +233,9 @@
 PeerView::OtherLoads(Timestamp aNow) const
 {
   ServerLoads sum;
+  const Microseconds life = LoadLife(aNow);
   for (const auto& [address, peer] : mPeers) {
-    if (aNow - peer.mHeardAt > mSettings.mLoadLife) {
+    if (aNow - peer.mHeardAt > life) {
       continue;
     }
     for (const auto& [server, load] : peer.mLoads) {
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include "backendlist.h"
+#include "directorynews.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -52,10 +54,14 @@
   PromptDemand mDemand;
   /** Digest of the directory as the sender knows it. */
   std::uint64_t mDirectoryDigest = 0;
+  /** Revision up to which the sender knows the directory. */
+  std::uint64_t mDirectoryRevision = 0;
   /** Time since the sender last heard from the directory. */
   Milliseconds mDirectoryAge{ 0 };
   /** Last shared parts of prompts that were sent since the last report. */
   std::vector<SentPart> mSent;
+  /** What the sender learned from the directory lately. */
+  std::optional<DirectoryNews> mNews;
   /** Servers that told the sender that they are shutting down. */
   std::vector<BootHash> mLeaving;
   /** IP numbers of entries that the sender knows; may be left out. */
@@ -68,9 +74,13 @@
    * that prompts wait at a loaded server. */
   Milliseconds mLeastInterval{ 200 };
   /** Added for each entry, so that the traffic of an entry stays bounded. */
-  Milliseconds mIntervalPerEntry{ 15 };
-  /** Time after which the load of a silent peer isn't counted. */
+  Milliseconds mIntervalPerEntry{ 8 };
+  /** Time after which the load of a silent peer isn't counted, or three
+   * intervals if they are longer. */
   Milliseconds mLoadLife{ 1500 };
+  /** Time after which a silent peer isn't taken for one that follows the
+   * directory. */
+  Milliseconds mReaderLife{ 5000 };
   /** Time after which a silent peer isn't counted as an entry: longer than
    * partitions, during which it goes on using its share of limits. */
   Milliseconds mPeerLife{ 60'000 };
@@ -130,13 +140,20 @@
                     Timestamp aNow) const;
 
   /**
-   * Tells whether calling the directory would bring nothing new.
+   * Tells whether calling the directory would bring nothing new. Only the
+   * entries that follow the directory count: the others learn from them.
    *
    * @param aDigest Digest of what this entry knows.
+   * @param aRevision Revision up to which it knows the directory.
    * @return Whether others follow the directory, heard from it just now, and
-   * know the same.
+   * know the same, and none of them knows something newer.
    */
-  bool MayRelyOnOthers(std::uint64_t aDigest, Timestamp aNow) const;
+  bool MayRelyOnOthers(std::uint64_t aDigest,
+                       std::uint64_t aRevision,
+                       Timestamp aNow) const;
+
+  /** @return Whether this entry is one that follows the directory. */
+  bool IsReader(Timestamp aNow) const;
 
   /** @return The sum of the other entries' demand. */
   PromptDemand OtherDemand(Timestamp aNow) const;
@@ -151,6 +168,14 @@
    */
   std::size_t UnknownCount(std::size_t aKnown, Timestamp aNow) const;
 
+  /** @return The other entries that follow the directory. */
+  std::set<std::string> Readers(Timestamp aNow) const;
+
+  /** @return The peers that were heard of lately. */
+  std::vector<std::string> LivePeers(Timestamp aNow) const;
+
+  Microseconds LoadLife(Timestamp aNow) const;
+
   /** @return How many of the targets come before this entry for a key. */
   std::size_t CountBefore(std::uint64_t aKey,
                           const std::vector<std::string>& aTargets) const;
@@ -162,6 +187,7 @@
     ServerLoads mLoads;
     PromptDemand mDemand;
     std::uint64_t mDirectoryDigest = 0;
+    std::uint64_t mDirectoryRevision = 0;
     /** When the peer last heard from the directory. */
     Timestamp mDirectoryHeardAt;
   };
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -26,6 +26,7 @@
   { "connections_reused_total", &ForwardCounters::mConnectionsReused },
   { "directory_calls_total", &ForwardCounters::mDirectoryCalls },
   { "directory_failures_total", &ForwardCounters::mDirectoryFailures },
+  { "directory_news_told_total", &ForwardCounters::mDirectoryNewsTold },
   { "unreadable_items_total", &ForwardCounters::mUnreadableItems },
   { "peer_reports_sent_total", &ForwardCounters::mPeerReportsSent },
   { "peer_reports_not_sent_total", &ForwardCounters::mPeerReportsNotSent },
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -44,6 +44,8 @@
   std::uint64_t mConnectionsReused = 0;
   std::uint64_t mDirectoryCalls = 0;
   std::uint64_t mDirectoryFailures = 0;
+  /** Reports whose news of the directory saved a call. */
+  std::uint64_t mDirectoryNewsTold = 0;
   std::uint64_t mUnreadableItems = 0;
   /** Reports to and from other entries, and those that were lost. */
   std::uint64_t mPeerReportsSent = 0;
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -51,10 +51,6 @@
   return "unknown";
 }
 
-/** Longest time for which an entry relies on others: well below the time for
- * which the directory keeps its history. */
-constexpr Milliseconds kMostQuiet{ 8000 };
-
 /** Pause between two looks at what the others know. */
 constexpr Milliseconds kPeerCheck{ 150 };
 
@@ -82,16 +78,8 @@
       mPeers,
       mCounters,
       mLog,
-      [this](PeerReport& aReport) {
-        mChooser.FillReport(aReport, BootNow());
-        aReport.mLeaving = mFollower.Backends().LeavingBoots();
-        aReport.mDirectoryDigest = mFollower.Digest();
-        aReport.mDirectoryAge = DirectoryAge();
-      },
-      [this](const PeerReport& aReport) {
-        mChooser.RecordOtherSent(aReport.mSent, BootNow());
-        mFollower.Backends().RecordToldLeaving(aReport.mLeaving, BootNow());
-      })
+      [this](PeerReport& aReport) { FillReport(aReport); },
+      [this](const PeerReport& aReport) { TakeReport(aReport); })
   , mConnections(aContext, mCounters)
   , mAcceptor(aContext)
   , mDirectoryTimer(aContext)
@@ -211,19 +199,49 @@
   CallDirectoryLater(mFollower.Next().mDelay);
 }
 
+void
+Forwarder::FillReport(PeerReport& aReport)
+{
+  const Timestamp now = BootNow();
+  mChooser.FillReport(aReport, now);
+  aReport.mLeaving = mFollower.Backends().LeavingBoots();
+  aReport.mDirectoryDigest = mFollower.Digest();
+  aReport.mDirectoryRevision = mFollower.Revision();
+  aReport.mDirectoryAge = DirectoryAge();
+  if (mPeers.IsReader(now)) {
+    aReport.mNews = mFollower.News(now);
+  }
+}
+
+void
+Forwarder::TakeReport(const PeerReport& aReport)
+{
+  const Timestamp now = BootNow();
+  mChooser.RecordOtherSent(aReport.mSent, now);
+  mFollower.Backends().RecordToldLeaving(aReport.mLeaving, now);
+  if (!aReport.mNews) {
+    return;
+  }
+  if (const auto news = mFollower.RecordTold(*aReport.mNews, now)) {
+    mCounters.mDirectoryNewsTold += 1;
+    TakeNews(*news);
+  }
+}
+
 void
 Forwarder::CallDirectoryLater(Milliseconds aDelay)
 {
-  const FollowerStep step = mFollower.Next();
   mDirectoryTimer.expires_after(aDelay);
-  mDirectoryTimer.async_wait([this, step](const Error& aError) {
+  mDirectoryTimer.async_wait([this](const Error& aError) {
     if (aError) {
       return;
     }
+    const FollowerStep step = mFollower.Next();
     const bool isRead = step.mKind == FollowerStep::Kind::ReadAll;
     const Timestamp now = BootNow();
-    const bool isQuiet = !isRead && mFollower.Age(now) < kMostQuiet &&
-                         mPeers.MayRelyOnOthers(mFollower.Digest(), now);
+    const bool isQuiet =
+      mFollower.MayStayQuiet(now) &&
+      mPeers.MayRelyOnOthers(mFollower.Digest(), mFollower.Revision(), now);
     if (isQuiet) {
       mFollower.RecordConfirmed(now);
       CallDirectoryLater(kPeerCheck);
@@ -231,26 +249,37 @@
     }
     mCounters.mDirectoryCalls += 1;
     const auto take = [this, isRead](const DirectoryResult& aResult) {
-      mCounters.mDirectoryFailures += aResult ? 0 : 1;
-      const Timestamp now = BootNow();
-      const FollowerNews news = isRead ? mFollower.RecordRead(aResult, now)
-                                       : mFollower.RecordWatch(aResult, now);
-      if (news.mWasLost) {
-        mLog.Write(Event::DirectoryLost,
-                   { { "error", DirectoryErrorText(aResult.error()) },
-                     { "listAgeMs", DirectoryAge().count() } });
-      }
-      TakeNews(news);
-      CallDirectory();
+      TakeAnswer(isRead, aResult);
     };
     if (isRead) {
       mDirectory->ReadAll(take);
     } else {
-      mDirectory->Watch(step.mRevision, FollowerSettings().mWait, take);
+      mDirectory->Watch(step.mRevision, mFollower.Wait(now), take);
     }
   });
 }
 
+void
+Forwarder::TakeAnswer(bool aIsRead, const DirectoryResult& aResult)
+{
+  mCounters.mDirectoryFailures += aResult ? 0 : 1;
+  const Timestamp now = BootNow();
+  const FollowerNews news = aIsRead ? mFollower.RecordRead(aResult, now)
+                                    : mFollower.RecordWatch(aResult, now);
+  if (news.mWasLost) {
+    mLog.Write(Event::DirectoryLost,
+               { { "error", DirectoryErrorText(aResult.error()) },
+                 { "listAgeMs", DirectoryAge().count() } });
+  }
+  TakeNews(news);
+  const bool isForOthers =
+    news.mHasNewDocument || !news.mBackends.empty() || !news.mZones.empty();
+  if (isForOthers && mPeers.IsReader(now)) {
+    mPeerChannel.SendSoon();
+  }
+  CallDirectory();
+}
+
 void
 Forwarder::TakeNews(const FollowerNews& aNews)
 {
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -90,6 +90,9 @@
   void Accept();
   void CallDirectory();
   void CallDirectoryLater(Milliseconds aDelay);
+  void TakeAnswer(bool aIsRead, const DirectoryResult& aResult);
+  void TakeReport(const PeerReport& aReport);
+  void FillReport(PeerReport& aReport);
   void TakeNews(const FollowerNews& aNews);
   void EndIfDone();
 
--- a/src/libmedlarkeelforward/peerchannel.h
+++ b/src/libmedlarkeelforward/peerchannel.h
@@ -4,6 +4,7 @@
 #include "../libmedlarkeel/settings.h"
 #include "../libmedlarkeelnet/eventlog.h"
 #include "forwardcounters.h"
+#include "peerreportcodec.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -13,18 +14,9 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace medlarkeel {
 
-/** @return A report as bytes. */
-std::string
-EncodePeerReport(const PeerReport& aReport);
-
-/** @return The report in the bytes, or nothing when they can't be read. */
-std::optional<PeerReport>
-DecodePeerReport(std::string_view aBytes);
-
 /**
  * Exchanges reports with the other entries by datagrams: a lost one is
  * replaced by the next.
@@ -47,6 +39,9 @@
 
   void Start();
 
+  /** Sends a report now, for news that the others wait for. */
+  void SendSoon();
+
 private:
   void Receive();
   void Send();
@@ -68,6 +63,7 @@
   std::function<void(const PeerReport&)> mTake;
   std::uint64_t mSequence;
   std::uint64_t mRounds = 0;
+  Timestamp mSentAt;
   /** When the last loss was logged. */
   std::optional<Timestamp> mLossLoggedAt;
 };
--- a/tests/core/test_backendlist.cpp
+++ b/tests/core/test_backendlist.cpp
@@ -62,7 +62,7 @@
 {
   BackendList list;
   list.Put(Entry("one", 1), kStart);
-  list.RecordRegained(kStart, Seconds(2));
+  list.RecordRegained(kStart, Seconds(2), Seconds(2));
   BOOST_CHECK(list.Remove(InstanceId("one"), 2, kStart) ==
               BackendChange::RemovalDelayed);
   BOOST_TEST(list.Usable(kPool, kStart).size() == 1U);
@@ -71,11 +71,37 @@
   BOOST_TEST(list.Usable(kPool, kStart).empty());
 }
 
+/** An entry that was cut off reaches the list again, and half a second later a
+ * server is taken off it: the entry must not go on using the server for the
+ * whole hold (2.3 s after the removal on bmbc-kingston scale-2). */
+BOOST_AUTO_TEST_CASE(RemovalPublishedAfterAnOutageIsInForceWithinItsBound)
+{
+  BackendList list;
+  list.Put(Entry("one", 1), kStart);
+  list.RecordRegained(kStart, Milliseconds(2300), Milliseconds(1500));
+  const Timestamp removed = kStart + Milliseconds(540);
+  BOOST_CHECK(list.Remove(InstanceId("one"), 2, removed) ==
+              BackendChange::RemovalDelayed);
+  BOOST_TEST(list.Usable(kPool, removed + Milliseconds(1400)).size() == 1U);
+  BOOST_TEST(list.Usable(kPool, removed + Milliseconds(1500)).empty());
+}
+
+/** Nothing is heard of the list between the end of the hold and the next
+ * answer. */
+BOOST_AUTO_TEST_CASE(ServerWhoseDelayIsOverGetsNothingEvenBeforeItsRemoval)
+{
+  BackendList list;
+  list.Put(Entry("one", 1), kStart);
+  list.RecordRegained(kStart, Seconds(2), Seconds(2));
+  list.Remove(InstanceId("one"), 2, kStart);
+  BOOST_TEST(list.Usable(kPool, kStart + Seconds(2)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(ServerThatIsBackAfterAnOutageStays)
 {
   BackendList list;
   list.Put(Entry("one", 1), kStart);
-  list.RecordRegained(kStart, Seconds(2));
+  list.RecordRegained(kStart, Seconds(2), Seconds(2));
   list.Remove(InstanceId("one"), 2, kStart);
   list.Put(Entry("one", 3), kStart + Seconds(1));
   BOOST_TEST(list.RemoveExpired(kStart + Seconds(3)).empty());
--- a/tests/core/test_peerview.cpp
+++ b/tests/core/test_peerview.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 namespace medlarkeel {
 
 namespace {
@@ -13,6 +15,9 @@
 /** Start of entries that have heard of all others since. */
 const Timestamp kLongBefore{ Seconds(900) };
 
+/** Up to which all entries know the directory. */
+constexpr std::uint64_t kRevision = 40;
+
 PeerReport
 Report(const std::string& aAddress, std::uint64_t aSequence)
 {
@@ -20,6 +25,7 @@
   report.mAddress = aAddress;
   report.mSequence = aSequence;
   report.mLoads[7] = { 2, 300 };
+  report.mDirectoryRevision = kRevision;
   return report;
 }
 
@@ -58,39 +64,117 @@
   BOOST_TEST(view.EntryCount(kStart + settings.mPeerLife) == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(OthersAreReliedOnOnlyWhileTheyAreFreshAndAgree)
+/** All entries report the same digest; what they know is 200 ms old. */
+PeerView
+ViewOf(const std::string& aOwn,
+       const std::vector<std::string>& aAddresses,
+       std::uint64_t aDigest)
+{
+  PeerView view(PeerSettings(), aOwn, aAddresses, kLongBefore);
+  for (const std::string& address : aAddresses) {
+    PeerReport report = Report(address, 1);
+    report.mDirectoryDigest = aDigest;
+    report.mDirectoryAge = Milliseconds(200);
+    view.Record(report, kStart);
+  }
+  return view;
+}
+
+BOOST_AUTO_TEST_CASE(ReadersAreReliedOnOnlyWhileTheyAreFreshAndAgree)
 {
   const PeerSettings settings;
   std::vector<std::string> addresses;
   for (int i = 1; i <= 30; ++i) {
     addresses.push_back("10.0.0." + std::to_string(i));
   }
-  std::size_t readers = 0;
+  std::set<std::string> readers;
+  for (const std::string& own : addresses) {
+    if (ViewOf(own, addresses, 5).IsReader(kStart)) {
+      readers.insert(own);
+    }
+  }
+  BOOST_TEST(readers.size() == settings.mDirectoryReaders);
   for (const std::string& own : addresses) {
     PeerView view(settings, own, addresses, kLongBefore);
-    BOOST_TEST(!view.MayRelyOnOthers(5, kStart));
-    PeerReport report = Report("10.0.1.1", 1);
-    report.mDirectoryDigest = 5;
-    report.mDirectoryAge = Milliseconds(200);
-    view.Record(report, kStart);
-    if (!view.MayRelyOnOthers(5, kStart)) {
-      ++readers;
+    BOOST_TEST(!view.MayRelyOnOthers(5, kRevision, kStart));
+    view = ViewOf(own, addresses, 5);
+    if (readers.count(own) != 0) {
+      BOOST_TEST(!view.MayRelyOnOthers(5, kRevision, kStart));
       continue;
     }
-    BOOST_TEST(!view.MayRelyOnOthers(6, kStart));
-    BOOST_TEST(!view.MayRelyOnOthers(5, kStart + settings.mFreshDirectory));
-    PeerReport other = Report("10.0.1.2", 1);
+    BOOST_TEST(view.MayRelyOnOthers(5, kRevision, kStart));
+    BOOST_TEST(!view.MayRelyOnOthers(6, kRevision, kStart));
+    BOOST_TEST(
+      !view.MayRelyOnOthers(5, kRevision, kStart + settings.mFreshDirectory));
+    PeerReport other = Report(*readers.begin(), 2);
     other.mDirectoryDigest = 7;
     view.Record(other, kStart);
-    BOOST_TEST(!view.MayRelyOnOthers(5, kStart));
-    other.mSequence = 2;
+    // A reader that is behind knows nothing to ask for.
+    BOOST_TEST(view.MayRelyOnOthers(5, kRevision, kStart));
+    BOOST_TEST(!view.MayRelyOnOthers(5, kRevision - 1, kStart));
+    other.mSequence = 3;
     other.mDirectoryAge = settings.mFreshDirectory + Milliseconds(1);
     view.Record(other, kStart);
-    BOOST_TEST(view.MayRelyOnOthers(5, kStart));
+    BOOST_TEST(view.MayRelyOnOthers(5, kRevision - 1, kStart));
+  }
+}
+
+/** Entries that learn of a change one after the other don't make each other
+ * call the directory: only its readers count. */
+BOOST_AUTO_TEST_CASE(EntryThatIsNoReaderDoesNotMakeOthersCall)
+{
+  std::vector<std::string> addresses;
+  for (int i = 1; i <= 30; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i));
+  }
+  std::vector<std::string> others;
+  for (const std::string& own : addresses) {
+    if (!ViewOf(own, addresses, 5).IsReader(kStart)) {
+      others.push_back(own);
+    }
+  }
+  PeerView view = ViewOf(others[0], addresses, 5);
+  PeerReport report = Report(others[1], 2);
+  report.mDirectoryDigest = 7;
+  view.Record(report, kStart);
+  BOOST_TEST(view.MayRelyOnOthers(5, kRevision, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(SilentReaderIsReplaced)
+{
+  std::vector<std::string> addresses;
+  for (int i = 1; i <= 30; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i));
+  }
+  std::size_t readers = 0;
+  const Timestamp later = kStart + PeerSettings().mReaderLife;
+  for (const std::string& own : addresses) {
+    PeerView view = ViewOf(own, addresses, 5);
+    if (view.IsReader(kStart)) {
+      continue; // All readers of the start have ended.
+    }
+    for (const std::string& address : addresses) {
+      if (!ViewOf(address, addresses, 5).IsReader(kStart)) {
+        view.Record(Report(address, 2), later);
+      }
+    }
+    readers += view.IsReader(later) ? 1 : 0;
+  }
+  BOOST_TEST(readers == PeerSettings().mDirectoryReaders);
+}
+
+BOOST_AUTO_TEST_CASE(LoadsCountUntilTheNextReportsOfALargeFleet)
+{
+  std::vector<std::string> addresses;
+  for (int i = 1; i <= 410; ++i) {
+    addresses.push_back("10.0." + std::to_string(i / 200) + "." +
+                        std::to_string(i % 200 + 1));
   }
-  // The two that only report may take places of readers.
-  BOOST_TEST(readers <= settings.mDirectoryReaders);
-  BOOST_TEST(readers >= settings.mDirectoryReaders - 2);
+  PeerView view(PeerSettings(), addresses[0], addresses, kLongBefore);
+  view.Record(Report(addresses[1], 1), kStart);
+  const Timestamp beforeNext =
+    kStart + view.Interval(kStart) + Milliseconds(500);
+  BOOST_TEST(view.OtherLoads(beforeNext)[7].mRequests == 2U);
 }
 
 /** Readers that started together are all as old, so the last report of each
@@ -115,7 +199,7 @@
         view.Record(report, kStart);
       }
       const Timestamp beforeNext = kStart + view.Interval(kStart);
-      relying += view.MayRelyOnOthers(5, beforeNext) ? 1 : 0;
+      relying += view.MayRelyOnOthers(5, kRevision, beforeNext) ? 1 : 0;
     }
     BOOST_TEST(relying == kEntries - PeerSettings().mDirectoryReaders);
   }
