Exchange sums by zone in large fleets; let the first reading be old

Cause: with 103 entries each told each other one every 0.8 to 1.7 s; bytes between zones were the first price of the large site, and what entries knew of each other grew older with their number. Above 40 entries they now report within their zone, one entry a zone exchanges sums with those of the other zones and tells its own, and one a zone follows the directory. A silent one is replaced after 1.5 s; new entries are told of all. Small and grown fleets report to all as before. The first reading of a process may be seconds old, which costs the store a tenth; it counts only once the changes behind it are read.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -298,8 +298,9 @@
 void
 BackendChooser::TakeOthers(const PeerView& aPeers, Timestamp aNow)
 {
-  SetOtherLoads(aPeers.OtherLoads(aNow));
-  mOtherDemand = aPeers.OtherDemand(aNow);
+  LoadSum others = aPeers.Others(aNow);
+  SetOtherLoads(std::move(others.mLoads));
+  mOtherDemand = others.mDemand;
 }
 
 void
--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -58,7 +58,9 @@
 }
 
 FollowerNews
-DirectoryFollower::RecordRead(const DirectoryResult& aResult, Timestamp aNow)
+DirectoryFollower::RecordRead(const DirectoryResult& aResult,
+                              Timestamp aNow,
+                              ReadFreshness aFreshness)
 {
   FollowerNews news;
   if (!aResult) {
@@ -88,8 +90,10 @@
       Apply(ZoneEvacuation{ zone, false }, aNow, news);
     }
   }
+  mIsOld = aFreshness == ReadFreshness::MayBeOld;
   mHasRead = true;
-  mNext = { FollowerStep::Kind::Watch, mSettings.mPause, content.mRevision };
+  const Milliseconds pause = mIsOld ? Milliseconds(0) : mSettings.mPause;
+  mNext = { FollowerStep::Kind::Watch, pause, content.mRevision };
   mNews.Restart(content.mRevision);
   return news;
 }
@@ -108,6 +112,7 @@
     return news;
   }
   RecordContact(news, aNow);
+  mIsOld = false;
   // Others may have told more while the call was under way.
   const std::uint64_t known = mNext.mRevision;
   std::vector<ToldChange> told;
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -80,20 +80,22 @@
   /** @return Longest wait of a call for changes. */
   Milliseconds Wait(Timestamp aNow) const
   {
-    return Age(aNow) > mSettings.mWait ? mSettings.mCatchUpWait
-                                       : mSettings.mWait;
+    return mIsOld || Age(aNow) > mSettings.mWait ? mSettings.mCatchUpWait
+                                                 : mSettings.mWait;
   }
 
   /** @return Whether the next call may be left out while others confirm what
    * is known. */
   bool MayStayQuiet(Timestamp aNow) const
   {
-    return mNext.mKind == FollowerStep::Kind::Watch &&
+    return !mIsOld && mNext.mKind == FollowerStep::Kind::Watch &&
            Age(aNow) < mSettings.mMostQuiet;
   }
 
   /** Takes over the answer to a full reading. */
-  FollowerNews RecordRead(const DirectoryResult& aResult, Timestamp aNow);
+  FollowerNews RecordRead(const DirectoryResult& aResult,
+                          Timestamp aNow,
+                          ReadFreshness aFreshness = ReadFreshness::Newest);
 
   /** Takes over the answer to a call for changes. */
   FollowerNews RecordWatch(const DirectoryResult& aResult, Timestamp aNow);
@@ -118,14 +120,29 @@
    * the time without calls of its own isn't an outage. */
   void RecordConfirmed(Timestamp aNow) { mConfirmedAt = aNow; }
 
-  /** @return The document in force, or nothing before the first one. */
-  const ForwardingDocumentPointer& Document() const { return mDocument; }
+  /** @return How new the next full reading must be: the first one of a process
+   * may be old, as the changes behind it are read before it counts. */
+  ReadFreshness Freshness() const
+  {
+    return mHasRead ? ReadFreshness::Newest : ReadFreshness::MayBeOld;
+  }
+
+  /** @return The document in force, or nothing before the first one is known
+   * to be the newest. */
+  ForwardingDocumentPointer Document() const
+  {
+    return mIsOld ? nullptr : mDocument;
+  }
+
+  /** @return The newest document that was read; it may not be in force yet. */
+  const ForwardingDocumentPointer& NewestDocument() const { return mDocument; }
 
   BackendList& Backends() { return mBackends; }
   const BackendList& Backends() const { return mBackends; }
 
-  /** @return Whether everything was read at least once. */
-  bool HasRead() const { return mHasRead; }
+  /** @return Whether everything was read at least once, and what has changed
+   * since the first reading. */
+  bool HasRead() const { return mHasRead && !mIsOld; }
 
   /** @return A digest of the document's version and the list. */
   std::uint64_t Digest() const;
@@ -155,6 +172,8 @@
   BackendList mBackends;
   DirectoryNewsLog mNews;
   bool mHasRead = false;
+  /** Only the first reading was made, which may be old. */
+  bool mIsOld = false;
   bool mIsLost = false;
   Milliseconds mRetry;
   Timestamp mLastContact;
--- a/src/libmedlarkeel/forwarding/directorysource.h
+++ b/src/libmedlarkeel/forwarding/directorysource.h
@@ -69,6 +69,16 @@
   DirectoryError,
   BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
 
+/** How new the answer to a full reading must be. */
+enum class ReadFreshness
+{
+  /** As new as the call. */
+  Newest,
+  /** It may be seconds old, and is cheaper for the directory. What has changed
+   * since has to be asked for before it counts. */
+  MayBeOld
+};
+
 /** Where documents and backend servers are published. */
 class DirectorySource
 {
@@ -77,8 +87,11 @@
 
   virtual ~DirectorySource() = default;
 
-  /** Reads everything, linearizable. One call may be under way. */
-  virtual void ReadAll(Handler aHandler) = 0;
+  /**
+   * Reads everything; one call may be under way. The answer's revision is such
+   * that nothing behind it is missing when the changes behind it are read.
+   */
+  virtual void ReadAll(ReadFreshness aFreshness, Handler aHandler) = 0;
 
   /**
    * Waits for changes.
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -34,6 +34,11 @@
 std::uint32_t
 ServerHash(const InstanceId& aId);
 
+/** @return The hash by which entries name an availability zone to each other;
+ * never 0. */
+std::uint32_t
+ZoneHash(const ZoneName& aZone);
+
 /** A shared part of a prompt that was sent to a backend server. */
 struct SentPart
 {
@@ -43,6 +48,28 @@
   std::uint32_t mPart = 0;
 };
 
+/** An entry and its availability zone. */
+struct ZoneMember
+{
+  /** IP number. */
+  std::string mAddress;
+  /** Hash of the zone's name. */
+  std::uint32_t mZone = 0;
+  /** Time since an entry of that zone heard of it. */
+  Milliseconds mAge{ 0 };
+};
+
+/** What several entries have in progress together. */
+struct LoadSum
+{
+  /** Age of the oldest part. */
+  Milliseconds mAge{ 0 };
+  ServerLoads mLoads;
+  PromptDemand mDemand;
+  /** Parts that they sent lately. */
+  std::vector<SentPart> mSent;
+};
+
 /** What one entry tells the others. */
 struct PeerReport
 {
@@ -60,6 +87,15 @@
   Milliseconds mDirectoryAge{ 0 };
   /** Last shared parts of prompts that were sent since the last report. */
   std::vector<SentPart> mSent;
+  /** Hash of the sender's availability zone. */
+  std::uint32_t mZone = 0;
+  /** In a large fleet: sum over the sender's zone, for other zones; or over
+   * the other zones, for its own. */
+  std::optional<LoadSum> mSum;
+  /** In a large fleet: entries that go with that sum. */
+  std::vector<ZoneMember> mMembers;
+  /** The sender reports to all it knows, as it may not know all yet. */
+  bool mIsForAll = false;
   /** What the sender learned from the directory lately. */
   std::optional<DirectoryNews> mNews;
   /** Servers that told the sender that they are shutting down. */
@@ -68,8 +104,18 @@
   std::vector<std::string> mKnown;
 };
 
+/** A report and whom it is for. */
+struct AddressedReport
+{
+  PeerReport mReport;
+  std::vector<std::string> mTargets;
+};
+
 struct PeerSettings
 {
+  /** Entries up to which each reports to each other one. Beyond, entries report
+   * within their zone, and one of each zone exchanges sums with the others. */
+  std::size_t mMeshEntries = 40;
   /** Shortest time between two reports to one peer: a fraction of the time
    * that prompts wait at a loaded server. */
   Milliseconds mLeastInterval{ 200 };
@@ -81,6 +127,11 @@
   /** Time after which a silent peer isn't taken for one that follows the
    * directory. */
   Milliseconds mReaderLife{ 5000 };
+  /** Time after which a silent member of a zone is no longer reported to, and
+   * not told of to other zones: a few rounds in which entries are named. */
+  Milliseconds mMemberLife{ 10'000 };
+  /** Time after which another entry of a zone is tried for its sums. */
+  Milliseconds mSpeakerLife{ 1500 };
   /** Time after which a silent peer isn't counted as an entry: longer than
    * partitions, during which it goes on using its share of limits. */
   Milliseconds mPeerLife{ 60'000 };
@@ -89,6 +140,9 @@
   /** Entries that follow the directory themselves, so that the others notice a
    * change although some are cut off or replaced. */
   std::size_t mDirectoryReaders = 4;
+  /** The same for each zone of a large fleet; when it falls silent, the others
+   * of its zone call until another one takes its place. */
+  std::size_t mZoneReaders = 1;
   /** Entries that are assumed before all can have been heard of. */
   std::size_t mAssumedEntries = 32;
   /** Time after the start in which more entries than were heard of are
@@ -110,18 +164,29 @@
    * @param aOwn The own IP number.
    * @param aSeeds IP numbers of entries that may be up.
    * @param aStartedAt When this entry started.
+   * @param aZone Hash of its availability zone; 0: reports to all.
    */
   PeerView(const PeerSettings& aSettings,
            std::string aOwn,
            std::vector<std::string> aSeeds,
-           Timestamp aStartedAt);
+           Timestamp aStartedAt,
+           std::uint32_t aZone = 0);
 
   /** Takes a report over. @return Whether it is newer than the known one. */
   bool Record(const PeerReport& aReport, Timestamp aNow);
 
-  /** @return Whom to send reports to. */
+  /** @return The entries that are known, but for this one. */
   std::vector<std::string> Targets(Timestamp aNow) const;
 
+  /**
+   * @param aOwn What this entry does itself.
+   * @return The reports of this round. Parts of sums are handed out once.
+   */
+  std::vector<AddressedReport> Reports(const PeerReport& aOwn, Timestamp aNow);
+
+  /** @return Whether this entry exchanges sums for its zone. */
+  bool IsSpeaker(Timestamp aNow) const;
+
   /** @return Pause between two rounds of reports. */
   Milliseconds Interval(Timestamp aNow) const;
 
@@ -155,6 +220,9 @@
   /** @return Whether this entry is one that follows the directory. */
   bool IsReader(Timestamp aNow) const;
 
+  /** @return What all other entries do together. */
+  LoadSum Others(Timestamp aNow) const;
+
   /** @return The sum of the other entries' demand. */
   PromptDemand OtherDemand(Timestamp aNow) const;
 
@@ -168,6 +236,8 @@
    */
   std::size_t UnknownCount(std::size_t aKnown, Timestamp aNow) const;
 
+  std::size_t ReaderCount(Timestamp aNow) const;
+
   /** @return The other entries that follow the directory. */
   std::set<std::string> Readers(Timestamp aNow) const;
 
@@ -176,6 +246,28 @@
 
   Microseconds LoadLife(Timestamp aNow) const;
 
+  /** @return Whether each entry reports to each other one. */
+  bool IsMesh(Timestamp aNow) const;
+
+  /** @return How many other entries are known. */
+  std::size_t KnownCount(Timestamp aNow) const;
+
+  /** @return Entries that are or may be of the own zone and may be up. */
+  std::vector<std::string> ZoneMembers(Timestamp aNow) const;
+
+  /** @return One entry of each other zone that is taken for its speaker. */
+  std::vector<std::string> OtherSpeakers(Timestamp aNow) const;
+
+  /** Keeps parts that have to be passed on. */
+  void RecordParts(const PeerReport& aReport);
+  LoadSum SumOfPeers(Timestamp aNow, bool aOwnZoneOnly) const;
+  /** @return What the other zones have in progress. */
+  LoadSum SumOfZones(Timestamp aNow) const;
+  PeerReport ReportForZone(const PeerReport& aOwn, Timestamp aNow);
+  PeerReport ReportForOthers(const PeerReport& aOwn, Timestamp aNow);
+  /** @return A report that names all entries to those that have just begun. */
+  PeerReport ReportForNewcomers(const PeerReport& aOwn, Timestamp aNow) const;
+
   /** @return How many of the targets come before this entry for a key. */
   std::size_t CountBefore(std::uint64_t aKey,
                           const std::vector<std::string>& aTargets) const;
@@ -186,6 +278,10 @@
     std::uint64_t mSequence = 0;
     ServerLoads mLoads;
     PromptDemand mDemand;
+    std::uint32_t mZone = 0;
+    std::optional<LoadSum> mSum;
+    /** When the sum was told. */
+    Timestamp mSumAt;
     std::uint64_t mDirectoryDigest = 0;
     std::uint64_t mDirectoryRevision = 0;
     /** When the peer last heard from the directory. */
@@ -196,6 +292,13 @@
   std::string mOwn;
   std::vector<std::string> mSeeds;
   Timestamp mStartedAt;
+  std::uint32_t mZone;
+  /** Parts to pass on, heard in the own zone and from other zones. */
+  std::vector<SentPart> mZoneParts;
+  std::vector<SentPart> mOtherParts;
+  /** Entries of other zones that may know few others. */
+  std::set<std::string> mNewcomers;
+  std::uint64_t mRounds = 0;
   std::map<std::string, Peer> mPeers;
 };
 
--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -33,7 +33,7 @@
 CallerLimits
 CallerConnection::Limits() const
 {
-  const ForwardingDocumentPointer& document = mForwarder.Document();
+  const ForwardingDocumentPointer document = mForwarder.Document();
   return document ? document->mLimits : CallerLimits();
 }
 
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -29,6 +29,7 @@
   { "directory_news_told_total", &ForwardCounters::mDirectoryNewsTold },
   { "unreadable_items_total", &ForwardCounters::mUnreadableItems },
   { "peer_reports_sent_total", &ForwardCounters::mPeerReportsSent },
+  { "peer_bytes_sent_total", &ForwardCounters::mPeerBytesSent },
   { "peer_reports_not_sent_total", &ForwardCounters::mPeerReportsNotSent },
   { "peer_reports_unreadable_total", &ForwardCounters::mPeerReportsUnreadable },
 };
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -49,6 +49,7 @@
   std::uint64_t mUnreadableItems = 0;
   /** Reports to and from other entries, and those that were lost. */
   std::uint64_t mPeerReportsSent = 0;
+  std::uint64_t mPeerBytesSent = 0;
   std::uint64_t mPeerReportsNotSent = 0;
   std::uint64_t mPeerReportsUnreadable = 0;
   LatencyHistogram mFirstByte;
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -51,6 +51,10 @@
   return "unknown";
 }
 
+/** Shortest time between two sums of what the others have in progress: a tenth
+ * of the shortest time between two reports. */
+constexpr Milliseconds kRefreshPause{ 20 };
+
 /** Pause between two looks at what the others know. */
 constexpr Milliseconds kPeerCheck{ 150 };
 
@@ -71,7 +75,8 @@
   , mPeers(PeerSettingsFor(aSettings.mChangeBound),
            aSettings.mPeers.mAddress,
            aSettings.mSeeds,
-           BootNow())
+           BootNow(),
+           ZoneHash(aSettings.mZone))
   , mPeerChannel(
       aContext,
       aSettings.mPeers,
@@ -178,7 +183,11 @@
 void
 Forwarder::RefreshChooser()
 {
-  mChooser.TakeOthers(mPeers, BootNow());
+  const Timestamp now = BootNow();
+  if (now - mRefreshedAt >= kRefreshPause) {
+    mRefreshedAt = now;
+    mChooser.TakeOthers(mPeers, now);
+  }
 }
 
 double
@@ -218,6 +227,9 @@
 {
   const Timestamp now = BootNow();
   mChooser.RecordOtherSent(aReport.mSent, now);
+  if (aReport.mSum) {
+    mChooser.RecordOtherSent(aReport.mSum->mSent, now);
+  }
   mFollower.Backends().RecordToldLeaving(aReport.mLeaving, now);
   if (!aReport.mNews) {
     return;
@@ -237,7 +249,6 @@
       return;
     }
     const FollowerStep step = mFollower.Next();
-    const bool isRead = step.mKind == FollowerStep::Kind::ReadAll;
     const Timestamp now = BootNow();
     const bool isQuiet =
       mFollower.MayStayQuiet(now) &&
@@ -248,33 +259,46 @@
       return;
     }
     mCounters.mDirectoryCalls += 1;
-    const auto take = [this, isRead](const DirectoryResult& aResult) {
-      TakeAnswer(isRead, aResult);
-    };
-    if (isRead) {
-      mDirectory->ReadAll(take);
+    if (step.mKind == FollowerStep::Kind::ReadAll) {
+      const ReadFreshness freshness = mFollower.Freshness();
+      mDirectory->ReadAll(freshness,
+                          [this, freshness](const DirectoryResult& aResult) {
+                            TakeReading(aResult, freshness);
+                          });
     } else {
-      mDirectory->Watch(step.mRevision, mFollower.Wait(now), take);
+      mDirectory->Watch(
+        step.mRevision,
+        mFollower.Wait(now),
+        [this](const DirectoryResult& aResult) { TakeChanges(aResult); });
     }
   });
 }
 
 void
-Forwarder::TakeAnswer(bool aIsRead, const DirectoryResult& aResult)
+Forwarder::TakeReading(const DirectoryResult& aResult, ReadFreshness aFreshness)
+{
+  TakeAnswer(aResult, mFollower.RecordRead(aResult, BootNow(), aFreshness));
+}
+
+void
+Forwarder::TakeChanges(const DirectoryResult& aResult)
+{
+  TakeAnswer(aResult, mFollower.RecordWatch(aResult, BootNow()));
+}
+
+void
+Forwarder::TakeAnswer(const DirectoryResult& aResult, const FollowerNews& aNews)
 {
   mCounters.mDirectoryFailures += aResult ? 0 : 1;
-  const Timestamp now = BootNow();
-  const FollowerNews news = aIsRead ? mFollower.RecordRead(aResult, now)
-                                    : mFollower.RecordWatch(aResult, now);
-  if (news.mWasLost) {
+  if (aNews.mWasLost) {
     mLog.Write(Event::DirectoryLost,
                { { "error", DirectoryErrorText(aResult.error()) },
                  { "listAgeMs", DirectoryAge().count() } });
   }
-  TakeNews(news);
+  TakeNews(aNews);
   const bool isForOthers =
-    news.mHasNewDocument || !news.mBackends.empty() || !news.mZones.empty();
-  if (isForOthers && mPeers.IsReader(now)) {
+    aNews.mHasNewDocument || !aNews.mBackends.empty() || !aNews.mZones.empty();
+  if (isForOthers && mPeers.IsReader(BootNow())) {
     mPeerChannel.SendSoon();
   }
   CallDirectory();
@@ -290,11 +314,11 @@
           std::chrono::duration_cast<Milliseconds>(aNews.mOutage).count() } });
   }
   if (aNews.mHasNewDocument) {
-    const ForwardingDocument& document = *Document();
+    const ForwardingDocumentPointer document = mFollower.NewestDocument();
     mLog.Write(Event::DocumentAccepted,
-               { { "document", document.mVersion },
-                 { "routes", document.mRoutes.size() },
-                 { "teams", document.mTeams.size() } });
+               { { "document", document->mVersion },
+                 { "routes", document->mRoutes.size() },
+                 { "teams", document->mTeams.size() } });
   }
   for (const auto& [id, change] : aNews.mBackends) {
     mLog.Write(
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -52,10 +52,7 @@
 
   boost::asio::io_context& Context() { return mContext; }
   const WireProtocol& Protocol() const { return mProtocol; }
-  const ForwardingDocumentPointer& Document() const
-  {
-    return mFollower.Document();
-  }
+  ForwardingDocumentPointer Document() const { return mFollower.Document(); }
   BackendList& Backends() { return mFollower.Backends(); }
   BackendChooser& Chooser() { return mChooser; }
 
@@ -90,7 +87,9 @@
   void Accept();
   void CallDirectory();
   void CallDirectoryLater(Milliseconds aDelay);
-  void TakeAnswer(bool aIsRead, const DirectoryResult& aResult);
+  void TakeReading(const DirectoryResult& aResult, ReadFreshness aFreshness);
+  void TakeChanges(const DirectoryResult& aResult);
+  void TakeAnswer(const DirectoryResult& aResult, const FollowerNews& aNews);
   void TakeReport(const PeerReport& aReport);
   void FillReport(PeerReport& aReport);
   void TakeNews(const FollowerNews& aNews);
@@ -114,6 +113,8 @@
   boost::asio::steady_timer mDirectoryTimer;
   boost::asio::steady_timer mStopTimer;
   std::mt19937_64 mRandom;
+  /** When the chooser was last told what the others do. */
+  Timestamp mRefreshedAt;
   bool mIsStopping = false;
   Timestamp mStopAt;
 };
--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -75,15 +75,26 @@
   report.mAddress = mAddress;
   report.mSequence = ++mSequence;
   mFill(report);
-  const std::vector<std::string> targets = mView.Targets(now);
-  if (mRounds++ % kRoundsBetweenNames == 0) {
-    report.mKnown = targets;
+  for (const AddressedReport& addressed : mView.Reports(report, now)) {
+    SendTo(addressed.mTargets, EncodePeerReport(addressed.mReport));
   }
-  const std::string bytes = EncodePeerReport(report);
+  mSentAt = now;
+  mTimer.expires_after(mView.Interval(now));
+  mTimer.async_wait([this](const Error& aError) {
+    if (!aError) {
+      Send();
+    }
+  });
+}
+
+void
+PeerChannel::SendTo(const std::vector<std::string>& aTargets,
+                    const std::string& aBytes)
+{
   const std::uint16_t port = mSocket.local_endpoint().port();
-  for (const std::string& target : targets) {
+  for (const std::string& target : aTargets) {
     Error error;
-    mSocket.send_to(boost::asio::buffer(bytes),
+    mSocket.send_to(boost::asio::buffer(aBytes),
                     udp::endpoint(boost::asio::ip::make_address(target), port),
                     0,
                     error);
@@ -92,15 +103,9 @@
       RecordLost(error.message().c_str(), target);
     } else {
       mCounters.mPeerReportsSent += 1;
+      mCounters.mPeerBytesSent += aBytes.size();
     }
   }
-  mSentAt = now;
-  mTimer.expires_after(mView.Interval(now));
-  mTimer.async_wait([this](const Error& aError) {
-    if (!aError) {
-      Send();
-    }
-  });
 }
 
 void
--- a/src/libmedlarkeelforward/peerchannel.h
+++ b/src/libmedlarkeelforward/peerchannel.h
@@ -45,12 +45,11 @@
 private:
   void Receive();
   void Send();
+  void SendTo(const std::vector<std::string>& aTargets,
+              const std::string& aBytes);
   /** Logs the first lost report within a while. */
   void RecordLost(const char* aCause, const std::string& aPeer);
 
-  /** Rounds of reports between two that name the known entries. */
-  static constexpr std::uint64_t kRoundsBetweenNames = 8;
-
   boost::asio::ip::udp::socket mSocket;
   boost::asio::ip::udp::endpoint mSender;
   boost::asio::steady_timer mTimer;
@@ -62,7 +61,6 @@
   std::function<void(PeerReport&)> mFill;
   std::function<void(const PeerReport&)> mTake;
   std::uint64_t mSequence;
-  std::uint64_t mRounds = 0;
   Timestamp mSentAt;
   /** When the last loss was logged. */
   std::optional<Timestamp> mLossLoggedAt;
--- a/src/libmedlarkeelforward/peerreportcodec.cpp
+++ b/src/libmedlarkeelforward/peerreportcodec.cpp
@@ -208,6 +208,86 @@
   return news;
 }
 
+Json
+EncodeParts(const std::vector<SentPart>& aParts)
+{
+  Json parts = Json::array();
+  for (const SentPart& part : aParts) {
+    parts.push_back(part.mServer);
+    parts.push_back(part.mPart);
+  }
+  return parts;
+}
+
+std::vector<SentPart>
+DecodeParts(const Json& aParts)
+{
+  std::vector<SentPart> parts;
+  for (std::size_t i = 0; i + 1 < aParts.size(); i += 2) {
+    parts.push_back({ aParts.at(i).get<std::uint32_t>(),
+                      aParts.at(i + 1).get<std::uint32_t>() });
+  }
+  return parts;
+}
+
+Json
+EncodeDemand(const PromptDemand& aDemand)
+{
+  return { Rounded(aDemand.mShortTokens), Rounded(aDemand.mLongTokens) };
+}
+
+PromptDemand
+DecodeDemand(const Json& aDemand)
+{
+  return { aDemand.at(0).get<double>(), aDemand.at(1).get<double>() };
+}
+
+Json
+EncodeSum(const LoadSum& aSum)
+{
+  return { { "g", aSum.mAge.count() },
+           { "l", EncodeLoads(aSum.mLoads) },
+           { "q", EncodeDemand(aSum.mDemand) },
+           { "p", EncodeParts(aSum.mSent) } };
+}
+
+LoadSum
+DecodeSum(const Json& aSum)
+{
+  return { Milliseconds(aSum.at("g").get<std::int64_t>()),
+           DecodeLoads(aSum.at("l")),
+           DecodeDemand(aSum.at("q")),
+           DecodeParts(aSum.at("p")) };
+}
+
+Json
+EncodeMembers(const std::vector<ZoneMember>& aMembers)
+{
+  Json members = Json::array();
+  for (const ZoneMember& member : aMembers) {
+    members.push_back(member.mAddress);
+    members.push_back(member.mZone);
+    members.push_back(member.mAge.count());
+  }
+  return members;
+}
+
+std::vector<ZoneMember>
+DecodeMembers(const Json& aMembers)
+{
+  std::vector<ZoneMember> members;
+  constexpr std::size_t kValues = 3;
+  for (std::size_t i = 0; i + kValues <= aMembers.size(); i += kValues) {
+    members.push_back({ aMembers.at(i).get<std::string>(),
+                        aMembers.at(i + 1).get<std::uint32_t>(),
+                        Milliseconds(aMembers.at(i + 2).get<std::int64_t>()) });
+    if (!IsIpNumber(members.back().mAddress)) {
+      throw std::invalid_argument("invalid address");
+    }
+  }
+  return members;
+}
+
 } // namespace
 
 std::string
@@ -216,19 +296,24 @@
   Json report{ { "a", aReport.mAddress },
                { "s", aReport.mSequence },
                { "l", EncodeLoads(aReport.mLoads) },
-               { "q",
-                 { Rounded(aReport.mDemand.mShortTokens),
-                   Rounded(aReport.mDemand.mLongTokens) } },
+               { "q", EncodeDemand(aReport.mDemand) },
                { "d", aReport.mDirectoryDigest },
                { "r", aReport.mDirectoryRevision },
                { "g", aReport.mDirectoryAge.count() } };
+  if (aReport.mZone != 0) {
+    report["z"] = aReport.mZone;
+  }
+  if (aReport.mIsForAll) {
+    report["w"] = true;
+  }
   if (!aReport.mSent.empty()) {
-    Json sent = Json::array();
-    for (const SentPart& part : aReport.mSent) {
-      sent.push_back(part.mServer);
-      sent.push_back(part.mPart);
-    }
-    report["p"] = std::move(sent);
+    report["p"] = EncodeParts(aReport.mSent);
+  }
+  if (aReport.mSum) {
+    report["u"] = EncodeSum(*aReport.mSum);
+  }
+  if (!aReport.mMembers.empty()) {
+    report["m"] = EncodeMembers(aReport.mMembers);
   }
   if (aReport.mNews) {
     report["n"] = EncodeNews(*aReport.mNews);
@@ -256,17 +341,20 @@
       return std::nullopt;
     }
     decoded.mLoads = DecodeLoads(report.at("l"));
-    decoded.mDemand.mShortTokens = report.at("q").at(0).get<double>();
-    decoded.mDemand.mLongTokens = report.at("q").at(1).get<double>();
+    decoded.mDemand = DecodeDemand(report.at("q"));
     decoded.mDirectoryDigest = report.at("d").get<std::uint64_t>();
     decoded.mDirectoryRevision = report.at("r").get<std::uint64_t>();
     decoded.mDirectoryAge = Milliseconds(report.at("g").get<std::int64_t>());
+    decoded.mZone = report.value("z", 0U);
+    decoded.mIsForAll = report.value("w", false);
     if (report.contains("p")) {
-      const Json& sent = report.at("p");
-      for (std::size_t i = 0; i + 1 < sent.size(); i += 2) {
-        decoded.mSent.push_back(
-          { sent[i].get<std::uint32_t>(), sent[i + 1].get<std::uint32_t>() });
-      }
+      decoded.mSent = DecodeParts(report.at("p"));
+    }
+    if (report.contains("u")) {
+      decoded.mSum = DecodeSum(report.at("u"));
+    }
+    if (report.contains("m")) {
+      decoded.mMembers = DecodeMembers(report.at("m"));
     }
     if (report.contains("n")) {
       decoded.mNews = DecodeNews(report.at("n"));
--- a/tests/core/test_directoryfollower.cpp
+++ b/tests/core/test_directoryfollower.cpp
@@ -50,6 +50,45 @@
   BOOST_TEST(follower.Document()->mVersion == 3U);
 }
 
+/** A process that has just started reads what may be seconds old: a key that
+ * was withdrawn since must not be in force until the changes are read too. */
+BOOST_AUTO_TEST_CASE(OldReadingCountsOnlyWithTheChangesBehindIt)
+{
+  DirectoryFollower follower{ FollowerSettings() };
+  BOOST_CHECK(follower.Freshness() == ReadFreshness::MayBeOld);
+  follower.RecordRead(
+    Changes(9, { Document(3) }), kStart, ReadFreshness::MayBeOld);
+  BOOST_TEST(!follower.HasRead());
+  BOOST_TEST(!follower.Document());
+  BOOST_TEST(follower.Next().mDelay.count() == 0);
+  BOOST_TEST(!follower.MayStayQuiet(kStart));
+  follower.RecordWatch(Changes(12, { Document(4) }), kStart);
+  BOOST_TEST(follower.HasRead());
+  BOOST_TEST(follower.Document()->mVersion == 4U);
+  BOOST_CHECK(follower.Freshness() == ReadFreshness::Newest);
+}
+
+BOOST_AUTO_TEST_CASE(OldReadingWithoutChangesBehindItIsMadeAgain)
+{
+  for (const bool isForgotten : { true, false }) {
+    DirectoryFollower follower{ FollowerSettings() };
+    follower.RecordRead(Changes(9, { Document(3), Entry("one", 5) }),
+                        kStart,
+                        ReadFreshness::MayBeOld);
+    if (isForgotten) {
+      follower.RecordWatch(DirectoryError::HistoryGone, kStart);
+    } else {
+      follower.RecordWatch(Changes(9, {}), kStart);
+    }
+    BOOST_TEST(!follower.HasRead());
+    BOOST_CHECK(follower.Next().mKind == Kind::ReadAll);
+    BOOST_CHECK(follower.Freshness() == ReadFreshness::Newest);
+    follower.RecordRead(Changes(12, { Document(4) }), kStart);
+    BOOST_TEST(follower.HasRead());
+    BOOST_TEST(follower.Document()->mVersion == 4U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DocumentNeverGoesBack)
 {
   DirectoryFollower follower{ FollowerSettings() };
