Rely on others while the directory turns an entry away

Now an entry whose call failed keeps the revision that it knows, follows what readers of its zone tell, and leaves their place to others that reach the directory. Tests: directorynews (33 of 100 turned away for nine seconds), directoryfollower.

--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -64,7 +64,7 @@
 {
   FollowerNews news;
   if (!aResult) {
-    RecordFailure(news, aResult.error());
+    RecordFailure(news, aResult.error(), aNow);
     return news;
   }
   RecordContact(news, aNow);
@@ -103,7 +103,7 @@
 {
   FollowerNews news;
   if (!aResult) {
-    RecordFailure(news, aResult.error());
+    RecordFailure(news, aResult.error(), aNow);
     return news;
   }
   const DirectoryChanges& content = aResult.value();
@@ -166,8 +166,8 @@
 DirectoryFollower::RecordTold(const DirectoryNews& aNews, Timestamp aNow)
 {
   const std::uint64_t known = mNext.mRevision;
-  const bool follows = mNext.mKind == FollowerStep::Kind::Watch && mHasRead &&
-                       aNews.mFrom <= known && known < aNews.mTo;
+  const bool follows =
+    mHasRead && known != 0 && aNews.mFrom <= known && known < aNews.mTo;
   if (!follows) {
     return std::nullopt;
   }
@@ -184,11 +184,14 @@
     }
   }
   mNext.mRevision = aNews.mTo;
+  mToldAt = aNow;
   return news;
 }
 
 void
-DirectoryFollower::RecordFailure(FollowerNews& aNews, DirectoryError aError)
+DirectoryFollower::RecordFailure(FollowerNews& aNews,
+                                 DirectoryError aError,
+                                 Timestamp aNow)
 {
   if (aError == DirectoryError::HistoryGone) {
     mNext = { FollowerStep::Kind::ReadAll, Milliseconds(0), 0 };
@@ -196,7 +199,8 @@
   }
   aNews.mWasLost = !mIsLost;
   mIsLost = true;
-  mNext = { FollowerStep::Kind::ReadAll, mRetry, 0 };
+  mLostAt = aNow;
+  mNext = { FollowerStep::Kind::ReadAll, mRetry, mNext.mRevision };
   mRetry = std::min(mRetry * 2, mSettings.mMostRetry);
 }
 
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -2,6 +2,8 @@
 
 #include "directorynews.h"
 
+#include <algorithm>
+
 namespace medlarkeel {
 
 /** How the directory is followed. */
@@ -49,6 +51,7 @@
   Kind mKind = Kind::ReadAll;
   /** Pause before the call. */
   Milliseconds mDelay{ 0 };
+  /** Revision up to which everything is known; 0 when that isn't sure. */
   std::uint64_t mRevision = 0;
 };
 
@@ -88,10 +91,15 @@
    * is known. */
   bool MayStayQuiet(Timestamp aNow) const
   {
-    return !mIsOld && mNext.mKind == FollowerStep::Kind::Watch &&
-           Age(aNow) < mSettings.mMostQuiet;
+    const Timestamp last = mIsLost ? mLostAt : std::max(mLastContact, mToldAt);
+    return HasRead() && mNext.mRevision != 0 &&
+           aNow - last < mSettings.mMostQuiet;
   }
 
+  /** @return Whether the last call failed, so that others should follow the
+   * directory in place of this process. */
+  bool IsLost() const { return mIsLost; }
+
   /** Takes over the answer to a full reading. */
   FollowerNews RecordRead(const DirectoryResult& aResult,
                           Timestamp aNow,
@@ -155,7 +163,9 @@
   Microseconds Age(Timestamp aNow) const { return aNow - mLastContact; }
 
 private:
-  void RecordFailure(FollowerNews& aNews, DirectoryError aError);
+  void RecordFailure(FollowerNews& aNews,
+                     DirectoryError aError,
+                     Timestamp aNow);
   void RecordContact(FollowerNews& aNews, Timestamp aNow);
   void Apply(const DirectoryChange& aChange,
              Timestamp aNow,
@@ -178,6 +188,10 @@
   Milliseconds mRetry;
   Timestamp mLastContact;
   Timestamp mConfirmedAt;
+  /** When the last call failed. */
+  Timestamp mLostAt;
+  /** When others last told what had changed. */
+  Timestamp mToldAt;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -225,6 +225,19 @@
   return before < static_cast<double>(aCount);
 }
 
+std::vector<std::string>
+PeerView::PossibleReaders(Timestamp aNow) const
+{
+  std::vector<std::string> peers = LivePeers(aNow);
+  peers.erase(std::remove_if(peers.begin(),
+                             peers.end(),
+                             [this](const std::string& aPeer) {
+                               return mPeers.at(aPeer).mIsDirectoryLost;
+                             }),
+              peers.end());
+  return peers;
+}
+
 std::size_t
 PeerView::ReaderCount(Timestamp aNow) const
 {
@@ -252,7 +265,11 @@
 bool
 PeerView::IsReader(Timestamp aNow) const
 {
-  return CountBefore(HashText(kReaderKey), LivePeers(aNow)) < ReaderCount(aNow);
+  const std::vector<std::string> others = PossibleReaders(aNow);
+  if (mIsDirectoryLost && !others.empty()) {
+    return false;
+  }
+  return CountBefore(HashText(kReaderKey), others) < ReaderCount(aNow);
 }
 
 std::vector<std::string>
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -83,6 +83,8 @@
   std::uint64_t mDirectoryDigest = 0;
   /** Revision up to which the sender knows the directory. */
   std::uint64_t mDirectoryRevision = 0;
+  /** The sender doesn't reach the directory. */
+  bool mIsDirectoryLost = false;
   /** Time since the sender last heard from the directory. */
   Milliseconds mDirectoryAge{ 0 };
   /** Last shared parts of prompts that were sent since the last report. */
@@ -217,6 +219,9 @@
                        std::uint64_t aRevision,
                        Timestamp aNow) const;
 
+  /** Notes whether this entry reaches the directory. */
+  void SetDirectoryLost(bool aIsLost) { mIsDirectoryLost = aIsLost; }
+
   /** @return Whether this entry is one that follows the directory. */
   bool IsReader(Timestamp aNow) const;
 
@@ -238,6 +243,9 @@
 
   std::size_t ReaderCount(Timestamp aNow) const;
 
+  /** @return Live peers that reach the directory, as far as is known. */
+  std::vector<std::string> PossibleReaders(Timestamp aNow) const;
+
   /** @return The other entries that follow the directory. */
   std::set<std::string> Readers(Timestamp aNow) const;
 
@@ -284,6 +292,7 @@
     Timestamp mSumAt;
     std::uint64_t mDirectoryDigest = 0;
     std::uint64_t mDirectoryRevision = 0;
+    bool mIsDirectoryLost = false;
     /** When the peer last heard from the directory. */
     Timestamp mDirectoryHeardAt;
   };
@@ -299,6 +308,7 @@
   /** Entries of other zones that may know few others. */
   std::set<std::string> mNewcomers;
   std::uint64_t mRounds = 0;
+  bool mIsDirectoryLost = false;
   std::map<std::string, Peer> mPeers;
 };
 
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -214,6 +214,7 @@
   const Timestamp now = BootNow();
   mChooser.FillReport(aReport, now);
   aReport.mLeaving = mFollower.Backends().LeavingBoots();
+  aReport.mIsDirectoryLost = mFollower.IsLost();
   aReport.mDirectoryDigest = mFollower.Digest();
   aReport.mDirectoryRevision = mFollower.Revision();
   aReport.mDirectoryAge = DirectoryAge();
@@ -290,6 +291,7 @@
 Forwarder::TakeAnswer(const DirectoryResult& aResult, const FollowerNews& aNews)
 {
   mCounters.mDirectoryFailures += aResult ? 0 : 1;
+  mPeers.SetDirectoryLost(mFollower.IsLost());
   if (aNews.mWasLost) {
     mLog.Write(Event::DirectoryLost,
                { { "error", DirectoryErrorText(aResult.error()) },
--- a/src/libmedlarkeelforward/peerreportcodec.cpp
+++ b/src/libmedlarkeelforward/peerreportcodec.cpp
@@ -306,6 +306,9 @@
   if (aReport.mIsForAll) {
     report["w"] = true;
   }
+  if (aReport.mIsDirectoryLost) {
+    report["o"] = true;
+  }
   if (!aReport.mSent.empty()) {
     report["p"] = EncodeParts(aReport.mSent);
   }
@@ -347,6 +350,7 @@
     decoded.mDirectoryAge = Milliseconds(report.at("g").get<std::int64_t>());
     decoded.mZone = report.value("z", 0U);
     decoded.mIsForAll = report.value("w", false);
+    decoded.mIsDirectoryLost = report.value("o", false);
     if (report.contains("p")) {
       decoded.mSent = DecodeParts(report.at("p"));
     }
--- a/tests/core/test_directoryfollower.cpp
+++ b/tests/core/test_directoryfollower.cpp
@@ -89,6 +89,28 @@
   }
 }
 
+/** A failed call leaves what is known up to which revision, so that others may
+ * go on telling what comes behind it. */
+BOOST_AUTO_TEST_CASE(FailedCallMayBeLeftOutWhileOthersTell)
+{
+  const FollowerSettings settings;
+  DirectoryFollower follower{ settings };
+  follower.RecordRead(Changes(9, { Entry("one", 5) }), kStart);
+  const Timestamp lost = kStart + Seconds(1);
+  follower.RecordWatch(DirectoryError::Unreachable, lost);
+  BOOST_TEST(follower.IsLost());
+  BOOST_CHECK(follower.Next().mDelay == settings.mFirstRetry);
+  BOOST_TEST(follower.MayStayQuiet(lost + Seconds(1)));
+  const DirectoryNews news{ 8,
+                            20,
+                            { BackendRemoval{ InstanceId("one"), 15 } } };
+  BOOST_TEST(follower.RecordTold(news, lost).has_value());
+  BOOST_TEST(follower.Revision() == 20U);
+  BOOST_TEST(!follower.MayStayQuiet(lost + settings.mMostQuiet));
+  follower.RecordRead(DirectoryError::HistoryGone, lost);
+  BOOST_TEST(!follower.MayStayQuiet(lost));
+}
+
 BOOST_AUTO_TEST_CASE(DocumentNeverGoesBack)
 {
   DirectoryFollower follower{ FollowerSettings() };
--- a/tests/core/test_directorynews.cpp
+++ b/tests/core/test_directorynews.cpp
@@ -127,6 +127,9 @@
 
   std::size_t Calls() const { return mCalls; }
 
+  /** Lets calls of the first entries fail from the fifth second on. */
+  void TurnAway(std::size_t aEntries) { mTurnedAway = aEntries; }
+
 private:
   struct Node
   {
@@ -201,6 +204,12 @@
     mCalls += 1;
     const FollowerStep step = node.mFollower.Next();
     const Milliseconds wait = node.mFollower.Wait(mNow);
+    if (mNow >= kStart + Seconds(5) && aNode < mTurnedAway) {
+      At(mNow + kAnswerTime, [this, aNode, step]() {
+        Answer(aNode, step, DirectoryError::Refused);
+      });
+      return;
+    }
     if (IsCutOff(aNode) || IsLost(mLostCalls)) {
       At(mNow + wait + kSlack, [this, aNode, step]() {
         Answer(aNode, step, DirectoryError::Unreachable);
@@ -221,6 +230,7 @@
     const FollowerNews news = aStep.mKind == FollowerStep::Kind::ReadAll
                                 ? node.mFollower.RecordRead(aResult, mNow)
                                 : node.mFollower.RecordWatch(aResult, mNow);
+    node.mPeers.SetDirectoryLost(node.mFollower.IsLost());
     if (!news.mBackends.empty() && node.mPeers.IsReader(mNow)) {
       Tell(aNode);
     }
@@ -260,6 +270,7 @@
     PeerReport report;
     report.mAddress = node.mAddress;
     report.mSequence = ++node.mSequence;
+    report.mIsDirectoryLost = node.mFollower.IsLost();
     report.mDirectoryDigest = node.mFollower.Digest();
     report.mDirectoryRevision = node.mFollower.Revision();
     report.mDirectoryAge =
@@ -287,6 +298,7 @@
   Timestamp mDrainAt = kStart + Seconds(1000);
   std::priority_queue<Task> mTasks;
   std::size_t mCalls = 0;
+  std::size_t mTurnedAway = 0;
 };
 
 } // namespace
@@ -426,6 +438,23 @@
   }
 }
 
+/** The directory turns some entries away for nine seconds and serves the
+ * others: those rely on the others, and another one of their zone reads. */
+BOOST_AUTO_TEST_CASE(EntriesThatAreTurnedAwayDoNotCallAllTheTime)
+{
+  constexpr std::size_t kEntries = 100;
+  constexpr std::size_t kTurnedAway = 33;
+  // Half of a call each half second for nine seconds.
+  constexpr std::size_t kMostCalls = 9;
+  const auto callsOf = [](std::size_t aTurnedAway) {
+    EntryModel model(kEntries, 5, Milliseconds(4000), 0.0, 0.0, 0, 1);
+    model.TurnAway(aTurnedAway);
+    model.PlayUntil(kStart + Seconds(14));
+    return model.Calls();
+  };
+  BOOST_TEST(callsOf(kTurnedAway) <= callsOf(0) + kMostCalls * kTurnedAway);
+}
+
 /** A change costs far less than a call of each entry. */
 BOOST_AUTO_TEST_CASE(ChangeIsToldWithoutCallsOfAllEntries)
 {
