--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -560,7 +560,7 @@
       own.mKnown = targets;
     }
     own.mIsForAll = true;
-    reports.push_back({ std::move(own), std::move(targets) });
+    reports.push_back({ own, std::move(targets) });
     mZoneParts.clear();
     mOtherParts.clear();
     mNewcomers.clear();
