Search only new bytes for the end of an event

Found by EventWithoutEndIsGivenUp under the address sanitizer beside other tests: each read searched all that was held of an endless event again, so giving up took over a second (504 in place of 502). It now searches what has come since.

--- a/src/libmedlarkeel/forwarding/eventframer.cpp
+++ b/src/libmedlarkeel/forwarding/eventframer.cpp
@@ -7,15 +7,20 @@
 std::string
 EventFramer::Push(std::string_view aBytes)
 {
+  // What is held has no end of an event, but may have the start of one.
+  constexpr std::size_t kMostOfEnd = 2;
+  const std::size_t searched =
+    mHeld.size() - std::min(mHeld.size(), kMostOfEnd);
   mHeld.append(aBytes);
-  const std::size_t plain = mHeld.rfind("\n\n");
-  const std::size_t withReturns = mHeld.rfind("\n\r\n");
+  const std::string_view recent = std::string_view(mHeld).substr(searched);
+  const std::size_t plain = recent.rfind("\n\n");
+  const std::size_t withReturns = recent.rfind("\n\r\n");
   std::size_t end = 0;
-  if (plain != std::string::npos) {
-    end = plain + 2;
+  if (plain != std::string_view::npos) {
+    end = searched + plain + 2;
   }
-  if (withReturns != std::string::npos) {
-    end = std::max(end, withReturns + 3);
+  if (withReturns != std::string_view::npos) {
+    end = std::max(end, searched + withReturns + 3);
   }
   std::string events = mHeld.substr(0, end);
   mHeld.erase(0, end);
