Record which entries don't reach the directory

Found in the last read of the change: what a report says of a lost directory was decoded and never kept, and the set of readers to compare with ignored it. So an entry that the directory turned away gave up its place, but nobody else took it and its zone called for itself.

--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -108,6 +108,7 @@
   RecordParts(aReport);
   peer.mDirectoryDigest = aReport.mDirectoryDigest;
   peer.mDirectoryRevision = aReport.mDirectoryRevision;
+  peer.mIsDirectoryLost = aReport.mIsDirectoryLost;
   peer.mDirectoryHeardAt = aNow - aReport.mDirectoryAge;
   for (const std::string& known : aReport.mKnown) {
     if (known != mOwn && mPeers.count(known) == 0) {
@@ -249,7 +250,7 @@
 {
   const std::uint64_t key = HashText(kReaderKey);
   std::vector<std::pair<std::uint64_t, std::string>> order;
-  for (const std::string& peer : LivePeers(aNow)) {
+  for (const std::string& peer : PossibleReaders(aNow)) {
     order.emplace_back(RendezvousScore(key, HashText(peer)), peer);
   }
   std::sort(order.rbegin(), order.rend());
