Log and count the request limits that backend servers state

Event 308 has one line when a server states a limit, changes or ends it, or states an unusable value; two counters count the answers. Answers to other requests and 421 answers, which may come from another server at a reused address, say nothing about the server. A limit ends only with an answer to a request that was sent after the last answer that stated it. Requests are routed as before.

--- a/src/libmedlarkeel/eventcatalogue.cpp
+++ b/src/libmedlarkeel/eventcatalogue.cpp
@@ -77,6 +77,11 @@
     "backend-paused",
     Level::Warning,
     "A backend server asked for no requests for a time; they go elsewhere." },
+  { Event::BackendLimit,
+    "backend-limit",
+    Level::Warning,
+    "A backend server stated a limit on the requests of all entries, changed "
+    "or ended it, or stated a value that can't be used and changes nothing." },
   { Event::RequestRouted,
     "request-routed",
     Level::Info,
--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -31,6 +31,7 @@
   PeerReportLost = 305,
   BackendLeaving = 306,
   BackendPaused = 307,
+  BackendLimit = 308,
 
   RequestRouted = 400,
   RequestRefused = 401,
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -59,6 +59,8 @@
     /** How a failed answer counts once it is complete. */
     std::optional<AttemptOutcome> mFailure;
     Timestamp mBegunAt;
+    /** When the request was written to the connection. */
+    Timestamp mSentAt;
     Timestamp mFirstByteAt;
     /** Interim answers, and those to other requests, that were skipped. */
     int mOtherAnswers = 0;
@@ -89,6 +91,9 @@
   bool SkipsOtherAnswer(const AttemptPointer& aAttempt);
   /** Notes what a server says of itself in the head of an answer. */
   void RecordServerState(const Attempt& aAttempt, const MessageHead& aHead);
+  /** Records the request limit that the answer states, or that it states none.
+   */
+  void RecordRequestLimit(const Attempt& aAttempt, const MessageHead& aHead);
   void TakeBody(const AttemptPointer& aAttempt, ParseState aState);
   void PassEvents(const AttemptPointer& aAttempt, bool aIsEnd);
   void FinishAnswer(const AttemptPointer& aAttempt);
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -10,6 +10,7 @@
 
 constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstFailure = 300;
+constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 
 /** Bytes that wait for the caller before the answer isn't read further. */
@@ -136,6 +137,7 @@
     return false;
   }
   if (!aAttempt->mIsForeign) {
+    RecordRequestLimit(*aAttempt, parser->Head());
     const bool saysNotRun =
       parser->Head().Find(mForwarder.Protocol().mNotRun) != nullptr;
     aAttempt->mFailure = ClassifyAnswer(parser->Head().mStatus, saysNotRun);
@@ -184,6 +186,44 @@
                            { "field", pause->substr(0, kLoggedFieldSize) } });
 }
 
+void
+Exchange::RecordRequestLimit(const Attempt& aAttempt, const MessageHead& aHead)
+{
+  if (aHead.mStatus == kMisdirected) {
+    return; // Another server may have answered at a reused address.
+  }
+  const BackendChoice& choice = aAttempt.mChoice;
+  const Timestamp now = BootNow();
+  ServerLimits& limits = mForwarder.Limits();
+  const std::string* field = aHead.Find(mForwarder.Protocol().mRequestLimit);
+  const std::optional<RequestRate> rate =
+    field == nullptr ? std::nullopt : ParseRequestRate(*field);
+  LimitChange change = LimitChange::None;
+  if (rate) {
+    mForwarder.Counters().mLimitedAnswers += 1;
+    change = limits.RecordStated(choice.mProcessHash, *rate, now);
+  } else if (field == nullptr) {
+    change = limits.RecordNotStated(choice.mProcessHash, aAttempt.mSentAt);
+  } else {
+    mForwarder.Counters().mUnusableLimits += 1;
+  }
+  const bool isUnusable = field != nullptr && !rate;
+  if (change == LimitChange::None && !isUnusable) {
+    return;
+  }
+  EventFields fields{ { "server", choice.mId.Text() },
+                      { "request", mRequestId },
+                      { "change",
+                        isUnusable ? "unusable" : LimitChangeText(change) } };
+  if (rate) {
+    fields["perSecond"] = rate->mPerSecond;
+  }
+  if (field != nullptr) {
+    fields["field"] = field->substr(0, kLoggedFieldSize);
+  }
+  mForwarder.Log().Write(Event::BackendLimit, fields);
+}
+
 bool
 Exchange::IsStreamAnswer(const Attempt& aAttempt) const
 {
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -228,6 +228,7 @@
 Exchange::SendRequest(const AttemptPointer& aAttempt)
 {
   aAttempt->mRequest = RequestText(*aAttempt);
+  aAttempt->mSentAt = BootNow();
   boost::asio::async_write(aAttempt->mConnection->mSocket,
                            boost::asio::buffer(aAttempt->mRequest),
                            [aAttempt](const Error& aError, std::size_t) {
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -22,6 +22,8 @@
   { "streams_resumed_total", &ForwardCounters::mStreamsResumed },
   { "further_attempts_total", &ForwardCounters::mFurtherAttempts },
   { "retries_denied_total", &ForwardCounters::mRetriesDenied },
+  { "limited_answers_total", &ForwardCounters::mLimitedAnswers },
+  { "unusable_limits_total", &ForwardCounters::mUnusableLimits },
   { "connections_opened_total", &ForwardCounters::mConnectionsOpened },
   { "connections_reused_total", &ForwardCounters::mConnectionsReused },
   { "directory_calls_total", &ForwardCounters::mDirectoryCalls },
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -40,6 +40,10 @@
   std::uint64_t mStreamsResumed = 0;
   std::uint64_t mFurtherAttempts = 0;
   std::uint64_t mRetriesDenied = 0;
+  /** Answers of backend servers that stated a request limit. */
+  std::uint64_t mLimitedAnswers = 0;
+  /** Answers whose request limit could not be parsed. */
+  std::uint64_t mUnusableLimits = 0;
   std::uint64_t mConnectionsOpened = 0;
   std::uint64_t mConnectionsReused = 0;
   std::uint64_t mDirectoryCalls = 0;
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -3,6 +3,7 @@
 #include "../libmedlarkeel/forwarding/admissioncontrol.h"
 #include "../libmedlarkeel/forwarding/backendchooser.h"
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
+#include "../libmedlarkeel/forwarding/serverlimits.h"
 #include "../libmedlarkeel/retrybudget.h"
 #include "../libmedlarkeelnet/eventlog.h"
 #include "backendconnections.h"
@@ -55,6 +56,7 @@
   ForwardingDocumentPointer Document() const { return mFollower.Document(); }
   BackendList& Backends() { return mFollower.Backends(); }
   BackendChooser& Chooser() { return mChooser; }
+  ServerLimits& Limits() { return mLimits; }
 
   /** Tells the chooser what the other entries said last; before a choice. */
   void RefreshChooser();
@@ -102,6 +104,7 @@
   EventLog& mLog;
   DirectoryFollower mFollower;
   BackendChooser mChooser;
+  ServerLimits mLimits;
   PeerView mPeers;
   ForwardCounters mCounters;
   PeerChannel mPeerChannel;
--- a/src/libmedlarkeelforward/wireprotocol.h
+++ b/src/libmedlarkeelforward/wireprotocol.h
@@ -22,6 +22,8 @@
   std::string mNotRun;
   /** Present in the answers of backend servers that are shutting down. */
   std::string mLeaving;
+  /** Requests per second that a backend server accepts from all entries. */
+  std::string mRequestLimit;
   /** Rank of the request at the backend server, 0 first. */
   std::string mPriority;
   /** Greatest rank that backend servers know. */
--- a/tests/forward/forwardfixture.cpp
+++ b/tests/forward/forwardfixture.cpp
@@ -22,6 +22,7 @@
   names.mExpectedBackend = "Expected";
   names.mNotRun = "Not-Run";
   names.mLeaving = "Leaving";
+  names.mRequestLimit = "Limit";
   names.mPriority = "Rank";
   names.mPromptParts = "Parts";
   names.mPromptSize = "Size";
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -608,6 +608,20 @@
   BOOST_TEST(other.Requests().size() == 20U);
 }
 
+BOOST_AUTO_TEST_CASE(UnusableRequestLimitIsCountedAndChangesNothing)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(Answering(200, "a", "Limit: many\r\n"));
+  fixture.Start();
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(fixture.Call("/again/x").Status() == 200);
+  }
+  fixture.Run([](Forwarder& aForwarder) {
+    BOOST_TEST(aForwarder.Counters().mUnusableLimits == 5U);
+    BOOST_TEST(aForwarder.Counters().mLimitedAnswers == 0U);
+  });
+}
+
 /** All servers ask for a pause: callers are refused at once and told to come
  * back when the first of them is over. */
 BOOST_AUTO_TEST_CASE(PauseOfAllServersIsPassedOnAsATimeToComeBack)
