--- a/tests/platform/fakeserver.h
+++ b/tests/platform/fakeserver.h
@@ -83,6 +83,10 @@
   /** Does this to the next answers. */
   void SetFault(ServerFault aFault, int aAnswers);
 
+  /** Sets the request limit that answers state, as the text of its field; an
+   * empty text for none. */
+  void SetRequestLimit(const std::string& aText);
+
   /** Publishes that the server leaves; it goes on serving. */
   void Drain();
 
@@ -122,6 +126,7 @@
   Endpoint mAddress;
   boost::asio::steady_timer mRenewTimer;
   std::string mState = "ready";
+  std::string mRequestLimit;
   std::uint64_t mSequence = 0;
   std::int64_t mBornMs = 0;
   std::chrono::steady_clock::time_point mStartedAt;
--- a/tests/platform/test_wholepath.cpp
+++ b/tests/platform/test_wholepath.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <future>
 
@@ -416,6 +417,58 @@
              kMostPerSecond);
 }
 
+// Entries that each know the limit, but not of each other's requests, send the
+// limit several times.
+BOOST_FIXTURE_TEST_CASE(LimitedServerGetsMoreThanItsLimitFromAllEntries,
+                        LoopbackPlatform)
+{
+  constexpr int kEntries = 3;
+  constexpr int kCallersPerEntry = 4;
+  // One request per second, in 4 s: half as many again, and 5 requests.
+  constexpr std::size_t kMostInWindow = 11;
+  constexpr auto kWindow = std::chrono::seconds(4);
+  AddDesk("desk-1");
+  FakeServer& limited = AddDesk("desk-2");
+  std::vector<EntryProcess*> entries;
+  for (int i = 0; i < kEntries; ++i) {
+    entries.push_back(&StartEntry());
+  }
+  for (const EntryProcess* entry : entries) {
+    BOOST_REQUIRE_MESSAGE(WaitReady(*entry), entry->mProcess->Log());
+  }
+  std::this_thread::sleep_for(kLearnTime);
+  limited.SetRequestLimit("1");
+  const auto bindsAt = Clock::now() + std::chrono::seconds(3);
+  const auto end = bindsAt + 2 * kWindow;
+  std::atomic<int> failures{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kEntries * kCallersPerEntry; ++i) {
+    callers.emplace_back([&, i]() {
+      for (int round = 0; Clock::now() < end; ++round) {
+        const std::string id = std::to_string(i) + "-" + std::to_string(round);
+        const EntryProcess& entry =
+          *entries[static_cast<std::size_t>(i % kEntries)];
+        failures += Call(entry, id, "/again/a").Status() == kOk ? 0 : 1;
+        std::this_thread::sleep_for(Milliseconds(50));
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  std::vector<ServedRequest> binding;
+  for (const ServedRequest& request : limited.Requests()) {
+    if (request.mArrivedAt >= bindsAt) {
+      binding.push_back(request);
+    }
+  }
+  BOOST_TEST(MostWithin(binding, kWindow) <= kMostInWindow);
+  // The other server has room for all that the limited one doesn't accept.
+  BOOST_TEST(failures == 0);
+  // The rate is used: two windows at one request per second, less a quarter.
+  BOOST_TEST(binding.size() >= 6U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
