Keep all entries together within the request limit of a server

Callers' requests reached a server in need 13 times within 4 s although it had stated a limit of 1 request per second, which allows 11.

Cause: entries ignored the field of the limit. The class of fault: a limit on the sum over all entries that no decision knows.

Change: entries report the limits that they were told, and the newest observation applies to all. Each request to a limited server, also a further attempt or the continuation of a stream, needs a permit. For each server all entries agree by rendezvous hash on one of them as the issuer, which keeps a token bucket. Without a permit a request goes to another server; when no server is left, it is refused at once with a time to retry that follows the limits.

Why it works: the issuer sees all requests, so their sum is the rate of its bucket, whatever the number of entries and the distribution of traffic. While entries disagree on the issuer, each issuer uses only the share of those entries that it knows to rely on it, so the shares add up to the limit. After the end of a limit the rate doubles each half second for 4 s, so that the requests of all entries don't return at once. An unusable value is logged and changes nothing. Without a limit nothing is decided differently.

--- a/src/libmedlarkeel/eventcatalogue.cpp
+++ b/src/libmedlarkeel/eventcatalogue.cpp
@@ -111,6 +111,11 @@
     Level::Info,
     "A request wasn't sent because its servers are overloaded; the load, the "
     "expected time and when its caller should come back." },
+  { Event::PermitDecided,
+    "permit-decided",
+    Level::Info,
+    "A request needed a permit for a backend server that limits its requests: "
+    "the outcome, who decided, and when to ask again." },
   { Event::ReservationGranted,
     "reservation-granted",
     Level::Info,
--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -40,6 +40,7 @@
   RequestCompleted = 404,
   BackendAttemptFailed = 405,
   RequestTurnedAway = 406,
+  PermitDecided = 407,
 
   ReservationGranted = 500,
   ReservationRefused = 501,
--- a/src/libmedlarkeel/forwarding/backendlist.cpp
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -265,6 +265,16 @@
   return backend == nullptr ? 0 : backend->mDigest;
 }
 
+const ListedBackend*
+BackendList::FindProcess(ProcessHash aProcess) const
+{
+  const auto found = std::find_if(
+    mBackends.begin(), mBackends.end(), [aProcess](const auto& aBackend) {
+      return aBackend.second.mProcessHash == aProcess;
+    });
+  return found == mBackends.end() ? nullptr : &found->second;
+}
+
 const ListedBackend*
 BackendList::Find(const InstanceId& aId) const
 {
--- a/src/libmedlarkeel/forwarding/backendlist.h
+++ b/src/libmedlarkeel/forwarding/backendlist.h
@@ -156,6 +156,9 @@
   /** @return The server; null when it isn't listed. */
   const ListedBackend* Find(const InstanceId& aId) const;
 
+  /** @return The server with that process; null when it isn't listed. */
+  const ListedBackend* FindProcess(ProcessHash aProcess) const;
+
   std::size_t size() const { return mBackends.size(); }
 
 private:
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -235,6 +235,69 @@
   return before < static_cast<double>(aCount);
 }
 
+bool
+PeerView::IsDiscovering(Timestamp aNow) const
+{
+  return UndiscoveredCount(Targets(aNow).size() + 1, aNow) > 0;
+}
+
+bool
+PeerView::IsRunning(const Peer& aPeer, Timestamp aNow) const
+{
+  const bool reportsToThis =
+    aPeer.mSequence != 0 && (IsMesh(aNow) || aPeer.mZone == mZone);
+  const Microseconds timeout = reportsToThis
+                                 ? LoadTimeout(aNow)
+                                 : Microseconds(mSettings.mZoneMemberTimeout);
+  return aNow - aPeer.mHeardAt < timeout;
+}
+
+std::size_t
+PeerView::RunningCount(Timestamp aNow) const
+{
+  const auto running =
+    std::count_if(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
+      return IsRunning(aPeer.second, aNow);
+    });
+  return 1 + static_cast<std::size_t>(running);
+}
+
+std::vector<std::string>
+PeerView::RankedIssuers(ProcessHash aProcess, Timestamp aNow) const
+{
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  order.emplace_back(RendezvousScore(aProcess, HashText(mOwn)), mOwn);
+  for (const auto& [address, peer] : mPeers) {
+    if (IsRunning(peer, aNow)) {
+      order.emplace_back(RendezvousScore(aProcess, HashText(address)), address);
+    }
+  }
+  std::sort(order.rbegin(), order.rend());
+  std::vector<std::string> ranked;
+  ranked.reserve(order.size());
+  for (auto& [score, address] : order) {
+    ranked.push_back(std::move(address));
+  }
+  return ranked;
+}
+
+double
+PeerView::IssuableShare(ProcessHash aProcess,
+                        std::size_t aRequesters,
+                        Timestamp aNow) const
+{
+  const std::uint64_t own = RendezvousScore(aProcess, HashText(mOwn));
+  const bool isFirst =
+    std::none_of(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
+      const auto& [address, peer] = aPeer;
+      return aNow - peer.mHeardAt < mSettings.mPeerTimeout &&
+             RendezvousScore(aProcess, HashText(address)) > own;
+    });
+  const std::size_t reliant = isFirst ? RunningCount(aNow) : aRequesters;
+  const auto known = static_cast<double>(EntryCount(aNow));
+  return std::min(1.0, static_cast<double>(reliant) / known);
+}
+
 std::vector<std::string>
 PeerView::ReaderCandidates(Timestamp aNow) const
 {
@@ -531,6 +594,7 @@
   report.mSequence = aOwn.mSequence;
   report.mZone = aOwn.mZone;
   report.mShuttingDownProcesses = aOwn.mShuttingDownProcesses;
+  report.mLimits = aOwn.mLimits;
   report.mSum = SumOfPeers(aNow, true);
   AddSum({ Milliseconds(0), aOwn.mLoads, aOwn.mDemand, {} }, *report.mSum);
   report.mSum->mSent = std::exchange(mOwnZoneParts, {});
@@ -553,6 +617,7 @@
   report.mAddress = aOwn.mAddress;
   report.mSequence = aOwn.mSequence;
   report.mZone = aOwn.mZone;
+  report.mLimits = aOwn.mLimits;
   for (const auto& [address, peer] : mPeers) {
     if (peer.mZone != 0 &&
         aNow - peer.mHeardAt < mSettings.mZoneMemberTimeout) {
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directorydelta.h"
+#include "serverlimits.h"
 
 #include <cstdint>
 #include <map>
@@ -108,6 +109,8 @@
   /** Processes of backend servers that announced their shutdown to the sender.
    */
   std::vector<ProcessHash> mShuttingDownProcesses;
+  /** Request limits of backend servers that the sender knows. */
+  std::vector<ReportedLimit> mLimits;
   /** IP addresses of entries that the sender knows. Optional. */
   std::vector<std::string> mKnownAddresses;
 };
@@ -233,6 +236,36 @@
                            std::size_t aCount,
                            Timestamp aNow) const;
 
+  /** @return Whether entries may be running that this one hasn't discovered. */
+  bool IsDiscovering(Timestamp aNow) const;
+
+  /** @return Number of entries that seem to be running, including this one. */
+  std::size_t RunningCount(Timestamp aNow) const;
+
+  /**
+   * Ranks the entries by rendezvous hash as issuers of permits for a backend
+   * server.
+   *
+   * @return IP addresses of this entry and of all that seem to be running, in
+   * rank order.
+   */
+  std::vector<std::string> RankedIssuers(ProcessHash aProcess,
+                                         Timestamp aNow) const;
+
+  /**
+   * Gives the part of a server's limit that this entry may issue permits for.
+   * The entry that ranks first among all known ones issues for the entries that
+   * seem to be running. Any other one issues only for those that ask it, since
+   * the first one may still issue permits for the others.
+   *
+   * @param aRequesters Number of entries that ask this one for permits,
+   * including this one if it uses permits itself.
+   * @return A share of 1 at most.
+   */
+  double IssuableShare(ProcessHash aProcess,
+                       std::size_t aRequesters,
+                       Timestamp aNow) const;
+
   /**
    * Checks whether this entry's copy of the directory is up to date, so that it
    * can skip a call. Only the reports of directory readers count, since the
@@ -288,6 +321,11 @@
    * report to each other, otherwise of this entry's zone. */
   std::vector<std::string> LivePeers(Timestamp aNow) const;
 
+  struct Peer;
+  /** @return Whether the peer seems to be running: it sent a report, or is
+   * listed by others if it doesn't report to this entry. */
+  bool IsRunning(const Peer& aPeer, Timestamp aNow) const;
+
   /** @return Age after which reported loads aren't counted. */
   Microseconds LoadTimeout(Timestamp aNow) const;
 
--- a/src/libmedlarkeel/forwarding/requestrate.cpp
+++ b/src/libmedlarkeel/forwarding/requestrate.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 /** Requests per second. */
-constexpr double kMinimumRate = 0.01;
 constexpr double kMaximumRate = 1e6;
 
 } // namespace
@@ -21,7 +20,8 @@
   if (!number) {
     return std::nullopt;
   }
-  return RequestRate{ std::clamp(*number, kMinimumRate, kMaximumRate) };
+  return RequestRate{ std::clamp(
+    *number, kMinimumRequestRate.mPerSecond, kMaximumRate) };
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/requestrate.h
+++ b/src/libmedlarkeel/forwarding/requestrate.h
@@ -24,14 +24,17 @@
   }
 };
 
+/** Lowest limit that is applied. It leaves one request in 100 s, without which
+ * the end of a limit of 0 would never be noticed. */
+constexpr RequestRate kMinimumRequestRate{ 0.01 };
+
 /**
  * Parses a limit that a backend server stated: a decimal number of requests per
  * second.
  *
  * @param aText The value of the field.
- * @return The rate, between 0.01 and 1,000,000, or nothing if the value isn't a
- * number. The lower bound leaves one request in 100 s, without which the end of
- * a limit of 0 would never be noticed.
+ * @return The rate, between kMinimumRequestRate and 1,000,000, or nothing if
+ * the value isn't a number.
  */
 std::optional<RequestRate>
 ParseRequestRate(std::string_view aText);
--- a/src/libmedlarkeel/forwarding/serverlimits.cpp
+++ b/src/libmedlarkeel/forwarding/serverlimits.cpp
@@ -1,7 +1,18 @@
 #include "serverlimits.h"
 
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
 namespace medlarkeel {
 
+namespace {
+
+/** Longer than the list of backend servers may be out of date. */
+constexpr Microseconds kMinimumRetention = std::chrono::minutes(1);
+
+} // namespace
+
 const char*
 LimitChangeText(LimitChange aChange)
 {
@@ -18,6 +29,11 @@
   return "unknown";
 }
 
+ServerLimits::ServerLimits(const ServerLimitSettings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
 LimitChange
 ServerLimits::RecordStated(ProcessHash aProcess,
                            RequestRate aRate,
@@ -25,36 +41,141 @@
 {
   const auto [place, isNew] = mLimits.try_emplace(aProcess);
   Limit& limit = place->second;
-  const bool isAdded = isNew || limit.mHasEnded;
-  const bool isChanged = limit.mRate != aRate;
-  limit = { aRate, false, aReceivedAt };
-  if (isAdded) {
-    return LimitChange::Added;
+  LimitChange change = LimitChange::None;
+  if (isNew || limit.mHasEnded) {
+    change = LimitChange::Added;
+  } else if (limit.mRate != aRate) {
+    change = LimitChange::Changed;
   }
-  return isChanged ? LimitChange::Changed : LimitChange::None;
+  const Timestamp changedAt =
+    change == LimitChange::None ? limit.mChangedAt : aReceivedAt;
+  limit = { aRate, false, aReceivedAt, changedAt };
+  return change;
 }
 
 LimitChange
-ServerLimits::RecordNotStated(ProcessHash aProcess, Timestamp aSentAt)
+ServerLimits::RecordNotStated(ProcessHash aProcess,
+                              Timestamp aSentAt,
+                              Timestamp aNow)
 {
   const auto found = mLimits.find(aProcess);
   if (found == mLimits.end() || found->second.mHasEnded ||
       aSentAt < found->second.mObservedAt) {
     return LimitChange::None;
   }
-  found->second.mHasEnded = true;
-  found->second.mObservedAt = aSentAt;
+  Limit& limit = found->second;
+  limit = { limit.mRate, true, aSentAt, aNow };
   return LimitChange::Ended;
 }
 
+LimitChange
+ServerLimits::RecordReported(const ReportedLimit& aLimit, Timestamp aNow)
+{
+  const Timestamp observedAt = aNow - aLimit.mAge;
+  const auto found = mLimits.find(aLimit.mProcess);
+  const Timestamp changedAt = aLimit.mHasEnded ? observedAt : aNow;
+  if (found == mLimits.end()) {
+    mLimits[aLimit.mProcess] = {
+      aLimit.mRate, aLimit.mHasEnded, observedAt, changedAt
+    };
+    return aLimit.mHasEnded ? LimitChange::None : LimitChange::Added;
+  }
+  Limit& limit = found->second;
+  const bool isSame =
+    aLimit.mHasEnded == limit.mHasEnded && aLimit.mRate == limit.mRate;
+  if (isSame) {
+    if (observedAt > limit.mObservedAt + mSettings.mAgeTolerance) {
+      limit.mObservedAt = observedAt;
+    }
+    return LimitChange::None;
+  }
+  if (observedAt <= limit.mObservedAt) {
+    return LimitChange::None;
+  }
+  const bool hadEnded = limit.mHasEnded;
+  limit = { aLimit.mRate, aLimit.mHasEnded, observedAt, changedAt };
+  if (aLimit.mHasEnded) {
+    return hadEnded ? LimitChange::None : LimitChange::Ended;
+  }
+  return hadEnded ? LimitChange::Added : LimitChange::Changed;
+}
+
 std::optional<RequestRate>
-ServerLimits::StatedRate(ProcessHash aProcess) const
+ServerLimits::AllowedRate(ProcessHash aProcess, Timestamp aNow) const
+{
+  const auto found = mLimits.find(aProcess);
+  if (found == mLimits.end()) {
+    return std::nullopt;
+  }
+  const Limit& limit = found->second;
+  if (!limit.mHasEnded) {
+    return limit.mRate;
+  }
+  const Microseconds sinceEnd = aNow - limit.mChangedAt;
+  if (sinceEnd >= mSettings.mReleaseTime) {
+    return std::nullopt;
+  }
+  const double doublings =
+    std::chrono::duration<double>(sinceEnd).count() /
+    std::chrono::duration<double>(mSettings.mReleaseDoublingTime).count();
+  const RequestRate first =
+    std::max(limit.mRate, mSettings.mMinimumReleaseRate);
+  return RequestRate{ first.mPerSecond * std::exp2(doublings) };
+}
+
+ReportedLimit
+ServerLimits::ReportOf(ProcessHash aProcess,
+                       const Limit& aLimit,
+                       Timestamp aNow) const
+{
+  return { aProcess,
+           aLimit.mRate,
+           aLimit.mHasEnded,
+           std::chrono::duration_cast<Milliseconds>(aNow -
+                                                    aLimit.mObservedAt) };
+}
+
+std::optional<ReportedLimit>
+ServerLimits::Find(ProcessHash aProcess, Timestamp aNow) const
 {
   const auto found = mLimits.find(aProcess);
-  if (found == mLimits.end() || found->second.mHasEnded) {
+  if (found == mLimits.end()) {
     return std::nullopt;
   }
-  return found->second.mRate;
+  return ReportOf(aProcess, found->second, aNow);
+}
+
+std::vector<ReportedLimit>
+ServerLimits::TakeReport(Timestamp aNow)
+{
+  std::vector<ReportedLimit> changed;
+  std::vector<ReportedLimit> unchanged;
+  for (const auto& [process, limit] : mLimits) {
+    const bool isRecent = aNow - limit.mChangedAt < mSettings.mChangeReportTime;
+    (isRecent ? changed : unchanged).push_back(ReportOf(process, limit, aNow));
+  }
+  std::sort(unchanged.begin(),
+            unchanged.end(),
+            [](const ReportedLimit& aLeft, const ReportedLimit& aRight) {
+              return aLeft.mProcess < aRight.mProcess;
+            });
+  const std::size_t count =
+    std::min(unchanged.size(), mSettings.mUnchangedPerReport);
+  for (std::size_t i = 0; i < count; ++i) {
+    changed.push_back(unchanged[mReported++ % unchanged.size()]);
+  }
+  return changed;
+}
+
+void
+ServerLimits::RemoveUnlisted(const std::function<bool(ProcessHash)>& aIsListed,
+                             Timestamp aNow)
+{
+  for (auto entry = mLimits.begin(); entry != mLimits.end();) {
+    const bool isKept = aNow - entry->second.mObservedAt < kMinimumRetention ||
+                        aIsListed(entry->first);
+    entry = isKept ? std::next(entry) : mLimits.erase(entry);
+  }
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -76,6 +76,10 @@
   void PickPool();
   void StartTimer();
   void TryBackend();
+  /** Requests a permit for a server that limits its requests. Without one, the
+   * request goes to another server or is refused. */
+  void RequestPermit(const BackendChoice& aChoice);
+  void TakePermit(const BackendChoice& aChoice, const PermitResult& aResult);
   void StartAttempt(const BackendChoice& aChoice);
   /** @return Whether the request may be sent; it is refused if not. */
   bool IsAdmitted(const BackendChoice& aChoice);
@@ -137,6 +141,8 @@
   std::set<InstanceId> mTried;
   AttemptPointer mAttempt;
   std::optional<BackendChoice> mLastChoice;
+  /** Decides on partial refusals; the same for each choice of a server. */
+  std::optional<double> mRefusalSample;
   /** When a refused caller should come back, if that is known. */
   std::optional<Milliseconds> mRetryDelay;
   /** Whether the head of the answer has been passed on. */
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -203,10 +203,13 @@
     mForwarder.Counters().mLimitedAnswers += 1;
     change = limits.RecordStated(choice.mProcessHash, *rate, now);
   } else if (field == nullptr) {
-    change = limits.RecordNotStated(choice.mProcessHash, aAttempt.mSentAt);
+    change = limits.RecordNotStated(choice.mProcessHash, aAttempt.mSentAt, now);
   } else {
     mForwarder.Counters().mUnusableLimits += 1;
   }
+  if (change != LimitChange::None) {
+    mForwarder.NotifyPeers();
+  }
   const bool isUnusable = field != nullptr && !rate;
   if (change == LimitChange::None && !isUnusable) {
     return;
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -18,10 +18,6 @@
 
 constexpr int kUnavailable = 503;
 
-/** Time over which callers' returns are spread when all servers of a pool
- * asked for no requests. */
-constexpr Milliseconds kReturnSpread{ 500 };
-
 /** Idle time of servers that don't tell theirs; whole seconds are told. */
 constexpr Microseconds kUntoldKeepAlive = std::chrono::milliseconds(500);
 
@@ -86,21 +82,65 @@
     now);
   if (!choice) {
     if (const auto earliest = chooser.EarliestAvailableTime(usable, now)) {
-      mRetryDelay =
-        std::chrono::duration_cast<Milliseconds>(*earliest - now) +
-        Milliseconds(static_cast<std::int64_t>(
-          mForwarder.Random() * static_cast<double>(kReturnSpread.count())));
+      mRetryDelay = mForwarder.RetryDelay(mPool->mName, usable, *earliest);
     }
     Follow(FinalStep(mHistory, AttemptOutcome::NotSent),
            AttemptOutcome::NotSent);
     return;
   }
   mLastChoice = choice;
-  if (IsAdmitted(*choice)) {
+  if (!IsAdmitted(*choice)) {
+    return;
+  }
+  if (mForwarder.Limits().AllowedRate(choice->mProcessHash, now)) {
+    RequestPermit(*choice);
+  } else {
     StartAttempt(*choice);
   }
 }
 
+void
+Exchange::RequestPermit(const BackendChoice& aChoice)
+{
+  mForwarder.Permits().Request(
+    aChoice.mProcessHash,
+    [self = shared_from_this(), aChoice](const PermitResult& aResult) {
+      if (!self->mIsDone) {
+        self->TakePermit(aChoice, aResult);
+      }
+    });
+}
+
+void
+Exchange::TakePermit(const BackendChoice& aChoice, const PermitResult& aResult)
+{
+  const Timestamp now = BootNow();
+  mForwarder.Log().Write(Event::PermitDecided,
+                         { { "request", mRequestId },
+                           { "server", aChoice.mId.Text() },
+                           { "outcome", PermitOutcomeText(aResult.mOutcome) },
+                           { "issuer", aResult.mIssuer },
+                           { "retryAfterMs", aResult.mRetryDelay.count() },
+                           { "limitPerSecond",
+                             mForwarder.Limits()
+                               .AllowedRate(aChoice.mProcessHash, now)
+                               .value_or(RequestRate())
+                               .mPerSecond } });
+  const std::vector<const ListedBackend*> usable =
+    mForwarder.Backends().Usable(mPool->mName, now);
+  const bool isUsable =
+    std::any_of(usable.begin(), usable.end(), [&](const auto* aServer) {
+      return aServer->mProcessHash == aChoice.mProcessHash;
+    });
+  if (aResult.mOutcome == PermitOutcome::Granted && isUsable) {
+    StartAttempt(aChoice);
+    return;
+  }
+  mForwarder.Chooser().RecordNotBefore(
+    aChoice.mProcessHash, now + aResult.mRetryDelay, now);
+  TryBackend();
+}
+
 TierRank
 Exchange::Tier() const
 {
@@ -124,7 +164,10 @@
              std::chrono::duration_cast<Milliseconds>(mGiveUpAt - now));
   request.mChoice = aChoice;
   request.mIsRetry = mTimeLimit + kUsedTime < mRoute->mTimeout;
-  request.mRefusalSample = mForwarder.Random();
+  if (!mRefusalSample) {
+    mRefusalSample = mForwarder.Random();
+  }
+  request.mRefusalSample = *mRefusalSample;
   request.mJitterSample = mForwarder.Random();
   const AdmissionDecision decision =
     mForwarder.Admission(mPool->mName).Decide(*mPool, request);
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -44,6 +44,12 @@
   std::uint64_t mLimitedAnswers = 0;
   /** Answers whose request limit could not be parsed. */
   std::uint64_t mUnusableLimits = 0;
+  /** Results of this entry's requests for permits. */
+  std::uint64_t mPermitsGranted = 0;
+  std::uint64_t mPermitsDenied = 0;
+  std::uint64_t mPermitsTimedOut = 0;
+  /** Permits issued to other entries. */
+  std::uint64_t mPermitsIssued = 0;
   std::uint64_t mConnectionsOpened = 0;
   std::uint64_t mConnectionsReused = 0;
   std::uint64_t mDirectoryCalls = 0;
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -29,6 +29,10 @@
 
 constexpr Milliseconds kStopCheck{ 100 };
 
+/** Time over which callers' returns are spread when all servers of a pool
+ * asked for no requests. */
+constexpr Milliseconds kReturnSpread{ 500 };
+
 const char*
 BackendChangeText(BackendChange aChange)
 {
@@ -84,7 +88,18 @@
       mCounters,
       mLog,
       [this](PeerReport& aReport) { FillReport(aReport); },
-      [this](const PeerReport& aReport) { TakeReport(aReport); })
+      [this](const PeerReport& aReport) { TakeReport(aReport); },
+      [this](const std::string& aSender, const PermitMessage& aMessage) {
+        mPermits.TakeMessage(aSender, aMessage);
+      })
+  , mPermits(aContext,
+             aSettings.mPeers.mAddress,
+             mPeers,
+             mLimits,
+             mCounters,
+             [this](const std::string& aTarget, const std::string& aBytes) {
+               mPeerChannel.SendTo({ aTarget }, aBytes);
+             })
   , mConnections(aContext, mCounters)
   , mAcceptor(aContext)
   , mDirectoryTimer(aContext)
@@ -181,6 +196,28 @@
                   : (mPeers.IsSelectedForServer(aServer, all, now) ? 1 : 0);
 }
 
+Milliseconds
+Forwarder::RetryDelay(const PoolName& aPool,
+                      const std::vector<const ListedBackend*>& aUsable,
+                      Timestamp aEarliest)
+{
+  const Timestamp now = BootNow();
+  RequestRate accepted;
+  bool areAllLimited = true;
+  for (const ListedBackend* server : aUsable) {
+    const auto rate = mLimits.AllowedRate(server->mProcessHash, now);
+    areAllLimited = areAllLimited && rate;
+    accepted.mPerSecond += rate.value_or(RequestRate()).mPerSecond;
+  }
+  if (areAllLimited) {
+    accepted.mPerSecond /= static_cast<double>(mPeers.RunningCount(now));
+    return mRetrySchedules[aPool].NextDelay(aEarliest, accepted, now);
+  }
+  return std::chrono::duration_cast<Milliseconds>(aEarliest - now) +
+         Milliseconds(static_cast<std::int64_t>(
+           Random() * static_cast<double>(kReturnSpread.count())));
+}
+
 void
 Forwarder::RefreshChooser()
 {
@@ -214,6 +251,12 @@
 {
   const Timestamp now = BootNow();
   mChooser.FillReport(aReport, now);
+  mLimits.RemoveUnlisted(
+    [this](ProcessHash aProcess) {
+      return mFollower.Backends().FindProcess(aProcess) != nullptr;
+    },
+    now);
+  aReport.mLimits = mLimits.TakeReport(now);
   aReport.mShuttingDownProcesses = mFollower.Backends().ShuttingDownProcesses();
   aReport.mHasLostDirectoryContact = mFollower.HasLostContact();
   aReport.mDirectoryDigest = mFollower.Digest();
@@ -232,6 +275,8 @@
   if (aReport.mSum) {
     mChooser.RecordPeerSentParts(aReport.mSum->mSent, now);
   }
+  mPermits.RecordReport(aReport.mAddress);
+  TakeLimits(aReport);
   mFollower.Backends().RecordShuttingDownByPeer(aReport.mShuttingDownProcesses,
                                                 now);
   if (!aReport.mRecentDelta) {
@@ -244,6 +289,25 @@
   }
 }
 
+void
+Forwarder::TakeLimits(const PeerReport& aReport)
+{
+  const Timestamp now = BootNow();
+  for (const ReportedLimit& limit : aReport.mLimits) {
+    const LimitChange change = mLimits.RecordReported(limit, now);
+    const ListedBackend* server =
+      mFollower.Backends().FindProcess(limit.mProcess);
+    if (change != LimitChange::None && server != nullptr) {
+      mLog.Write(Event::BackendLimit,
+                 { { "server", server->mEntry.mId.Text() },
+                   { "change", LimitChangeText(change) },
+                   { "perSecond", limit.mRate.mPerSecond },
+                   { "ageMs", limit.mAge.count() },
+                   { "peer", aReport.mAddress } });
+    }
+  }
+}
+
 void
 Forwarder::CallDirectoryLater(Milliseconds aDelay)
 {
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -3,6 +3,7 @@
 #include "../libmedlarkeel/forwarding/admissioncontrol.h"
 #include "../libmedlarkeel/forwarding/backendchooser.h"
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
+#include "../libmedlarkeel/forwarding/retryschedule.h"
 #include "../libmedlarkeel/forwarding/serverlimits.h"
 #include "../libmedlarkeel/retrybudget.h"
 #include "../libmedlarkeelnet/eventlog.h"
@@ -10,6 +11,7 @@
 #include "forwardcounters.h"
 #include "forwardsettings.h"
 #include "peerchannel.h"
+#include "permitclient.h"
 #include "wireprotocol.h"
 
 #include <boost/asio/io_context.hpp>
@@ -57,6 +59,19 @@
   BackendList& Backends() { return mFollower.Backends(); }
   BackendChooser& Chooser() { return mChooser; }
   ServerLimits& Limits() { return mLimits; }
+  PermitClient& Permits() { return mPermits; }
+
+  /** Sends a report to the other entries soon. */
+  void NotifyPeers() { mPeerChannel.SendSoon(); }
+
+  /**
+   * @param aUsable Servers of the pool, of which none accepts a request now.
+   * @param aEarliest When the first of them accepts one.
+   * @return Time after which a refused caller should retry.
+   */
+  Milliseconds RetryDelay(const PoolName& aPool,
+                          const std::vector<const ListedBackend*>& aUsable,
+                          Timestamp aEarliest);
 
   /** Tells the chooser what the other entries said last; before a choice. */
   void RefreshChooser();
@@ -93,6 +108,7 @@
   void TakeChanges(const DirectoryResult& aResult);
   void TakeAnswer(const DirectoryResult& aResult, const FollowerUpdate& aNews);
   void TakeReport(const PeerReport& aReport);
+  void TakeLimits(const PeerReport& aReport);
   void FillReport(PeerReport& aReport);
   void TakeNews(const FollowerUpdate& aNews);
   void EndIfDone();
@@ -108,9 +124,12 @@
   PeerView mPeers;
   ForwardCounters mCounters;
   PeerChannel mPeerChannel;
+  PermitClient mPermits;
   BackendConnections mConnections;
   std::unordered_map<PoolName, RetryBudget> mBudgets;
   std::unordered_map<PoolName, AdmissionControl> mAdmissions;
+  /** Retries of callers that were refused because of request limits. */
+  std::unordered_map<PoolName, RetrySchedule> mRetrySchedules;
   std::unordered_set<std::shared_ptr<CallerConnection>> mCallers;
   boost::asio::ip::tcp::acceptor mAcceptor;
   boost::asio::steady_timer mDirectoryTimer;
--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -11,13 +11,15 @@
 
 } // namespace
 
-PeerChannel::PeerChannel(boost::asio::io_context& aContext,
-                         const Endpoint& aOwn,
-                         PeerView& aView,
-                         ForwardCounters& aCounters,
-                         EventLog& aLog,
-                         std::function<void(PeerReport&)> aFill,
-                         std::function<void(const PeerReport&)> aTake)
+PeerChannel::PeerChannel(
+  boost::asio::io_context& aContext,
+  const Endpoint& aOwn,
+  PeerView& aView,
+  ForwardCounters& aCounters,
+  EventLog& aLog,
+  std::function<void(PeerReport&)> aFill,
+  std::function<void(const PeerReport&)> aTake,
+  std::function<void(const std::string&, const PermitMessage&)> aTakePermit)
   : mSocket(
       aContext,
       udp::endpoint(boost::asio::ip::make_address(aOwn.mAddress), aOwn.mPort))
@@ -28,6 +30,7 @@
   , mLog(aLog)
   , mFill(std::move(aFill))
   , mTake(std::move(aTake))
+  , mTakePermit(std::move(aTakePermit))
   , mSequence(NewIncarnation().mValue)
 {
   mSocket.non_blocking(true);
@@ -51,22 +54,40 @@
         return;
       }
       if (!aError) {
-        const auto report =
-          DecodePeerReport(std::string_view(mBuffer.data(), aSize));
-        // A report counts only when it comes from the address it names.
-        const bool isSound =
-          report && report->mAddress == mSender.address().to_string();
-        if (!isSound) {
-          mCounters.mPeerReportsUnreadable += 1;
-          RecordLost("it can't be read", mSender.address().to_string());
-        } else if (mView.Record(*report, BootNow())) {
-          mTake(*report);
-        }
+        TakeBytes(std::string_view(mBuffer.data(), aSize),
+                  mSender.address().to_string());
       }
       Receive();
     });
 }
 
+void
+PeerChannel::TakeBytes(std::string_view aBytes, const std::string& aSender)
+{
+  if (IsPermitMessage(aBytes)) {
+    if (const auto message = DecodePermitMessage(aBytes)) {
+      mTakePermit(aSender, *message);
+    } else {
+      RecordUnreadable(aSender);
+    }
+    return;
+  }
+  const auto report = DecodePeerReport(aBytes);
+  // A report counts only when it comes from the address it names.
+  if (!report || report->mAddress != aSender) {
+    RecordUnreadable(aSender);
+  } else if (mView.Record(*report, BootNow())) {
+    mTake(*report);
+  }
+}
+
+void
+PeerChannel::RecordUnreadable(const std::string& aSender)
+{
+  mCounters.mPeerReportsUnreadable += 1;
+  RecordLost("it can't be read", aSender);
+}
+
 void
 PeerChannel::Send()
 {
--- a/src/libmedlarkeelforward/peerchannel.h
+++ b/src/libmedlarkeelforward/peerchannel.h
@@ -5,6 +5,7 @@
 #include "../libmedlarkeelnet/eventlog.h"
 #include "forwardcounters.h"
 #include "peerreportcodec.h"
+#include "permitcodec.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -28,25 +29,32 @@
    * @param aOwn Where reports arrive; the port is the same at all entries.
    * @param aFill Adds what this entry does to a report.
    * @param aTake Gets each new report.
+   * @param aTakePermit Gets each permit message with its sender's IP address.
    */
-  PeerChannel(boost::asio::io_context& aContext,
-              const Endpoint& aOwn,
-              PeerView& aView,
-              ForwardCounters& aCounters,
-              EventLog& aLog,
-              std::function<void(PeerReport&)> aFill,
-              std::function<void(const PeerReport&)> aTake);
+  PeerChannel(
+    boost::asio::io_context& aContext,
+    const Endpoint& aOwn,
+    PeerView& aView,
+    ForwardCounters& aCounters,
+    EventLog& aLog,
+    std::function<void(PeerReport&)> aFill,
+    std::function<void(const PeerReport&)> aTake,
+    std::function<void(const std::string&, const PermitMessage&)> aTakePermit);
 
   void Start();
 
   /** Sends a report now, for news that the others wait for. */
   void SendSoon();
 
+  /** Sends bytes to the entries with these IP addresses. */
+  void SendTo(const std::vector<std::string>& aTargets,
+              const std::string& aBytes);
+
 private:
   void Receive();
   void Send();
-  void SendTo(const std::vector<std::string>& aTargets,
-              const std::string& aBytes);
+  void TakeBytes(std::string_view aBytes, const std::string& aSender);
+  void RecordUnreadable(const std::string& aSender);
   /** Logs the first lost report within a while. */
   void RecordLost(const char* aCause, const std::string& aPeer);
 
@@ -60,6 +68,7 @@
   EventLog& mLog;
   std::function<void(PeerReport&)> mFill;
   std::function<void(const PeerReport&)> mTake;
+  std::function<void(const std::string&, const PermitMessage&)> mTakePermit;
   std::uint64_t mSequence;
   Timestamp mSentAt;
   /** When the last loss was logged. */
--- a/src/libmedlarkeelforward/peerreportcodec.cpp
+++ b/src/libmedlarkeelforward/peerreportcodec.cpp
@@ -1,6 +1,7 @@
 #include "peerreportcodec.h"
 
 #include "../libmedlarkeel/settings.h"
+#include "permitcodec.h"
 
 #include <algorithm>
 #include <array>
@@ -325,6 +326,9 @@
   if (!aReport.mShuttingDownProcesses.empty()) {
     report["v"] = aReport.mShuttingDownProcesses;
   }
+  for (const ReportedLimit& limit : aReport.mLimits) {
+    report["b"].push_back(EncodeLimit(limit));
+  }
   if (!aReport.mKnownAddresses.empty()) {
     report["k"] = aReport.mKnownAddresses;
   }
@@ -368,6 +372,11 @@
       decoded.mShuttingDownProcesses =
         report.at("v").get<std::vector<ProcessHash>>();
     }
+    if (report.contains("b")) {
+      for (const Json& limit : report.at("b")) {
+        decoded.mLimits.push_back(DecodeLimit(limit));
+      }
+    }
     if (report.contains("k")) {
       decoded.mKnownAddresses = report.at("k").get<std::vector<std::string>>();
     }
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 #include <chrono>
 #include <future>
 
@@ -622,6 +624,43 @@
   });
 }
 
+// An entry that is alone issues its own permits once it knows that it is alone.
+BOOST_AUTO_TEST_CASE(RequestsBeyondALimitGoToOtherServers)
+{
+  ForwardFixture fixture;
+  FakeBackend& limited =
+    fixture.AddBackend(Answering(200, "a", "Limit: 1\r\n"));
+  FakeBackend& other = fixture.AddBackend(Answering(200, "b"));
+  fixture.Start();
+  for (int i = 0; i < 60; ++i) {
+    BOOST_TEST(fixture.Call("/again/x").Status() == 200);
+  }
+  BOOST_TEST(limited.Requests().size() <= 4U);
+  BOOST_TEST(other.Requests().size() >= 56U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestsBeyondAllLimitsAreRefusedWithDifferentRetryTimes)
+{
+  ForwardFixture fixture;
+  FakeBackend& limited =
+    fixture.AddBackend(Answering(200, "a", "Limit: 0.5\r\n"));
+  fixture.Start();
+  BOOST_TEST(fixture.Call("/once/x").Status() == 200);
+  std::set<std::string> delays;
+  for (int i = 0; i < 4; ++i) {
+    const auto begin = std::chrono::steady_clock::now();
+    const SeenAnswer answer = fixture.Call("/once/x");
+    BOOST_TEST(answer.Status() == 503);
+    BOOST_TEST(!answer.Field("Retry-After").empty());
+    const std::string delay = answer.Field("Retry-After");
+    BOOST_TEST(std::stod(delay) >= 1.0);
+    delays.insert(delay);
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < Milliseconds(500)));
+  }
+  BOOST_TEST(delays.size() == 4U);
+  BOOST_TEST(limited.Requests().size() == 1U);
+}
+
 /** All servers ask for a pause: callers are refused at once and told to come
  * back when the first of them is over. */
 BOOST_AUTO_TEST_CASE(PauseOfAllServersIsPassedOnAsATimeToComeBack)
