Emulate entries before a server that limits its requests

Three other policies are played for comparison. The experiment program shows use, excess and messages against the number of entries.

--- a/bench/experiment/main.cpp
+++ b/bench/experiment/main.cpp
@@ -1,4 +1,5 @@
 #include "emulatedfleet.h"
+#include "limitedservers.h"
 
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
@@ -20,6 +21,19 @@
               "settings that replace those of all policies, as "
               "NAME=VALUE separated by commas");
 DEFINE_int32(seeds, 5, "seeds that each policy is played with");
+DEFINE_string(limited_entries,
+              "",
+              "numbers of entries, separated by commas, with which ways to "
+              "keep to the limit of a server are compared instead of a plan");
+DEFINE_double(limit, 1.0, "requests per second that the server accepts");
+DEFINE_double(limited_requests,
+              10.0,
+              "requests per second that would go to the limited server");
+DEFINE_double(skew,
+              1.0,
+              "exponent of the distribution of these requests over the "
+              "entries; 0 for equal numbers");
+DEFINE_double(loss, 0.0, "share of the messages between entries that are lost");
 DEFINE_string(json, "", "file that gets the results as JSON");
 
 namespace medlarkeel {
@@ -296,9 +310,33 @@
   return result;
 }
 
+int
+RunLimitedServers()
+{
+  LimitedServerComparison comparison;
+  for (const std::string& item : Split(FLAGS_limited_entries)) {
+    const unsigned long entries = std::strtoul(item.c_str(), nullptr, 10);
+    if (entries == 0) {
+      std::cerr << "\"" << item << "\" is no number of entries\n";
+      return kUsageError;
+    }
+    comparison.mEntries.push_back(entries);
+  }
+  comparison.mLimit = FLAGS_limit;
+  comparison.mRequestsPerSecond = FLAGS_limited_requests;
+  comparison.mSkew = FLAGS_skew;
+  comparison.mLossShare = FLAGS_loss;
+  comparison.mSeeds = FLAGS_seeds;
+  CompareLimitedServers(comparison);
+  return 0;
+}
+
 int
 Run()
 {
+  if (!FLAGS_limited_entries.empty()) {
+    return RunLimitedServers();
+  }
   std::ifstream file(FLAGS_plan);
   if (!file) {
     std::cerr << "can't read the plan \"" << FLAGS_plan << "\"\n";
