--- a/tests/platform/test_wholepath.cpp
+++ b/tests/platform/test_wholepath.cpp
@@ -430,6 +430,7 @@
   AddDesk("desk-1");
   FakeServer& limited = AddDesk("desk-2");
   std::vector<EntryProcess*> entries;
+  entries.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i) {
     entries.push_back(&StartEntry());
   }
@@ -442,6 +443,7 @@
   const auto end = bindsAt + 2 * kWindow;
   std::atomic<int> failures{ 0 };
   std::vector<std::thread> callers;
+  callers.reserve(kEntries * kCallersPerEntry);
   for (int i = 0; i < kEntries * kCallersPerEntry; ++i) {
     callers.emplace_back([&, i]() {
       for (int round = 0; Clock::now() < end; ++round) {
