Cancel the denial of a permit when the limit changes

Seen while reading the code again: an entry that was denied a permit didn't use the server until the next permit was due, up to 100 s at a limit of 0.01 a second, also when the limit was raised or ended in the meantime. Its callers went to other servers or were refused for no reason.

The denial is now kept with the limit, and any change of the limit, whether an answer or another entry told it, removes it. The pause that a server asks for with Retry-After is kept apart and stays.

Run: test_libmedlarkeel serverlimits (the new case can't be built without the change), backendchooser; test_libmedlarkeelforward; test_libmedlarkeelemulator limitedserverfleet; test_platform wholepath/Limited*.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -100,7 +100,7 @@
   std::vector<const ListedBackend*> avoided;
   for (const ListedBackend* server : aUsable) {
     if (aExcluded.count(server->mEntry.mId) != 0 ||
-        IsPaused(server->mProcessHash, aNow)) {
+        NotBefore(server->mProcessHash, aNow)) {
       continue;
     }
     ServerState& state = mServers[server->mEntry.mId];
@@ -461,11 +461,20 @@
   return load;
 }
 
-bool
-BackendChooser::IsPaused(ProcessHash aBoot, Timestamp aNow) const
+std::optional<Timestamp>
+BackendChooser::NotBefore(ProcessHash aBoot, Timestamp aNow) const
 {
+  std::optional<Timestamp> notBefore;
   const auto found = mNotBefore.find(aBoot);
-  return found != mNotBefore.end() && aNow < found->second;
+  if (found != mNotBefore.end() && aNow < found->second) {
+    notBefore = found->second;
+  }
+  const std::optional<Timestamp> deniedUntil =
+    mLimits == nullptr ? std::nullopt : mLimits->DeniedUntil(aBoot);
+  if (deniedUntil && aNow < *deniedUntil) {
+    notBefore = std::max(notBefore.value_or(*deniedUntil), *deniedUntil);
+  }
+  return notBefore;
 }
 
 void
@@ -487,11 +496,11 @@
 {
   std::optional<Timestamp> earliest;
   for (const ListedBackend* server : aUsable) {
-    if (!IsPaused(server->mProcessHash, aNow)) {
+    const auto notBefore = NotBefore(server->mProcessHash, aNow);
+    if (!notBefore) {
       return std::nullopt;
     }
-    const Timestamp notBefore = mNotBefore.at(server->mProcessHash);
-    earliest = earliest ? std::min(*earliest, notBefore) : notBefore;
+    earliest = earliest ? std::min(*earliest, *notBefore) : *notBefore;
   }
   return earliest;
 }
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -208,8 +208,13 @@
    * time that it asked for earlier stays in force. */
   void RecordNotBefore(ProcessHash aBoot, Timestamp aNotBefore, Timestamp aNow);
 
+  /** Sets the request limits of servers, whose denials apply to the choice.
+   * They must outlive this object. */
+  void SetLimits(const ServerLimits* aLimits) { mLimits = aLimits; }
+
   /** @return Earliest time at which one of the servers accepts requests again,
-   * if all of them asked for none; else nothing. */
+   * if none of them does now because it asked for no requests or this entry
+   * has no permit; else nothing. */
   std::optional<Timestamp> EarliestAvailableTime(
     const std::vector<const ListedBackend*>& aUsable,
     Timestamp aNow) const;
@@ -261,7 +266,9 @@
                     std::uint32_t aPrefillTokens,
                     bool aIsReservedForShort,
                     Timestamp aNow) const;
-  bool IsPaused(ProcessHash aBoot, Timestamp aNow) const;
+  /** @return Time before which a server gets no requests: it asked for none, or
+   * this entry was denied a permit. */
+  std::optional<Timestamp> NotBefore(ProcessHash aBoot, Timestamp aNow) const;
   ServerLoad PeerLoad(const InstanceId& aId) const;
   /** @return Queued prefill tokens on a server, of all entries. */
   double QueuedTokens(const InstanceId& aId) const;
@@ -289,6 +296,7 @@
   std::unordered_map<InstanceId, ServerState> mServers;
   /** Time before which a server asked for no requests. */
   std::unordered_map<ProcessHash, Timestamp> mNotBefore;
+  const ServerLimits* mLimits = nullptr;
   ServerLoads mPeerLoads;
   /** Sent parts that TakeSentParts() returns next. */
   std::vector<SentPart> mUnreportedParts;
--- a/src/libmedlarkeel/forwarding/serverlimits.cpp
+++ b/src/libmedlarkeel/forwarding/serverlimits.cpp
@@ -47,9 +47,11 @@
   } else if (limit.mRate != aRate) {
     change = LimitChange::Changed;
   }
-  const Timestamp changedAt =
-    change == LimitChange::None ? limit.mChangedAt : aReceivedAt;
-  limit = { aRate, false, aReceivedAt, changedAt };
+  if (change == LimitChange::None) {
+    limit.mObservedAt = aReceivedAt;
+  } else {
+    limit = { aRate, false, aReceivedAt, aReceivedAt, std::nullopt };
+  }
   return change;
 }
 
@@ -64,7 +66,7 @@
     return LimitChange::None;
   }
   Limit& limit = found->second;
-  limit = { limit.mRate, true, aSentAt, aNow };
+  limit = { limit.mRate, true, aSentAt, aNow, std::nullopt };
   return LimitChange::Ended;
 }
 
@@ -76,7 +78,7 @@
   const Timestamp changedAt = aLimit.mHasEnded ? observedAt : aNow;
   if (found == mLimits.end()) {
     mLimits[aLimit.mProcess] = {
-      aLimit.mRate, aLimit.mHasEnded, observedAt, changedAt
+      aLimit.mRate, aLimit.mHasEnded, observedAt, changedAt, std::nullopt
     };
     return aLimit.mHasEnded ? LimitChange::None : LimitChange::Added;
   }
@@ -93,7 +95,9 @@
     return LimitChange::None;
   }
   const bool hadEnded = limit.mHasEnded;
-  limit = { aLimit.mRate, aLimit.mHasEnded, observedAt, changedAt };
+  limit = {
+    aLimit.mRate, aLimit.mHasEnded, observedAt, changedAt, std::nullopt
+  };
   if (aLimit.mHasEnded) {
     return hadEnded ? LimitChange::None : LimitChange::Ended;
   }
@@ -123,6 +127,22 @@
   return RequestRate{ first.mPerSecond * std::exp2(doublings) };
 }
 
+void
+ServerLimits::RecordDenied(ProcessHash aProcess, Timestamp aNotBefore)
+{
+  const auto found = mLimits.find(aProcess);
+  if (found != mLimits.end()) {
+    found->second.mDeniedUntil = aNotBefore;
+  }
+}
+
+std::optional<Timestamp>
+ServerLimits::DeniedUntil(ProcessHash aProcess) const
+{
+  const auto found = mLimits.find(aProcess);
+  return found == mLimits.end() ? std::nullopt : found->second.mDeniedUntil;
+}
+
 ReportedLimit
 ServerLimits::ReportOf(ProcessHash aProcess,
                        const Limit& aLimit,
--- a/src/libmedlarkeel/forwarding/serverlimits.h
+++ b/src/libmedlarkeel/forwarding/serverlimits.h
@@ -96,6 +96,14 @@
   std::optional<RequestRate> AllowedRate(ProcessHash aProcess,
                                          Timestamp aNow) const;
 
+  /** Records that this entry got no permit for a server with a limit. A change
+   * of the limit cancels it. */
+  void RecordDenied(ProcessHash aProcess, Timestamp aNotBefore);
+
+  /** @return Time before which this entry gets no permit for the server, if it
+   * was denied one. */
+  std::optional<Timestamp> DeniedUntil(ProcessHash aProcess) const;
+
   /** @return What is known of a server's limit, for another entry. */
   std::optional<ReportedLimit> Find(ProcessHash aProcess, Timestamp aNow) const;
 
@@ -117,6 +125,8 @@
     Timestamp mObservedAt;
     /** When this entry learned the value or the end. */
     Timestamp mChangedAt;
+    /** Time before which this entry gets no permit. */
+    std::optional<Timestamp> mDeniedUntil;
   };
 
   ReportedLimit ReportOf(ProcessHash aProcess,
--- a/src/libmedlarkeelemulator/limitedserverfleet.cpp
+++ b/src/libmedlarkeelemulator/limitedserverfleet.cpp
@@ -110,7 +110,6 @@
   entry.mLife += 1;
   entry.mIsRunning = true;
   entry.mToldAtMs.reset();
-  entry.mNotBefore = Timestamp();
   entry.mOwnIssuer = PermitIssuer();
   std::vector<std::string> known = mSeeds;
   if (aKnowsAll) {
@@ -234,7 +233,7 @@
   const Entry& entry = mEntries[aEntry];
   if (!entry.mLimits->AllowedRate(kServer, Now())) {
     Send(aEntry);
-  } else if (Now() < entry.mNotBefore) {
+  } else if (Now() < entry.mLimits->DeniedUntil(kServer).value_or(Now())) {
     mOutcome.mSentElsewhere += 1;
   } else {
     (this->*mSendDecision)(aEntry);
@@ -324,7 +323,7 @@
   } else if (aResult.mOutcome == PermitOutcome::Declined) {
     SendWithPermit(aEntry);
   } else {
-    entry.mNotBefore = Now() + aResult.mRetryDelay;
+    entry.mLimits->RecordDenied(kServer, Now() + aResult.mRetryDelay);
     mOutcome.mSentElsewhere += 1;
   }
 }
--- a/src/libmedlarkeelemulator/limitedserverfleet.h
+++ b/src/libmedlarkeelemulator/limitedserverfleet.h
@@ -129,7 +129,6 @@
     std::unique_ptr<ServerPermits> mPermits;
     /** Issues this entry's own permits, for the policies without messages. */
     PermitIssuer mOwnIssuer;
-    Timestamp mNotBefore;
     std::optional<double> mToldAtMs;
     /** What arrived while the process stood still. */
     std::vector<std::function<void()>> mDelayed;
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -136,8 +136,8 @@
     StartAttempt(aChoice);
     return;
   }
-  mForwarder.Chooser().RecordNotBefore(
-    aChoice.mProcessHash, now + aResult.mRetryDelay, now);
+  mForwarder.Limits().RecordDenied(aChoice.mProcessHash,
+                                   now + aResult.mRetryDelay);
   TryBackend();
 }
 
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -106,6 +106,7 @@
   , mStopTimer(aContext)
   , mRandom(NewIncarnation().mValue)
 {
+  mChooser.SetLimits(&mLimits);
 }
 
 void
--- a/tests/core/test_serverlimits.cpp
+++ b/tests/core/test_serverlimits.cpp
@@ -141,6 +141,23 @@
   BOOST_TEST(!limits.AllowedRate(kProcess, At(61'000)).has_value());
 }
 
+// A denial for the time until the next permit at a low limit outlived the
+// limit.
+BOOST_AUTO_TEST_CASE(ChangeOfALimitCancelsADenial)
+{
+  ServerLimits limits;
+  limits.RecordStated(kProcess, RequestRate{ 0.01 }, At(0));
+  limits.RecordDenied(kProcess, At(100'000));
+  limits.RecordStated(kProcess, RequestRate{ 0.01 }, At(100));
+  BOOST_TEST(limits.DeniedUntil(kProcess).has_value());
+  limits.RecordStated(kProcess, kOnePerSecond, At(200));
+  BOOST_TEST(!limits.DeniedUntil(kProcess).has_value());
+  limits.RecordDenied(kProcess, At(100'000));
+  limits.RecordReported({ kProcess, kOnePerSecond, true, Milliseconds(1) },
+                        At(300));
+  BOOST_TEST(!limits.DeniedUntil(kProcess).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
