Test limits in large fleets while a third of the entries fail

Random fleets of the property test have 15 entries at most, and the sizes above were played without faults. In fleets divided by zone limits and addresses travel by aggregators only. 60 entries, 5% of the messages lost, 20 entries restarted, frozen or cut off at about the same time.

--- a/tests/emulator/test_limitedserverfleet.cpp
+++ b/tests/emulator/test_limitedserverfleet.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <random>
 
 namespace medlarkeel {
 
@@ -140,6 +141,34 @@
   BOOST_TEST(isKept);
 }
 
+// Above 40 entries, limits and addresses reach other zones by aggregators only.
+BOOST_AUTO_TEST_CASE(LimitHoldsInLargeFleetsWhileEntriesFail)
+{
+  constexpr std::size_t kEntries = 60;
+  LimitedServerPlan plan = PlanFor(kEntries, 2.0);
+  plan.mLossShare = 0.05;
+  plan.mMaximumDelayMs = 10.0;
+  std::mt19937 random(1);
+  std::uniform_real_distribution<double> beginMs(8000.0, 16'000.0);
+  std::uniform_real_distribution<double> lengthMs(500.0, 5000.0);
+  for (const EntryFaultKind kind : { EntryFaultKind::Restart,
+                                     EntryFaultKind::Freeze,
+                                     EntryFaultKind::Cut }) {
+    // A third of the entries fail for up to five seconds, some together.
+    plan.mFaults.clear();
+    for (std::size_t entry = 0; entry < kEntries; entry += 3) {
+      plan.mFaults.push_back(
+        { kind, entry, beginMs(random), lengthMs(random) });
+    }
+    BOOST_TEST_CONTEXT(static_cast<int>(kind))
+    {
+      const LimitedServerOutcome outcome = Play(plan);
+      BOOST_TEST(outcome.mHighestExcessOfTold <= kAllowedExcess);
+      BOOST_TEST(outcome.Use() >= kWantedUse);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
