Name the handling of permit messages by the usual terms

Names only, and the comments beside them: HandleReply, HandleTimeout, HandlePermitResult, HandleDatagram, RecordPeerLimits; entries that received a limit are informed. What is decided and sent stays as it was.

--- a/src/libmedlarkeel/forwarding/permitissuer.cpp
+++ b/src/libmedlarkeel/forwarding/permitissuer.cpp
@@ -66,7 +66,7 @@
   }
   const Timestamp nextPermitAt =
     aNow + SecondsToMicroseconds((1.0 - bucket.mPermits) / rate);
-  // Entries are told different times, so that all of them don't ask for one
+  // Entries get different times, so that all of them don't ask for one
   // permit.
   const Microseconds interval =
     SecondsToMicroseconds(1.0 / (rate * mSettings.mAskersPerPermit));
--- a/src/libmedlarkeel/forwarding/permitissuer.h
+++ b/src/libmedlarkeel/forwarding/permitissuer.h
@@ -17,10 +17,10 @@
   double mBurst = 2.0;
   /** Time whose permits are added to the burst. */
   Milliseconds mBurstTime{ 250 };
-  /** Entries that are told to ask again per permit. With one, permits would
+  /** Entries that may ask again per permit. With one, permits would
    * lapse when such an entry has no request for the server. */
   double mAskersPerPermit = 3.0;
-  /** Maximum time until an entry is told to ask again, if there is a permit by
+  /** Maximum time until an entry may ask again, if there is a permit by
    * then. It keeps the rate in use when other entries have no more requests. */
   Milliseconds mMaximumRetryDelay{ 4000 };
   /** Time after which an entry that asked no more isn't counted. */
@@ -66,7 +66,7 @@
   {
     double mPermits = 0.0;
     Timestamp mRefilledAt;
-    /** Time for which the last entry was told to ask again. */
+    /** Time from which the last denied entry may ask again. */
     Timestamp mNextAskAt;
     std::unordered_map<std::string, Timestamp> mRequesters;
   };
--- a/src/libmedlarkeel/forwarding/serverpermits.cpp
+++ b/src/libmedlarkeel/forwarding/serverpermits.cpp
@@ -112,9 +112,9 @@
 }
 
 std::optional<PermitResult>
-ServerPermits::TakeReply(const std::string& aSender,
-                         const PermitReply& aReply,
-                         Timestamp aNow)
+ServerPermits::HandleReply(const std::string& aSender,
+                           const PermitReply& aReply,
+                           Timestamp aNow)
 {
   const auto pending = mPending.find(aReply.mId);
   const bool isExpected =
@@ -136,7 +136,7 @@
 }
 
 std::optional<PermitResult>
-ServerPermits::TakeTimeout(std::uint64_t aId, Timestamp aNow)
+ServerPermits::HandleTimeout(std::uint64_t aId, Timestamp aNow)
 {
   const auto pending = mPending.find(aId);
   if (pending == mPending.end()) {
--- a/src/libmedlarkeel/forwarding/serverpermits.h
+++ b/src/libmedlarkeel/forwarding/serverpermits.h
@@ -116,13 +116,13 @@
 
   /** @return The result of the request that is replied to; nothing if it isn't
    * waiting any more. */
-  std::optional<PermitResult> TakeReply(const std::string& aSender,
-                                        const PermitReply& aReply,
-                                        Timestamp aNow);
+  std::optional<PermitResult> HandleReply(const std::string& aSender,
+                                          const PermitReply& aReply,
+                                          Timestamp aNow);
 
   /** @return The result of a request whose reply didn't come in time; nothing
    * if it isn't waiting any more. */
-  std::optional<PermitResult> TakeTimeout(std::uint64_t aId, Timestamp aNow);
+  std::optional<PermitResult> HandleTimeout(std::uint64_t aId, Timestamp aNow);
 
   /** Records that a report of an entry was received. */
   void RecordReport(const std::string& aAddress, Timestamp aNow);
--- a/src/libmedlarkeelemulator/limitedserverfleet.cpp
+++ b/src/libmedlarkeelemulator/limitedserverfleet.cpp
@@ -24,8 +24,8 @@
 /** Time from the first statement of a limit until it binds. */
 constexpr double kContactMs = 3000.0;
 
-/** Time after which an entry that was told counts. */
-constexpr double kToldMs = 500.0;
+/** Time after which an entry that knows the limit counts. */
+constexpr double kInformedMs = 500.0;
 
 constexpr double kWindowMs = 4000.0;
 
@@ -109,7 +109,7 @@
   Entry& entry = mEntries[aEntry];
   entry.mLife += 1;
   entry.mIsRunning = true;
-  entry.mToldAtMs.reset();
+  entry.mInformedAtMs.reset();
   entry.mOwnIssuer = PermitIssuer();
   std::vector<std::string> known = mSeeds;
   if (aKnowsAll) {
@@ -268,7 +268,7 @@
     entry.mLimits->AllowedRate(kServer, Now()).value_or(RequestRate());
   const PermitDecision decision = entry.mOwnIssuer.Decide(
     kServer, RequestRate{ limit.mPerSecond * aShare }, Now());
-  TakePermit(
+  HandlePermitResult(
     aEntry,
     { decision.mIsGranted ? PermitOutcome::Granted : PermitOutcome::Denied,
       decision.mRetryDelay,
@@ -281,7 +281,7 @@
   Entry& entry = mEntries[aEntry];
   const PermitAttempt attempt = entry.mPermits->Request(kServer, Now());
   if (attempt.mResult) {
-    TakePermit(aEntry, *attempt.mResult);
+    HandlePermitResult(aEntry, *attempt.mResult);
     return;
   }
   const PermitRequest request = attempt.mRequest;
@@ -290,9 +290,9 @@
           static_cast<double>(ServerPermitSettings().mReplyTimeout.count()),
         [this, aEntry, request]() {
           const auto result =
-            mEntries[aEntry].mPermits->TakeTimeout(request.mId, Now());
+            mEntries[aEntry].mPermits->HandleTimeout(request.mId, Now());
           if (result) {
-            TakePermit(aEntry, *result);
+            HandlePermitResult(aEntry, *result);
           }
         });
   mOutcome.mPermitMessages += 1;
@@ -306,16 +306,17 @@
             mEntries[aEntry].mAddress,
             [this, aEntry, issuer, reply](Entry& aRequester) {
               const auto result =
-                aRequester.mPermits->TakeReply(issuer, reply, Now());
+                aRequester.mPermits->HandleReply(issuer, reply, Now());
               if (result) {
-                TakePermit(aEntry, *result);
+                HandlePermitResult(aEntry, *result);
               }
             });
   });
 }
 
 void
-LimitedServerFleet::TakePermit(std::size_t aEntry, const PermitResult& aResult)
+LimitedServerFleet::HandlePermitResult(std::size_t aEntry,
+                                       const PermitResult& aResult)
 {
   Entry& entry = mEntries[aEntry];
   if (aResult.mOutcome == PermitOutcome::Granted) {
@@ -345,9 +346,9 @@
 {
   const Timestamp sentAt = Now();
   const double arrivesAtMs = mNowMs + Delay();
-  const std::optional<double> toldAtMs = mEntries[aEntry].mToldAtMs;
+  const std::optional<double> informedAtMs = mEntries[aEntry].mInformedAtMs;
   mArrivals.push_back(
-    { arrivesAtMs, toldAtMs && *toldAtMs + kToldMs <= mNowMs });
+    { arrivesAtMs, informedAtMs && *informedAtMs + kInformedMs <= mNowMs });
   const std::optional<RequestRate> limit = StatedRate(arrivesAtMs + kWorkMs);
   RunAt(aEntry,
         arrivesAtMs + kWorkMs + Delay(),
@@ -365,8 +366,8 @@
     return;
   }
   entry.mLimits->RecordStated(kServer, *aLimit, Now());
-  if (!entry.mToldAtMs) {
-    entry.mToldAtMs = mNowMs;
+  if (!entry.mInformedAtMs) {
+    entry.mInformedAtMs = mNowMs;
   }
 }
 
@@ -429,14 +430,14 @@
 }
 
 double
-LimitedServerFleet::HighestExcess(bool aOfToldOnly) const
+LimitedServerFleet::HighestExcess(bool aOfInformedOnly) const
 {
   /** Requests beyond the limit that each window may have. */
   constexpr double kAllowedBeyond = 5.0;
   double highest = 0.0;
   std::vector<double> times;
   for (const Arrival& arrival : mArrivals) {
-    if (arrival.mIsOfTold || !aOfToldOnly) {
+    if (arrival.mIsOfInformed || !aOfInformedOnly) {
       times.push_back(arrival.mAtMs);
     }
   }
@@ -474,7 +475,7 @@
       return BindingRate(aArrival.mAtMs) > 0.0;
     }));
   outcome.mHighestExcess = HighestExcess(false);
-  outcome.mHighestExcessOfTold = HighestExcess(true);
+  outcome.mHighestExcessOfInformed = HighestExcess(true);
   return outcome;
 }
 
--- a/src/libmedlarkeelemulator/limitedserverfleet.h
+++ b/src/libmedlarkeelemulator/limitedserverfleet.h
@@ -84,9 +84,9 @@
   /** Maximum of the requests in 4 s, less 5, divided by the requests that the
    * limit allows in that time. */
   double mHighestExcess = 0.0;
-  /** The same of entries that an answer had told the limit half a second
-   * before they sent the request. */
-  double mHighestExcessOfTold = 0.0;
+  /** The same of entries that had received an answer with the limit half a
+   * second before they sent the request. */
+  double mHighestExcessOfInformed = 0.0;
   /** Requests that the entries couldn't send to the server. */
   std::size_t mSentElsewhere = 0;
   std::size_t mPermitMessages = 0;
@@ -129,7 +129,7 @@
     std::unique_ptr<ServerPermits> mPermits;
     /** Issues this entry's own permits, for the policies without messages. */
     PermitIssuer mOwnIssuer;
-    std::optional<double> mToldAtMs;
+    std::optional<double> mInformedAtMs;
     /** What arrived while the process stood still. */
     std::vector<std::function<void()>> mDelayed;
   };
@@ -138,8 +138,8 @@
   struct Arrival
   {
     double mAtMs = 0.0;
-    /** Whether an answer had told its entry the limit. */
-    bool mIsOfTold = false;
+    /** Whether its entry had received an answer with the limit. */
+    bool mIsOfInformed = false;
   };
 
   struct Task
@@ -164,7 +164,7 @@
   void SendWithinWholeLimit(std::size_t aEntry);
   void SendWithinEqualShare(std::size_t aEntry);
   void SendWithin(std::size_t aEntry, double aShare);
-  void TakePermit(std::size_t aEntry, const PermitResult& aResult);
+  void HandlePermitResult(std::size_t aEntry, const PermitResult& aResult);
   void Send(std::size_t aEntry);
   void TakeAnswer(std::size_t aEntry,
                   std::optional<RequestRate> aLimit,
@@ -180,7 +180,7 @@
   std::optional<RequestRate> StatedRate(double aAtMs) const;
   LimitedServerOutcome Outcome() const;
   /** @return The highest excess in any window; see LimitedServerOutcome. */
-  double HighestExcess(bool aOfToldOnly) const;
+  double HighestExcess(bool aOfInformedOnly) const;
   /** @return The limit at a time if it binds, else 0. */
   double BindingRate(double aAtMs) const;
 
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -79,7 +79,8 @@
   /** Requests a permit for a server that limits its requests. Without one, the
    * request goes to another server or is refused. */
   void RequestPermit(const BackendChoice& aChoice);
-  void TakePermit(const BackendChoice& aChoice, const PermitResult& aResult);
+  void HandlePermitResult(const BackendChoice& aChoice,
+                          const PermitResult& aResult);
   void StartAttempt(const BackendChoice& aChoice);
   /** @return Whether the request may be sent; it is refused if not. */
   bool IsAdmitted(const BackendChoice& aChoice);
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -106,13 +106,14 @@
     aChoice.mProcessHash,
     [self = shared_from_this(), aChoice](const PermitResult& aResult) {
       if (!self->mIsDone) {
-        self->TakePermit(aChoice, aResult);
+        self->HandlePermitResult(aChoice, aResult);
       }
     });
 }
 
 void
-Exchange::TakePermit(const BackendChoice& aChoice, const PermitResult& aResult)
+Exchange::HandlePermitResult(const BackendChoice& aChoice,
+                             const PermitResult& aResult)
 {
   const Timestamp now = BootNow();
   mForwarder.Log().Write(Event::PermitDecided,
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -90,7 +90,7 @@
       [this](PeerReport& aReport) { FillReport(aReport); },
       [this](const PeerReport& aReport) { TakeReport(aReport); },
       [this](const std::string& aSender, const PermitMessage& aMessage) {
-        mPermits.TakeMessage(aSender, aMessage);
+        mPermits.HandleMessage(aSender, aMessage);
       })
   , mPermits(aContext,
              aSettings.mPeers.mAddress,
@@ -277,7 +277,7 @@
     mChooser.RecordPeerSentParts(aReport.mSum->mSent, now);
   }
   mPermits.RecordReport(aReport.mAddress);
-  TakeLimits(aReport);
+  RecordPeerLimits(aReport);
   mFollower.Backends().RecordShuttingDownByPeer(aReport.mShuttingDownProcesses,
                                                 now);
   if (!aReport.mRecentDelta) {
@@ -291,7 +291,7 @@
 }
 
 void
-Forwarder::TakeLimits(const PeerReport& aReport)
+Forwarder::RecordPeerLimits(const PeerReport& aReport)
 {
   const Timestamp now = BootNow();
   for (const ReportedLimit& limit : aReport.mLimits) {
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -108,7 +108,7 @@
   void TakeChanges(const DirectoryResult& aResult);
   void TakeAnswer(const DirectoryResult& aResult, const FollowerUpdate& aNews);
   void TakeReport(const PeerReport& aReport);
-  void TakeLimits(const PeerReport& aReport);
+  void RecordPeerLimits(const PeerReport& aReport);
   void FillReport(PeerReport& aReport);
   void TakeNews(const FollowerUpdate& aNews);
   void EndIfDone();
--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -19,7 +19,8 @@
   EventLog& aLog,
   std::function<void(PeerReport&)> aFill,
   std::function<void(const PeerReport&)> aTake,
-  std::function<void(const std::string&, const PermitMessage&)> aTakePermit)
+  std::function<void(const std::string&, const PermitMessage&)>
+    aHandlePermitMessage)
   : mSocket(
       aContext,
       udp::endpoint(boost::asio::ip::make_address(aOwn.mAddress), aOwn.mPort))
@@ -30,7 +31,7 @@
   , mLog(aLog)
   , mFill(std::move(aFill))
   , mTake(std::move(aTake))
-  , mTakePermit(std::move(aTakePermit))
+  , mHandlePermitMessage(std::move(aHandlePermitMessage))
   , mSequence(NewIncarnation().mValue)
 {
   mSocket.non_blocking(true);
@@ -54,19 +55,19 @@
         return;
       }
       if (!aError) {
-        TakeBytes(std::string_view(mBuffer.data(), aSize),
-                  mSender.address().to_string());
+        HandleDatagram(std::string_view(mBuffer.data(), aSize),
+                       mSender.address().to_string());
       }
       Receive();
     });
 }
 
 void
-PeerChannel::TakeBytes(std::string_view aBytes, const std::string& aSender)
+PeerChannel::HandleDatagram(std::string_view aBytes, const std::string& aSender)
 {
   if (IsPermitMessage(aBytes)) {
     if (const auto message = DecodePermitMessage(aBytes)) {
-      mTakePermit(aSender, *message);
+      mHandlePermitMessage(aSender, *message);
     } else {
       RecordUnreadable(aSender);
     }
--- a/src/libmedlarkeelforward/peerchannel.h
+++ b/src/libmedlarkeelforward/peerchannel.h
@@ -29,17 +29,18 @@
    * @param aOwn Where reports arrive; the port is the same at all entries.
    * @param aFill Adds what this entry does to a report.
    * @param aTake Gets each new report.
-   * @param aTakePermit Gets each permit message with its sender's IP address.
+   * @param aHandlePermitMessage Gets each permit message with its sender's IP
+   * address.
    */
-  PeerChannel(
-    boost::asio::io_context& aContext,
-    const Endpoint& aOwn,
-    PeerView& aView,
-    ForwardCounters& aCounters,
-    EventLog& aLog,
-    std::function<void(PeerReport&)> aFill,
-    std::function<void(const PeerReport&)> aTake,
-    std::function<void(const std::string&, const PermitMessage&)> aTakePermit);
+  PeerChannel(boost::asio::io_context& aContext,
+              const Endpoint& aOwn,
+              PeerView& aView,
+              ForwardCounters& aCounters,
+              EventLog& aLog,
+              std::function<void(PeerReport&)> aFill,
+              std::function<void(const PeerReport&)> aTake,
+              std::function<void(const std::string&, const PermitMessage&)>
+                aHandlePermitMessage);
 
   void Start();
 
@@ -53,7 +54,7 @@
 private:
   void Receive();
   void Send();
-  void TakeBytes(std::string_view aBytes, const std::string& aSender);
+  void HandleDatagram(std::string_view aBytes, const std::string& aSender);
   void RecordUnreadable(const std::string& aSender);
   /** Logs the first lost report within a while. */
   void RecordLost(const char* aCause, const std::string& aPeer);
@@ -68,7 +69,8 @@
   EventLog& mLog;
   std::function<void(PeerReport&)> mFill;
   std::function<void(const PeerReport&)> mTake;
-  std::function<void(const std::string&, const PermitMessage&)> mTakePermit;
+  std::function<void(const std::string&, const PermitMessage&)>
+    mHandlePermitMessage;
   std::uint64_t mSequence;
   Timestamp mSentAt;
   /** When the last loss was logged. */
--- a/src/libmedlarkeelforward/permitclient.cpp
+++ b/src/libmedlarkeelforward/permitclient.cpp
@@ -42,7 +42,7 @@
     if (aError) {
       return;
     }
-    if (const auto result = mPermits.TakeTimeout(id, BootNow())) {
+    if (const auto result = mPermits.HandleTimeout(id, BootNow())) {
       Finish(id, *result);
     }
   });
@@ -51,8 +51,8 @@
 }
 
 void
-PermitClient::TakeMessage(const std::string& aSender,
-                          const PermitMessage& aMessage)
+PermitClient::HandleMessage(const std::string& aSender,
+                            const PermitMessage& aMessage)
 {
   const Timestamp now = BootNow();
   if (const auto* request = std::get_if<PermitRequest>(&aMessage)) {
@@ -63,7 +63,7 @@
     return;
   }
   const PermitReply& reply = std::get<PermitReply>(aMessage);
-  if (const auto result = mPermits.TakeReply(aSender, reply, now)) {
+  if (const auto result = mPermits.HandleReply(aSender, reply, now)) {
     Finish(reply.mId, *result);
   }
 }
--- a/src/libmedlarkeelforward/permitclient.h
+++ b/src/libmedlarkeelforward/permitclient.h
@@ -40,7 +40,7 @@
   void Request(ProcessHash aProcess, Handler aHandler);
 
   /** Handles a message from another entry. */
-  void TakeMessage(const std::string& aSender, const PermitMessage& aMessage);
+  void HandleMessage(const std::string& aSender, const PermitMessage& aMessage);
 
   /** Records that a report of another entry was received. */
   void RecordReport(const std::string& aAddress);
--- a/tests/core/test_serverpermits.cpp
+++ b/tests/core/test_serverpermits.cpp
@@ -114,12 +114,14 @@
   const PermitReply reply =
     issuer.mPermits->Answer(other.mAddress, attempt.mRequest, entries.mNow);
   const auto result =
-    other.mPermits->TakeReply(issuer.mAddress, reply, entries.mNow);
+    other.mPermits->HandleReply(issuer.mAddress, reply, entries.mNow);
   BOOST_REQUIRE(result.has_value());
   BOOST_TEST((result->mOutcome == PermitOutcome::Granted));
   // A copy of the reply, and the timeout, change nothing.
-  BOOST_TEST(!other.mPermits->TakeReply(issuer.mAddress, reply, entries.mNow));
-  BOOST_TEST(!other.mPermits->TakeTimeout(attempt.mRequest.mId, entries.mNow));
+  BOOST_TEST(
+    !other.mPermits->HandleReply(issuer.mAddress, reply, entries.mNow));
+  BOOST_TEST(
+    !other.mPermits->HandleTimeout(attempt.mRequest.mId, entries.mNow));
 }
 
 BOOST_AUTO_TEST_CASE(ReplyOfAnotherEntryIsIgnored)
@@ -131,7 +133,7 @@
                             PermitOutcome::Granted,
                             Milliseconds(0),
                             attempt.mRequest.mLimit };
-  BOOST_TEST(!other.mPermits->TakeReply("10.0.0.99", forged, entries.mNow));
+  BOOST_TEST(!other.mPermits->HandleReply("10.0.0.99", forged, entries.mNow));
 }
 
 BOOST_AUTO_TEST_CASE(SilentIssuerIsReplacedByTheNextInRank)
@@ -145,7 +147,7 @@
       other.mPermits->Request(kServer, entries.mNow);
     BOOST_TEST(attempt.mIssuer == silent.mAddress);
     const auto result =
-      other.mPermits->TakeTimeout(attempt.mRequest.mId, entries.mNow);
+      other.mPermits->HandleTimeout(attempt.mRequest.mId, entries.mNow);
     BOOST_TEST((result->mOutcome == PermitOutcome::TimedOut));
   }
   BOOST_TEST(other.mPermits->Request(kServer, entries.mNow).mIssuer !=
@@ -168,7 +170,7 @@
     const PermitAttempt attempt =
       other.mPermits->Request(kServer, entries.mNow);
     BOOST_TEST(attempt.mIssuer == issuer.mAddress);
-    other.mPermits->TakeTimeout(attempt.mRequest.mId, entries.mNow);
+    other.mPermits->HandleTimeout(attempt.mRequest.mId, entries.mNow);
   }
 }
 
--- a/tests/emulator/test_limitedserverfleet.cpp
+++ b/tests/emulator/test_limitedserverfleet.cpp
@@ -103,7 +103,7 @@
       const LimitedServerOutcome outcome = Play(plan);
       BOOST_TEST_CONTEXT(static_cast<int>(kind) << " at entry " << entry)
       {
-        BOOST_TEST(outcome.mHighestExcessOfTold <= kAllowedExcess);
+        BOOST_TEST(outcome.mHighestExcessOfInformed <= kAllowedExcess);
         BOOST_TEST(outcome.Use() >= kWantedUse);
       }
     }
@@ -113,7 +113,7 @@
 BOOST_AUTO_TEST_CASE(LimitHoldsInRandomFleets)
 {
   const bool isKept =
-    rc::check("requests of entries that were told stay within the limit", []() {
+    rc::check("requests of informed entries stay within the limit", []() {
       LimitedServerPlan plan;
       plan.mEntries = *rc::gen::inRange<std::size_t>(1, 16);
       plan.mZones = *rc::gen::inRange<std::size_t>(1, 6);
@@ -136,7 +136,7 @@
       }
       const LimitedServerOutcome outcome =
         Play(plan, LimitPolicy::Permits, *rc::gen::inRange(1, 1'000'000));
-      RC_ASSERT(outcome.mHighestExcessOfTold <= kAllowedExcess);
+      RC_ASSERT(outcome.mHighestExcessOfInformed <= kAllowedExcess);
     });
   BOOST_TEST(isKept);
 }
@@ -163,7 +163,7 @@
     BOOST_TEST_CONTEXT(static_cast<int>(kind))
     {
       const LimitedServerOutcome outcome = Play(plan);
-      BOOST_TEST(outcome.mHighestExcessOfTold <= kAllowedExcess);
+      BOOST_TEST(outcome.mHighestExcessOfInformed <= kAllowedExcess);
       BOOST_TEST(outcome.Use() >= kWantedUse);
     }
   }
