Log tiers and load of each decision on admission

The logs had the tier of refused requests only, as one number, and no load for requests that were sent. So it couldn't be told from them whether entries saw different loads at the same time, why, and whether requests of different routes had the same tier.

The lines at the end of a request and of a refusal (401 to 404, 406) have the tiers of route and team, the load and the prefill rate that the entry had estimated; 406 also splits the load into slots and backlog and says whether the request is a retry. Two gauges show load and rate by pool.

--- a/src/libmedlarkeel/forwarding/admissioncontrol.cpp
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.cpp
@@ -111,6 +111,9 @@
   AdmissionDecision decision;
   const RelativeLoads loads = RelativeLoadsFor(aPool, aRequest.mChoice);
   decision.mLoad = loads.Highest();
+  decision.mSlotLoad = loads.mSlotLoad;
+  decision.mBacklogLoad = loads.mBacklogLoad;
+  decision.mTokensPerMs = mPrefillRate.TokensPerMs();
   decision.mExpectedFirstEventTime =
     mPrefillRate.PrefillTime(aRequest.mChoice.TokensBeforeFirstEvent());
   const RefusalRamp ramp = RefusalRampFor(aPool, aRequest);
--- a/src/libmedlarkeel/forwarding/admissioncontrol.h
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.h
@@ -63,8 +63,17 @@
 struct AdmissionDecision
 {
   AdmissionVerdict mVerdict = AdmissionVerdict::Admitted;
-  /** Load that the decision is based on; 1 is the capacity. */
+  /** Load that the decision is based on, the higher one of the two parts below;
+   * 1 is the capacity. */
   double mLoad = 0.0;
+  /** Share of the slots that are in use. */
+  double mSlotLoad = 0.0;
+  /** Prefill time of the backlog, as a multiple of the time that it may take.
+   */
+  double mBacklogLoad = 0.0;
+  /** Prefill rate that the backlog's time is estimated with, in prompt tokens
+   * per millisecond. */
+  double mTokensPerMs = 0.0;
   /** Expected time from sending the request to its first event. */
   Milliseconds mExpectedFirstEventTime{ 0 };
   /** Time after which a refused request should be retried. */
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -347,6 +347,9 @@
     fields["cold"] = mLastChoice->mIsCold;
     fields["otherZone"] = mLastChoice->mIsOtherZone;
   }
+  if (mAdmission) {
+    AddAdmissionFields(fields);
+  }
   mForwarder.Log().Write(aEvent, fields);
 }
 
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -85,6 +85,8 @@
   /** @return Whether the request may be sent; it is refused if not. */
   bool IsAdmitted(const BackendChoice& aChoice);
   TierRank Tier() const;
+  /** Adds the tiers of the request and the load at its admission. */
+  void AddAdmissionFields(EventFields& aFields) const;
   void SendRequest(const AttemptPointer& aAttempt);
   std::string RequestText(const Attempt& aAttempt) const;
   void ReadAnswer(const AttemptPointer& aAttempt);
@@ -144,6 +146,8 @@
   std::optional<BackendChoice> mLastChoice;
   /** Decides on partial refusals; the same for each choice of a server. */
   std::optional<double> mRefusalSample;
+  /** The last decision on admission; nothing if none was needed. */
+  std::optional<AdmissionDecision> mAdmission;
   /** When a refused caller should come back, if that is known. */
   std::optional<Milliseconds> mRetryDelay;
   /** Whether the head of the answer has been passed on. */
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -149,6 +149,17 @@
                           : mRoute->mTier;
 }
 
+void
+Exchange::AddAdmissionFields(EventFields& aFields) const
+{
+  aFields["routeTier"] = mRoute->mTier.mValue;
+  if (mTeam != nullptr && mTeam->mTier) {
+    aFields["teamTier"] = mTeam->mTier->mValue;
+  }
+  aFields["loadPercent"] = Percent(mAdmission->mLoad);
+  aFields["prefillTokensPerMs"] = std::llround(mAdmission->mTokensPerMs);
+}
+
 bool
 Exchange::IsAdmitted(const BackendChoice& aChoice)
 {
@@ -172,19 +183,27 @@
   request.mJitterSample = mForwarder.Random();
   const AdmissionDecision decision =
     mForwarder.Admission(mPool->mName).Decide(*mPool, request);
+  mAdmission = decision;
+  mForwarder.Counters().mPoolLoads[mPool->mName.Text()] = {
+    decision.mLoad, decision.mTokensPerMs
+  };
   if (decision.mVerdict == AdmissionVerdict::Admitted) {
     return true;
   }
   mForwarder.Counters().mRefusedOverloaded += 1;
-  mForwarder.Log().Write(
-    Event::RequestTurnedAway,
-    { { "request", mRequestId },
-      { "reason", AdmissionVerdictText(decision.mVerdict) },
-      { "tier", request.mTier.mValue },
-      { "loadPercent", Percent(decision.mLoad) },
-      { "expectedMs", decision.mExpectedFirstEventTime.count() },
-      { "patienceMs", request.mFirstEventTimeout.count() },
-      { "returnAfterMs", decision.mRetryDelay.count() } });
+  EventFields fields{ { "request", mRequestId },
+                      { "reason", AdmissionVerdictText(decision.mVerdict) },
+                      { "tier", request.mTier.mValue },
+                      { "retry", request.mIsRetry },
+                      { "shortPrompt", aChoice.mIsShortPrompt },
+                      { "slotLoadPercent", Percent(decision.mSlotLoad) },
+                      { "backlogLoadPercent", Percent(decision.mBacklogLoad) },
+                      { "expectedMs",
+                        decision.mExpectedFirstEventTime.count() },
+                      { "patienceMs", request.mFirstEventTimeout.count() },
+                      { "returnAfterMs", decision.mRetryDelay.count() } };
+  AddAdmissionFields(fields);
+  mForwarder.Log().Write(Event::RequestTurnedAway, fields);
   mRetryDelay = decision.mRetryDelay;
   Refuse(kUnavailable, AdmissionVerdictText(decision.mVerdict));
   return false;
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -88,6 +88,11 @@
   }
   AppendLine(
     text, "log_lines_dropped_total", static_cast<double>(aDroppedLogLines));
+  for (const auto& [pool, gauge] : aCounters.mPoolLoads) {
+    const std::string label = "{pool=\"" + pool + "\"}";
+    AppendLine(text, "admission_load" + label, gauge.mLoad);
+    AppendLine(text, "prefill_tokens_per_ms" + label, gauge.mTokensPerMs);
+  }
   aCounters.mFirstByte.Append(text, "first_byte_ms");
   aCounters.mWhole.Append(text, "whole_answer_ms");
   return text;
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace medlarkeel {
@@ -25,6 +26,15 @@
   double mSum = 0.0;
 };
 
+/** The load of a pool's backend servers as an entry last estimated it. */
+struct PoolLoadGauge
+{
+  /** 1 is the capacity. */
+  double mLoad = 0.0;
+  /** Prefill rate of a server, in prompt tokens per millisecond. */
+  double mTokensPerMs = 0.0;
+};
+
 /** What an entry has counted since its start. */
 struct ForwardCounters
 {
@@ -64,6 +74,8 @@
   std::uint64_t mPeerReportsUnreadable = 0;
   LatencyHistogram mFirstByte;
   LatencyHistogram mWhole;
+  /** At the last decision on admission, by the name of the pool. */
+  std::map<std::string, PoolLoadGauge> mPoolLoads;
 };
 
 /**
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -46,11 +46,15 @@
   ForwardCounters counters;
   counters.mRequests = 3;
   counters.mFirstByte.Record(7.0);
+  counters.mPoolLoads["pool"] = { 0.5, 64.0 };
   const std::string text = RenderForwardCounters(counters, 2);
   BOOST_TEST(text.find("medlarkeel_forward_requests_total 3") !=
              std::string::npos);
   BOOST_TEST(text.find("medlarkeel_forward_log_lines_dropped_total 2") !=
              std::string::npos);
+  BOOST_TEST(
+    text.find("medlarkeel_forward_admission_load{pool=\"pool\"} 0.5") !=
+    std::string::npos);
   BOOST_TEST(
     text.find("medlarkeel_forward_first_byte_ms_bucket{le=\"10\"} 1") !=
     std::string::npos);
