Reproduce the broken order by urgency in virtual time

The emulated fleet now has teams with tiers, entries that restart, and a record of every request.

The tier of a request moved to the core (TierOf), so that emulator and forwarder use the same decision; nothing else is decided differently.

--- a/src/libmedlarkeel/forwarding/forwardingdocument.cpp
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.cpp
@@ -20,6 +20,12 @@
   return std::min(firstEventTimeout, mTimeout);
 }
 
+TierRank
+TierOf(const ForwardTeam* aTeam, const ForwardRoute& aRoute)
+{
+  return aTeam != nullptr ? aTeam->mTier.value_or(aRoute.mTier) : aRoute.mTier;
+}
+
 void
 ForwardingDocument::DerivePoolValues()
 {
--- a/src/libmedlarkeel/forwarding/forwardingdocument.h
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.h
@@ -104,6 +104,13 @@
   std::optional<TierRank> mTier;
 };
 
+/**
+ * @param aTeam Team that the request belongs to, or null.
+ * @return The tier of a request.
+ */
+TierRank
+TierOf(const ForwardTeam* aTeam, const ForwardRoute& aRoute);
+
 /** One version of the forwarding settings. Immutable once in use. */
 struct ForwardingDocument
 {
--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -14,6 +14,11 @@
 /** Start of entries that know all others. */
 const Timestamp kEntriesStarted{ Seconds(900) };
 
+/** Time after a restart within which the requests of an entry are excused. */
+constexpr double kContactMs = 3000.0;
+
+constexpr double kMillisecondsPerSecond = 1000.0;
+
 /** Way between an entry and a server, in one direction. */
 constexpr double kLinkMs = 1.0;
 
@@ -25,6 +30,12 @@
     static_cast<std::int64_t>(aMilliseconds * kMicrosecondsPerMillisecond));
 }
 
+Milliseconds
+MillisecondsOf(double aMilliseconds)
+{
+  return Milliseconds(static_cast<std::int64_t>(aMilliseconds));
+}
+
 } // namespace
 
 double
@@ -57,38 +68,17 @@
                              const FleetPolicy& aPolicy,
                              std::uint64_t aSeed)
   : mPlan(aPlan)
+  , mPolicy(aPolicy)
+  , mSeed(aSeed)
   , mRandom(aSeed)
   , mArrivals(Arrivals(aPlan, aSeed))
   , mProgress(mArrivals.size())
+  , mEntries(aPlan.mEntries)
 {
   mOutcome.mClasses.resize(aPlan.mClasses.size());
-  for (const LoadClass& loadClass : aPlan.mClasses) {
-    mPool.mTiers.push_back(TierRank{ loadClass.mRank });
-    mPool.mMaximumLatencyTarget =
-      std::max(mPool.mMaximumLatencyTarget,
-               Milliseconds(static_cast<std::int64_t>(loadClass.mTargetMs)));
-  }
-  std::sort(mPool.mTiers.begin(), mPool.mTiers.end());
-  mPool.mTiers.erase(std::unique(mPool.mTiers.begin(), mPool.mTiers.end()),
-                     mPool.mTiers.end());
-  std::vector<std::string> addresses;
+  MakeDocument();
   for (std::size_t i = 0; i < aPlan.mEntries; ++i) {
-    addresses.push_back("10.0.0." + std::to_string(i + 1));
-  }
-  for (std::size_t i = 0; i < aPlan.mEntries; ++i) {
-    Entry entry;
-    entry.mAddress = addresses[i];
-    entry.mChooser = std::make_unique<BackendChooser>(
-      aPolicy.mChooser,
-      ZoneName("zone-" + std::to_string(i % aPlan.mZones)),
-      aSeed + i);
-    entry.mPeers = std::make_unique<PeerView>(
-      PeerSettings(), addresses[i], addresses, kEntriesStarted);
-    if (aPolicy.mAdmission) {
-      entry.mAdmission =
-        std::make_unique<AdmissionControl>(*aPolicy.mAdmission);
-    }
-    mEntries.push_back(std::move(entry));
+    Initialize(i, kEntriesStarted);
   }
   mServers.resize(aPlan.mServers);
   for (std::size_t i = 0; i < aPlan.mServers; ++i) {
@@ -103,6 +93,79 @@
   }
 }
 
+void
+EmulatedFleet::MakeDocument()
+{
+  const PoolName poolName("pool");
+  for (const LoadClass& loadClass : mPlan.mClasses) {
+    ForwardRoute route;
+    route.mName = loadClass.mName;
+    route.mTier = TierRank{ loadClass.mRank };
+    route.mTimeout = MillisecondsOf(loadClass.mLimitMs);
+    route.mLatencyTarget = MillisecondsOf(loadClass.mTargetMs);
+    route.mEventGapTarget = MillisecondsOf(loadClass.mPauseMs);
+    route.mPools = { { poolName, 1 } };
+    mDocument.mRoutes.push_back(std::move(route));
+  }
+  for (std::size_t i = 0; i < mPlan.mTeamRanks.size(); ++i) {
+    mDocument.mTeams.push_back({ TeamName("team-" + std::to_string(i)),
+                                 TierRank{ mPlan.mTeamRanks[i] } });
+  }
+  ForwardPool& pool = mDocument.mPools[poolName];
+  pool.mName = poolName;
+  pool.mIsModel = true;
+  mDocument.DerivePoolValues();
+  mPool = &pool;
+}
+
+const ForwardTeam*
+EmulatedFleet::TeamOf(const PlannedRequest& aPlanned) const
+{
+  return aPlanned.mTeam ? &mDocument.mTeams[*aPlanned.mTeam] : nullptr;
+}
+
+void
+EmulatedFleet::Initialize(std::size_t aEntry, Timestamp aStartedAt)
+{
+  std::vector<std::string> addresses;
+  for (std::size_t i = 0; i < mPlan.mEntries; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i + 1));
+  }
+  Entry& entry = mEntries[aEntry];
+  entry.mAddress = addresses[aEntry];
+  entry.mChooser = std::make_unique<BackendChooser>(
+    mPolicy.mChooser,
+    ZoneName("zone-" + std::to_string(aEntry % mPlan.mZones)),
+    mSeed + aEntry);
+  entry.mPeers = std::make_unique<PeerView>(
+    PeerSettings(), addresses[aEntry], addresses, aStartedAt);
+  if (mPolicy.mAdmission) {
+    entry.mAdmission = std::make_unique<AdmissionControl>(*mPolicy.mAdmission);
+  }
+}
+
+void
+EmulatedFleet::Restart(std::size_t aEntry)
+{
+  for (std::size_t i = 0; i < mProgress.size(); ++i) {
+    const bool isInProgress =
+      mArrivals[i].mEntry == aEntry && mProgress[i].mSentMs >= 0.0;
+    if (isInProgress && !mProgress[i].mIsOver) {
+      mProgress[i].mIsExcused = true;
+      GiveUp(i);
+    }
+  }
+  mEntries[aEntry].mRestartedMs = mNowMs;
+  Initialize(aEntry, Now());
+}
+
+bool
+EmulatedFleet::IsOutOfTouch(const Entry& aEntry) const
+{
+  return aEntry.mRestartedMs >= 0.0 &&
+         mNowMs - aEntry.mRestartedMs < kContactMs;
+}
+
 Timestamp
 EmulatedFleet::Now() const
 {
@@ -122,6 +185,10 @@
     const std::size_t number = planned.mRequest.mNumber;
     At(planned.mAtMs, [this, number]() { Arrive(number); });
   }
+  for (const EntryRestart& restart : mPlan.mRestarts) {
+    At(restart.mAtSeconds * kMillisecondsPerSecond,
+       [this, entry = restart.mEntry]() { Restart(entry); });
+  }
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
     // Entries start at different times, so they don't report at once.
     At(static_cast<double>(i), [this, i]() { Exchange(i); });
@@ -153,9 +220,34 @@
     mOutcome.mReadInVain += server.mEngine->TokensReadInVain();
   }
   mOutcome.mReadAgain = read > needed ? read - needed : 0;
+  for (std::size_t i = 0; i < mArrivals.size(); ++i) {
+    mOutcome.mRequests.push_back(OutcomeOf(i));
+  }
   return mOutcome;
 }
 
+RequestOutcome
+EmulatedFleet::OutcomeOf(std::size_t aNumber) const
+{
+  const PlannedRequest& planned = mArrivals[aNumber];
+  const Progress& progress = mProgress[aNumber];
+  const ForwardTeam* team = TeamOf(planned);
+  const TierRank routeTier = mDocument.mRoutes[planned.mClass].mTier;
+  RequestOutcome outcome;
+  outcome.mArrivedMs = planned.mAtMs;
+  outcome.mClass = planned.mClass;
+  outcome.mTiers = { team != nullptr ? team->mTier.value_or(routeTier)
+                                     : routeTier,
+                     routeTier };
+  outcome.mPromptTokens = planned.mRequest.mPrompt.mPromptTokens;
+  if (progress.mFirstMs >= 0.0) {
+    outcome.mBegunMs = planned.mAtMs + progress.mFirstMs;
+  }
+  outcome.mIsServed = progress.mIsServed;
+  outcome.mIsExcused = progress.mIsExcused;
+  return outcome;
+}
+
 void
 EmulatedFleet::Exchange(std::size_t aEntry)
 {
@@ -181,6 +273,9 @@
   if (!mProgress[aNumber].mIsRetry) {
     mOutcome.mClasses[planned.mClass].mAsked += 1;
   }
+  if (IsOutOfTouch(entry)) {
+    mProgress[aNumber].mIsExcused = true;
+  }
   entry.mChooser->UpdateFromPeers(*entry.mPeers, Now());
   const auto choice = entry.mChooser->Choose(
     mUsable,
@@ -203,14 +298,14 @@
   }
   std::uniform_real_distribution<double> chance(0.0, 1.0);
   AdmissionRequest request;
-  request.mTier = TierRank{ planned.mRequest.mRank };
+  request.mTier = TierOf(TeamOf(planned), mDocument.mRoutes[planned.mClass]);
   request.mFirstEventTimeout =
     Milliseconds(static_cast<std::int64_t>(PatienceMs(planned.mClass)));
   request.mChoice = aChoice;
   request.mIsRetry = mProgress[aNumber].mIsRetry;
   request.mRefusalSample = chance(mRandom);
   request.mJitterSample = chance(mRandom);
-  const AdmissionDecision decision = entry.mAdmission->Decide(mPool, request);
+  const AdmissionDecision decision = entry.mAdmission->Decide(*mPool, request);
   if (decision.mVerdict == AdmissionVerdict::Admitted) {
     return true;
   }
@@ -232,14 +327,8 @@
 double
 EmulatedFleet::PatienceMs(std::size_t aClass) const
 {
-  ForwardRoute route;
-  const LoadClass& loadClass = mPlan.mClasses[aClass];
-  route.mTimeout = Milliseconds(static_cast<std::int64_t>(loadClass.mLimitMs));
-  route.mLatencyTarget =
-    Milliseconds(static_cast<std::int64_t>(loadClass.mTargetMs));
-  route.mEventGapTarget =
-    Milliseconds(static_cast<std::int64_t>(loadClass.mPauseMs));
-  return static_cast<double>(route.FirstEventTimeout().count());
+  return static_cast<double>(
+    mDocument.mRoutes[aClass].FirstEventTimeout().count());
 }
 
 void
@@ -255,7 +344,12 @@
     progress.mServer = isChosen ? i : progress.mServer;
   }
   entry.mChooser->RecordStarted(aChoice, planned.mRequest.mPrompt, Now());
+  mArrivals[aNumber].mRequest.mRank =
+    TierOf(TeamOf(planned), mDocument.mRoutes[planned.mClass]).mValue;
   At(mNowMs + kLinkMs, [this, aNumber]() {
+    if (mProgress[aNumber].mIsOver) {
+      return;
+    }
     const std::size_t server = mProgress[aNumber].mServer;
     mServers[server].mEngine->Add(mArrivals[aNumber].mRequest);
     if (!mServers[server].mIsWorking) {
@@ -350,6 +444,7 @@
       progress.mChoice.mIsShortPrompt,
       TimeOf(mNowMs + kLinkMs - planned.mAtMs - progress.mFirstMs));
   }
+  progress.mIsServed = true;
   outcome.mFirstEventMs.push_back(progress.mFirstMs);
   (isOnTime ? outcome.mOnTime : outcome.mLate) += 1;
 }
--- a/src/libmedlarkeelemulator/emulatedfleet.h
+++ b/src/libmedlarkeelemulator/emulatedfleet.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <utility>
 #include <vector>
 
 namespace medlarkeel {
@@ -30,9 +31,27 @@
   double RefusedShare() const;
 };
 
+/** What became of one request. */
+struct RequestOutcome
+{
+  double mArrivedMs = 0.0;
+  std::size_t mClass = 0;
+  /** Tiers of the team, or of the route if the team has none, and of the
+   * route. */
+  std::pair<TierRank, TierRank> mTiers;
+  std::uint32_t mPromptTokens = 0;
+  /** Time of the first event; negative if there was none. */
+  double mBegunMs = -1.0;
+  bool mIsServed = false;
+  /** Its entry had restarted shortly before, or restarted meanwhile. */
+  bool mIsExcused = false;
+};
+
 struct FleetOutcome
 {
   std::vector<ClassOutcome> mClasses;
+  /** In order of arrival. */
+  std::vector<RequestOutcome> mRequests;
   /** Tokens of prompts that were read for callers who had left before their
    * first event. */
   std::uint64_t mReadInVain = 0;
@@ -75,6 +94,8 @@
     std::unique_ptr<PeerView> mPeers;
     std::unique_ptr<AdmissionControl> mAdmission;
     std::uint64_t mReports = 0;
+    /** Time of the last restart; negative if there was none. */
+    double mRestartedMs = -1.0;
   };
 
   struct Server
@@ -91,10 +112,13 @@
     std::size_t mServer = 0;
     double mFirstMs = -1.0;
     double mLastEventMs = 0.0;
-    double mSentMs = 0.0;
+    /** Negative until the request is sent. */
+    double mSentMs = -1.0;
     bool mIsRetry = false;
     double mLongestPauseMs = 0.0;
     bool mIsOver = false;
+    bool mIsServed = false;
+    bool mIsExcused = false;
   };
 
   struct Task
@@ -104,8 +128,18 @@
     bool operator<(const Task& aOther) const { return mAtMs > aOther.mAtMs; }
   };
 
+  /** Makes the document that the entries have: a route for each class, and the
+   * teams. */
+  void MakeDocument();
+  const ForwardTeam* TeamOf(const PlannedRequest& aPlanned) const;
+  /** Gives an entry the state of a process that has just started. */
+  void Initialize(std::size_t aEntry, Timestamp aStartedAt);
+  void Restart(std::size_t aEntry);
+  /** @return Whether the entry has restarted shortly before. */
+  bool IsOutOfTouch(const Entry& aEntry) const;
   Timestamp Now() const;
   void At(double aAtMs, std::function<void()> aRun);
+  RequestOutcome OutcomeOf(std::size_t aNumber) const;
   void Exchange(std::size_t aEntry);
   void Arrive(std::size_t aNumber);
   /** @return Whether the request is sent; its caller comes back once. */
@@ -119,7 +153,10 @@
   void RecordEnd(std::size_t aNumber, bool aIsComplete);
 
   LoadPlan mPlan;
-  ForwardPool mPool;
+  FleetPolicy mPolicy;
+  std::uint64_t mSeed;
+  ForwardingDocument mDocument;
+  const ForwardPool* mPool = nullptr;
   std::mt19937_64 mRandom;
   std::vector<PlannedRequest> mArrivals;
   std::vector<Progress> mProgress;
--- a/src/libmedlarkeelemulator/loadplan.cpp
+++ b/src/libmedlarkeelemulator/loadplan.cpp
@@ -17,6 +17,7 @@
 const NumberRange kFactor{ 0.0, 1000.0, "times" };
 const NumberRange kShare{ 0.0, 1.0, "of all" };
 const IntegerRange kRank{ 0, 9, "" };
+const IntegerRange kIndex{ 0, 1'000'000, "" };
 const IntegerRange kCount{ 1, 1'000'000, "items" };
 const TextRule kAnyText{ "a text", [](std::string_view) { return true; } };
 
@@ -84,6 +85,38 @@
   aPlan.mBursts.push_back(std::move(burst));
 }
 
+void
+ReadTeam(const nlohmann::json& aItem,
+         const std::string& aPath,
+         ProblemList& aProblems,
+         LoadPlan& aPlan)
+{
+  int rank = 0;
+  ObjectReader reader(aItem, aPath, aProblems);
+  reader.Number("rank", Presence::Required, kRank, rank);
+  reader.RefuseUnknownKeys();
+  aPlan.mTeamRanks.push_back(rank);
+}
+
+void
+ReadRestart(const nlohmann::json& aItem,
+            const std::string& aPath,
+            ProblemList& aProblems,
+            LoadPlan& aPlan)
+{
+  EntryRestart restart;
+  ObjectReader reader(aItem, aPath, aProblems);
+  reader.Number("entry", Presence::Required, kIndex, restart.mEntry);
+  reader.Number("at", Presence::Required, kSeconds, restart.mAtSeconds);
+  reader.RefuseUnknownKeys();
+  if (restart.mEntry >= aPlan.mEntries) {
+    aProblems.Add(aPath + ".entry",
+                  "less than the number of entries",
+                  std::to_string(restart.mEntry));
+  }
+  aPlan.mRestarts.push_back(restart);
+}
+
 void
 ReadSpeed(ObjectReader& aReader, EngineSpeed& aSpeed)
 {
@@ -178,7 +211,6 @@
     planned.mAtMs = at;
     planned.mClass = aClass;
     planned.mEntry = entries(aRandom);
-    planned.mRequest.mRank = loadClass.mRank;
     const bool isHot =
       effect.mHotShare > 0.0 && kept(aRandom) < most * effect.mHotShare;
     const std::uint64_t part = isHot ? 0 : parts(aRandom);
@@ -219,6 +251,16 @@
                  [&](const nlohmann::json& aItem, const std::string& aPath) {
                    ReadBurst(aItem, aPath, problems, plan);
                  });
+    reader.Items("teams",
+                 Presence::Optional,
+                 [&](const nlohmann::json& aItem, const std::string& aPath) {
+                   ReadTeam(aItem, aPath, problems, plan);
+                 });
+    reader.Items("restarts",
+                 Presence::Optional,
+                 [&](const nlohmann::json& aItem, const std::string& aPath) {
+                   ReadRestart(aItem, aPath, problems, plan);
+                 });
     reader.RefuseUnknownKeys();
   }
   if (!problems.IsEmpty()) {
@@ -242,6 +284,9 @@
             });
   for (std::size_t i = 0; i < arrivals.size(); ++i) {
     arrivals[i].mRequest.mNumber = i;
+    if (!aPlan.mTeamRanks.empty()) {
+      arrivals[i].mTeam = random() % aPlan.mTeamRanks.size();
+    }
   }
   return arrivals;
 }
--- a/src/libmedlarkeelemulator/loadplan.h
+++ b/src/libmedlarkeelemulator/loadplan.h
@@ -5,6 +5,7 @@
 
 #include <boost/outcome.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,7 +26,7 @@
 {
   std::string mName;
   double mPerSecond = 1.0;
-  /** Rank of its requests at an engine; 0 is the most urgent. */
+  /** Tier of its route; 0 is the most urgent. */
   int mRank = 0;
   /** Tokens of the part that requests share. */
   SizeSpread mSharedTokens;
@@ -53,6 +54,13 @@
   double mHotShare = 0.0;
 };
 
+/** A time at which an entry is replaced by one that knows nothing. */
+struct EntryRestart
+{
+  std::size_t mEntry = 0;
+  double mAtSeconds = 0.0;
+};
+
 /** A fleet and what it is asked for. */
 struct LoadPlan
 {
@@ -65,6 +73,10 @@
   EngineSpeed mSpeed;
   std::vector<LoadClass> mClasses;
   std::vector<LoadBurst> mBursts;
+  /** Tiers of teams with equal shares of the requests; empty if no team has a
+   * tier. */
+  std::vector<int> mTeamRanks;
+  std::vector<EntryRestart> mRestarts;
 };
 
 using LoadPlanResult = BOOST_OUTCOME_V2_NAMESPACE::result<
@@ -85,6 +97,8 @@
   double mAtMs = 0.0;
   std::size_t mClass = 0;
   std::size_t mEntry = 0;
+  /** Index of the team in the plan; nothing if no team has a tier. */
+  std::optional<std::size_t> mTeam;
   EngineRequest mRequest;
 };
 
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -84,7 +84,6 @@
   void StartAttempt(const BackendChoice& aChoice);
   /** @return Whether the request may be sent; it is refused if not. */
   bool IsAdmitted(const BackendChoice& aChoice);
-  TierRank Tier() const;
   /** Adds the tiers of the request and the load at its admission. */
   void AddAdmissionFields(EventFields& aFields) const;
   void SendRequest(const AttemptPointer& aAttempt);
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -142,13 +142,6 @@
   TryBackend();
 }
 
-TierRank
-Exchange::Tier() const
-{
-  return mTeam != nullptr ? mTeam->mTier.value_or(mRoute->mTier)
-                          : mRoute->mTier;
-}
-
 void
 Exchange::AddAdmissionFields(EventFields& aFields) const
 {
@@ -170,7 +163,7 @@
   }
   const Timestamp now = BootNow();
   AdmissionRequest request;
-  request.mTier = Tier();
+  request.mTier = TierOf(mTeam, *mRoute);
   request.mFirstEventTimeout =
     std::min(mRoute->FirstEventTimeout(),
              std::chrono::duration_cast<Milliseconds>(mGiveUpAt - now));
@@ -275,7 +268,8 @@
     text += names.mTeam + ": " + mTeam->mName.Text() + "\r\n";
   }
   if (mPrompt) {
-    const int rank = std::clamp(Tier().mValue, 0, names.mMostPriority);
+    const int rank =
+      std::clamp(TierOf(mTeam, *mRoute).mValue, 0, names.mMostPriority);
     text += names.mPriority + ": " + std::to_string(rank) + "\r\n";
   }
   if (resumes) {
--- a/tests/emulator/test_emulatedfleet.cpp
+++ b/tests/emulator/test_emulatedfleet.cpp
@@ -1,4 +1,4 @@
-#include "emulatedfleet.h"
+#include "urgencyorder.h"
 
 #include "../support/sourcefile.h"
 
@@ -53,6 +53,22 @@
   return sums;
 }
 
+/** Checks the order by urgency over all entries, with several seeds. */
+void
+CheckOrder(const LoadPlan& aPlan)
+{
+  constexpr std::uint64_t kSeeds = 8;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const auto violation = FindOrderViolation(Play(aPlan, FleetPolicy(), seed));
+    BOOST_TEST(!violation.has_value(),
+               "seed " << seed << ", from " << violation->mFromMs << " ms: of "
+                       << violation->mAsked << " requests of "
+                       << aPlan.mClasses[violation->mClass].mName << ", "
+                       << violation->mUnserved
+                       << " weren't served, while less urgent ones began");
+  }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(emulatedfleet)
@@ -113,6 +129,32 @@
   }
 }
 
+/** Twice the load that eight servers bear for eleven seconds. */
+BOOST_AUTO_TEST_CASE(TeamsOfOneTierHideTheUrgencyOfRoutes)
+{
+  LoadPlan plan = ReadPlan("zone-out-and-restart.json");
+  plan.mRestarts.clear();
+  CheckOrder(plan);
+}
+
+/** An entry that has just started estimates the load from less than the others
+ * do. */
+BOOST_AUTO_TEST_CASE(RestartedEntryBeginsWhatOthersRefuse)
+{
+  LoadPlan plan = ReadPlan("zone-out-and-restart.json");
+  plan.mTeamRanks.clear();
+  CheckOrder(plan);
+}
+
+/** Entries estimate different loads although none of them restarts. */
+BOOST_AUTO_TEST_CASE(EntriesWithDifferentLoadsBreakTheOrder)
+{
+  LoadPlan plan = ReadPlan("zone-out-and-restart.json");
+  plan.mTeamRanks.clear();
+  plan.mRestarts.clear();
+  CheckOrder(plan);
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsTurnedAwayWhenCalm)
 {
   const FleetOutcome outcome = Play(ReadPlan("calm.json"), FleetPolicy());
