Close the port of a server at once when it stops accepting

Callers could still connect after HttpServer::StopAccepting had returned and then got a reset instead of a refused connection, so they couldn't know that nothing ran.

Cause: the server's thread waits for the listening socket. close() in another thread leaves the socket open until that wait ends. shutdown() ends listening at once.

StoppedServerAcceptsConnections stops 320 servers from eight threads.

--- a/src/libmedlarkeelnet/httpserver.cpp
+++ b/src/libmedlarkeelnet/httpserver.cpp
@@ -409,6 +409,9 @@
 {
   const MHD_socket listening = MHD_quiesce_daemon(mState->mInstance.mhd_daemon);
   if (listening != MHD_INVALID_SOCKET) {
+    // The server's thread may still wait for the socket, which keeps the port
+    // open after close().
+    shutdown(listening, SHUT_RDWR);
     close(listening);
   }
 }
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -432,6 +432,41 @@
   BOOST_TEST((reply.error().mKind == NetErrorKind::ConnectFailed));
 }
 
+/** The server's thread may still wait for the socket that is closed. */
+BOOST_AUTO_TEST_CASE(StoppedServerAcceptsConnections)
+{
+  constexpr int kThreads = 8;
+  constexpr int kServersPerThread = 40;
+  const auto handler = [](const HttpRequest&) { return HttpResponse(); };
+  std::atomic<int> refused{ 0 };
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int number = 0; number < kThreads; ++number) {
+    threads.emplace_back([&, number] {
+      // With an address of its own, no thread gets a port of another one.
+      HttpServerOptions options;
+      options.mAddress = "127.0.1." + std::to_string(number + 1);
+      for (int i = 0; i < kServersPerThread; ++i) {
+        const auto server = HttpServer::Start(options, handler);
+        if (!server) {
+          return;
+        }
+        server.value()->StopAccepting();
+        HttpCall call;
+        call.mUrl = "http://" + options.mAddress + ":" +
+                    std::to_string(server.value()->Port()) + "/";
+        const auto reply = SendHttp(call);
+        const bool isRefused =
+          !reply && reply.error().mKind == NetErrorKind::ConnectFailed;
+        refused += isRefused ? 1 : 0;
+      }
+    });
+  }
+  std::for_each(
+    threads.begin(), threads.end(), [](auto& aThread) { aThread.join(); });
+  BOOST_TEST(refused == kThreads * kServersPerThread);
+}
+
 BOOST_AUTO_TEST_CASE(FourHundredStreamsEndWhole)
 {
   constexpr int kStreams = 400;
