Order requests of teams of one tier by their routes

Cause: the tier of a team replaced the tier of the route, and nearly all teams have the same tier.

A request now has a priority: the tier of its team, then that of its route. Refusals follow it, and the rank that a backend server gets is the position among the priorities that requests of the pool can have. Priorities that no request has take no part of the range of loads.

An existing check changes: a pool whose requests all have one priority now sends rank 0 instead of the tier (1). A new test of the whole path is stricter: two routes of one team get ranks in their order. It failed before (1 and 1).

The tests of the order in virtual time still fail: entries still estimate different loads.

--- a/src/libmedlarkeel/forwarding/admissioncontrol.cpp
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.cpp
@@ -37,15 +37,14 @@
 AdmissionControl::RefusalRampFor(const ForwardPool& aPool,
                                  const AdmissionRequest& aRequest) const
 {
-  const TierRank tier = aRequest.mTier;
-  const auto moreUrgent =
-    std::count_if(aPool.mTiers.begin(),
-                  aPool.mTiers.end(),
-                  [tier](TierRank aOther) { return aOther < tier; });
-  const auto tiers = static_cast<double>(std::max<std::size_t>(
-    aPool.mTiers.size(), static_cast<std::size_t>(moreUrgent) + 1));
+  const auto moreUrgent = std::count_if(
+    aPool.mPriorities.begin(),
+    aPool.mPriorities.end(),
+    [&](const RequestPriority& aOther) { return aOther < aRequest.mPriority; });
+  const auto priorities = static_cast<double>(std::max<std::size_t>(
+    aPool.mPriorities.size(), static_cast<std::size_t>(moreUrgent) + 1));
   const double rampWidth =
-    (mSettings.mFullRefusalLoad - mSettings.mPartialRefusalLoad) / tiers;
+    (mSettings.mFullRefusalLoad - mSettings.mPartialRefusalLoad) / priorities;
   const double rampEnd =
     mSettings.mFullRefusalLoad - rampWidth * static_cast<double>(moreUrgent);
   const double retryShift =
--- a/src/libmedlarkeel/forwarding/admissioncontrol.h
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.h
@@ -15,16 +15,16 @@
  */
 struct AdmissionSettings
 {
-  /** Load above which requests of the least urgent tier are partly refused.
+  /** Load above which the least urgent requests are partly refused.
    * It is above half of the slots, so that refusals leave no server idle. */
   double mPartialRefusalLoad = 0.6;
-  /** Load from which all first attempts of all tiers are refused. */
+  /** Load from which all first attempts of all priorities are refused. */
   double mFullRefusalLoad = 1.05;
   /** Share of the pool's maximum latency target that the prefill of the
    * backlog may take. The rest is for the prefill of the request itself and
    * for delays at a busy server. */
   double mBacklogTargetShare = 0.4;
-  /** Amount by which the refusal ramp of a tier is raised for retries, as a
+  /** Amount by which the refusal ramp of a priority is raised for retries, as a
    * multiple of the ramp's width, so that few of them are refused again. */
   double mRetryRampShift = 1.0;
   /** Minimum retry delay before jitter is added. */
@@ -35,7 +35,7 @@
 /** A request for which admission is decided. */
 struct AdmissionRequest
 {
-  TierRank mTier;
+  RequestPriority mPriority;
   /** The backend server that was chosen for the request. */
   BackendChoice mChoice;
   /** Whether the request is a retry after a refusal. Part of its time limit
@@ -54,7 +54,7 @@
 enum class AdmissionVerdict
 {
   Admitted,
-  /** Refused because the load is too high for the tier of the request. */
+  /** Refused because the load is too high for the priority of the request. */
   Overloaded,
   /** Refused because the caller would time out before the first event. */
   WouldTimeOut
@@ -90,16 +90,16 @@
  * It handles long prompts that arrive faster than their prefill completes.
  * Without refusals, queueing delays exceed the time that callers wait. Servers
  * then run the prefill of requests whose callers have left, evict cached parts
- * of prompts and compute them again, and streams of all tiers stall. Therefore
- * tiers are refused in order of urgency as the mean load of the servers rises,
- * the least urgent first. The refused share of a tier grows from none to all
- * before the next tier is refused. Retries take precedence over first attempts
- * of the same tier.
+ * of prompts and compute them again, and all streams stall. Therefore requests
+ * are refused in order of priority as the mean load of the servers rises, the
+ * least urgent first. The refused share of a priority grows from none to all
+ * before the next one is refused. Retries take precedence over first attempts
+ * of the same priority.
  *
  * The decision uses the load of the servers that are kept for prompts of the
  * request's size. Short prompts are refused only if the load of the whole pool
- * is high too. Otherwise, urgent short prompts could be refused while long
- * prompts of less urgent tiers are served.
+ * is high too. Otherwise, urgent short prompts could be refused while less
+ * urgent long prompts are served.
  */
 class AdmissionControl
 {
@@ -138,8 +138,8 @@
   }
 
 private:
-  /** Range of loads in which the refused share of a tier rises linearly from
-   * none to all. */
+  /** Range of loads in which the refused share of a priority rises linearly
+   * from none to all. */
   struct RefusalRamp
   {
     double mStartLoad = 0.0;
--- a/src/libmedlarkeel/forwarding/forwardingdocument.cpp
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.cpp
@@ -1,9 +1,23 @@
 #include "forwardingdocument.h"
 
 #include <algorithm>
+#include <set>
 
 namespace medlarkeel {
 
+namespace {
+
+bool
+UsesPool(const ForwardRoute& aRoute, const PoolName& aPool)
+{
+  return std::any_of(
+    aRoute.mPools.begin(),
+    aRoute.mPools.end(),
+    [&aPool](const PoolShare& aShare) { return aShare.mPool == aPool; });
+}
+
+} // namespace
+
 Milliseconds
 ForwardRoute::FirstEventTimeout() const
 {
@@ -20,39 +34,38 @@
   return std::min(firstEventTimeout, mTimeout);
 }
 
-TierRank
-TierOf(const ForwardTeam* aTeam, const ForwardRoute& aRoute)
+RequestPriority
+PriorityOf(const ForwardTeam* aTeam, const ForwardRoute& aRoute)
 {
-  return aTeam != nullptr ? aTeam->mTier.value_or(aRoute.mTier) : aRoute.mTier;
+  const TierRank teamTier =
+    aTeam != nullptr ? aTeam->mTier.value_or(aRoute.mTier) : aRoute.mTier;
+  return { teamTier, aRoute.mTier };
 }
 
 void
 ForwardingDocument::DerivePoolValues()
 {
+  std::set<std::optional<TierRank>> teamTiers;
+  for (const ForwardTeam& team : mTeams) {
+    teamTiers.insert(team.mTier);
+  }
   for (auto& [name, pool] : mPools) {
-    pool.mTiers.clear();
+    std::set<RequestPriority> priorities;
     pool.mMaximumLatencyTarget = Milliseconds(0);
     for (const ForwardRoute& route : mRoutes) {
-      const bool usesPool =
-        std::any_of(route.mPools.begin(),
-                    route.mPools.end(),
-                    [poolName = name](const PoolShare& aShare) {
-                      return aShare.mPool == poolName;
-                    });
-      if (usesPool) {
-        pool.mTiers.push_back(route.mTier);
-        pool.mMaximumLatencyTarget =
-          std::max(pool.mMaximumLatencyTarget, route.mLatencyTarget);
+      if (!UsesPool(route, name)) {
+        continue;
       }
-    }
-    for (const ForwardTeam& team : mTeams) {
-      if (team.mTier) {
-        pool.mTiers.push_back(*team.mTier);
+      if (route.mIsPublic || !RequiresKeys()) {
+        priorities.insert({ route.mTier, route.mTier });
+      }
+      for (const std::optional<TierRank>& tier : teamTiers) {
+        priorities.insert({ tier.value_or(route.mTier), route.mTier });
       }
+      pool.mMaximumLatencyTarget =
+        std::max(pool.mMaximumLatencyTarget, route.mLatencyTarget);
     }
-    std::sort(pool.mTiers.begin(), pool.mTiers.end());
-    pool.mTiers.erase(std::unique(pool.mTiers.begin(), pool.mTiers.end()),
-                      pool.mTiers.end());
+    pool.mPriorities.assign(priorities.begin(), priorities.end());
   }
 }
 
--- a/src/libmedlarkeel/forwarding/forwardingdocument.h
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../types.h"
+#include "requestpriority.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -79,9 +79,9 @@
   double mColdRequestsPerSecond = 0.0;
   /** Whether the backend servers run language models. */
   bool mIsModel = false;
-  /** Tiers of the requests that the pool may receive, the most urgent first.
-   * Set by DerivePoolValues(). */
-  std::vector<TierRank> mTiers;
+  /** Priorities of the requests that the pool may receive, the most urgent
+   * first. Set by DerivePoolValues(). */
+  std::vector<RequestPriority> mPriorities;
   /** Longest latency target of the routes that use the pool. Set by
    * DerivePoolValues(). */
   Milliseconds mMaximumLatencyTarget{ 0 };
@@ -100,16 +100,13 @@
 struct ForwardTeam
 {
   TeamName mName;
-  /** Overrides the tier of the route if set. */
+  /** Takes precedence over the tier of the route if set. */
   std::optional<TierRank> mTier;
 };
 
-/**
- * @param aTeam Team that the request belongs to, or null.
- * @return The tier of a request.
- */
-TierRank
-TierOf(const ForwardTeam* aTeam, const ForwardRoute& aRoute);
+/** @param aTeam Team that the request belongs to, or null. */
+RequestPriority
+PriorityOf(const ForwardTeam* aTeam, const ForwardRoute& aRoute);
 
 /** One version of the forwarding settings. Immutable once in use. */
 struct ForwardingDocument
@@ -132,8 +129,8 @@
   const ForwardRoute* FindRoute(std::string_view aHost,
                                 std::string_view aPath) const;
 
-  /** Computes the tiers and the longest latency target of each pool. Call it
-   * after all routes, pools and teams have been added. */
+  /** Computes the priorities and the longest latency target of each pool. Call
+   * it after all routes, pools and teams have been added. */
   void DerivePoolValues();
 
   /** @return The team that the key belongs to, or null. */
--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -19,6 +19,9 @@
 
 constexpr double kMillisecondsPerSecond = 1000.0;
 
+/** Highest rank that the engines accept. */
+constexpr int kMaximumRank = 9;
+
 /** Way between an entry and a server, in one direction. */
 constexpr double kLinkMs = 1.0;
 
@@ -118,10 +121,12 @@
   mPool = &pool;
 }
 
-const ForwardTeam*
-EmulatedFleet::TeamOf(const PlannedRequest& aPlanned) const
+RequestPriority
+EmulatedFleet::PriorityOfRequest(const PlannedRequest& aPlanned) const
 {
-  return aPlanned.mTeam ? &mDocument.mTeams[*aPlanned.mTeam] : nullptr;
+  const ForwardTeam* team =
+    aPlanned.mTeam ? &mDocument.mTeams[*aPlanned.mTeam] : nullptr;
+  return PriorityOf(team, mDocument.mRoutes[aPlanned.mClass]);
 }
 
 void
@@ -231,14 +236,10 @@
 {
   const PlannedRequest& planned = mArrivals[aNumber];
   const Progress& progress = mProgress[aNumber];
-  const ForwardTeam* team = TeamOf(planned);
-  const TierRank routeTier = mDocument.mRoutes[planned.mClass].mTier;
   RequestOutcome outcome;
   outcome.mArrivedMs = planned.mAtMs;
   outcome.mClass = planned.mClass;
-  outcome.mTiers = { team != nullptr ? team->mTier.value_or(routeTier)
-                                     : routeTier,
-                     routeTier };
+  outcome.mPriority = PriorityOfRequest(planned);
   outcome.mPromptTokens = planned.mRequest.mPrompt.mPromptTokens;
   if (progress.mFirstMs >= 0.0) {
     outcome.mBegunMs = planned.mAtMs + progress.mFirstMs;
@@ -298,7 +299,7 @@
   }
   std::uniform_real_distribution<double> chance(0.0, 1.0);
   AdmissionRequest request;
-  request.mTier = TierOf(TeamOf(planned), mDocument.mRoutes[planned.mClass]);
+  request.mPriority = PriorityOfRequest(planned);
   request.mFirstEventTimeout =
     Milliseconds(static_cast<std::int64_t>(PatienceMs(planned.mClass)));
   request.mChoice = aChoice;
@@ -345,7 +346,7 @@
   }
   entry.mChooser->RecordStarted(aChoice, planned.mRequest.mPrompt, Now());
   mArrivals[aNumber].mRequest.mRank =
-    TierOf(TeamOf(planned), mDocument.mRoutes[planned.mClass]).mValue;
+    BackendRank(mPool->mPriorities, PriorityOfRequest(planned), kMaximumRank);
   At(mNowMs + kLinkMs, [this, aNumber]() {
     if (mProgress[aNumber].mIsOver) {
       return;
--- a/src/libmedlarkeelemulator/emulatedfleet.h
+++ b/src/libmedlarkeelemulator/emulatedfleet.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <queue>
 #include <random>
-#include <utility>
 #include <vector>
 
 namespace medlarkeel {
@@ -36,9 +35,7 @@
 {
   double mArrivedMs = 0.0;
   std::size_t mClass = 0;
-  /** Tiers of the team, or of the route if the team has none, and of the
-   * route. */
-  std::pair<TierRank, TierRank> mTiers;
+  RequestPriority mPriority;
   std::uint32_t mPromptTokens = 0;
   /** Time of the first event; negative if there was none. */
   double mBegunMs = -1.0;
@@ -131,7 +128,7 @@
   /** Makes the document that the entries have: a route for each class, and the
    * teams. */
   void MakeDocument();
-  const ForwardTeam* TeamOf(const PlannedRequest& aPlanned) const;
+  RequestPriority PriorityOfRequest(const PlannedRequest& aPlanned) const;
   /** Gives an entry the state of a process that has just started. */
   void Initialize(std::size_t aEntry, Timestamp aStartedAt);
   void Restart(std::size_t aEntry);
--- a/src/libmedlarkeelemulator/urgencyorder.cpp
+++ b/src/libmedlarkeelemulator/urgencyorder.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-using Tiers = std::pair<TierRank, TierRank>;
-
 constexpr double kWindowMs = 5000.0;
 constexpr double kWindowStepMs = 250.0;
 constexpr std::size_t kMinimumUnserved = 10;
@@ -17,12 +15,12 @@
 constexpr std::uint64_t kSizeFactor = 2;
 
 /** Counts a window for one class and the requests of it that are at least as
- * urgent as aTiers. */
+ * urgent as aPriority. */
 OrderViolation
 CountWindow(const FleetOutcome& aOutcome,
             double aFromMs,
             std::size_t aClass,
-            const Tiers& aTiers)
+            const RequestPriority& aPriority)
 {
   const auto isInWindow = [aFromMs](double aAtMs) {
     return aFromMs <= aAtMs && aAtMs < aFromMs + kWindowMs;
@@ -34,12 +32,12 @@
     const bool isAsked = isInWindow(request.mArrivedMs) && !request.mIsExcused;
     if (isAsked && request.mClass == aClass) {
       counts.mAsked += 1;
-      if (!request.mIsServed && !(aTiers < request.mTiers)) {
+      if (!request.mIsServed && !(aPriority < request.mPriority)) {
         counts.mUnserved += 1;
         counts.mUnservedTokens += request.mPromptTokens;
       }
     }
-    if (isInWindow(request.mBegunMs) && aTiers < request.mTiers) {
+    if (isInWindow(request.mBegunMs) && aPriority < request.mPriority) {
       counts.mLessUrgentTokens += request.mPromptTokens;
     }
   }
@@ -59,16 +57,16 @@
 std::optional<OrderViolation>
 FindOrderViolation(const FleetOutcome& aOutcome)
 {
-  std::set<std::pair<std::size_t, Tiers>> groups;
+  std::set<std::pair<std::size_t, RequestPriority>> groups;
   double endMs = 0.0;
   for (const RequestOutcome& request : aOutcome.mRequests) {
-    groups.emplace(request.mClass, request.mTiers);
+    groups.emplace(request.mClass, request.mPriority);
     endMs = std::max(endMs, request.mArrivedMs);
   }
   for (double fromMs = 0.0; fromMs < endMs; fromMs += kWindowStepMs) {
-    for (const auto& [loadClass, tiers] : groups) {
+    for (const auto& [loadClass, priority] : groups) {
       const OrderViolation counts =
-        CountWindow(aOutcome, fromMs, loadClass, tiers);
+        CountWindow(aOutcome, fromMs, loadClass, priority);
       if (IsViolation(counts)) {
         return counts;
       }
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -163,7 +163,7 @@
   }
   const Timestamp now = BootNow();
   AdmissionRequest request;
-  request.mTier = TierOf(mTeam, *mRoute);
+  request.mPriority = PriorityOf(mTeam, *mRoute);
   request.mFirstEventTimeout =
     std::min(mRoute->FirstEventTimeout(),
              std::chrono::duration_cast<Milliseconds>(mGiveUpAt - now));
@@ -186,7 +186,7 @@
   mForwarder.Counters().mRefusedOverloaded += 1;
   EventFields fields{ { "request", mRequestId },
                       { "reason", AdmissionVerdictText(decision.mVerdict) },
-                      { "tier", request.mTier.mValue },
+                      { "tier", request.mPriority.mTeamTier.mValue },
                       { "retry", request.mIsRetry },
                       { "shortPrompt", aChoice.mIsShortPrompt },
                       { "slotLoadPercent", Percent(decision.mSlotLoad) },
@@ -268,8 +268,8 @@
     text += names.mTeam + ": " + mTeam->mName.Text() + "\r\n";
   }
   if (mPrompt) {
-    const int rank =
-      std::clamp(TierOf(mTeam, *mRoute).mValue, 0, names.mMostPriority);
+    const int rank = BackendRank(
+      mPool->mPriorities, PriorityOf(mTeam, *mRoute), names.mMostPriority);
     text += names.mPriority + ": " + std::to_string(rank) + "\r\n";
   }
   if (resumes) {
