Give precedence by the time that callers have left

Retries were to precede first attempts of the same priority. The ramp of retries also overlapped the next priority's, so late requests were admitted at loads at which more urgent ones were refused.

The refused share now falls with the share of the time limit that is used, within the range of loads of the request's own priority. The whole range ends at 1.2, where it ended for retries of three priorities.

RefusesTiersInOrderOfUrgency now lets the less urgent request be as late as possible, which failed before. PrefersRetriesToFirstAttemptsOfTheSameTier states the used share (0.6) instead of a flag. ShortTimeLimitsCountAsRetries is new.

--- a/bench/experiment/main.cpp
+++ b/bench/experiment/main.cpp
@@ -152,7 +152,7 @@
 constexpr std::array<AdmissionSetting, 4> kAdmissionSettings{
   { { "firstRefusal", &AdmissionSettings::mPartialRefusalLoad },
     { "allRefused", &AdmissionSettings::mFullRefusalLoad },
-    { "returnShift", &AdmissionSettings::mRetryRampShift },
+    { "fullPrecedenceTimeShare", &AdmissionSettings::mFullPrecedenceTimeShare },
     { "backlogShare", &AdmissionSettings::mBacklogTargetShare } }
 };
 
--- a/src/libmedlarkeel/forwarding/admissioncontrol.cpp
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.cpp
@@ -35,21 +35,31 @@
 
 AdmissionControl::RefusalRamp
 AdmissionControl::RefusalRampFor(const ForwardPool& aPool,
-                                 const AdmissionRequest& aRequest) const
+                                 const RequestPriority& aPriority) const
 {
   const auto moreUrgent = std::count_if(
     aPool.mPriorities.begin(),
     aPool.mPriorities.end(),
-    [&](const RequestPriority& aOther) { return aOther < aRequest.mPriority; });
+    [&](const RequestPriority& aOther) { return aOther < aPriority; });
   const auto priorities = static_cast<double>(std::max<std::size_t>(
     aPool.mPriorities.size(), static_cast<std::size_t>(moreUrgent) + 1));
   const double rampWidth =
     (mSettings.mFullRefusalLoad - mSettings.mPartialRefusalLoad) / priorities;
   const double rampEnd =
     mSettings.mFullRefusalLoad - rampWidth * static_cast<double>(moreUrgent);
-  const double retryShift =
-    aRequest.mIsRetry ? rampWidth * mSettings.mRetryRampShift : 0.0;
-  return { rampEnd - rampWidth + retryShift, rampEnd + retryShift };
+  return { rampEnd - rampWidth, rampEnd };
+}
+
+double
+AdmissionControl::RefusedShare(double aLoad,
+                               const RefusalRamp& aRamp,
+                               double aUsedTimeShare) const
+{
+  const double position =
+    (aLoad - aRamp.mStartLoad) / (aRamp.mFullLoad - aRamp.mStartLoad);
+  const double precedence =
+    std::min(1.0, aUsedTimeShare / mSettings.mFullPrecedenceTimeShare);
+  return 2.0 * position - precedence;
 }
 
 Milliseconds
@@ -115,9 +125,9 @@
   decision.mTokensPerMs = mPrefillRate.TokensPerMs();
   decision.mExpectedFirstEventTime =
     mPrefillRate.PrefillTime(aRequest.mChoice.TokensBeforeFirstEvent());
-  const RefusalRamp ramp = RefusalRampFor(aPool, aRequest);
+  const RefusalRamp ramp = RefusalRampFor(aPool, aRequest.mPriority);
   const double refusedShare =
-    (decision.mLoad - ramp.mStartLoad) / (ramp.mFullLoad - ramp.mStartLoad);
+    RefusedShare(decision.mLoad, ramp, aRequest.mUsedTimeShare);
   if (decision.mExpectedFirstEventTime > aRequest.mFirstEventTimeout) {
     decision.mVerdict = AdmissionVerdict::WouldTimeOut;
   } else if (aRequest.mRefusalSample < refusedShare) {
--- a/src/libmedlarkeel/forwarding/admissioncontrol.h
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.h
@@ -18,15 +18,15 @@
   /** Load above which the least urgent requests are partly refused.
    * It is above half of the slots, so that refusals leave no server idle. */
   double mPartialRefusalLoad = 0.6;
-  /** Load from which all first attempts of all priorities are refused. */
-  double mFullRefusalLoad = 1.05;
+  /** Load from which all requests are refused. */
+  double mFullRefusalLoad = 1.2;
   /** Share of the pool's maximum latency target that the prefill of the
    * backlog may take. The rest is for the prefill of the request itself and
    * for delays at a busy server. */
   double mBacklogTargetShare = 0.4;
-  /** Amount by which the refusal ramp of a priority is raised for retries, as a
-   * multiple of the ramp's width, so that few of them are refused again. */
-  double mRetryRampShift = 1.0;
+  /** Share of its time limit that a caller has used when it is the last one of
+   * its priority to be refused. */
+  double mFullPrecedenceTimeShare = 0.5;
   /** Minimum retry delay before jitter is added. */
   Milliseconds mMinimumRetryDelay{ 100 };
   PrefillRateSettings mPrefillRateSettings;
@@ -38,9 +38,9 @@
   RequestPriority mPriority;
   /** The backend server that was chosen for the request. */
   BackendChoice mChoice;
-  /** Whether the request is a retry after a refusal. Part of its time limit
-   * has then passed. */
-  bool mIsRetry = false;
+  /** Share of the route's time limit for which the caller no longer waits, from
+   * 0 to 1. It is higher for retries. */
+  double mUsedTimeShare = 0.0;
   /** Time that the caller still waits for the first event. */
   Milliseconds mFirstEventTimeout{ 0 };
   /** Random number from 0 to 1. The request is refused if it is below the share
@@ -93,8 +93,8 @@
  * of prompts and compute them again, and all streams stall. Therefore requests
  * are refused in order of priority as the mean load of the servers rises, the
  * least urgent first. The refused share of a priority grows from none to all
- * before the next one is refused. Retries take precedence over first attempts
- * of the same priority.
+ * before the next one is refused. Within a priority, callers that wait for less
+ * time take precedence, as retries do.
  *
  * The decision uses the load of the servers that are kept for prompts of the
  * request's size. Short prompts are refused only if the load of the whole pool
@@ -138,8 +138,9 @@
   }
 
 private:
-  /** Range of loads in which the refused share of a priority rises linearly
-   * from none to all. */
+  /** Range of loads in which the refused share of a priority rises from none to
+   * all: in the lower half for callers that have all of their time left, in the
+   * upper half for those that have used much of it. */
   struct RefusalRamp
   {
     double mStartLoad = 0.0;
@@ -147,7 +148,12 @@
   };
 
   RefusalRamp RefusalRampFor(const ForwardPool& aPool,
-                             const AdmissionRequest& aRequest) const;
+                             const RequestPriority& aPriority) const;
+  /** @return The share of requests that is refused at a load; below 0 for none,
+   * above 1 for all. */
+  double RefusedShare(double aLoad,
+                      const RefusalRamp& aRamp,
+                      double aUsedTimeShare) const;
   /** @return The prefill time of a backlog that counts as a load of 1. */
   Milliseconds BacklogTargetTime(const ForwardPool& aPool) const;
   /** Mean loads of a group of servers; 1 is their capacity. */
--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -303,7 +303,8 @@
   request.mFirstEventTimeout =
     Milliseconds(static_cast<std::int64_t>(PatienceMs(planned.mClass)));
   request.mChoice = aChoice;
-  request.mIsRetry = mProgress[aNumber].mIsRetry;
+  request.mUsedTimeShare =
+    (mNowMs - planned.mAtMs) / mPlan.mClasses[planned.mClass].mLimitMs;
   request.mRefusalSample = chance(mRandom);
   request.mJitterSample = chance(mRandom);
   const AdmissionDecision decision = entry.mAdmission->Decide(*mPool, request);
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -21,10 +21,6 @@
 /** Idle time of servers that don't tell theirs; whole seconds are told. */
 constexpr Microseconds kUntoldKeepAlive = std::chrono::milliseconds(500);
 
-/** Time by which a caller's limit is below the route's when part of it is
- * used; more than clocks and travel take. */
-constexpr Milliseconds kUsedTime{ 50 };
-
 /** Time left below which a further attempt isn't worth its work. */
 constexpr Milliseconds kLeastTimeForAttempt{ 20 };
 
@@ -52,6 +48,15 @@
                  : kUntoldKeepAlive;
 }
 
+/** @return The share of a time that isn't left, from 0 to 1. */
+double
+UsedShare(Milliseconds aLeft, Milliseconds aWhole)
+{
+  const double left =
+    static_cast<double>(aLeft.count()) / static_cast<double>(aWhole.count());
+  return std::clamp(1.0 - left, 0.0, 1.0);
+}
+
 std::int64_t
 Percent(double aShare)
 {
@@ -168,7 +173,7 @@
     std::min(mRoute->FirstEventTimeout(),
              std::chrono::duration_cast<Milliseconds>(mGiveUpAt - now));
   request.mChoice = aChoice;
-  request.mIsRetry = mTimeLimit + kUsedTime < mRoute->mTimeout;
+  request.mUsedTimeShare = UsedShare(mTimeLimit, mRoute->mTimeout);
   if (!mRefusalSample) {
     mRefusalSample = mForwarder.Random();
   }
@@ -187,7 +192,7 @@
   EventFields fields{ { "request", mRequestId },
                       { "reason", AdmissionVerdictText(decision.mVerdict) },
                       { "tier", request.mPriority.mTeamTier.mValue },
-                      { "retry", request.mIsRetry },
+                      { "usedTimePercent", Percent(request.mUsedTimeShare) },
                       { "shortPrompt", aChoice.mIsShortPrompt },
                       { "slotLoadPercent", Percent(decision.mSlotLoad) },
                       { "backlogLoadPercent", Percent(decision.mBacklogLoad) },
--- a/tests/core/test_admissioncontrol.cpp
+++ b/tests/core/test_admissioncontrol.cpp
@@ -58,7 +58,7 @@
 }
 
 /** Guards against refusing a tier while requests of a less urgent one are
- * admitted, at loads from 0 to twice the capacity. */
+ * admitted, retries among them, at loads from 0 to twice the capacity. */
 BOOST_AUTO_TEST_CASE(RefusesTiersInOrderOfUrgency)
 {
   const TierRank tiers[] = { kUrgentTier, kMiddleTier, kLeastUrgentTier };
@@ -69,6 +69,7 @@
       urgent.mRefusalSample = 0.0;
       AdmissionRequest other = MakeRequest(tiers[i + 1], load);
       other.mRefusalSample = 0.999;
+      other.mUsedTimeShare = 1.0;
       const bool isUrgentRefused =
         VerdictFor(urgent) != AdmissionVerdict::Admitted;
       const bool isOtherAdmitted =
@@ -109,11 +110,30 @@
 {
   AdmissionRequest firstAttempt = MakeRequest(kLeastUrgentTier, 0.74);
   AdmissionRequest retry = firstAttempt;
-  retry.mIsRetry = true;
+  retry.mUsedTimeShare = 0.6;
   BOOST_CHECK(VerdictFor(firstAttempt) == AdmissionVerdict::Overloaded);
   BOOST_CHECK(VerdictFor(retry) == AdmissionVerdict::Admitted);
 }
 
+/** Callers that set shorter time limits than the route were taken for retries.
+ */
+BOOST_AUTO_TEST_CASE(ShortTimeLimitsCountAsRetries)
+{
+  const auto refusedOf100 = [](double aUsedTimeShare) {
+    int refused = 0;
+    for (int percent = 0; percent < 100; ++percent) {
+      AdmissionRequest request = MakeRequest(kLeastUrgentTier, 0.68);
+      request.mUsedTimeShare = aUsedTimeShare;
+      request.mRefusalSample = percent / 100.0;
+      refused += VerdictFor(request) == AdmissionVerdict::Overloaded ? 1 : 0;
+    }
+    return refused;
+  };
+  BOOST_TEST(refusedOf100(0.0) > 60);
+  BOOST_TEST(refusedOf100(0.1) > 40);
+  BOOST_TEST(refusedOf100(0.6) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(RefusesRequestsThatWouldTimeOut)
 {
   AdmissionRequest request = MakeRequest(kUrgentTier, 0.1);
