Keep what entries report about load in one aggregate

Preparation for the order by urgency, without a change of behaviour: EntryLoad holds the loads of servers and the demand, which reports, sums by zone and the choice of servers each held separately. Its encoding has a file of its own; the bytes are the same. The peers' load is summed up once per refresh.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -134,9 +134,9 @@
   }
   std::sort(order.begin(), order.end());
   const double shortTokens =
-    mDemand.mShortPromptDemand + mPeerDemand.mShortPromptDemand;
+    mDemand.mShortPromptDemand + mPeerLoad.mDemand.mShortPromptDemand;
   const double longTokens =
-    mDemand.mLongPromptDemand + mPeerDemand.mLongPromptDemand;
+    mDemand.mLongPromptDemand + mPeerLoad.mDemand.mLongPromptDemand;
   const double total = shortTokens + longTokens;
   const double share = total > 0.0 ? shortTokens / total : 0.0;
   const auto size = static_cast<double>(order.size());
@@ -306,19 +306,11 @@
   return choice;
 }
 
-void
-BackendChooser::UpdateFromPeers(const PeerView& aPeers, Timestamp aNow)
-{
-  LoadSum others = aPeers.TotalPeerLoad(aNow);
-  SetPeerLoads(std::move(others.mLoads));
-  mPeerDemand = others.mDemand;
-}
-
 void
 BackendChooser::FillReport(PeerReport& aReport, Timestamp aNow)
 {
-  aReport.mLoads = OwnLoads();
-  aReport.mDemand = OwnDemand(aNow);
+  aReport.mLoad.mServers = OwnLoads();
+  aReport.mLoad.mDemand = OwnDemand(aNow);
   aReport.mSent = TakeSentParts();
 }
 
@@ -564,8 +556,8 @@
 ServerLoad
 BackendChooser::PeerLoad(const InstanceId& aId) const
 {
-  const auto found = mPeerLoads.find(ServerHash(aId));
-  return found == mPeerLoads.end() ? ServerLoad() : found->second;
+  const auto found = mPeerLoad.mServers.find(ServerHash(aId));
+  return found == mPeerLoad.mServers.end() ? ServerLoad() : found->second;
 }
 
 ServerLoads
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -161,11 +161,8 @@
     const ColdLimit& aColdLimit,
     Timestamp aNow);
 
-  /** Replaces the loads of the peers. */
-  void SetPeerLoads(ServerLoads aLoads) { mPeerLoads = std::move(aLoads); }
-
-  /** Replaces the loads and the demand of the peers. */
-  void UpdateFromPeers(const PeerView& aPeers, Timestamp aNow);
+  /** Replaces the load of the peers. */
+  void SetPeerLoad(EntryLoad aLoad) { mPeerLoad = std::move(aLoad); }
 
   /** Fills in this entry's loads and demand, and the parts that it sent since
    * the last report. */
@@ -297,10 +294,9 @@
   /** Time before which a server asked for no requests. */
   std::unordered_map<ProcessHash, Timestamp> mNotBefore;
   const ServerLimits* mLimits = nullptr;
-  ServerLoads mPeerLoads;
+  EntryLoad mPeerLoad;
   /** Sent parts that TakeSentParts() returns next. */
   std::vector<SentPart> mUnreportedParts;
-  PromptDemand mPeerDemand;
   PromptDemand mDemand;
   /** Time up to which mDemand has decayed. */
   Timestamp mDemandDecayedAt;
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -43,12 +43,7 @@
 AddSum(const LoadSum& aSum, LoadSum& aTotal)
 {
   aTotal.mAge = std::max(aTotal.mAge, aSum.mAge);
-  aTotal.mDemand.mShortPromptDemand += aSum.mDemand.mShortPromptDemand;
-  aTotal.mDemand.mLongPromptDemand += aSum.mDemand.mLongPromptDemand;
-  for (const auto& [server, load] : aSum.mLoads) {
-    aTotal.mLoads[server].mRequests += load.mRequests;
-    aTotal.mLoads[server].mPrefillTokens += load.mPrefillTokens;
-  }
+  aTotal.mLoad += aSum.mLoad;
 }
 
 } // namespace
@@ -103,8 +98,7 @@
   }
   peer.mHeardAt = aNow;
   peer.mSequence = aReport.mSequence;
-  peer.mLoads = aReport.mLoads;
-  peer.mDemand = aReport.mDemand;
+  peer.mLoad = aReport.mLoad;
   peer.mZone = aReport.mZone;
   if (aReport.mSum) {
     peer.mSum = aReport.mSum;
@@ -397,13 +391,13 @@
 PromptDemand
 PeerView::PeerDemand(Timestamp aNow) const
 {
-  return TotalPeerLoad(aNow).mDemand;
+  return TotalPeerLoad(aNow).mLoad.mDemand;
 }
 
 ServerLoads
 PeerView::PeerLoads(Timestamp aNow) const
 {
-  return TotalPeerLoad(aNow).mLoads;
+  return TotalPeerLoad(aNow).mLoad.mServers;
 }
 
 LoadSum
@@ -433,8 +427,7 @@
   for (const auto& [address, peer] : mPeers) {
     const bool counts = !aOwnZoneOnly || peer.mZone == mZone;
     if (counts && aNow - peer.mHeardAt <= maximumAge) {
-      AddSum({ AgeOf(peer.mHeardAt, aNow), peer.mLoads, peer.mDemand, {} },
-             sum);
+      AddSum({ AgeOf(peer.mHeardAt, aNow), peer.mLoad, {} }, sum);
     }
   }
   return sum;
@@ -596,7 +589,7 @@
   report.mShuttingDownProcesses = aOwn.mShuttingDownProcesses;
   report.mLimits = aOwn.mLimits;
   report.mSum = SumOfPeers(aNow, true);
-  AddSum({ Milliseconds(0), aOwn.mLoads, aOwn.mDemand, {} }, *report.mSum);
+  AddSum({ Milliseconds(0), aOwn.mLoad, {} }, *report.mSum);
   report.mSum->mSent = std::exchange(mOwnZoneParts, {});
   report.mSum->mSent.insert(
     report.mSum->mSent.end(), aOwn.mSent.begin(), aOwn.mSent.end());
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directorydelta.h"
+#include "entryload.h"
 #include "serverlimits.h"
 
 #include <cstdint>
@@ -13,26 +14,6 @@
 
 namespace medlarkeel {
 
-/** The load that an entry has in progress at a backend server. */
-struct ServerLoad
-{
-  std::uint32_t mRequests = 0;
-  /** Estimated prompt tokens that still need prefill. */
-  std::uint32_t mPrefillTokens = 0;
-};
-
-/** Prompt tokens of recent requests, weighted by age. */
-struct PromptDemand
-{
-  /** Tokens of short prompts. */
-  double mShortPromptDemand = 0.0;
-  /** Tokens of long prompts. */
-  double mLongPromptDemand = 0.0;
-};
-
-/** Loads keyed by the hash of the backend server's id; see ServerHash(). */
-using ServerLoads = std::unordered_map<std::uint32_t, ServerLoad>;
-
 /** @return The hash that identifies a backend server in peer reports. */
 std::uint32_t
 ServerHash(const InstanceId& aId);
@@ -67,8 +48,7 @@
 {
   /** Age of the oldest report in the sum. */
   Milliseconds mAge{ 0 };
-  ServerLoads mLoads;
-  PromptDemand mDemand;
+  EntryLoad mLoad;
   /** Shared parts of prompts that these entries sent recently. */
   std::vector<SentPart> mSent;
 };
@@ -80,8 +60,7 @@
   std::string mAddress;
   /** Increases with each report, also across restarts of the process. */
   std::uint64_t mSequence = 0;
-  ServerLoads mLoads;
-  PromptDemand mDemand;
+  EntryLoad mLoad;
   /** Digest of the sender's copy of the directory. */
   std::uint64_t mDirectoryDigest = 0;
   /** Directory revision of the sender's copy. */
@@ -369,8 +348,7 @@
   {
     Timestamp mHeardAt;
     std::uint64_t mSequence = 0;
-    ServerLoads mLoads;
-    PromptDemand mDemand;
+    EntryLoad mLoad;
     std::uint32_t mZone = 0;
     std::optional<LoadSum> mSum;
     /** When the sum was received. */
--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -277,7 +277,7 @@
   if (IsOutOfTouch(entry)) {
     mProgress[aNumber].mIsExcused = true;
   }
-  entry.mChooser->UpdateFromPeers(*entry.mPeers, Now());
+  entry.mChooser->SetPeerLoad(entry.mPeers->TotalPeerLoad(Now()).mLoad);
   const auto choice = entry.mChooser->Choose(
     mUsable,
     planned.mRequest.mPrompt,
--- /dev/null
+++ b/src/libmedlarkeelforward/entryloadcodec.cpp
@@ -0,0 +1,107 @@
+#include "entryloadcodec.h"
+
+#include <algorithm>
+
+namespace medlarkeel {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/** Unit in which prompt tokens are encoded. */
+constexpr std::uint32_t kTokenUnit = 32;
+
+/** Bytes of one load: the server's hash, requests and units of tokens. */
+constexpr std::size_t kHashBytes = 4;
+constexpr std::size_t kRequestBytes = 2;
+constexpr std::size_t kUnitBytes = 2;
+constexpr std::size_t kLoadBytes = kHashBytes + kRequestBytes + kUnitBytes;
+constexpr std::uint32_t kMostInTwoBytes = 0xffff;
+constexpr unsigned kBitsPerByte = 8;
+constexpr std::uint32_t kByteMask = 0xff;
+
+/** Whole numbers take fewer bytes. */
+std::uint64_t
+Rounded(double aTokens)
+{
+  return static_cast<std::uint64_t>(std::max(0.0, aTokens));
+}
+
+void
+AppendNumber(Json::binary_t& aBytes, std::uint32_t aNumber, std::size_t aSize)
+{
+  for (std::size_t i = 0; i < aSize; ++i) {
+    aBytes.push_back(
+      static_cast<std::uint8_t>((aNumber >> (kBitsPerByte * i)) & kByteMask));
+  }
+}
+
+std::uint32_t
+ReadNumber(const Json::binary_t& aBytes, std::size_t& aPlace, std::size_t aSize)
+{
+  std::uint32_t number = 0;
+  for (std::size_t i = 0; i < aSize; ++i) {
+    number |= static_cast<std::uint32_t>(aBytes.at(aPlace++))
+              << (kBitsPerByte * i);
+  }
+  return number;
+}
+
+Json
+EncodeLoads(const ServerLoads& aLoads)
+{
+  Json::binary_t bytes;
+  for (const auto& [server, load] : aLoads) {
+    AppendNumber(bytes, server, kHashBytes);
+    AppendNumber(
+      bytes, std::min(load.mRequests, kMostInTwoBytes), kRequestBytes);
+    AppendNumber(bytes,
+                 std::min(load.mPrefillTokens / kTokenUnit, kMostInTwoBytes),
+                 kUnitBytes);
+  }
+  return Json::binary(std::move(bytes));
+}
+
+ServerLoads
+DecodeLoads(const Json& aLoads)
+{
+  const Json::binary_t& bytes = aLoads.get_binary();
+  ServerLoads loads;
+  std::size_t place = 0;
+  while (place + kLoadBytes <= bytes.size()) {
+    ServerLoad& load = loads[ReadNumber(bytes, place, kHashBytes)];
+    load.mRequests = ReadNumber(bytes, place, kRequestBytes);
+    load.mPrefillTokens = ReadNumber(bytes, place, kUnitBytes) * kTokenUnit;
+  }
+  return loads;
+}
+
+Json
+EncodeDemand(const PromptDemand& aDemand)
+{
+  return { Rounded(aDemand.mShortPromptDemand),
+           Rounded(aDemand.mLongPromptDemand) };
+}
+
+PromptDemand
+DecodeDemand(const Json& aDemand)
+{
+  return { aDemand.at(0).get<double>(), aDemand.at(1).get<double>() };
+}
+
+} // namespace
+
+void
+EncodeEntryLoad(const EntryLoad& aLoad, Json& aOut)
+{
+  aOut["l"] = EncodeLoads(aLoad.mServers);
+  aOut["q"] = EncodeDemand(aLoad.mDemand);
+}
+
+EntryLoad
+DecodeEntryLoad(const Json& aValues)
+{
+  return { DecodeLoads(aValues.at("l")), DecodeDemand(aValues.at("q")) };
+}
+
+} // namespace medlarkeel
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -225,7 +225,7 @@
   const Timestamp now = BootNow();
   if (now - mRefreshedAt >= kRefreshPause) {
     mRefreshedAt = now;
-    mChooser.UpdateFromPeers(mPeers, now);
+    mChooser.SetPeerLoad(mPeers.TotalPeerLoad(now).mLoad);
   }
 }
 
--- a/src/libmedlarkeelforward/peerreportcodec.cpp
+++ b/src/libmedlarkeelforward/peerreportcodec.cpp
@@ -1,6 +1,7 @@
 #include "peerreportcodec.h"
 
 #include "../libmedlarkeel/settings.h"
+#include "entryloadcodec.h"
 #include "permitcodec.h"
 
 #include <algorithm>
@@ -18,74 +19,6 @@
 constexpr int kRemoval = 1;
 constexpr int kZone = 2;
 
-/** Prompt tokens are told in units of this size. */
-constexpr std::uint32_t kTokenUnit = 32;
-
-/** Bytes of one load: the server's hash, requests and units of tokens. */
-constexpr std::size_t kHashBytes = 4;
-constexpr std::size_t kRequestBytes = 2;
-constexpr std::size_t kUnitBytes = 2;
-constexpr std::size_t kLoadBytes = kHashBytes + kRequestBytes + kUnitBytes;
-constexpr std::uint32_t kMostInTwoBytes = 0xffff;
-constexpr unsigned kBitsPerByte = 8;
-constexpr std::uint32_t kByteMask = 0xff;
-
-/** Whole numbers take fewer bytes. */
-std::uint64_t
-Rounded(double aTokens)
-{
-  return static_cast<std::uint64_t>(std::max(0.0, aTokens));
-}
-
-void
-AppendNumber(Json::binary_t& aBytes, std::uint32_t aNumber, std::size_t aSize)
-{
-  for (std::size_t i = 0; i < aSize; ++i) {
-    aBytes.push_back(
-      static_cast<std::uint8_t>((aNumber >> (kBitsPerByte * i)) & kByteMask));
-  }
-}
-
-std::uint32_t
-ReadNumber(const Json::binary_t& aBytes, std::size_t& aPlace, std::size_t aSize)
-{
-  std::uint32_t number = 0;
-  for (std::size_t i = 0; i < aSize; ++i) {
-    number |= static_cast<std::uint32_t>(aBytes.at(aPlace++))
-              << (kBitsPerByte * i);
-  }
-  return number;
-}
-
-Json
-EncodeLoads(const ServerLoads& aLoads)
-{
-  Json::binary_t bytes;
-  for (const auto& [server, load] : aLoads) {
-    AppendNumber(bytes, server, kHashBytes);
-    AppendNumber(
-      bytes, std::min(load.mRequests, kMostInTwoBytes), kRequestBytes);
-    AppendNumber(bytes,
-                 std::min(load.mPrefillTokens / kTokenUnit, kMostInTwoBytes),
-                 kUnitBytes);
-  }
-  return Json::binary(std::move(bytes));
-}
-
-ServerLoads
-DecodeLoads(const Json& aLoads)
-{
-  const Json::binary_t& bytes = aLoads.get_binary();
-  ServerLoads loads;
-  std::size_t place = 0;
-  while (place + kLoadBytes <= bytes.size()) {
-    ServerLoad& load = loads[ReadNumber(bytes, place, kHashBytes)];
-    load.mRequests = ReadNumber(bytes, place, kRequestBytes);
-    load.mPrefillTokens = ReadNumber(bytes, place, kUnitBytes) * kTokenUnit;
-  }
-  return loads;
-}
-
 Json
 EncodeChange(const BackendEntry& aEntry)
 {
@@ -231,34 +164,19 @@
   return parts;
 }
 
-Json
-EncodeDemand(const PromptDemand& aDemand)
-{
-  return { Rounded(aDemand.mShortPromptDemand),
-           Rounded(aDemand.mLongPromptDemand) };
-}
-
-PromptDemand
-DecodeDemand(const Json& aDemand)
-{
-  return { aDemand.at(0).get<double>(), aDemand.at(1).get<double>() };
-}
-
 Json
 EncodeSum(const LoadSum& aSum)
 {
-  return { { "g", aSum.mAge.count() },
-           { "l", EncodeLoads(aSum.mLoads) },
-           { "q", EncodeDemand(aSum.mDemand) },
-           { "p", EncodeParts(aSum.mSent) } };
+  Json sum{ { "g", aSum.mAge.count() }, { "p", EncodeParts(aSum.mSent) } };
+  EncodeEntryLoad(aSum.mLoad, sum);
+  return sum;
 }
 
 LoadSum
 DecodeSum(const Json& aSum)
 {
   return { Milliseconds(aSum.at("g").get<std::int64_t>()),
-           DecodeLoads(aSum.at("l")),
-           DecodeDemand(aSum.at("q")),
+           DecodeEntryLoad(aSum),
            DecodeParts(aSum.at("p")) };
 }
 
@@ -297,11 +215,10 @@
 {
   Json report{ { "a", aReport.mAddress },
                { "s", aReport.mSequence },
-               { "l", EncodeLoads(aReport.mLoads) },
-               { "q", EncodeDemand(aReport.mDemand) },
                { "d", aReport.mDirectoryDigest },
                { "r", aReport.mDirectoryRevision },
                { "g", aReport.mDirectoryAge.count() } };
+  EncodeEntryLoad(aReport.mLoad, report);
   if (aReport.mZone != 0) {
     report["z"] = aReport.mZone;
   }
@@ -348,8 +265,7 @@
     if (!IsIpNumber(decoded.mAddress)) {
       return std::nullopt;
     }
-    decoded.mLoads = DecodeLoads(report.at("l"));
-    decoded.mDemand = DecodeDemand(report.at("q"));
+    decoded.mLoad = DecodeEntryLoad(report);
     decoded.mDirectoryDigest = report.at("d").get<std::uint64_t>();
     decoded.mDirectoryRevision = report.at("r").get<std::uint64_t>();
     decoded.mDirectoryAge = Milliseconds(report.at("g").get<std::int64_t>());
--- a/tests/core/test_backendchooser.cpp
+++ b/tests/core/test_backendchooser.cpp
@@ -111,7 +111,7 @@
   BackendChooser chooser = NewChooser();
   const auto prompt = Prompt(5, 1000, 5000);
   const InstanceId first = Choose(chooser, pool, prompt)->mId;
-  chooser.SetPeerLoads({ { ServerHash(first), { 20, 200'000 } } });
+  chooser.SetPeerLoad({ { { ServerHash(first), { 20, 200'000 } } }, {} });
   BOOST_CHECK(Choose(chooser, pool, prompt)->mId != first);
 }
 
@@ -123,7 +123,7 @@
   const auto prompt = Prompt(5, 13'000, 3000);
   const auto preferred = Choose(one, pool, prompt);
   Choose(other, pool, prompt);
-  one.SetPeerLoads({ { ServerHash(preferred->mId), { 20, 200'000 } } });
+  one.SetPeerLoad({ { { ServerHash(preferred->mId), { 20, 200'000 } } }, {} });
   const auto alternative = Choose(one, pool, prompt);
   BOOST_REQUIRE(alternative->mId != preferred->mId);
   one.RecordStarted(*alternative, prompt, kStart);
@@ -132,7 +132,8 @@
   BOOST_REQUIRE(sent.size() == 1U);
   BOOST_TEST(one.TakeSentParts().empty());
   other.RecordPeerSentParts(sent, kStart);
-  other.SetPeerLoads({ { ServerHash(preferred->mId), { 20, 200'000 } } });
+  other.SetPeerLoad(
+    { { { ServerHash(preferred->mId), { 20, 200'000 } } }, {} });
   BOOST_CHECK(Choose(other, pool, prompt)->mId == alternative->mId);
 }
 
@@ -348,11 +349,11 @@
   }
   BackendChooser chooser = NewChooser();
   const InstanceId first = pool.mServers[0].mEntry.mId;
-  chooser.SetPeerLoads({ { ServerHash(first), { 6, 0 } } });
+  chooser.SetPeerLoad({ { { ServerHash(first), { 6, 0 } } }, {} });
   for (int i = 0; i < 10; ++i) {
     chooser.RecordFull(pool.mServers[0], kStart);
   }
-  chooser.SetPeerLoads({});
+  chooser.SetPeerLoad({});
   const Timestamp soon = kStart + Milliseconds(300);
   std::set<InstanceId> chosen;
   for (int i = 0; i < 40; ++i) {
--- a/tests/core/test_peerview.cpp
+++ b/tests/core/test_peerview.cpp
@@ -24,7 +24,7 @@
   PeerReport report;
   report.mAddress = aAddress;
   report.mSequence = aSequence;
-  report.mLoads[7] = { 2, 300 };
+  report.mLoad.mServers[7] = { 2, 300 };
   report.mDirectoryRevision = kRevision;
   return report;
 }
@@ -214,7 +214,7 @@
   PeerView view(PeerSettings(), "10.0.0.1", {}, kDiscoveredStart);
   view.Record(Report("10.0.0.2", 5), kStart);
   PeerReport old = Report("10.0.0.2", 4);
-  old.mLoads[7] = { 9, 9 };
+  old.mLoad.mServers[7] = { 9, 9 };
   view.Record(old, kStart);
   BOOST_TEST(view.PeerLoads(kStart)[7].mRequests == 2U);
 }
--- a/tests/core/test_zonesums.cpp
+++ b/tests/core/test_zonesums.cpp
@@ -58,7 +58,7 @@
       PeerReport own;
       own.mAddress = mAddresses[i];
       own.mSequence = ++mSequences[i];
-      own.mLoads[kServer] = { 1, 100 };
+      own.mLoad.mServers[kServer] = { 1, 100 };
       own.mSent = { { kServer, static_cast<std::uint32_t>(i) } };
       for (const AddressedReport& addressed : mViews[i].Reports(own, mNow)) {
         mDatagrams += addressed.mTargets.size();
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -65,14 +65,15 @@
   PeerReport report;
   report.mAddress = "10.0.0.1";
   report.mSequence = 7;
-  report.mLoads[4'000'000'000U] = { 3, 40'000 };
+  report.mLoad.mServers[4'000'000'000U] = { 3, 40'000 };
   report.mKnownAddresses = { "10.0.0.2" };
   report.mSent = { { 4'000'000'000U, 7 } };
   const auto decoded = DecodePeerReport(EncodePeerReport(report));
   BOOST_REQUIRE(decoded.has_value());
   BOOST_TEST(decoded->mAddress == report.mAddress);
   BOOST_TEST(decoded->mSequence == 7U);
-  BOOST_TEST(decoded->mLoads.at(4'000'000'000U).mPrefillTokens == 40'000U);
+  BOOST_TEST(decoded->mLoad.mServers.at(4'000'000'000U).mPrefillTokens ==
+             40'000U);
   BOOST_TEST(decoded->mKnownAddresses.size() == 1U);
   BOOST_TEST(decoded->mSent.at(0).mServer == 4'000'000'000U);
   BOOST_TEST(decoded->mSent.at(0).mPart == 7U);
