Estimate one prefill rate from the measurements of all entries

The backlog counts as load by that rate.

Entries now report what they measured, by pool: tokens and time. The estimate is made of the measurements of all of them, so that a restarted entry has it with the first report. The assumed rate counts until as many tokens have been measured (before, it was one of the measurements and faded with them).

--- a/src/libmedlarkeel/forwarding/admissioncontrol.cpp
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.cpp
@@ -27,8 +27,10 @@
   return "unknown";
 }
 
-AdmissionControl::AdmissionControl(const AdmissionSettings& aSettings)
+AdmissionControl::AdmissionControl(const AdmissionSettings& aSettings,
+                                   std::uint32_t aPool)
   : mSettings(aSettings)
+  , mPool(aPool)
   , mPrefillRate(aSettings.mPrefillRateSettings)
 {
 }
@@ -139,6 +141,20 @@
   return decision;
 }
 
+void
+AdmissionControl::FillReport(EntryLoad& aLoad) const
+{
+  aLoad.mPrefill[mPool] = mPrefillRate.OwnSample();
+}
+
+void
+AdmissionControl::SetPeerLoad(const EntryLoad& aLoad)
+{
+  const auto sample = aLoad.mPrefill.find(mPool);
+  mPrefillRate.SetPeerSample(sample == aLoad.mPrefill.end() ? PrefillSample()
+                                                            : sample->second);
+}
+
 void
 AdmissionControl::RecordStreamDuration(bool aIsShortPrompt, Microseconds aTime)
 {
--- a/src/libmedlarkeel/forwarding/admissioncontrol.h
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.h
@@ -104,7 +104,8 @@
 class AdmissionControl
 {
 public:
-  explicit AdmissionControl(const AdmissionSettings& aSettings);
+  /** @param aPool Pool whose requests are decided on; see PoolHash(). */
+  AdmissionControl(const AdmissionSettings& aSettings, std::uint32_t aPool);
 
   /**
    * Decides whether a request is sent to its backend server.
@@ -137,6 +138,12 @@
     mPrefillRate.Record(aTokensAhead, aElapsed);
   }
 
+  /** Adds this entry's measurements to a report. */
+  void FillReport(EntryLoad& aLoad) const;
+
+  /** Replaces the measurements of the peers. */
+  void SetPeerLoad(const EntryLoad& aLoad);
+
 private:
   /** Range of loads in which the refused share of a priority rises from none to
    * all: in the lower half for callers that have all of their time left, in the
@@ -180,6 +187,7 @@
                           const RefusalRamp& aRamp) const;
 
   AdmissionSettings mSettings;
+  std::uint32_t mPool;
   PrefillRate mPrefillRate;
   /** Moving averages of the duration of streams after their first event; 0 at
    * the start. */
--- a/src/libmedlarkeel/forwarding/entryload.cpp
+++ b/src/libmedlarkeel/forwarding/entryload.cpp
@@ -1,7 +1,15 @@
 #include "entryload.h"
 
+#include "../rendezvous.h"
+
 namespace medlarkeel {
 
+std::uint32_t
+PoolHash(const PoolName& aPool)
+{
+  return static_cast<std::uint32_t>(HashText(aPool.Text()));
+}
+
 EntryLoad&
 EntryLoad::operator+=(const EntryLoad& aOther)
 {
@@ -10,6 +18,9 @@
   }
   mDemand.mShortPromptDemand += aOther.mDemand.mShortPromptDemand;
   mDemand.mLongPromptDemand += aOther.mDemand.mLongPromptDemand;
+  for (const auto& [pool, sample] : aOther.mPrefill) {
+    mPrefill[pool] += sample;
+  }
   return *this;
 }
 
--- a/src/libmedlarkeel/forwarding/entryload.h
+++ b/src/libmedlarkeel/forwarding/entryload.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../types.h"
+
 #include <cstdint>
 #include <unordered_map>
 
@@ -32,12 +34,35 @@
   double mLongPromptDemand = 0.0;
 };
 
+/** Prefill that was measured at the backend servers of a pool. */
+struct PrefillSample
+{
+  /** Prompt tokens whose prefill was completed. */
+  double mTokens = 0.0;
+  double mElapsedMs = 0.0;
+
+  PrefillSample& operator+=(const PrefillSample& aOther)
+  {
+    mTokens += aOther.mTokens;
+    mElapsedMs += aOther.mElapsedMs;
+    return *this;
+  }
+};
+
+/** Measured prefill keyed by the hash of the pool's name; see PoolHash(). */
+using PrefillSamples = std::unordered_map<std::uint32_t, PrefillSample>;
+
+/** @return The hash that identifies a pool in peer reports. */
+std::uint32_t
+PoolHash(const PoolName& aPool);
+
 /** What an entry, or several entries together, report about the load of the
  * backend servers. */
 struct EntryLoad
 {
   ServerLoads mServers;
   PromptDemand mDemand;
+  PrefillSamples mPrefill;
 
   /** Adds the load of other entries. */
   EntryLoad& operator+=(const EntryLoad& aOther);
--- a/src/libmedlarkeel/forwarding/prefillrate.cpp
+++ b/src/libmedlarkeel/forwarding/prefillrate.cpp
@@ -12,8 +12,6 @@
 
 PrefillRate::PrefillRate(const PrefillRateSettings& aSettings)
   : mSettings(aSettings)
-  , mTokens(aSettings.mInitialWeightTokens)
-  , mElapsedMs(aSettings.mInitialWeightTokens / aSettings.mInitialTokensPerMs)
 {
 }
 
@@ -26,18 +24,23 @@
   const double elapsedMs = std::min(static_cast<double>(aElapsed.count()) /
                                       kMicrosecondsPerMillisecond,
                                     aTokens / mSettings.mMinimumTokensPerMs);
-  mTokens += aTokens;
-  mElapsedMs += elapsedMs;
-  if (mTokens > mSettings.mHalvingThresholdTokens) {
-    mTokens /= 2.0;
-    mElapsedMs /= 2.0;
+  mOwnSample += { aTokens, elapsedMs };
+  if (mOwnSample.mTokens > mSettings.mHalvingThresholdTokens) {
+    mOwnSample.mTokens /= 2.0;
+    mOwnSample.mElapsedMs /= 2.0;
   }
 }
 
 double
 PrefillRate::TokensPerMs() const
 {
-  return std::max(mSettings.mMinimumTokensPerMs, mTokens / mElapsedMs);
+  PrefillSample total = mOwnSample;
+  total += mPeerSample;
+  const double assumedTokens =
+    std::max(0.0, mSettings.mInitialWeightTokens - total.mTokens);
+  total += { assumedTokens, assumedTokens / mSettings.mInitialTokensPerMs };
+  return std::max(mSettings.mMinimumTokensPerMs,
+                  total.mTokens / total.mElapsedMs);
 }
 
 Milliseconds
--- a/src/libmedlarkeel/forwarding/prefillrate.h
+++ b/src/libmedlarkeel/forwarding/prefillrate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../types.h"
+#include "entryload.h"
 
 namespace medlarkeel {
 
@@ -11,7 +11,7 @@
    * millisecond. It lies between the rates of the slowest and the fastest
    * engines in current deployments. */
   double mInitialTokensPerMs = 64.0;
-  /** Weight of the initial rate, in prompt tokens of measurements. */
+  /** Prompt tokens of measurements that replace the initial rate. */
   double mInitialWeightTokens = 200'000.0;
   /** Prompt tokens of measurements above which the weight of all earlier
    * measurements is halved. */
@@ -28,7 +28,8 @@
 
 /**
  * Estimates the prefill rate of the backend servers of a pool from the times to
- * the first events and the prompt tokens whose prefill preceded them.
+ * the first events and the prompt tokens whose prefill preceded them. It uses
+ * the measurements of all entries, so that they estimate the same rate.
  */
 class PrefillRate
 {
@@ -43,6 +44,12 @@
    */
   void Record(double aTokens, Microseconds aElapsed);
 
+  /** @return This entry's measurements. */
+  const PrefillSample& OwnSample() const { return mOwnSample; }
+
+  /** Replaces the measurements of the peers. */
+  void SetPeerSample(const PrefillSample& aSample) { mPeerSample = aSample; }
+
   /** @return Estimated prefill rate of a server, in prompt tokens per
    * millisecond. */
   double TokensPerMs() const;
@@ -53,8 +60,8 @@
 
 private:
   PrefillRateSettings mSettings;
-  double mTokens;
-  double mElapsedMs;
+  PrefillSample mOwnSample;
+  PrefillSample mPeerSample;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -145,7 +145,8 @@
   entry.mPeers = std::make_unique<PeerView>(
     PeerSettings(), addresses[aEntry], addresses, aStartedAt);
   if (mPolicy.mAdmission) {
-    entry.mAdmission = std::make_unique<AdmissionControl>(*mPolicy.mAdmission);
+    entry.mAdmission = std::make_unique<AdmissionControl>(
+      *mPolicy.mAdmission, PoolHash(mPool->mName));
   }
 }
 
@@ -257,6 +258,9 @@
   report.mAddress = entry.mAddress;
   report.mSequence = ++entry.mReports;
   entry.mChooser->FillReport(report, Now());
+  if (entry.mAdmission) {
+    entry.mAdmission->FillReport(report.mLoad);
+  }
   for (Entry& other : mEntries) {
     if (other.mPeers->Record(report, Now())) {
       other.mChooser->RecordPeerSentParts(report.mSent, Now());
@@ -277,7 +281,11 @@
   if (IsOutOfTouch(entry)) {
     mProgress[aNumber].mIsExcused = true;
   }
-  entry.mChooser->SetPeerLoad(entry.mPeers->TotalPeerLoad(Now()).mLoad);
+  EntryLoad load = entry.mPeers->TotalPeerLoad(Now()).mLoad;
+  if (entry.mAdmission) {
+    entry.mAdmission->SetPeerLoad(load);
+  }
+  entry.mChooser->SetPeerLoad(std::move(load));
   const auto choice = entry.mChooser->Choose(
     mUsable,
     planned.mRequest.mPrompt,
--- a/src/libmedlarkeelforward/entryloadcodec.cpp
+++ b/src/libmedlarkeelforward/entryloadcodec.cpp
@@ -89,6 +89,31 @@
   return { aDemand.at(0).get<double>(), aDemand.at(1).get<double>() };
 }
 
+Json
+EncodeSamples(const PrefillSamples& aSamples)
+{
+  Json samples = Json::array();
+  for (const auto& [pool, sample] : aSamples) {
+    samples.push_back(pool);
+    samples.push_back(Rounded(sample.mTokens));
+    samples.push_back(Rounded(sample.mElapsedMs));
+  }
+  return samples;
+}
+
+PrefillSamples
+DecodeSamples(const Json& aSamples)
+{
+  PrefillSamples samples;
+  constexpr std::size_t kValues = 3;
+  for (std::size_t i = 0; i + kValues <= aSamples.size(); i += kValues) {
+    samples[aSamples.at(i).get<std::uint32_t>()] = {
+      aSamples.at(i + 1).get<double>(), aSamples.at(i + 2).get<double>()
+    };
+  }
+  return samples;
+}
+
 } // namespace
 
 void
@@ -96,12 +121,21 @@
 {
   aOut["l"] = EncodeLoads(aLoad.mServers);
   aOut["q"] = EncodeDemand(aLoad.mDemand);
+  if (!aLoad.mPrefill.empty()) {
+    aOut["e"] = EncodeSamples(aLoad.mPrefill);
+  }
 }
 
 EntryLoad
 DecodeEntryLoad(const Json& aValues)
 {
-  return { DecodeLoads(aValues.at("l")), DecodeDemand(aValues.at("q")) };
+  EntryLoad load;
+  load.mServers = DecodeLoads(aValues.at("l"));
+  load.mDemand = DecodeDemand(aValues.at("q"));
+  if (aValues.contains("e")) {
+    load.mPrefill = DecodeSamples(aValues.at("e"));
+  }
+  return load;
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -164,7 +164,7 @@
 AdmissionControl&
 Forwarder::Admission(const PoolName& aPool)
 {
-  return mAdmissions.emplace(aPool, AdmissionControl(AdmissionSettings()))
+  return mAdmissions.try_emplace(aPool, AdmissionSettings(), PoolHash(aPool))
     .first->second;
 }
 
@@ -225,7 +225,11 @@
   const Timestamp now = BootNow();
   if (now - mRefreshedAt >= kRefreshPause) {
     mRefreshedAt = now;
-    mChooser.SetPeerLoad(mPeers.TotalPeerLoad(now).mLoad);
+    EntryLoad load = mPeers.TotalPeerLoad(now).mLoad;
+    for (auto& [pool, admission] : mAdmissions) {
+      admission.SetPeerLoad(load);
+    }
+    mChooser.SetPeerLoad(std::move(load));
   }
 }
 
@@ -252,6 +256,9 @@
 {
   const Timestamp now = BootNow();
   mChooser.FillReport(aReport, now);
+  for (const auto& [pool, admission] : mAdmissions) {
+    admission.FillReport(aReport.mLoad);
+  }
   mLimits.RemoveUnlisted(
     [this](ProcessHash aProcess) {
       return mFollower.Backends().FindProcess(aProcess) != nullptr;
--- a/tests/core/test_admissioncontrol.cpp
+++ b/tests/core/test_admissioncontrol.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::uint32_t kPool = 7;
+
 /** Tier of all teams, so that routes decide on the order. */
 constexpr TierRank kTeamTier{ 1 };
 
@@ -40,7 +42,7 @@
 AdmissionVerdict
 VerdictFor(const AdmissionRequest& aRequest)
 {
-  return AdmissionControl(AdmissionSettings())
+  return AdmissionControl(AdmissionSettings(), kPool)
     .Decide(MakePoolWithThreeTiers(), aRequest)
     .mVerdict;
 }
@@ -147,7 +149,7 @@
  * end. */
 BOOST_AUTO_TEST_CASE(RetryDelayDependsOnTheSourceOfTheLoad)
 {
-  AdmissionControl control{ AdmissionSettings() };
+  AdmissionControl control{ AdmissionSettings(), kPool };
   for (int i = 0; i < 100; ++i) {
     control.RecordStreamDuration(false, Seconds(8));
   }
@@ -168,7 +170,7 @@
   AdmissionRequest early = MakeRequest(kLeastUrgentTier, 1.2);
   AdmissionRequest late = early;
   late.mJitterSample = 1.0;
-  const AdmissionControl control{ AdmissionSettings() };
+  const AdmissionControl control{ AdmissionSettings(), kPool };
   const ForwardPool pool = MakePoolWithThreeTiers();
   BOOST_TEST(control.Decide(pool, late).mRetryDelay.count() * 2 >=
              control.Decide(pool, early).mRetryDelay.count() * 3);
@@ -206,6 +208,23 @@
   BOOST_TEST(prefillRate.PrefillTime(50'000).count() > 400);
 }
 
+/** An entry that has just started assumed another rate than its peers. */
+BOOST_AUTO_TEST_CASE(RestartedEntryEstimatesAnotherRate)
+{
+  AdmissionControl running{ AdmissionSettings(), kPool };
+  for (int i = 0; i < 100; ++i) {
+    running.RecordFirstEvent(20'000, Seconds(1));
+  }
+  EntryLoad report;
+  running.FillReport(report);
+  AdmissionControl restarted{ AdmissionSettings(), kPool };
+  restarted.SetPeerLoad(report);
+  const ForwardPool pool = MakePoolWithThreeTiers();
+  const AdmissionRequest request = MakeRequest(kLeastUrgentTier, 0.1);
+  BOOST_TEST(restarted.Decide(pool, request).mTokensPerMs ==
+             running.Decide(pool, request).mTokensPerMs);
+}
+
 BOOST_AUTO_TEST_CASE(IgnoresSmallPromptsAndLimitsHangingServers)
 {
   const PrefillRateSettings settings;
--- a/tests/core/test_backendchooser.cpp
+++ b/tests/core/test_backendchooser.cpp
@@ -45,6 +45,14 @@
   return prompt;
 }
 
+EntryLoad
+LoadOf(const InstanceId& aServer, const ServerLoad& aLoad)
+{
+  EntryLoad load;
+  load.mServers[ServerHash(aServer)] = aLoad;
+  return load;
+}
+
 BackendChooser
 NewChooser(const char* aZone = "zone-0")
 {
@@ -111,7 +119,7 @@
   BackendChooser chooser = NewChooser();
   const auto prompt = Prompt(5, 1000, 5000);
   const InstanceId first = Choose(chooser, pool, prompt)->mId;
-  chooser.SetPeerLoad({ { { ServerHash(first), { 20, 200'000 } } }, {} });
+  chooser.SetPeerLoad(LoadOf(first, { 20, 200'000 }));
   BOOST_CHECK(Choose(chooser, pool, prompt)->mId != first);
 }
 
@@ -123,7 +131,7 @@
   const auto prompt = Prompt(5, 13'000, 3000);
   const auto preferred = Choose(one, pool, prompt);
   Choose(other, pool, prompt);
-  one.SetPeerLoad({ { { ServerHash(preferred->mId), { 20, 200'000 } } }, {} });
+  one.SetPeerLoad(LoadOf(preferred->mId, { 20, 200'000 }));
   const auto alternative = Choose(one, pool, prompt);
   BOOST_REQUIRE(alternative->mId != preferred->mId);
   one.RecordStarted(*alternative, prompt, kStart);
@@ -132,8 +140,7 @@
   BOOST_REQUIRE(sent.size() == 1U);
   BOOST_TEST(one.TakeSentParts().empty());
   other.RecordPeerSentParts(sent, kStart);
-  other.SetPeerLoad(
-    { { { ServerHash(preferred->mId), { 20, 200'000 } } }, {} });
+  other.SetPeerLoad(LoadOf(preferred->mId, { 20, 200'000 }));
   BOOST_CHECK(Choose(other, pool, prompt)->mId == alternative->mId);
 }
 
@@ -349,7 +356,7 @@
   }
   BackendChooser chooser = NewChooser();
   const InstanceId first = pool.mServers[0].mEntry.mId;
-  chooser.SetPeerLoad({ { { ServerHash(first), { 6, 0 } } }, {} });
+  chooser.SetPeerLoad(LoadOf(first, { 6, 0 }));
   for (int i = 0; i < 10; ++i) {
     chooser.RecordFull(pool.mServers[0], kStart);
   }
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -66,6 +66,7 @@
   report.mAddress = "10.0.0.1";
   report.mSequence = 7;
   report.mLoad.mServers[4'000'000'000U] = { 3, 40'000 };
+  report.mLoad.mPrefill[3'000'000'000U] = { 1'000'000.0, 20'000.0 };
   report.mKnownAddresses = { "10.0.0.2" };
   report.mSent = { { 4'000'000'000U, 7 } };
   const auto decoded = DecodePeerReport(EncodePeerReport(report));
@@ -74,6 +75,9 @@
   BOOST_TEST(decoded->mSequence == 7U);
   BOOST_TEST(decoded->mLoad.mServers.at(4'000'000'000U).mPrefillTokens ==
              40'000U);
+  const PrefillSample& sample = decoded->mLoad.mPrefill.at(3'000'000'000U);
+  BOOST_TEST(sample.mTokens == 1'000'000.0);
+  BOOST_TEST(sample.mElapsedMs == 20'000.0);
   BOOST_TEST(decoded->mKnownAddresses.size() == 1U);
   BOOST_TEST(decoded->mSent.at(0).mServer == 4'000'000'000U);
   BOOST_TEST(decoded->mSent.at(0).mPart == 7U);
