Decide on urgent requests by the load that is at least as urgent

Urgent requests were refused because of a backlog of less urgent ones, which backend servers process after them.

Entries now count their requests in progress by pool, size of prompt and priority, and report the sums (six numbers a group). A request is decided on by the load of requests that are at least as urgent. The load of a less urgent request includes that of the more urgent ones, so it is higher at every entry.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -51,6 +51,22 @@
   return first;
 }
 
+/** Limits a mean load to what a part of the requests causes. */
+void
+LimitLoad(const ServerLoad& aPart, MeanLoad& aLoad)
+{
+  if (aLoad.mSlots > 0) {
+    aLoad.mSlotShare = std::min(aLoad.mSlotShare,
+                                static_cast<double>(aPart.mRequests) /
+                                  static_cast<double>(aLoad.mSlots));
+  }
+  if (aLoad.mServers > 0) {
+    aLoad.mPrefillTokens = std::min(aLoad.mPrefillTokens,
+                                    static_cast<double>(aPart.mPrefillTokens) /
+                                      static_cast<double>(aLoad.mServers));
+  }
+}
+
 } // namespace
 
 BackendChooser::BackendChooser(const BackendChooserSettings& aSettings,
@@ -306,10 +322,28 @@
   return choice;
 }
 
+void
+BackendChooser::AssignPriority(std::uint32_t aPool,
+                               const RequestPriority& aPriority,
+                               BackendChoice& aChoice) const
+{
+  aChoice.mLoadGroup = { aPool, aChoice.mIsShortPrompt, aPriority };
+  const auto loadOf = [&](PromptSizes aSizes) {
+    ServerLoad load =
+      LoadAtLeastAsUrgent(mPriorityLoads.Loads(), aChoice.mLoadGroup, aSizes);
+    load +=
+      LoadAtLeastAsUrgent(mPeerLoad.mPriorities, aChoice.mLoadGroup, aSizes);
+    return load;
+  };
+  LimitLoad(loadOf(PromptSizes::Same), aChoice.mSizeGroupLoad);
+  LimitLoad(loadOf(PromptSizes::All), aChoice.mPoolLoad);
+}
+
 void
 BackendChooser::FillReport(PeerReport& aReport, Timestamp aNow)
 {
   aReport.mLoad.mServers = OwnLoads();
+  aReport.mLoad.mPriorities = mPriorityLoads.Loads();
   aReport.mLoad.mDemand = OwnDemand(aNow);
   aReport.mSent = TakeSentParts();
 }
@@ -357,6 +391,7 @@
   if (!aPrompt) {
     return;
   }
+  mPriorityLoads.RecordStarted(aChoice.mLoadGroup, aChoice.mPrefillTokens);
   RecordDemand(*aPrompt, aChoice.mPrefillTokens, aNow);
   if (state.mSentParts.size() > kMaximumSentParts) {
     state.mSentParts.clear();
@@ -397,6 +432,7 @@
 void
 BackendChooser::RecordFirstByte(const BackendChoice& aChoice)
 {
+  mPriorityLoads.RecordPrefilled(aChoice.mLoadGroup, aChoice.mPrefillTokens);
   const auto found = mServers.find(aChoice.mId);
   if (found == mServers.end() || found->second.mPrefillingRequests == 0) {
     return;
@@ -415,6 +451,7 @@
   if (!aHadFirstByte) {
     RecordFirstByte(aChoice);
   }
+  mPriorityLoads.RecordEnded(aChoice.mLoadGroup);
   const auto found = mServers.find(aChoice.mId);
   if (found != mServers.end() && found->second.mRequests > 0) {
     found->second.mRequests -= 1;
@@ -426,8 +463,6 @@
                            Timestamp aNow) const
 {
   MeanLoad load;
-  std::size_t servers = 0;
-  std::size_t slots = 0;
   std::size_t running = 0;
   for (const ListedBackend* server : aServers) {
     const InstanceId& id = server->mEntry.mId;
@@ -437,18 +472,19 @@
     if (isAvoided || aNow < server->mColdUntil) {
       continue;
     }
-    servers += 1;
+    load.mServers += 1;
     load.mPrefillTokens += QueuedTokens(id);
     if (server->mEntry.mSlots > 0) {
-      slots += server->mEntry.mSlots;
+      load.mSlots += server->mEntry.mSlots;
       running += RunningRequests(id);
     }
   }
-  if (servers > 0) {
-    load.mPrefillTokens /= static_cast<double>(servers);
+  if (load.mServers > 0) {
+    load.mPrefillTokens /= static_cast<double>(load.mServers);
   }
-  if (slots > 0) {
-    load.mSlotShare = static_cast<double>(running) / static_cast<double>(slots);
+  if (load.mSlots > 0) {
+    load.mSlotShare =
+      static_cast<double>(running) / static_cast<double>(load.mSlots);
   }
   return load;
 }
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -88,6 +88,9 @@
   double mSlotShare = 0.0;
   /** Queued prefill tokens per server. */
   double mPrefillTokens = 0.0;
+  std::size_t mServers = 0;
+  /** Slots of the servers that report their number. */
+  std::size_t mSlots = 0;
 };
 
 /** A chosen backend server, and the estimates that led to the choice. */
@@ -103,6 +106,8 @@
   /** Estimated prefill tokens of other requests that are queued ahead. */
   double mQueuedTokens = 0.0;
   ProcessHash mProcessHash = 0;
+  /** Set by AssignPriority(). */
+  LoadGroup mLoadGroup;
   /** Load of all servers of the pool. */
   MeanLoad mPoolLoad;
   /** Load of the size group: the servers for prompts of this size, short or
@@ -161,6 +166,17 @@
     const ColdLimit& aColdLimit,
     Timestamp aNow);
 
+  /**
+   * Assigns a choice to the group of requests that its request belongs to, and
+   * limits its loads to those of requests that are at least as urgent. Servers
+   * prefer urgent requests, so the others don't delay it.
+   *
+   * @param aPool See PoolHash().
+   */
+  void AssignPriority(std::uint32_t aPool,
+                      const RequestPriority& aPriority,
+                      BackendChoice& aChoice) const;
+
   /** Replaces the load of the peers. */
   void SetPeerLoad(EntryLoad aLoad) { mPeerLoad = std::move(aLoad); }
 
@@ -295,6 +311,7 @@
   std::unordered_map<ProcessHash, Timestamp> mNotBefore;
   const ServerLimits* mLimits = nullptr;
   EntryLoad mPeerLoad;
+  PriorityLoadTracker mPriorityLoads;
   /** Sent parts that TakeSentParts() returns next. */
   std::vector<SentPart> mUnreportedParts;
   PromptDemand mDemand;
--- a/src/libmedlarkeel/forwarding/entryload.h
+++ b/src/libmedlarkeel/forwarding/entryload.h
@@ -1,27 +1,12 @@
 #pragma once
 
-#include "../types.h"
+#include "priorityloads.h"
 
 #include <cstdint>
 #include <unordered_map>
 
 namespace medlarkeel {
 
-/** The load that an entry has in progress at a backend server. */
-struct ServerLoad
-{
-  std::uint32_t mRequests = 0;
-  /** Estimated prompt tokens that still need prefill. */
-  std::uint32_t mPrefillTokens = 0;
-
-  ServerLoad& operator+=(const ServerLoad& aOther)
-  {
-    mRequests += aOther.mRequests;
-    mPrefillTokens += aOther.mPrefillTokens;
-    return *this;
-  }
-};
-
 /** Loads keyed by the hash of the backend server's id; see ServerHash(). */
 using ServerLoads = std::unordered_map<std::uint32_t, ServerLoad>;
 
@@ -52,15 +37,12 @@
 /** Measured prefill keyed by the hash of the pool's name; see PoolHash(). */
 using PrefillSamples = std::unordered_map<std::uint32_t, PrefillSample>;
 
-/** @return The hash that identifies a pool in peer reports. */
-std::uint32_t
-PoolHash(const PoolName& aPool);
-
 /** What an entry, or several entries together, report about the load of the
  * backend servers. */
 struct EntryLoad
 {
   ServerLoads mServers;
+  PriorityLoads mPriorities;
   PromptDemand mDemand;
   PrefillSamples mPrefill;
 
--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -286,12 +286,14 @@
     entry.mAdmission->SetPeerLoad(load);
   }
   entry.mChooser->SetPeerLoad(std::move(load));
-  const auto choice = entry.mChooser->Choose(
+  auto choice = entry.mChooser->Choose(
     mUsable,
     planned.mRequest.mPrompt,
     {},
     [](const InstanceId&) { return std::numeric_limits<std::size_t>::max(); },
     Now());
+  entry.mChooser->AssignPriority(
+    PoolHash(mPool->mName), PriorityOfRequest(planned), *choice);
   if (IsAdmitted(aNumber, *choice)) {
     Send(aNumber, *choice);
   }
--- a/src/libmedlarkeelforward/entryloadcodec.cpp
+++ b/src/libmedlarkeelforward/entryloadcodec.cpp
@@ -114,6 +114,37 @@
   return samples;
 }
 
+Json
+EncodePriorityLoads(const PriorityLoads& aLoads)
+{
+  Json loads = Json::array();
+  for (const auto& [group, load] : aLoads) {
+    loads.push_back(group.mPool);
+    loads.push_back(group.mIsShortPrompt);
+    loads.push_back(group.mPriority.mTeamTier.mValue);
+    loads.push_back(group.mPriority.mRouteTier.mValue);
+    loads.push_back(load.mRequests);
+    loads.push_back(load.mPrefillTokens / kTokenUnit);
+  }
+  return loads;
+}
+
+PriorityLoads
+DecodePriorityLoads(const Json& aLoads)
+{
+  PriorityLoads loads;
+  constexpr std::size_t kValues = 6;
+  for (std::size_t i = 0; i + kValues <= aLoads.size(); i += kValues) {
+    const LoadGroup group{ aLoads.at(i).get<std::uint32_t>(),
+                           aLoads.at(i + 1).get<bool>(),
+                           { TierRank{ aLoads.at(i + 2).get<int>() },
+                             TierRank{ aLoads.at(i + 3).get<int>() } } };
+    loads[group] = { aLoads.at(i + 4).get<std::uint32_t>(),
+                     aLoads.at(i + 5).get<std::uint32_t>() * kTokenUnit };
+  }
+  return loads;
+}
+
 } // namespace
 
 void
@@ -121,6 +152,9 @@
 {
   aOut["l"] = EncodeLoads(aLoad.mServers);
   aOut["q"] = EncodeDemand(aLoad.mDemand);
+  if (!aLoad.mPriorities.empty()) {
+    aOut["i"] = EncodePriorityLoads(aLoad.mPriorities);
+  }
   if (!aLoad.mPrefill.empty()) {
     aOut["e"] = EncodeSamples(aLoad.mPrefill);
   }
@@ -132,6 +166,9 @@
   EntryLoad load;
   load.mServers = DecodeLoads(aValues.at("l"));
   load.mDemand = DecodeDemand(aValues.at("q"));
+  if (aValues.contains("i")) {
+    load.mPriorities = DecodePriorityLoads(aValues.at("i"));
+  }
   if (aValues.contains("e")) {
     load.mPrefill = DecodeSamples(aValues.at("e"));
   }
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -77,7 +77,7 @@
   BackendChooser& chooser = mForwarder.Chooser();
   const std::vector<const ListedBackend*> usable =
     mForwarder.Backends().Usable(mPool->mName, now);
-  const auto choice = chooser.Choose(
+  auto choice = chooser.Choose(
     usable,
     mPrompt,
     mTried,
@@ -93,6 +93,8 @@
            AttemptOutcome::NotSent);
     return;
   }
+  chooser.AssignPriority(
+    PoolHash(mPool->mName), PriorityOf(mTeam, *mRoute), *choice);
   mLastChoice = choice;
   if (!IsAdmitted(*choice)) {
     return;
--- a/tests/core/test_zonesums.cpp
+++ b/tests/core/test_zonesums.cpp
@@ -59,6 +59,8 @@
       own.mAddress = mAddresses[i];
       own.mSequence = ++mSequences[i];
       own.mLoad.mServers[kServer] = { 1, 100 };
+      own.mLoad.mPriorities[LoadGroup()] = { 1, 100 };
+      own.mLoad.mPrefill[kServer] = { 100.0, 1.0 };
       own.mSent = { { kServer, static_cast<std::uint32_t>(i) } };
       for (const AddressedReport& addressed : mViews[i].Reports(own, mNow)) {
         mDatagrams += addressed.mTargets.size();
@@ -82,6 +84,11 @@
     return loads[kServer].mRequests;
   }
 
+  EntryLoad PeerLoad(std::size_t aEntry) const
+  {
+    return mViews[aEntry].TotalPeerLoad(mNow).mLoad;
+  }
+
   std::size_t Count(std::size_t aEntry) const
   {
     return mViews[aEntry].EntryCount(mNow);
@@ -165,6 +172,11 @@
   fleet.RunRounds(40);
   for (std::size_t i = 0; i < kLargeFleetEntries; ++i) {
     BOOST_TEST(fleet.ReportedLoad(i) == kLargeFleetEntries - 1);
+    const EntryLoad load = fleet.PeerLoad(i);
+    BOOST_TEST(load.mPriorities.at(LoadGroup()).mRequests ==
+               kLargeFleetEntries - 1);
+    BOOST_TEST(load.mPrefill.at(kServer).mElapsedMs ==
+               static_cast<double>(kLargeFleetEntries - 1));
     BOOST_TEST(fleet.Count(i) == kLargeFleetEntries);
   }
   BOOST_TEST(fleet.ZoneAggregators().size() == kZones);
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -66,6 +66,8 @@
   report.mAddress = "10.0.0.1";
   report.mSequence = 7;
   report.mLoad.mServers[4'000'000'000U] = { 3, 40'000 };
+  const LoadGroup group{ 9, true, { TierRank{ 1 }, TierRank{ 2 } } };
+  report.mLoad.mPriorities[group] = { 5, 64'000 };
   report.mLoad.mPrefill[3'000'000'000U] = { 1'000'000.0, 20'000.0 };
   report.mKnownAddresses = { "10.0.0.2" };
   report.mSent = { { 4'000'000'000U, 7 } };
@@ -75,6 +77,8 @@
   BOOST_TEST(decoded->mSequence == 7U);
   BOOST_TEST(decoded->mLoad.mServers.at(4'000'000'000U).mPrefillTokens ==
              40'000U);
+  BOOST_TEST(decoded->mLoad.mPriorities.at(group).mRequests == 5U);
+  BOOST_TEST(decoded->mLoad.mPriorities.at(group).mPrefillTokens == 64'000U);
   const PrefillSample& sample = decoded->mLoad.mPrefill.at(3'000'000'000U);
   BOOST_TEST(sample.mTokens == 1'000'000.0);
   BOOST_TEST(sample.mElapsedMs == 20'000.0);
