Refuse urgent requests only above the loads at which all others are refused

Urgent requests were refused at loads at which less urgent ones were still served by another entry: the ramps of the priorities shared a range of 0.6, a tenth each with six priorities, while the loads that entries estimate at one time differ by more. And least urgent requests were refused at a backlog of 0.36 s, although their first event has 1.5 s.

The least urgent requests now have a range of their own (0.8 to 1.5 of the capacity), all others follow above it (to 1.8), by the backlog that is at least as urgent and a larger share of the latency target. So others wait before they are refused, and nobody is refused before the least urgent ones are.

--- a/src/libmedlarkeel/forwarding/admissioncontrol.cpp
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.cpp
@@ -11,6 +11,13 @@
     static_cast<std::int64_t>(aFactor * static_cast<double>(aTime.count())));
 }
 
+/** @return Whether no requests of the pool are less urgent. */
+bool
+IsLeastUrgent(const ForwardPool& aPool, const RequestPriority& aPriority)
+{
+  return aPool.mPriorities.empty() || !(aPriority < aPool.mPriorities.back());
+}
+
 } // namespace
 
 const char*
@@ -39,17 +46,20 @@
 AdmissionControl::RefusalRampFor(const ForwardPool& aPool,
                                  const RequestPriority& aPriority) const
 {
-  const auto moreUrgent = std::count_if(
+  if (IsLeastUrgent(aPool, aPriority)) {
+    return { mSettings.mPartialRefusalLoad, mSettings.mFullRefusalLoad };
+  }
+  const auto lessUrgent = static_cast<double>(std::count_if(
     aPool.mPriorities.begin(),
     aPool.mPriorities.end(),
-    [&](const RequestPriority& aOther) { return aOther < aPriority; });
-  const auto priorities = static_cast<double>(std::max<std::size_t>(
-    aPool.mPriorities.size(), static_cast<std::size_t>(moreUrgent) + 1));
-  const double rampWidth =
-    (mSettings.mFullRefusalLoad - mSettings.mPartialRefusalLoad) / priorities;
-  const double rampEnd =
-    mSettings.mFullRefusalLoad - rampWidth * static_cast<double>(moreUrgent);
-  return { rampEnd - rampWidth, rampEnd };
+    [&](const RequestPriority& aOther) { return aPriority < aOther; }));
+  const auto urgentPriorities =
+    static_cast<double>(aPool.mPriorities.size() - 1);
+  const double width =
+    (mSettings.mUrgentRefusalLoad - mSettings.mFullRefusalLoad) /
+    urgentPriorities;
+  const double end = mSettings.mFullRefusalLoad + width * lessUrgent;
+  return { end - width, end };
 }
 
 double
@@ -65,28 +75,32 @@
 }
 
 Milliseconds
-AdmissionControl::BacklogTargetTime(const ForwardPool& aPool) const
+AdmissionControl::BacklogTargetTime(const ForwardPool& aPool,
+                                    const RequestPriority& aPriority) const
 {
-  return Scaled(aPool.mMaximumLatencyTarget, mSettings.mBacklogTargetShare);
+  return Scaled(aPool.mMaximumLatencyTarget,
+                IsLeastUrgent(aPool, aPriority)
+                  ? mSettings.mBacklogTargetShare
+                  : mSettings.mUrgentBacklogTargetShare);
 }
 
 AdmissionControl::RelativeLoads
-AdmissionControl::RelativeLoadsOf(const ForwardPool& aPool,
-                                  const MeanLoad& aLoad) const
+AdmissionControl::RelativeLoadsOf(const MeanLoad& aLoad,
+                                  Milliseconds aBacklogTarget) const
 {
-  const auto targetMs = static_cast<double>(BacklogTargetTime(aPool).count());
+  const auto targetMs = static_cast<double>(aBacklogTarget.count());
   const auto backlog =
     static_cast<double>(mPrefillRate.PrefillTime(aLoad.mPrefillTokens).count());
   return { aLoad.mSlotShare, targetMs > 0.0 ? backlog / targetMs : 0.0 };
 }
 
 AdmissionControl::RelativeLoads
-AdmissionControl::RelativeLoadsFor(const ForwardPool& aPool,
-                                   const BackendChoice& aChoice) const
+AdmissionControl::RelativeLoadsFor(const BackendChoice& aChoice,
+                                   Milliseconds aBacklogTarget) const
 {
   const RelativeLoads sizeGroup =
-    RelativeLoadsOf(aPool, aChoice.mSizeGroupLoad);
-  const RelativeLoads pool = RelativeLoadsOf(aPool, aChoice.mPoolLoad);
+    RelativeLoadsOf(aChoice.mSizeGroupLoad, aBacklogTarget);
+  const RelativeLoads pool = RelativeLoadsOf(aChoice.mPoolLoad, aBacklogTarget);
   return aChoice.mIsShortPrompt && pool.Highest() < sizeGroup.Highest()
            ? pool
            : sizeGroup;
@@ -104,7 +118,8 @@
   const Milliseconds streamTime = aRequest.mChoice.mIsShortPrompt
                                     ? mShortPromptStreamTime
                                     : mLongPromptStreamTime;
-  const Milliseconds backlog = Scaled(BacklogTargetTime(aPool), backlogExcess);
+  const Milliseconds backlog =
+    Scaled(BacklogTargetTime(aPool, aRequest.mPriority), backlogExcess);
   const Milliseconds slotDelay =
     slotExcess > 0.0 ? Scaled(streamTime, slotExcess / aLoads.mSlotLoad)
                      : Milliseconds(0);
@@ -120,7 +135,8 @@
                          const AdmissionRequest& aRequest) const
 {
   AdmissionDecision decision;
-  const RelativeLoads loads = RelativeLoadsFor(aPool, aRequest.mChoice);
+  const RelativeLoads loads = RelativeLoadsFor(
+    aRequest.mChoice, BacklogTargetTime(aPool, aRequest.mPriority));
   decision.mLoad = loads.Highest();
   decision.mSlotLoad = loads.mSlotLoad;
   decision.mBacklogLoad = loads.mBacklogLoad;
--- a/src/libmedlarkeel/forwarding/admissioncontrol.h
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.h
@@ -15,15 +15,21 @@
  */
 struct AdmissionSettings
 {
-  /** Load above which the least urgent requests are partly refused.
-   * It is above half of the slots, so that refusals leave no server idle. */
-  double mPartialRefusalLoad = 0.6;
+  /** Load above which the least urgent requests are partly refused. It is above
+   * half of the slots, so that refusals leave no server idle. */
+  double mPartialRefusalLoad = 0.8;
+  /** Load from which all of the least urgent requests are refused, and above
+   * which others are partly refused. */
+  double mFullRefusalLoad = 1.5;
   /** Load from which all requests are refused. */
-  double mFullRefusalLoad = 1.2;
+  double mUrgentRefusalLoad = 1.8;
   /** Share of the pool's maximum latency target that the prefill of the
    * backlog may take. The rest is for the prefill of the request itself and
    * for delays at a busy server. */
   double mBacklogTargetShare = 0.4;
+  /** The same share for all but the least urgent requests. No less urgent ones
+   * delay them, and refusing them while those are served breaks the order. */
+  double mUrgentBacklogTargetShare = 0.7;
   /** Share of its time limit that a caller has used when it is the last one of
    * its priority to be refused. */
   double mFullPrecedenceTimeShare = 0.5;
@@ -162,7 +168,8 @@
                       const RefusalRamp& aRamp,
                       double aUsedTimeShare) const;
   /** @return The prefill time of a backlog that counts as a load of 1. */
-  Milliseconds BacklogTargetTime(const ForwardPool& aPool) const;
+  Milliseconds BacklogTargetTime(const ForwardPool& aPool,
+                                 const RequestPriority& aPriority) const;
   /** Mean loads of a group of servers; 1 is their capacity. */
   struct RelativeLoads
   {
@@ -172,13 +179,13 @@
     double Highest() const { return std::max(mSlotLoad, mBacklogLoad); }
   };
 
-  RelativeLoads RelativeLoadsOf(const ForwardPool& aPool,
-                                const MeanLoad& aLoad) const;
+  RelativeLoads RelativeLoadsOf(const MeanLoad& aLoad,
+                                Milliseconds aBacklogTarget) const;
   /** @return The loads that decide on a request: those of the servers for its
    * prompt size, or those of the pool if the prompt is short and the pool has
    * the lower load. */
-  RelativeLoads RelativeLoadsFor(const ForwardPool& aPool,
-                                 const BackendChoice& aChoice) const;
+  RelativeLoads RelativeLoadsFor(const BackendChoice& aChoice,
+                                 Milliseconds aBacklogTarget) const;
   /** @return The estimated time, with jitter, until the load has fallen to the
    * start of the ramp, at least mMinimumRetryDelay. */
   Milliseconds RetryDelay(const ForwardPool& aPool,
