--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -162,12 +162,20 @@
   return { listener, ntohs(address.sin_port) };
 }
 
-/** @return A port that is free for TCP and UDP at an address. */
+/** @return A port that is free for TCP and UDP at an address. It lies below
+ * those that the system gives to outgoing channels, which come and go. */
 inline int
 FreePort(const std::string& aIp)
 {
-  for (int i = 0; i < 100; ++i) {
-    const auto [listener, port] = Listen(aIp);
+  constexpr int kFirst = 20'000;
+  constexpr int kCount = 12'000;
+  static std::mt19937 random(std::random_device{}());
+  for (int i = 0; i < 200; ++i) {
+    const int wanted = kFirst + static_cast<int>(random() % kCount);
+    const auto [listener, port] = Listen(aIp, wanted);
+    if (listener < 0) {
+      continue;
+    }
     const int datagrams = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = AddressOf(aIp, port);
     const bool isFree = bind(datagrams,
