--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -299,9 +299,11 @@
     : mHandler(std::move(aHandler))
   {
     std::tie(mListener, mPort) = Listen(aIp, aPort);
-    if (mListener >= 0) {
-      mThread = std::thread([this]() { Accept(); });
+    if (mListener < 0) {
+      Note("a stand-in can't listen at %s:%d", aIp.c_str(), aPort);
+      std::_Exit(2); // The entries end with this process.
     }
+    mThread = std::thread([this]() { Accept(); });
   }
 
   ~HttpServer() { Stop(); }
@@ -731,7 +733,8 @@
 inline std::string
 ConfigText(int aVersion,
            const std::vector<RouteText>& aRoutes,
-           const std::map<std::string, std::string>& aServices)
+           const std::map<std::string, std::string>& aServices,
+           const std::string& aKeys = "\"key-1\",\"key-2\"")
 {
   std::string routes;
   for (const RouteText& route : aRoutes) {
@@ -762,8 +765,8 @@
          "],\"services\":[" + services +
          "],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,"
          "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},"
-         "\"tenants\":[{\"name\":\"tenant-1\",\"api-keys\":[\"key-1\"],"
-         "\"priority\":0}]}";
+         "\"tenants\":[{\"name\":\"tenant-1\",\"api-keys\":[" +
+         aKeys + "],\"priority\":0}]}";
 }
 
 inline const char* const kEngineText =
@@ -991,12 +994,13 @@
             const std::string& aId,
             std::int64_t aTimeMs,
             std::size_t aLength,
-            const std::string& aFields = "")
+            const std::string& aFields = "",
+            const std::string& aKey = "key-1")
 {
   return aMethod + " " + aTarget +
          " HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: " + aId +
          "\r\nX-Deadline-Ms: " + std::to_string(aTimeMs) +
-         "\r\nAuthorization: Token key-1\r\n" + aFields +
+         "\r\nAuthorization: Token " + aKey + "\r\n" + aFields +
          (aMethod == "POST" ? "Content-Length: " + std::to_string(aLength) + "\r\n"
                             : std::string()) +
          "\r\n";
