A stream that ends inside an event counts as broken

Cause: how the bytes end and where events end were judged at different places. The forwarder took each closed connection of an answer without a length for its end and appended the rest of the buffer; a length or the last chunk counted as well, wherever it fell. The daemon did not look at events at all: a half event was passed on, and a complete stream without a length counted as broken.

Fix: FindEndFault decides, for every way in which a transfer can end and for both data planes. A stream is complete if its transfer ended as its framing states and no event is incomplete; without a length or chunks, an end before the first event is a fault too. A broken stream is resumed where the route allows it and otherwise ends without its last chunk; half an event is never passed on, by the agent neither. An answer on the route of a stream that has another content type is judged as a plain answer. Lines may end with a carriage return alone, as the format of event streams allows.

Observability: event 405 has the field "fault"; broken answers are counted by fault (medlarkeel_forward_broken_answers_total, medlarkeel_broken_answers_total).

With the condition on the half event taken out of FindEndFault these fail: forwarder/StreamThatEndsInsideAnEventIsNotWhole, .../StreamThatEndsInsideItsFirstEventIsAFailure, .../StreamThatEndsInsideAnEventGoesOnAtAnotherServer, answerstream/StreamThatEndsInsideAnEventIsBroken, answerend/StreamIsCompleteOnlyBetweenEvents. Sound streams of each framing, and those of HTTP/1.0 callers, stay whole (SoundStreamOfEachFramingIsWhole, SoundAnswerOfEachFramingIsComplete).

An end between two events of a stream that has neither a length nor chunks can't be told from a complete one.

--- a/bench/loaddriver/caller.cpp
+++ b/bench/loaddriver/caller.cpp
@@ -189,7 +189,7 @@
       text += aData;
       return true;
     });
-  const bool ended = result.has_value();
+  const bool ended = result && result.value() != TransferEnd::Close;
   if (streams && outcome.mStatus == kOk) {
     reader.Fill(outcome);
     outcome.mWhole = outcome.mWhole && ended;
--- a/bench/naiverouter/relayedstream.cpp
+++ b/bench/naiverouter/relayedstream.cpp
@@ -60,7 +60,7 @@
   };
   const auto result = StreamHttp(mCall, onHead, onData);
   const std::lock_guard<std::mutex> lock(mMutex);
-  mFailed = !result.has_value();
+  mFailed = !result || result.value() == TransferEnd::Close;
   mOver = true;
   mChanged.notify_all();
 }
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/answerend.cpp
@@ -0,0 +1,109 @@
+#include "answerend.h"
+
+#include <algorithm>
+
+namespace medlarkeel {
+
+namespace {
+
+std::optional<AnswerFault>
+FindTransferFault(TransferEnd aEnd)
+{
+  switch (aEnd) {
+    case TransferEnd::Length:
+    case TransferEnd::LastChunk:
+    case TransferEnd::Close:
+      return std::nullopt;
+    case TransferEnd::CloseBeforeHead:
+      return AnswerFault::NoAnswer;
+    case TransferEnd::CloseInHead:
+      return AnswerFault::EndInHead;
+    case TransferEnd::CloseInBody:
+      return AnswerFault::EndInBody;
+    case TransferEnd::Reset:
+      return AnswerFault::Reset;
+  }
+  return AnswerFault::Reset;
+}
+
+char
+LowerCase(char aCharacter)
+{
+  const bool isUpper = aCharacter >= 'A' && aCharacter <= 'Z';
+  return isUpper ? static_cast<char>(aCharacter - 'A' + 'a') : aCharacter;
+}
+
+} // namespace
+
+const char*
+AnswerFaultName(AnswerFault aFault)
+{
+  switch (aFault) {
+    case AnswerFault::NoAnswer:
+      return "no-answer";
+    case AnswerFault::EndInHead:
+      return "end-in-head";
+    case AnswerFault::EndInBody:
+      return "end-in-body";
+    case AnswerFault::Reset:
+      return "reset";
+    case AnswerFault::EndInsideEvent:
+      return "end-inside-event";
+    case AnswerFault::EndBeforeFirstEvent:
+      return "end-before-first-event";
+    case AnswerFault::InvalidHead:
+      return "invalid-head";
+    case AnswerFault::InvalidBody:
+      return "invalid-body";
+    case AnswerFault::HeadTooLarge:
+      return "head-too-large";
+    case AnswerFault::BodyTooLarge:
+      return "body-too-large";
+    case AnswerFault::EventTooLarge:
+      return "event-too-large";
+    case AnswerFault::NoRequestId:
+      return "no-request-id";
+    case AnswerFault::OtherAnswers:
+      return "other-answers";
+    case AnswerFault::NotAStream:
+      return "not-a-stream";
+    case AnswerFault::UnstatedRefusal:
+      return "unstated-refusal";
+  }
+  return "unknown";
+}
+
+std::optional<AnswerFault>
+FindEndFault(TransferEnd aEnd, const EventFramer* aEvents, bool aIsContinuation)
+{
+  if (const auto fault = FindTransferFault(aEnd)) {
+    return fault;
+  }
+  if (aEvents == nullptr) {
+    return std::nullopt;
+  }
+  if (aEvents->HasPartialEvent()) {
+    return AnswerFault::EndInsideEvent;
+  }
+  const bool lacksEvents = !aEvents->HasEvents() && !aIsContinuation;
+  if (aEnd == TransferEnd::Close && lacksEvents) {
+    return AnswerFault::EndBeforeFirstEvent;
+  }
+  return std::nullopt;
+}
+
+bool
+IsEventStreamType(std::string_view aContentType)
+{
+  constexpr std::string_view kType = "text/event-stream";
+  const std::size_t end = aContentType.find_first_of("; \t");
+  const std::string_view type = aContentType.substr(0, end);
+  return std::equal(
+    type.begin(),
+    type.end(),
+    kType.begin(),
+    kType.end(),
+    [](char aLeft, char aRight) { return LowerCase(aLeft) == aRight; });
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/answerend.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "eventframer.h"
+
+#include <optional>
+
+namespace medlarkeel {
+
+/** How the transfer of an answer ended. */
+enum class TransferEnd
+{
+  /** The stated length was reached. */
+  Length,
+  /** The last chunk and its trailers arrived. */
+  LastChunk,
+  /** The server closed the connection of an answer that has neither a length
+   * nor chunks. */
+  Close,
+  /** The connection was closed before any byte of the answer arrived. */
+  CloseBeforeHead,
+  /** The connection was closed inside the head. */
+  CloseInHead,
+  /** The connection was closed before the stated length or the last chunk. */
+  CloseInBody,
+  /** The connection was reset or failed. */
+  Reset
+};
+
+/** Why an answer counts as broken. */
+enum class AnswerFault
+{
+  NoAnswer,
+  EndInHead,
+  EndInBody,
+  Reset,
+  EndInsideEvent,
+  EndBeforeFirstEvent,
+  InvalidHead,
+  InvalidBody,
+  HeadTooLarge,
+  BodyTooLarge,
+  EventTooLarge,
+  NoRequestId,
+  OtherAnswers,
+  NotAStream,
+  UnstatedRefusal
+};
+
+/** Number of values of AnswerFault. */
+constexpr std::size_t kAnswerFaultCount = 15;
+
+/** @return The name of the fault in logs and metrics. */
+const char*
+AnswerFaultName(AnswerFault aFault);
+
+/**
+ * Decides whether an answer is complete when its transfer has ended. All data
+ * planes use this function, for every framing.
+ *
+ * An event stream is complete if the transfer ended as its framing states and
+ * no event is incomplete. Without a length or chunks, an end between two events
+ * can't be told from a complete stream; only an end before the first event is a
+ * fault, unless the request asked for the events behind one it already has.
+ *
+ * @param aEnd How the transfer ended.
+ * @param aEvents What arrived of an event stream; nullptr for other bodies.
+ * @param aIsContinuation Whether the request asked for a part of a stream.
+ * @return The reason why the answer is broken, or nothing if it is complete.
+ */
+std::optional<AnswerFault>
+FindEndFault(TransferEnd aEnd,
+             const EventFramer* aEvents,
+             bool aIsContinuation);
+
+/**
+ * @param aContentType Value of the Content-Type field, with or without
+ * parameters.
+ * @return Whether the body is a stream of server-sent events.
+ */
+bool
+IsEventStreamType(std::string_view aContentType);
+
+} // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/eventframer.h
+++ b/src/libmedlarkeel/forwarding/eventframer.h
@@ -8,7 +8,8 @@
 /**
  * Splits a body of server-sent events at the ends of events. Only complete
  * events are forwarded, so that a stream that broke off can be resumed after
- * the last complete event.
+ * the last complete event. Lines end with a line feed, a carriage return or
+ * both, an event with an empty line.
  */
 class EventFramer
 {
@@ -27,20 +28,32 @@
   /** @return Whether the buffer holds an incomplete event. */
   bool HasPartialEvent() const { return !mBuffer.empty(); }
 
+  /** @return Whether an event was complete. */
+  bool HasEvents() const { return mHasEvents; }
+
   /** @return Size of the incomplete event in bytes. */
   std::size_t BufferedBytes() const { return mBuffer.size(); }
 
-  /** Removes the incomplete event. Call it at the regular end of a body.
+private:
+  /**
+   * Continues the search for ends of events.
    *
-   * @return The bytes of the incomplete event. */
-  std::string TakeRemainder() { return std::move(mBuffer); }
+   * @param aBytes Bytes that follow those searched before.
+   * @return The number of bytes up to the last end of an event; 0 without one.
+   */
+  std::size_t FindEventEnd(std::string_view aBytes);
 
-private:
   /** Stores the last id in complete events. */
   void StoreLastEventId(std::string_view aEvents);
 
   std::string mBuffer;
   std::string mLastEventId;
+  bool mIsLineEmpty = true;
+  /** The previous byte is a carriage return; a line feed belongs to it. */
+  bool mIsAfterCarriageReturn = false;
+  /** The event has a line that isn't empty. */
+  bool mIsInEvent = false;
+  bool mHasEvents = false;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -32,7 +32,8 @@
   /** Ends the answer; the connection goes on or is closed. */
   void FinishAnswer(bool aKeepOpen);
 
-  /** Breaks the connection off, so that the answer can't look complete. */
+  /** Closes the connection before the end that the framing states, so that the
+   * answer can't look complete. */
   void Abort();
 
   /** Closes the connection if no request is under way. */
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "../libmedlarkeel/forwarding/answerend.h"
 #include "../libmedlarkeel/forwarding/attemptdecision.h"
-#include "../libmedlarkeel/forwarding/eventframer.h"
 #include "answertext.h"
 #include "forwarder.h"
 #include "messageparser.h"
@@ -52,12 +52,16 @@
     bool mIsRequestWritten = false;
     bool mHasHead = false;
     bool mHasFirstByte = false;
+    /** The answer is a stream of events. */
+    bool mIsEventStream = false;
     /** The answer belongs to an earlier request on the connection. */
     bool mIsForeign = false;
     /** Nothing is read until the caller has taken what it got. */
     bool mIsPaused = false;
     /** How a failed answer counts once it is complete. */
     std::optional<AttemptOutcome> mFailure;
+    /** Why the answer is broken, for AttemptOutcome::Broken. */
+    std::optional<AnswerFault> mFault;
     Timestamp mBegunAt;
     /** When the request was written to the connection. */
     Timestamp mSentAt;
@@ -92,6 +96,12 @@
   void TakeBytes(const AttemptPointer& aAttempt,
                  const Error& aError,
                  std::size_t aSize);
+  /** Handles the end of the connection to the server.
+   *
+   * @param aIsClosed Whether it was closed, not reset. */
+  void HandleConnectionEnd(const AttemptPointer& aAttempt, bool aIsClosed);
+  /** @return Whether the request asked for a part of a stream. */
+  bool IsContinuation() const;
   bool TakeHead(const AttemptPointer& aAttempt);
   /** @return Whether one more answer before the right one is allowed. */
   bool SkipsOtherAnswer(const AttemptPointer& aAttempt);
@@ -104,6 +114,8 @@
   void PassEvents(const AttemptPointer& aAttempt, bool aIsEnd);
   void FinishAnswer(const AttemptPointer& aAttempt);
   void EndAttempt(const AttemptPointer& aAttempt, AttemptOutcome aOutcome);
+  /** Ends an attempt whose answer is broken. */
+  void EndBroken(const AttemptPointer& aAttempt, AnswerFault aFault);
   void Follow(NextStep aStep, AttemptOutcome aOutcome);
   void PassWhole(const MessageHead& aHead, const std::string& aBody);
   void ReleaseAttempt(const AttemptPointer& aAttempt, bool aIsReusable);
@@ -116,7 +128,6 @@
   void TimeOut();
   void Finish(bool aKeepOpen);
   void LogEnd(Event aEvent, int aStatus, const std::string& aReason);
-  bool IsStreamAnswer(const Attempt& aAttempt) const;
   Milliseconds Elapsed() const;
   Milliseconds RetryTime();
   /** Notes at the chooser how an attempt has failed. */
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -33,6 +33,16 @@
 /** Characters of a server's field that are logged. */
 constexpr std::size_t kLoggedFieldSize = 40;
 
+/** @return How the transfer of a complete message ended. */
+TransferEnd
+EndOfMessage(const AnswerParser& aParser)
+{
+  if (aParser.chunked()) {
+    return TransferEnd::LastChunk;
+  }
+  return aParser.need_eof() ? TransferEnd::Close : TransferEnd::Length;
+}
+
 } // namespace
 
 void
@@ -55,14 +65,7 @@
                     std::size_t aSize)
 {
   if (aError) {
-    const bool isCleanEnd = aError == boost::asio::error::eof;
-    if (isCleanEnd && aAttempt->mHasHead && aAttempt->mParser->need_eof()) {
-      Error error;
-      aAttempt->mParser->put_eof(error);
-      TakeBody(aAttempt, error ? ParseState::Invalid : ParseState::Done);
-      return;
-    }
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    HandleConnectionEnd(aAttempt, aError == boost::asio::error::eof);
     return;
   }
   aAttempt->mInput.append(aAttempt->mBuffer.data(), aSize);
@@ -89,6 +92,33 @@
   }
 }
 
+void
+Exchange::HandleConnectionEnd(const AttemptPointer& aAttempt, bool aIsClosed)
+{
+  const bool endsBody = aAttempt->mHasHead && aAttempt->mParser->need_eof();
+  if (aIsClosed && endsBody) {
+    Error error;
+    aAttempt->mParser->put_eof(error);
+    TakeBody(aAttempt, error ? ParseState::Invalid : ParseState::Done);
+    return;
+  }
+  TransferEnd end = TransferEnd::Reset;
+  if (aIsClosed && aAttempt->mHasHead) {
+    end = TransferEnd::CloseInBody;
+  } else if (aIsClosed) {
+    end = aAttempt->mInput.empty() ? TransferEnd::CloseBeforeHead
+                                   : TransferEnd::CloseInHead;
+  }
+  EndBroken(aAttempt,
+            FindEndFault(end, nullptr, false).value_or(AnswerFault::EndInBody));
+}
+
+bool
+Exchange::IsContinuation() const
+{
+  return !mLastEventId.empty() || mHead.Find("Last-Event-Id") != nullptr;
+}
+
 void
 Exchange::ResumeReading()
 {
@@ -105,7 +135,7 @@
   const std::optional<std::size_t> end = FindHeadEnd(aAttempt->mInput);
   if (!end) {
     if (aAttempt->mInput.size() > kMostHeadBytes) {
-      EndAttempt(aAttempt, AttemptOutcome::Broken);
+      EndBroken(aAttempt, AnswerFault::HeadTooLarge);
     }
     return false;
   }
@@ -118,7 +148,7 @@
   const bool isSound =
     FindHeadFault(head).empty() && Feed(*parser, head) != ParseState::Invalid;
   if (!isSound) {
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    EndBroken(aAttempt, AnswerFault::InvalidHead);
     return false;
   }
   if (parser->Head().mStatus < kFirstFinalStatus) {
@@ -130,7 +160,9 @@
   const bool isUnusable =
     id == nullptr || (aAttempt->mIsForeign && parser->need_eof());
   if (isUnusable) {
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    EndBroken(aAttempt,
+              id == nullptr ? AnswerFault::NoRequestId
+                            : AnswerFault::OtherAnswers);
     return false;
   }
   if (aAttempt->mIsForeign && !SkipsOtherAnswer(aAttempt)) {
@@ -141,6 +173,10 @@
     const bool saysNotRun =
       parser->Head().Find(mForwarder.Protocol().mNotRun) != nullptr;
     aAttempt->mFailure = ClassifyAnswer(parser->Head().mStatus, saysNotRun);
+    const std::string* type = parser->Head().Find("Content-Type");
+    aAttempt->mIsEventStream = mRoute->mIsStream && !aAttempt->mFailure &&
+                               parser->Head().mStatus < kFirstFailure &&
+                               (type == nullptr || IsEventStreamType(*type));
   }
   aAttempt->mParser = std::move(parser);
   aAttempt->mHasHead = true;
@@ -154,7 +190,7 @@
   if (aAttempt->mOtherAnswers <= kMostOtherAnswers) {
     return true;
   }
-  EndAttempt(aAttempt, AttemptOutcome::Broken);
+  EndBroken(aAttempt, AnswerFault::OtherAnswers);
   return false;
 }
 
@@ -227,24 +263,17 @@
   mForwarder.Log().Write(Event::BackendLimit, fields);
 }
 
-bool
-Exchange::IsStreamAnswer(const Attempt& aAttempt) const
-{
-  return mRoute->mIsStream && !aAttempt.mFailure &&
-         aAttempt.mParser->Head().mStatus < kFirstFailure;
-}
-
 void
 Exchange::TakeBody(const AttemptPointer& aAttempt, ParseState aState)
 {
   if (aState == ParseState::Invalid) {
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    EndBroken(aAttempt, AnswerFault::InvalidBody);
     return;
   }
   if (aAttempt->mIsForeign) {
     aAttempt->mForeignBytes += aAttempt->mParser->TakeBody().size();
     if (aAttempt->mForeignBytes > kMostHeldBody) {
-      EndAttempt(aAttempt, AttemptOutcome::Broken);
+      EndBroken(aAttempt, AnswerFault::OtherAnswers);
       return;
     }
     if (aState == ParseState::Done) {
@@ -258,7 +287,7 @@
     aAttempt->mHasFirstByte = true;
     aAttempt->mFirstByteAt = BootNow();
     mForwarder.Chooser().RecordFirstByte(aAttempt->mChoice);
-    if (mPrompt && IsStreamAnswer(*aAttempt)) {
+    if (mPrompt && aAttempt->mIsEventStream) {
       mForwarder.Admission(mPool->mName)
         .RecordFirstEvent(aAttempt->mChoice.TokensBeforeFirstEvent(),
                           aAttempt->mFirstByteAt - aAttempt->mBegunAt);
@@ -268,22 +297,26 @@
     }
   }
   const bool isDone = aState == ParseState::Done;
-  if (IsStreamAnswer(*aAttempt)) {
+  if (aAttempt->mIsEventStream) {
     PassEvents(aAttempt, isDone);
     return;
   }
   if (mHasAnswered) {
     // The run that should go on with a stream brought something else.
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    EndBroken(aAttempt, AnswerFault::NotAStream);
     return;
   }
   if (aAttempt->mParser->Body().size() > kMostHeldBody) {
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
+    EndBroken(aAttempt, AnswerFault::BodyTooLarge);
     return;
   }
   if (!isDone) {
     return;
   }
+  if (aAttempt->mFailure == AttemptOutcome::Broken) {
+    EndBroken(aAttempt, AnswerFault::UnstatedRefusal);
+    return;
+  }
   if (aAttempt->mFailure) {
     EndAttempt(aAttempt, *aAttempt->mFailure);
     return;
@@ -294,19 +327,24 @@
 void
 Exchange::PassEvents(const AttemptPointer& aAttempt, bool aIsEnd)
 {
-  std::string events = aAttempt->mFramer.Push(aAttempt->mParser->TakeBody());
-  if (aAttempt->mFramer.BufferedBytes() > kMostEventBytes) {
-    EndAttempt(aAttempt, AttemptOutcome::Broken);
+  const bool isContinuation = IsContinuation();
+  const EventFramer& framer = aAttempt->mFramer;
+  const std::string events =
+    aAttempt->mFramer.Push(aAttempt->mParser->TakeBody());
+  if (framer.BufferedBytes() > kMostEventBytes) {
+    EndBroken(aAttempt, AnswerFault::EventTooLarge);
     return;
   }
-  if (aIsEnd) {
-    events += aAttempt->mFramer.TakeRemainder();
-  }
-  if (!aAttempt->mFramer.LastEventId().empty()) {
-    mLastEventId = aAttempt->mFramer.LastEventId();
+  if (!framer.LastEventId().empty()) {
+    mLastEventId = framer.LastEventId();
   }
+  const std::optional<AnswerFault> fault =
+    aIsEnd
+      ? FindEndFault(EndOfMessage(*aAttempt->mParser), &framer, isContinuation)
+      : std::nullopt;
+  const bool isComplete = aIsEnd && !fault;
   std::string text;
-  if (!mHasAnswered && (!events.empty() || aIsEnd)) {
+  if (!mHasAnswered && (!events.empty() || isComplete)) {
     mHasAnswered = true;
     mIsChunked = mHead.mVersion >= 11;
     mKeepOpen = mKeepOpen && mIsChunked && !mForwarder.IsStopping();
@@ -317,11 +355,15 @@
                     mKeepOpen);
   }
   text += mIsChunked ? Chunk(events) : events;
-  if (aIsEnd && mIsChunked) {
+  if (isComplete && mIsChunked) {
     text += kLastChunk;
   }
   mCaller->Send(std::move(text));
-  if (aIsEnd) {
+  if (fault) {
+    EndBroken(aAttempt, *fault);
+    return;
+  }
+  if (isComplete) {
     FinishAnswer(aAttempt);
     return;
   }
@@ -333,7 +375,7 @@
 {
   const Timestamp now = BootNow();
   mForwarder.Chooser().RecordSuccess(aAttempt->mChoice.mId, now);
-  if (mPrompt && IsStreamAnswer(*aAttempt)) {
+  if (mPrompt && aAttempt->mIsEventStream) {
     mForwarder.Admission(mPool->mName)
       .RecordStreamDuration(aAttempt->mChoice.mIsShortPrompt,
                             now - aAttempt->mFirstByteAt);
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -348,6 +348,14 @@
   }
 }
 
+void
+Exchange::EndBroken(const AttemptPointer& aAttempt, AnswerFault aFault)
+{
+  aAttempt->mFault = aFault;
+  mForwarder.Counters().RecordBrokenAnswer(aFault);
+  EndAttempt(aAttempt, AttemptOutcome::Broken);
+}
+
 void
 Exchange::EndAttempt(const AttemptPointer& aAttempt, AttemptOutcome aOutcome)
 {
@@ -355,15 +363,19 @@
   mHistory.Record(aOutcome);
   RecordFailure(*aAttempt, aOutcome);
   const bool hasAnswer = aAttempt->mHasHead && aAttempt->mParser != nullptr;
-  mForwarder.Log().Write(
-    Event::BackendAttemptFailed,
-    { { "request", mRequestId },
-      { "server", aAttempt->mChoice.mId.Text() },
-      { "outcome", AttemptOutcomeName(aOutcome) },
-      { "status", hasAnswer ? aAttempt->mParser->Head().mStatus : 0 },
-      { "reusedConnection",
-        aAttempt->mConnection && aAttempt->mConnection->mIsReused },
-      { "elapsedMs", Elapsed().count() } });
+  EventFields fields{
+    { "request", mRequestId },
+    { "server", aAttempt->mChoice.mId.Text() },
+    { "outcome", AttemptOutcomeName(aOutcome) },
+    { "status", hasAnswer ? aAttempt->mParser->Head().mStatus : 0 },
+    { "reusedConnection",
+      aAttempt->mConnection && aAttempt->mConnection->mIsReused },
+    { "elapsedMs", Elapsed().count() }
+  };
+  if (aAttempt->mFault) {
+    fields["fault"] = AnswerFaultName(*aAttempt->mFault);
+  }
+  mForwarder.Log().Write(Event::BackendAttemptFailed, fields);
   const bool isWhole =
     aAttempt->mFailure.has_value() && hasAnswer && aAttempt->mParser->is_done();
   ReleaseAttempt(aAttempt, isWhole);
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -88,6 +88,12 @@
   }
   AppendLine(
     text, "log_lines_dropped_total", static_cast<double>(aDroppedLogLines));
+  for (std::size_t i = 0; i < kAnswerFaultCount; ++i) {
+    const std::string fault = AnswerFaultName(static_cast<AnswerFault>(i));
+    AppendLine(text,
+               "broken_answers_total{fault=\"" + fault + "\"}",
+               static_cast<double>(aCounters.mBrokenAnswers[i]));
+  }
   for (const auto& [pool, gauge] : aCounters.mPoolLoads) {
     const std::string label = "{pool=\"" + pool + "\"}";
     AppendLine(text, "admission_load" + label, gauge.mLoad);
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../libmedlarkeel/forwarding/answerend.h"
+
 #include <array>
 #include <cstdint>
 #include <map>
@@ -72,10 +74,17 @@
   std::uint64_t mPeerBytesSent = 0;
   std::uint64_t mPeerReportsNotSent = 0;
   std::uint64_t mPeerReportsUnreadable = 0;
+  /** Answers of backend servers that were broken, by AnswerFault. */
+  std::array<std::uint64_t, kAnswerFaultCount> mBrokenAnswers{};
   LatencyHistogram mFirstByte;
   LatencyHistogram mWhole;
   /** At the last decision on admission, by the name of the pool. */
   std::map<std::string, PoolLoadGauge> mPoolLoads;
+
+  void RecordBrokenAnswer(AnswerFault aFault)
+  {
+    mBrokenAnswers[static_cast<std::size_t>(aFault)] += 1;
+  }
 };
 
 /**
--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -308,34 +308,71 @@
   return bytes == 0 && !aCall.mReuseConnection;
 }
 
-/** @return Whether the protocol itself marks where the body ends. */
-bool
-HasMarkedEnd(const Transfer& aTransfer)
+/** @return How a transfer that libcurl reports as complete has ended. */
+TransferEnd
+EndOfTransfer(const Transfer& aTransfer)
 {
+  if (aTransfer.mHeaders.count("Transfer-Encoding") > 0) {
+    return TransferEnd::LastChunk;
+  }
   const int status = aTransfer.mStatus;
-  return aTransfer.mCall->mMethod == "HEAD" || status == kNoContent ||
-         status == kNotModified ||
-         aTransfer.mHeaders.count("Content-Length") > 0 ||
-         aTransfer.mHeaders.count("Transfer-Encoding") > 0;
+  const bool hasNoBody = aTransfer.mCall->mMethod == "HEAD" ||
+                         status == kNoContent || status == kNotModified;
+  return hasNoBody || aTransfer.mHeaders.count("Content-Length") > 0
+           ? TransferEnd::Length
+           : TransferEnd::Close;
+}
+
+/** @return Why a call that libcurl reports as failed has no complete reply. */
+std::optional<AnswerFault>
+FaultOf(CURLcode aCode)
+{
+  switch (aCode) {
+    case CURLE_GOT_NOTHING:
+      return FindEndFault(TransferEnd::CloseBeforeHead, nullptr, false);
+    case CURLE_PARTIAL_FILE:
+      return FindEndFault(TransferEnd::CloseInBody, nullptr, false);
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+      return FindEndFault(TransferEnd::Reset, nullptr, false);
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      return AnswerFault::InvalidHead;
+    default:
+      return std::nullopt;
+  }
 }
 
-NetResult<void>
+NetError
+ErrorOf(CURLcode aCode, const Transfer& aTransfer)
+{
+  NetError error{ ErrorKind(aCode, aTransfer), curl_easy_strerror(aCode) };
+  const bool hasFault = error.mKind == NetErrorKind::PeerClosed ||
+                        error.mKind == NetErrorKind::BadReply;
+  if (hasFault) {
+    error.mFault = FaultOf(aCode);
+  }
+  return error;
+}
+
+NetResult<TransferEnd>
 Conclude(CURLcode aCode, Transfer& aTransfer)
 {
   if (aCode != CURLE_OK) {
-    return NetError{ ErrorKind(aCode, aTransfer), curl_easy_strerror(aCode) };
+    return ErrorOf(aCode, aTransfer);
   }
-  if (!HasMarkedEnd(aTransfer)) {
-    return NetError{ NetErrorKind::BadReply,
-                     "reply has neither a length nor chunks" };
+  const TransferEnd end = EndOfTransfer(aTransfer);
+  if (const auto fault = FindEndFault(end, nullptr, false)) {
+    return NetError{ NetErrorKind::PeerClosed,
+                     "the connection ended inside the head",
+                     fault };
   }
-  DeliverHead(aTransfer);
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
+  return end;
 }
 
 } // namespace
 
-NetResult<void>
+NetResult<TransferEnd>
 StreamHttp(const HttpCall& aCall,
            const HeadReader& aOnHead,
            const DataReader& aOnData)
@@ -376,11 +413,15 @@
     reply.mBody.append(tooLarge ? std::string_view() : aData);
     return !tooLarge;
   };
-  const NetResult<void> outcome = StreamHttp(aCall, onHead, onData);
+  const NetResult<TransferEnd> outcome = StreamHttp(aCall, onHead, onData);
   if (tooLarge) {
     return NetError{ NetErrorKind::BadReply, "reply is too large" };
   }
-  BOOST_OUTCOME_TRYV(outcome);
+  BOOST_OUTCOME_TRY(end, outcome);
+  if (end == TransferEnd::Close) {
+    return NetError{ NetErrorKind::BadReply,
+                     "reply has neither a length nor chunks" };
+  }
   return reply;
 }
 
--- a/src/libmedlarkeelnet/httpclient.h
+++ b/src/libmedlarkeelnet/httpclient.h
@@ -55,7 +55,8 @@
  * Sends a request and reads the whole reply.
  *
  * @param aCall The request.
- * @return The reply, whatever its status, or the reason why there is none.
+ * @return The reply, whatever its status, or the reason why there is none. A
+ *         length or the last chunk must show that it is whole.
  */
 NetResult<HttpReply>
 SendHttp(const HttpCall& aCall);
@@ -66,11 +67,10 @@
  * @param aCall The request.
  * @param aOnHead Called once, before the first data.
  * @param aOnData Called with each piece; false closes the connection.
- * @return Success only if the body came to its proper end, which a length or
- *         the last chunk must show. StoppedByReader if aOnData or
- *         mShouldStop ended the call.
+ * @return How the body ended if it ended as its framing states. StoppedByReader
+ *         if aOnData or mShouldStop ended the call.
  */
-NetResult<void>
+NetResult<TransferEnd>
 StreamHttp(const HttpCall& aCall,
            const HeadReader& aOnHead,
            const DataReader& aOnData);
--- a/src/libmedlarkeelnet/metrics.cpp
+++ b/src/libmedlarkeelnet/metrics.cpp
@@ -136,6 +136,10 @@
                   "medlarkeel_frames_dropped_total",
                   "Late or doubled frames of agents that no caller got.")
       .Add({});
+  Family<Counter>& mBrokenAnswers =
+    CounterFamily(mRegistry,
+                  "medlarkeel_broken_answers_total",
+                  "Broken answers of the backend server by fault.");
   Gauge& mRunning = SingleGauge(mRegistry,
                                 "medlarkeel_requests_running",
                                 "Requests that run now.");
@@ -250,6 +254,13 @@
   mState->mDroppedFrames.Increment();
 }
 
+void
+Metrics::CountBrokenAnswer(AnswerFault aFault)
+{
+  mState->mBrokenAnswers.Add({ { "fault", AnswerFaultName(aFault) } })
+    .Increment();
+}
+
 void
 Metrics::SetRunning(std::size_t aCount)
 {
--- a/src/libmedlarkeelnet/metrics.h
+++ b/src/libmedlarkeelnet/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/answerend.h"
 #include "refusal.h"
 #include "types.h"
 
@@ -58,6 +59,7 @@
   void CountControlBytesSent(std::size_t aBytes);
   /** Counts a late or doubled frame that no caller gets. */
   void CountDroppedFrame();
+  void CountBrokenAnswer(AnswerFault aFault);
   void SetRunning(std::size_t aCount);
   void SetQueued(std::size_t aCount);
   void SetDocumentVersion(std::uint64_t aVersion);
--- a/src/libmedlarkeelnet/neterror.h
+++ b/src/libmedlarkeelnet/neterror.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "forwarding/answerend.h"
+
 #include <boost/outcome.hpp>
 
+#include <optional>
 #include <string>
 
 namespace medlarkeel {
@@ -23,6 +26,8 @@
 {
   NetErrorKind mKind = NetErrorKind::ConnectFailed;
   std::string mDetail;
+  /** Why the answer is broken, if one had begun or the connection ended. */
+  std::optional<AnswerFault> mFault = std::nullopt;
 };
 
 template<typename T>
--- a/src/medlarkeeld/agentnode.cpp
+++ b/src/medlarkeeld/agentnode.cpp
@@ -48,6 +48,7 @@
                                mRuns,
                                mCounters,
                                mChannels,
+                               mDecisions,
                                AccessFrom(aSettings) })
   , mStoreGate(aSettings.mInstanceId,
                StoreLimiterFrom(aSettings),
--- a/src/medlarkeeld/agentservice.h
+++ b/src/medlarkeeld/agentservice.h
@@ -27,6 +27,7 @@
   RunThreads& mRuns;
   NodeCounters& mCounters;
   AgentChannels& mChannels;
+  DecisionLog& mLog;
   BackendAccess mBackend;
 };
 
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -207,7 +207,8 @@
     return;
   }
   const auto run = BackendRun::Start(
-    RunEnvironment{ mCore, mEnvironment.mRuns, mEnvironment.mCounters },
+    RunEnvironment{
+      mCore, mEnvironment.mRuns, mEnvironment.mCounters, mEnvironment.mLog },
     "http://" + EndpointText(mEnvironment.mBackend.mEndpoint),
     WorkOf(aGrant, aCommit),
     mMailbox,
--- a/src/medlarkeeld/backendcall.cpp
+++ b/src/medlarkeeld/backendcall.cpp
@@ -1,7 +1,5 @@
 #include "backendcall.h"
 
-#include "httpclient.h"
-
 namespace medlarkeel {
 
 namespace {
@@ -38,7 +36,7 @@
 
 } // namespace
 
-CallEnd
+CallResult
 CallBackend(const std::string& aBaseUrl,
             const BackendRequest& aRequest,
             const std::function<bool()>& aShouldStop,
@@ -53,11 +51,11 @@
   };
   HttpCall call = MakeCall(aBaseUrl, aRequest);
   call.mShouldStop = aShouldStop;
-  const auto ended = StreamHttp(call, onHead, onData);
+  const auto ended = StreamAnswer(call, aRequest.mLimits, onHead, onData);
   if (ended) {
-    return CallEnd::Complete;
+    return { CallEnd::Complete, std::nullopt };
   }
-  return EndOf(ended.error());
+  return { EndOf(ended.error()), ended.error().mFault };
 }
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/backendcall.h
+++ b/src/medlarkeeld/backendcall.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "answerstream.h"
 #include "httpmessage.h"
 #include "refusal.h"
 #include "types.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,11 +28,12 @@
   Milliseconds mTimeout{ 0 };
   /** Connection made for this call ahead of it, or none. */
   std::shared_ptr<PreparedConnection> mConnection;
+  AnswerLimits mLimits;
 };
 
 enum class CallEnd
 {
-  /** The body came to its proper end. */
+  /** The answer is complete. */
   Complete,
   /** The connection failed before the backend server could have run it. */
   NotRun,
@@ -40,6 +43,14 @@
   Stopped
 };
 
+/** How a call ended. */
+struct CallResult
+{
+  CallEnd mEnd = CallEnd::NotRun;
+  /** Why the answer is broken, if that is known. */
+  std::optional<AnswerFault> mFault;
+};
+
 /** Observes a call on the thread that makes it. */
 class BackendCallObserver
 {
@@ -47,7 +58,9 @@
   virtual ~BackendCallObserver() = default;
 
   virtual void CallAnswered(int aStatus, const std::string& aContentType) = 0;
-  /** @return Whether to go on. */
+  /** Event streams arrive in complete events.
+   *
+   * @return Whether to go on. */
   virtual bool DataArrived(std::string_view aBytes) = 0;
 };
 
@@ -57,7 +70,7 @@
  * @param aBaseUrl "http://" and the backend server's IP number and port.
  * @param aShouldStop Asked at short intervals; true ends the call.
  */
-CallEnd
+CallResult
 CallBackend(const std::string& aBaseUrl,
             const BackendRequest& aRequest,
             const std::function<bool()>& aShouldStop,
--- a/src/medlarkeeld/backendrun.cpp
+++ b/src/medlarkeeld/backendrun.cpp
@@ -51,21 +51,36 @@
 }
 
 void
-BackendRun::Conclude(CallEnd aEnd)
+BackendRun::Conclude(const CallResult& aResult)
 {
-  mOutcome.mEnd = aEnd;
+  const CallEnd end = aResult.mEnd;
+  if (aResult.mFault) {
+    RecordFault(*aResult.mFault);
+  }
+  mOutcome.mEnd = end;
   mRecorder(mOutcome);
   const TokenUse use =
-    aEnd == CallEnd::Complete ? TokenUse::Useful : TokenUse::Wasted;
+    end == CallEnd::Complete ? TokenUse::Useful : TokenUse::Wasted;
   mEnvironment.mCounters.RecordTokens(mWork.mClass, use, mTokens);
-  mEnvironment.mCore.Finish(mWork.mReservation, mWork.mGrant, KindOf(aEnd));
-  if (aEnd == CallEnd::Complete) {
+  mEnvironment.mCore.Finish(mWork.mReservation, mWork.mGrant, KindOf(end));
+  if (end == CallEnd::Complete) {
     mMailbox->Post(RunDone{});
   } else {
-    mMailbox->Post(RunRefused{ RefusalFor(aEnd) });
+    mMailbox->Post(RunRefused{ RefusalFor(aResult) });
   }
 }
 
+void
+BackendRun::RecordFault(AnswerFault aFault)
+{
+  mEnvironment.mCounters.RecordBrokenAnswer(aFault);
+  mEnvironment.mLog.Write(Event::BackendAttemptFailed,
+                          { { "request", mWork.mRequest.mRequest.Text() },
+                            { "outcome", "broken" },
+                            { "status", mOutcome.mStatus },
+                            { "fault", AnswerFaultName(aFault) } });
+}
+
 FinishKind
 BackendRun::KindOf(CallEnd aEnd) const
 {
@@ -80,18 +95,21 @@
 }
 
 Refusal
-BackendRun::RefusalFor(CallEnd aEnd) const
+BackendRun::RefusalFor(const CallResult& aResult) const
 {
+  const CallEnd end = aResult.mEnd;
   Refusal refusal;
-  refusal.mReason = aEnd == CallEnd::Stopped && mAborted
+  refusal.mReason = end == CallEnd::Stopped && mAborted
                       ? RefusalReason::Cancelled
                       : RefusalReason::BackendFailed;
-  refusal.mExecuted =
-    aEnd == CallEnd::NotRun ? Executed::No : Executed::Unknown;
+  refusal.mExecuted = end == CallEnd::NotRun ? Executed::No : Executed::Unknown;
   refusal.mRetryAfter = kRetryAfterFailure;
-  refusal.mDetail = aEnd == CallEnd::NotRun
+  refusal.mDetail = end == CallEnd::NotRun
                       ? "the backend server could not be reached"
                       : "the backend server's answer broke off";
+  if (aResult.mFault) {
+    refusal.mDetail += std::string(": ") + AnswerFaultName(*aResult.mFault);
+  }
   return refusal;
 }
 
--- a/src/medlarkeeld/backendrun.h
+++ b/src/medlarkeeld/backendrun.h
@@ -2,6 +2,7 @@
 
 #include "agentcore.h"
 #include "backendcall.h"
+#include "decisionlog.h"
 #include "nodecounters.h"
 #include "runmailbox.h"
 #include "runthreads.h"
@@ -32,6 +33,7 @@
   AgentCore& mCore;
   RunThreads& mRuns;
   NodeCounters& mCounters;
+  DecisionLog& mLog;
 };
 
 /** What a run leaves for later repeats of the same call. */
@@ -75,9 +77,11 @@
 
   bool MustStop() const { return mAborted || mEnvironment.mRuns.IsCut(); }
   void Execute(const std::string& aBaseUrl);
-  void Conclude(CallEnd aEnd);
+  void Conclude(const CallResult& aResult);
+  /** Counts and logs why an answer is broken. */
+  void RecordFault(AnswerFault aFault);
   FinishKind KindOf(CallEnd aEnd) const;
-  Refusal RefusalFor(CallEnd aEnd) const;
+  Refusal RefusalFor(const CallResult& aResult) const;
 
   void CallAnswered(int aStatus, const std::string& aContentType) override;
   bool DataArrived(std::string_view aBytes) override;
--- a/src/medlarkeeld/nodecounters.cpp
+++ b/src/medlarkeeld/nodecounters.cpp
@@ -77,6 +77,12 @@
   mMetrics.SetRunning(aCount);
 }
 
+void
+NodeCounters::RecordBrokenAnswer(AnswerFault aFault)
+{
+  mMetrics.CountBrokenAnswer(aFault);
+}
+
 void
 NodeCounters::RecordTokens(const ClassName& aClass,
                            TokenUse aUse,
--- a/src/medlarkeeld/nodecounters.h
+++ b/src/medlarkeeld/nodecounters.h
@@ -47,6 +47,9 @@
   /** Counts a request that runs until RecordEnd. */
   void RecordAdmitted(const TeamName& aTeam);
 
+  /** Counts a broken answer of the backend server. */
+  void RecordBrokenAnswer(AnswerFault aFault);
+
   void RecordTokens(const ClassName& aClass, TokenUse aUse, std::size_t aCount);
 
   /** Takes a document that has come into force. */
--- a/src/medlarkeeld/relaysource.cpp
+++ b/src/medlarkeeld/relaysource.cpp
@@ -1,5 +1,6 @@
 #include "relaysource.h"
 
+#include "forwarding/answerend.h"
 #include "refusalresponse.h"
 
 #include <utility>
@@ -8,14 +9,6 @@
 
 namespace {
 
-const char* const kEventStream = "text/event-stream";
-
-bool
-IsEventStream(const std::string& aContentType)
-{
-  return aContentType.rfind(kEventStream, 0) == 0;
-}
-
 bool
 EndsWithBlankLine(const std::string& aBytes)
 {
@@ -124,7 +117,7 @@
       break;
     }
   }
-  if (!IsEventStream(relay->ContentType())) {
+  if (!IsEventStreamType(relay->ContentType())) {
     return CollectWhole(*relay);
   }
   HttpResponse response = HeadOf(*relay);
--- a/tests/core/test_eventframer.cpp
+++ b/tests/core/test_eventframer.cpp
@@ -27,6 +27,25 @@
   BOOST_TEST(framer.LastEventId() == "7");
 }
 
+// Streams whose lines end with a carriage return are held back to their end.
+BOOST_AUTO_TEST_CASE(LinesMayEndWithCarriageReturn)
+{
+  EventFramer framer;
+  BOOST_TEST(framer.Push("id:7\rdata: a\r\rid:8") == "id:7\rdata: a\r\r");
+  BOOST_TEST(framer.LastEventId() == "7");
+  BOOST_TEST(framer.HasPartialEvent());
+}
+
+// The line feed of an event's last line counts as the begin of another event.
+BOOST_AUTO_TEST_CASE(LineFeedThatArrivesLaterBelongsToTheEvent)
+{
+  EventFramer framer;
+  BOOST_TEST(framer.Push("data: a\r\n\r") == "data: a\r\n\r");
+  BOOST_TEST(!framer.HasPartialEvent());
+  BOOST_TEST(framer.Push("\n") == "\n");
+  BOOST_TEST(!framer.HasPartialEvent());
+}
+
 // Events may be lost, repeated or forwarded in part if the network splits the
 // body inside an event or a delimiter.
 RC_BOOST_PROP(AnySplitReturnsTheSameBytesAsCompleteEvents, ())
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -46,6 +46,79 @@
   aSocket.shutdown(Socket::shutdown_both);
 }
 
+/** Framings of an answer. */
+enum class Framing
+{
+  Close,
+  Length,
+  Chunks
+};
+
+constexpr Framing kFramings[] = { Framing::Close,
+                                  Framing::Length,
+                                  Framing::Chunks };
+
+/** @return A whole 200 answer in the framing. */
+std::string
+FramedAnswer(const std::string& aRequest,
+             Framing aFraming,
+             const std::string& aBody,
+             const std::string& aExtra = "Content-Type: text/event-stream\r\n")
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nRequest: " + FieldOf(aRequest, "Request") +
+    "\r\nProof: p1\r\n" + aExtra;
+  switch (aFraming) {
+    case Framing::Length:
+      return head + "Content-Length: " + std::to_string(aBody.size()) +
+             "\r\n\r\n" + aBody;
+    case Framing::Chunks:
+      return head + "Transfer-Encoding: chunked\r\n\r\n" + Chunk(aBody) +
+             "0\r\n\r\n";
+    case Framing::Close:
+      break;
+  }
+  return head + "\r\n" + aBody;
+}
+
+/** Writes a whole answer in the framing and closes the connection in order. */
+FakeBackend::Script
+AnsweringInFraming(
+  Framing aFraming,
+  const std::string& aBody,
+  const std::string& aExtra = "Content-Type: text/event-stream\r\n")
+{
+  return [=](Socket& aSocket, const std::string& aRequest) {
+    WriteBytes(aSocket, FramedAnswer(aRequest, aFraming, aBody, aExtra));
+    if (aFraming == Framing::Close) {
+      aSocket.shutdown(Socket::shutdown_both);
+    }
+  };
+}
+
+const char* const kTwoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const char* const kOneEventAndAHalf = "id: 1\ndata: a\n\nid: 2\nda";
+
+/** @return Answers that the entry counts as broken for that reason. */
+std::uint64_t
+BrokenAnswers(ForwardFixture& aFixture, AnswerFault aFault)
+{
+  std::uint64_t count = 0;
+  aFixture.Run([&](Forwarder& aForwarder) {
+    count =
+      aForwarder.Counters().mBrokenAnswers[static_cast<std::size_t>(aFault)];
+  });
+  return count;
+}
+
+std::string
+OldRequestText(const std::string& aPath)
+{
+  return "POST " + aPath +
+         " HTTP/1.0\r\nHost: host\r\nRequest: r-1\r\n"
+         "Authorization: Key secret\r\nContent-Length: 0\r\n\r\n";
+}
+
 /** Writes a beginning, and then bytes until the other side closes. */
 FakeBackend::Script
 WithoutEnd(const std::function<std::string(const std::string&)>& aBeginning,
@@ -247,6 +320,100 @@
   BOOST_TEST(answer.mBody == "id: 1\ndata: a\n\n");
 }
 
+// A server that ends inside an event passes for a complete stream (review/1).
+BOOST_AUTO_TEST_CASE(StreamThatEndsInsideAnEventIsNotWhole)
+{
+  for (const Framing framing : kFramings) {
+    ForwardFixture fixture;
+    fixture.AddBackend(AnsweringInFraming(framing, kOneEventAndAHalf));
+    fixture.Start();
+    const SeenAnswer answer = fixture.Call("/stream/x");
+    BOOST_TEST(answer.Status() == 200);
+    BOOST_TEST(!answer.mIsWhole);
+    BOOST_TEST(answer.mBody == "id: 1\ndata: a\n\n");
+    BOOST_TEST(BrokenAnswers(fixture, AnswerFault::EndInsideEvent) == 1U);
+  }
+}
+
+// A server that ends inside its first event passes for a complete stream.
+BOOST_AUTO_TEST_CASE(StreamThatEndsInsideItsFirstEventIsAFailure)
+{
+  for (const Framing framing : kFramings) {
+    ForwardFixture fixture;
+    fixture.AddBackend(AnsweringInFraming(framing, "id: 1\nda"));
+    fixture.Start();
+    const SeenAnswer answer = fixture.Call("/stream/x");
+    BOOST_TEST(answer.Status() == 502);
+    BOOST_TEST(answer.Field("Proof").empty());
+  }
+}
+
+// A server that ends before its first event passes for a complete stream.
+BOOST_AUTO_TEST_CASE(StreamWithoutLengthThatEndsBeforeItsFirstEventIsAFailure)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(AnsweringInFraming(Framing::Close, ""));
+  fixture.Start();
+  BOOST_TEST(fixture.Call("/stream/x").Status() == 502);
+  BOOST_TEST(BrokenAnswers(fixture, AnswerFault::EndBeforeFirstEvent) == 1U);
+}
+
+// A complete stream without a length counts as broken.
+BOOST_AUTO_TEST_CASE(SoundStreamOfEachFramingIsWhole)
+{
+  for (const Framing framing : kFramings) {
+    ForwardFixture fixture;
+    fixture.AddBackend(AnsweringInFraming(framing, kTwoEvents));
+    fixture.Start();
+    const SeenAnswer answer = fixture.Call("/stream/x");
+    BOOST_TEST(answer.Status() == 200);
+    BOOST_TEST(answer.mIsWhole);
+    BOOST_TEST(answer.mBody == kTwoEvents);
+    Caller old(fixture.Port());
+    old.Send(OldRequestText("/stream/x"));
+    const SeenAnswer oldAnswer = old.Read();
+    BOOST_TEST(oldAnswer.mIsWhole);
+    BOOST_TEST(oldAnswer.mBody == kTwoEvents);
+  }
+}
+
+// An answer of another type on the route of a stream counts as half an event.
+BOOST_AUTO_TEST_CASE(AnswerThatIsNoEventStreamIsWholeOnTheRouteOfAStream)
+{
+  for (const Framing framing : kFramings) {
+    ForwardFixture fixture;
+    fixture.AddBackend(AnsweringInFraming(
+      framing, "{\"a\":1}", "Content-Type: application/json\r\n"));
+    fixture.Start();
+    const SeenAnswer answer = fixture.Call("/stream/x");
+    BOOST_TEST(answer.Status() == 200);
+    BOOST_TEST(answer.mIsWhole);
+    BOOST_TEST(answer.mBody == "{\"a\":1}");
+  }
+}
+
+// A resumable stream that ends inside an event isn't resumed (review/1).
+BOOST_AUTO_TEST_CASE(StreamThatEndsInsideAnEventGoesOnAtAnotherServer)
+{
+  for (const Framing framing : kFramings) {
+    ForwardFixture fixture;
+    std::atomic<int> runs{ 0 };
+    const auto script = [&](Socket& aSocket, const std::string& aRequest) {
+      const bool isFirst = runs++ == 0;
+      AnsweringInFraming(framing,
+                         isFirst ? kOneEventAndAHalf
+                                 : "id: 2\ndata: b\n\n")(aSocket, aRequest);
+    };
+    fixture.AddBackend(script);
+    fixture.AddBackend(script);
+    fixture.Start();
+    const SeenAnswer answer = fixture.Call("/resume/x");
+    BOOST_TEST(answer.mIsWhole);
+    BOOST_TEST(answer.mBody == kTwoEvents);
+    BOOST_TEST(runs.load() == 2);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ShortenedAnswerIsNoSuccess)
 {
   ForwardFixture fixture;
--- a/tests/processes/processharness.cpp
+++ b/tests/processes/processharness.cpp
@@ -146,7 +146,8 @@
     result.mBody.append(aData);
     return !aOnData || aOnData(aData);
   };
-  result.mCleanEnd = StreamHttp(aCall, onHead, onData).has_value();
+  const auto end = StreamHttp(aCall, onHead, onData);
+  result.mCleanEnd = end && end.value() != TransferEnd::Close;
   ReadEvents(result);
   return result;
 }
