Reset callers without chunks when their stream breaks off

When the stream broke off, the entry closed the connection in order, which is how a complete one ends.

Fix: such a connection is reset. Chunked answers still end without their last chunk, so that callers read the events before.

Evidence: forwarder/BrokenStreamOfACallerWithoutChunksIsReset fails with the connection closed in place of reset, and passes now.

--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -300,6 +300,14 @@
   Close();
 }
 
+void
+CallerConnection::Reset()
+{
+  Error ignored; // Without the option the connection is closed.
+  mSocket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  Abort();
+}
+
 void
 CallerConnection::Close()
 {
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -36,6 +36,10 @@
    * answer can't look complete. */
   void Abort();
 
+  /** Resets the connection. Nothing else shows that an answer is incomplete
+   * which ends with its connection. */
+  void Reset();
+
   /** Closes the connection if no request is under way. */
   void CloseIfIdle();
 
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -300,7 +300,11 @@
   LogEnd(Event::StreamFailed, 0, aReason);
   mIsDone = true;
   mTimer.cancel();
-  mCaller->Abort();
+  if (mIsChunked) {
+    mCaller->Abort();
+  } else {
+    mCaller->Reset();
+  }
 }
 
 void
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -358,6 +358,17 @@
   BOOST_TEST(BrokenAnswers(fixture, AnswerFault::EndBeforeFirstEvent) == 1U);
 }
 
+// A caller without chunks takes a stream that broke off for a complete one.
+BOOST_AUTO_TEST_CASE(BrokenStreamOfACallerWithoutChunksIsReset)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(AnsweringInFraming(Framing::Close, kOneEventAndAHalf));
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send(OldRequestText("/stream/x"));
+  BOOST_TEST(!caller.Read().mIsWhole);
+}
+
 // A complete stream without a length counts as broken.
 BOOST_AUTO_TEST_CASE(SoundStreamOfEachFramingIsWhole)
 {
