An agent takes an answer that ends inside its head for broken

Report: a replica stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole (MIXED, ORDER).

Forwarder: doesn't happen. forwarder/AnswerThatEndsInsideItsHeadIsAFailure ends the head of answers of each framing at each seventh byte: the caller gets a 502 without the server's stamp.

Loopback daemon: libcurl reports such a transfer as complete when the fields that had arrived announce an empty body, and the agent then took what it had of the head for the answer. The transfer is now complete only if the empty line behind the head has arrived; otherwise the fault is end-in-head.

Evidence: answerstream/AnswerThatEndsInsideItsHeadIsBroken ends heads at each byte, with no framing, a length of 0 and chunks.

--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -45,6 +45,8 @@
   const DataReader* mOnData = nullptr;
   int mStatus = 0;
   HttpHeaders mHeaders;
+  /** The empty line behind the last head has arrived. */
+  bool mIsHeadComplete = false;
   bool mHeadDelivered = false;
   bool mStopped = false;
   bool mIdleTooLong = false;
@@ -116,12 +118,13 @@
   auto& transfer = *static_cast<Transfer*>(aTransfer);
   transfer.mLastByte = SteadyClock::now();
   const std::string_view line(aData, aSize * aCount);
-  if (line.substr(0, 5) == "HTTP/") {
+  if (line.substr(0, 5) == "HTTP/" && !transfer.mIsHeadComplete) {
     transfer.mStatus = ParseStatusLine(line);
     transfer.mHeaders.clear();
   } else if (!Trim(line).empty()) {
     AddHeader(transfer.mHeaders, line);
   } else if (transfer.mStatus >= kLowestFinalStatus) {
+    transfer.mIsHeadComplete = true;
     DeliverHead(transfer);
   }
   return line.size();
@@ -312,6 +315,9 @@
 TransferEnd
 EndOfTransfer(const Transfer& aTransfer)
 {
+  if (!aTransfer.mIsHeadComplete) {
+    return TransferEnd::CloseInHead;
+  }
   if (aTransfer.mHeaders.count("Transfer-Encoding") > 0) {
     return TransferEnd::LastChunk;
   }
@@ -325,13 +331,16 @@
 
 /** @return Why a call that libcurl reports as failed has no complete reply. */
 std::optional<AnswerFault>
-FaultOf(CURLcode aCode)
+FaultOf(CURLcode aCode, const Transfer& aTransfer)
 {
   switch (aCode) {
     case CURLE_GOT_NOTHING:
       return FindEndFault(TransferEnd::CloseBeforeHead, nullptr, false);
     case CURLE_PARTIAL_FILE:
-      return FindEndFault(TransferEnd::CloseInBody, nullptr, false);
+      return FindEndFault(aTransfer.mIsHeadComplete ? TransferEnd::CloseInBody
+                                                    : TransferEnd::CloseInHead,
+                          nullptr,
+                          false);
     case CURLE_RECV_ERROR:
     case CURLE_SEND_ERROR:
       return FindEndFault(TransferEnd::Reset, nullptr, false);
@@ -350,7 +359,7 @@
   const bool hasFault = error.mKind == NetErrorKind::PeerClosed ||
                         error.mKind == NetErrorKind::BadReply;
   if (hasFault) {
-    error.mFault = FaultOf(aCode);
+    error.mFault = FaultOf(aCode, aTransfer);
   }
   return error;
 }
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -425,6 +425,33 @@
   }
 }
 
+// A server that ends inside the head of its answer passes for a success with an
+// empty or short body.
+BOOST_AUTO_TEST_CASE(AnswerThatEndsInsideItsHeadIsAFailure)
+{
+  constexpr std::size_t kStep = 7;
+  for (const char* const path : { "/once/x", "/stream/x" }) {
+    for (const Framing framing : kFramings) {
+      const std::string whole = FramedAnswer("Request: r-1\r\n", framing, "");
+      const std::size_t headSize = whole.find("\r\n\r\n") + 4;
+      for (std::size_t missing = 1; missing <= headSize; missing += kStep) {
+        ForwardFixture fixture;
+        fixture.AddBackend([&](Socket& aSocket, const std::string&) {
+          WriteBytes(aSocket, whole.substr(0, headSize - missing));
+          aSocket.shutdown(Socket::shutdown_both);
+        });
+        fixture.Start();
+        const SeenAnswer answer = fixture.Call(path);
+        BOOST_TEST(answer.Status() == 502);
+        BOOST_TEST(answer.Field("Proof").empty());
+        BOOST_TEST(BrokenAnswers(fixture, AnswerFault::EndInHead) +
+                     BrokenAnswers(fixture, AnswerFault::NoAnswer) ==
+                   1U);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ShortenedAnswerIsNoSuccess)
 {
   ForwardFixture fixture;
--- a/tests/net/test_answerstream.cpp
+++ b/tests/net/test_answerstream.cpp
@@ -168,6 +168,24 @@
   BOOST_CHECK(reset.Fault() == AnswerFault::Reset);
 }
 
+// A server that ends inside the head of its answer passes for a success with an
+// empty or short body.
+BOOST_AUTO_TEST_CASE(AnswerThatEndsInsideItsHeadIsBroken)
+{
+  for (const char* const framing :
+       { "", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n" }) {
+    const std::string head =
+      kHead + std::string(kStreamType) + "\r\n" + framing;
+    for (std::size_t size = 0; size <= head.size(); ++size) {
+      const Received received = Receive(Writing(head.substr(0, size)));
+      BOOST_TEST(!received.mEnd.has_value());
+      BOOST_TEST(received.Fault().has_value());
+      BOOST_TEST(received.mStatus == 0);
+      BOOST_TEST(received.mBody.empty());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
