Bound what an agent keeps of an answer without end

Loopback daemon, by reading: the agent kept the whole answer to a request that may not be repeated and all data that its entry had not taken yet; the entry kept the whole answer of a request that isn't streamed. Heads were bounded by libcurl only. Work that may be repeated isn't read further while 256 KB wait for the entry.

Evidence: answerstream/BytesWithoutEndAreGivenUp passes; it names the fault of each bound. It was not run with the bounds on bodies taken out, as the test program would then keep what the loopback carries in 10 s. With the bound on heads taken out libcurl's own, larger one ended the call.

--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -17,6 +17,10 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
+/** Size of all heads and trailers of one reply beyond which the bytes count as
+ * no reply. */
+constexpr std::size_t kMaximumHeadBytes = 65'536;
+
 struct EasyDeleter
 {
   void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
@@ -45,6 +49,7 @@
   const DataReader* mOnData = nullptr;
   int mStatus = 0;
   HttpHeaders mHeaders;
+  std::size_t mHeadBytes = 0;
   /** The empty line behind the last head has arrived. */
   bool mIsHeadComplete = false;
   bool mHeadDelivered = false;
@@ -118,6 +123,10 @@
   auto& transfer = *static_cast<Transfer*>(aTransfer);
   transfer.mLastByte = SteadyClock::now();
   const std::string_view line(aData, aSize * aCount);
+  transfer.mHeadBytes += line.size();
+  if (transfer.mHeadBytes > kMaximumHeadBytes) {
+    return 0;
+  }
   if (line.substr(0, 5) == "HTTP/" && !transfer.mIsHeadComplete) {
     transfer.mStatus = ParseStatusLine(line);
     transfer.mHeaders.clear();
@@ -333,6 +342,9 @@
 std::optional<AnswerFault>
 FaultOf(CURLcode aCode, const Transfer& aTransfer)
 {
+  if (aTransfer.mHeadBytes > kMaximumHeadBytes) {
+    return AnswerFault::HeadTooLarge;
+  }
   switch (aCode) {
     case CURLE_GOT_NOTHING:
       return FindEndFault(TransferEnd::CloseBeforeHead, nullptr, false);
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -263,6 +263,9 @@
   request.mKey = IdempotencyKey(mReserve.idempotency_key());
   request.mConnection = mConnection;
   request.mTimeout = kLongestRun;
+  if (!work.mRepeatable) {
+    request.mLimits.mStreamBytes = request.mLimits.mBodyBytes;
+  }
   if (mReserve.repeatable() && mReserve.deadline_us() > 0) {
     const Microseconds left(mReserve.deadline_us());
     request.mTimeout = std::chrono::ceil<Milliseconds>(left) + kDeadlineGrace;
--- a/src/medlarkeeld/backendrun.cpp
+++ b/src/medlarkeeld/backendrun.cpp
@@ -9,6 +9,9 @@
 constexpr int kFirstServerError = 500;
 constexpr Milliseconds kRetryAfterFailure{ 500 };
 
+/** Data that waits for the entry before the answer isn't read further. */
+constexpr std::size_t kMaximumQueuedBytes = 262'144;
+
 } // namespace
 
 std::shared_ptr<BackendRun>
@@ -127,8 +130,10 @@
   if (mWork.mKind == PoolKind::Model) {
     CountTokens(aBytes);
   }
-  if (!mWork.mRepeatable) {
-    mOutcome.mBody.append(aBytes);
+  if (mWork.mRepeatable) {
+    mMailbox->WaitForSpace(kMaximumQueuedBytes, [this] { return MustStop(); });
+  } else {
+    mOutcome.mBody.append(aBytes); // Bounded by the limits of the request.
   }
   mMailbox->Post(RunData{ std::string(aBytes) });
   return !MustStop();
--- a/src/medlarkeeld/runmailbox.h
+++ b/src/medlarkeeld/runmailbox.h
@@ -5,7 +5,9 @@
 #include "types.h"
 
 #include <condition_variable>
+#include <cstddef>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -52,6 +54,15 @@
 public:
   void Post(RunMessage aMessage);
 
+  /**
+   * Blocks while the data that waits to be taken exceeds a bound.
+   *
+   * @param aMaximumBytes The bound.
+   * @param aShouldStop Asked at short intervals; true ends the wait.
+   */
+  void WaitForSpace(std::size_t aMaximumBytes,
+                    const std::function<bool()>& aShouldStop);
+
   /**
    * Takes the oldest message.
    *
@@ -64,6 +75,8 @@
   std::mutex mMutex;
   std::condition_variable mChanged;
   std::deque<RunMessage> mMessages;
+  /** Size of the data in the messages. */
+  std::size_t mDataBytes = 0;
 };
 
 } // namespace medlarkeel
--- a/tests/net/test_answerstream.cpp
+++ b/tests/net/test_answerstream.cpp
@@ -74,6 +74,18 @@
   return [aBytes](tcp::socket& aSocket) { Write(aSocket, aBytes); };
 }
 
+RawServer::Script
+WithoutEnd(const std::string& aBeginning, const std::string& aBytes)
+{
+  return [=](tcp::socket& aSocket) {
+    Write(aSocket, aBeginning);
+    Error error;
+    while (!error) {
+      boost::asio::write(aSocket, boost::asio::buffer(aBytes), error);
+    }
+  };
+}
+
 const char* const kHead = "HTTP/1.1 200 OK\r\nContent-Type: ";
 const char* const kStreamType = "text/event-stream";
 const char* const kTwoEvents = "data: a\n\ndata: b\n\n";
@@ -186,6 +198,26 @@
   }
 }
 
+// A head, a body or an event without end is kept until memory runs out.
+BOOST_AUTO_TEST_CASE(BytesWithoutEndAreGivenUp)
+{
+  const std::string field = "Field: " + std::string(8000, 'x') + "\r\n";
+  BOOST_CHECK(Receive(WithoutEnd("HTTP/1.1 200 OK\r\n", field)).Fault() ==
+              AnswerFault::HeadTooLarge);
+  BOOST_CHECK(Receive(WithoutEnd("", "HTTP/1.1 103 Early\r\n\r\n")).Fault() ==
+              AnswerFault::HeadTooLarge);
+  const std::string bytes(16'000, 'x');
+  BOOST_CHECK(Receive(WithoutEnd("HTTP/1.1 200 OK\r\n\r\n", bytes)).Fault() ==
+              AnswerFault::BodyTooLarge);
+  const std::string stream = kHead + std::string(kStreamType) + "\r\n\r\n";
+  BOOST_CHECK(Receive(WithoutEnd(stream, bytes)).Fault() ==
+              AnswerFault::EventTooLarge);
+  AnswerLimits limits;
+  limits.mStreamBytes = 100'000;
+  BOOST_CHECK(Receive(WithoutEnd(stream, kTwoEvents), limits).Fault() ==
+              AnswerFault::BodyTooLarge);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
