--- a/tests/platform/fakeserver.cpp
+++ b/tests/platform/fakeserver.cpp
@@ -240,6 +240,7 @@
         return;
       case ServerFault::None:
       case ServerFault::CutAnswer:
+      case ServerFault::EndInsideEvent:
       case ServerFault::ExtraAnswer:
       case ServerFault::Fail:
       case ServerFault::AnswerEarly:
@@ -250,8 +251,8 @@
       mNextEvent =
         1 + static_cast<int>(
               ParseWholeNumber(FieldOf(mHead, "Last-Event-Id")).value_or(0));
-      mOutput = HeadText(status) + "Content-Type: text/event-stream\r\n"
-                                   "Transfer-Encoding: chunked\r\n\r\n";
+      mOutput = HeadText(status) + "Content-Type: text/event-stream\r\n" +
+                FramingField() + "\r\n";
       SendEvent();
       return;
     }
@@ -271,24 +272,76 @@
     Write(text);
   }
 
+  /** @return The event at which a fault ends the stream. */
+  int LastEventOfFault() const { return 1 + mServer.mSettings.mEvents / 2; }
+
+  std::string HalfEvent() const
+  {
+    const std::string event = EventText(mId, mNextEvent);
+    return event.substr(0, event.size() / 2);
+  }
+
+  /** @return The header field that states the framing of a stream. */
+  std::string FramingField() const
+  {
+    if (mServer.mSettings.mFraming == StreamFraming::Chunks) {
+      return "Transfer-Encoding: chunked\r\n";
+    }
+    if (mServer.mSettings.mFraming == StreamFraming::Close) {
+      return "Connection: close\r\n";
+    }
+    std::size_t size = 0;
+    for (int i = mNextEvent; i <= mServer.mSettings.mEvents; ++i) {
+      const std::size_t event = EventText(mId, i).size();
+      const bool isLast =
+        mFault == ServerFault::EndInsideEvent && i == LastEventOfFault();
+      size += isLast ? event / 2 : event;
+      if (isLast) {
+        break;
+      }
+    }
+    return "Content-Length: " + std::to_string(size) + "\r\n";
+  }
+
+  /** @return The bytes of a stream in its framing. */
+  std::string Framed(const std::string& aBytes) const
+  {
+    const bool isChunked = mServer.mSettings.mFraming == StreamFraming::Chunks;
+    return isChunked ? Chunk(aBytes) : aBytes;
+  }
+
+  /** Ends a stream as its framing ends an answer. */
+  void EndStream()
+  {
+    if (mServer.mSettings.mFraming == StreamFraming::Chunks) {
+      mOutput += kLastChunk;
+    }
+    mClosesAfterWrite = mServer.mSettings.mFraming == StreamFraming::Close;
+    Write(std::move(mOutput));
+  }
+
   void SendEvent()
   {
     const bool isLast = mNextEvent > mServer.mSettings.mEvents;
-    const bool isCut = mFault == ServerFault::CutAnswer &&
-                       mNextEvent == 1 + mServer.mSettings.mEvents / 2;
+    const bool isFaulty = mNextEvent == LastEventOfFault();
     if (isLast) {
       FinishRun(kOk);
-      mOutput += kLastChunk;
-      Write(std::move(mOutput));
+      EndStream();
       return;
     }
-    if (isCut) {
+    if (isFaulty && mFault == ServerFault::CutAnswer) {
       FinishRun(0);
       mClosesAfterWrite = true;
       Write(mOutput + "20\r\nid: ");
       return;
     }
-    mOutput += Chunk(EventText(mId, mNextEvent));
+    if (isFaulty && mFault == ServerFault::EndInsideEvent) {
+      FinishRun(0);
+      mOutput += Framed(HalfEvent());
+      EndStream();
+      return;
+    }
+    mOutput += Framed(EventText(mId, mNextEvent));
     mNextEvent += 1;
     boost::asio::async_write(
       mSocket,
--- a/tests/platform/fakeserver.h
+++ b/tests/platform/fakeserver.h
@@ -19,6 +19,8 @@
   LoseAnswer,
   /** Runs, and cuts the answer in the middle. */
   CutAnswer,
+  /** Runs, and ends a stream inside an event as the framing ends an answer. */
+  EndInsideEvent,
   /** Runs, and sends bytes that are no answer. */
   GarbleAnswer,
   /** Runs, and sends a second answer behind the first. */
@@ -31,6 +33,15 @@
   AnswerEarly
 };
 
+/** How streams of a stand-in are framed. */
+enum class StreamFraming : std::uint8_t
+{
+  Chunks,
+  Length,
+  /** The stream ends with its connection. */
+  Close
+};
+
 struct FakeServerSettings
 {
   std::string mId = "i-1";
@@ -43,6 +54,7 @@
   /** Events of an answer of a stream. */
   int mEvents = 5;
   Milliseconds mEventPause{ 20 };
+  StreamFraming mFraming = StreamFraming::Chunks;
   /** Time for which the server is cold after its start. */
   Milliseconds mCold{ 0 };
 };
--- a/tests/platform/test_wholepath.cpp
+++ b/tests/platform/test_wholepath.cpp
@@ -318,6 +318,49 @@
   BOOST_TEST(resumed > 0U);
 }
 
+// An answer that a crashing server broke off reaches its caller as complete
+// (recorded days of pregon-gt, review/1).
+BOOST_FIXTURE_TEST_CASE(StreamThatEndsInsideAnEventIsNeverComplete, OneEntry)
+{
+  constexpr int kStreams = 12;
+  for (const StreamFraming framing :
+       { StreamFraming::Chunks, StreamFraming::Length, StreamFraming::Close }) {
+    const std::string number = std::to_string(static_cast<int>(framing));
+    FakeServerSettings settings;
+    settings.mId = "model-framing-" + number;
+    settings.mService = "framing-" + number;
+    settings.mFraming = framing;
+    FakeServer& server = AddServer(settings);
+    Document()["services"].push_back(
+      { { "name", settings.mService }, { "engine", Json::object() } });
+    for (auto& route : Document()["routes"]) {
+      if (route["kind"] == "streaming") {
+        route["service"] = settings.mService;
+      }
+    }
+    PublishDocument();
+    std::this_thread::sleep_for(kChangeBound);
+    const auto ask = [&](const std::string& aId, const char* aPath) {
+      return Ask(aId,
+                 aPath,
+                 "X-Model: m\r\nX-Token-Usage: 9000,50\r\nX-Prompt-Prefix: " +
+                   number + ":8000,9:1000\r\n");
+    };
+    const SeenAnswer sound = ask("sound-" + number, "/stream/a");
+    BOOST_TEST(sound.mIsWhole);
+    BOOST_TEST(sound.mBody == server.StreamBody("sound-" + number));
+    server.SetFault(ServerFault::EndInsideEvent, kStreams);
+    for (int i = 0; i < kStreams; ++i) {
+      const std::string id = "r-" + number + "-" + std::to_string(i);
+      const SeenAnswer answer = ask(id, i % 2 == 0 ? "/stream/a" : "/resume/a");
+      const bool isWhole = answer.mBody == server.StreamBody(id);
+      const bool looksWhole = answer.mIsWhole && answer.Status() == 200;
+      BOOST_TEST(isWhole == looksWhole, id);
+      BOOST_TEST(server.StreamBody(id).rfind(answer.mBody, 0) == 0U, id);
+    }
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(CancelledRequestEndsAtTheServer, OneEntry)
 {
   FakeServerSettings settings;
