Begin only what can end before the process does

Cause: nothing asked whether a request can end before the process does, and what still ran 0.4 s before the bound was cut by the end of the process. A request that waited behind a stream on the same connection was read and discarded.

Fix: a request that has arrived whole in a stop is begun if its time limit ends before the process gives up, or, for streams and requests that may be repeated, if twice the longest recent duration of their route is left. The rest gets a true 503 at once with a short Retry-After; the platform sends retries to other entries.

With CanBegin always true forwarder/EndingEntryRefusesWhatItMayNotFinish and .../EndingEntryBeginsWhatTookLittleTimeOfLate fail; without the end of requests .../EndingEntryAnswersWhatStillRuns fails.

Open: the entry of the loopback daemon has the same gap, by reading.

--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -13,6 +13,7 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
+constexpr int kUnavailable = 503;
 
 /** Bytes of further requests that are read while one is answered. */
 constexpr std::size_t kMostAhead = 65'536;
@@ -171,12 +172,14 @@
 }
 
 void
-CallerConnection::Reject(int aStatus, const std::string& aReason)
+CallerConnection::Reject(int aStatus,
+                         const std::string& aReason,
+                         std::optional<Milliseconds> aRetryAfter)
 {
   mForwarder.Counters().mRejected += 1;
   mForwarder.Log().Write(Event::RequestRefused,
                          { { "status", aStatus }, { "reason", aReason } });
-  Send(OwnAnswer(aStatus, aReason, std::nullopt, "", false));
+  Send(OwnAnswer(aStatus, aReason, aRetryAfter, "", false));
   mParser.reset();
   mInput.clear();
   FinishAnswer(false);
@@ -251,7 +254,10 @@
   if (mIsClosed) {
     return;
   }
-  if (!aKeepOpen) {
+  // The answer may have promised to keep the connection before the shutdown
+  // began: a request that has arrived behind it gets an answer.
+  const bool isLast = mForwarder.IsStopping() && mInput.empty();
+  if (!aKeepOpen || isLast) {
     mTimer.cancel();
     mClosesAfterWrite = true;
     Write();
@@ -273,6 +279,20 @@
   }
 }
 
+void
+CallerConnection::EndForShutdown()
+{
+  if (mIsClosed || mClosesAfterWrite) {
+    return;
+  }
+  if (mExchange) {
+    const std::shared_ptr<Exchange> exchange = mExchange;
+    exchange->EndForShutdown();
+  } else if (mHasBegun) {
+    Reject(kUnavailable, kShutdownReason, kReturnElsewhere);
+  }
+}
+
 void
 CallerConnection::CloseGracefully()
 {
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -43,6 +43,9 @@
   /** Closes the connection if no request is under way. */
   void CloseIfIdle();
 
+  /** Ends the request that is under way with an answer, as the process ends. */
+  void EndForShutdown();
+
   /** @return Whether a request is being read or answered. */
   bool IsBusy() const { return mExchange != nullptr || mHasBegun; }
 
@@ -57,7 +60,9 @@
   bool ProcessHead();
   bool CheckHead(std::string_view aHead);
   void ProcessBody();
-  void Reject(int aStatus, const std::string& aReason);
+  void Reject(int aStatus,
+              const std::string& aReason,
+              std::optional<Milliseconds> aRetryAfter = std::nullopt);
   void StartTimer(Milliseconds aTime);
   void Write();
   void CloseGracefully();
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -61,6 +61,10 @@
     Refuse(kUnavailable, "the route's pool is unknown");
     return;
   }
+  if (!mForwarder.CanBegin(*mRoute, TimeLeft())) {
+    RefuseForShutdown();
+    return;
+  }
   ReadPrompt();
   mForwarder.Budget(mPool->mName).RecordFirstAttempt();
   StartTimer();
@@ -216,6 +220,7 @@
   if (wasSent) {
     mHistory.Record(AttemptOutcome::TimedOut);
     mForwarder.Chooser().RecordFailure(attempt->mChoice.mId, BootNow());
+    mForwarder.RecordDuration(*mRoute, Elapsed());
     ReleaseAttempt(attempt, false);
   }
   mAttempt.reset();
@@ -227,6 +232,41 @@
          AttemptOutcome::TimedOut);
 }
 
+Milliseconds
+Exchange::TimeLeft() const
+{
+  return std::chrono::duration_cast<Milliseconds>(mGiveUpAt - BootNow());
+}
+
+void
+Exchange::RefuseForShutdown()
+{
+  mForwarder.Counters().mRefusedShuttingDown += 1;
+  mRetryDelay = kReturnElsewhere;
+  Refuse(kUnavailable, kShutdownReason);
+}
+
+void
+Exchange::EndForShutdown()
+{
+  if (mIsDone) {
+    return;
+  }
+  const AttemptPointer attempt = mAttempt;
+  if (attempt && attempt->mConnection) {
+    mHistory.Record(AttemptOutcome::TimedOut);
+    ReleaseAttempt(attempt, false);
+  }
+  mAttempt.reset();
+  if (mHasAnswered) {
+    CutStream(kShutdownReason);
+  } else if (mHistory.mMayHaveRun) {
+    Refuse(kGatewayTimeout, std::string(kShutdownReason) + "; it may have run");
+  } else {
+    RefuseForShutdown();
+  }
+}
+
 void
 Exchange::Cancel()
 {
@@ -313,8 +353,7 @@
   mIsDone = true;
   mTimer.cancel();
   mForwarder.Counters().mWhole.Record(static_cast<double>(Elapsed().count()));
-  // The head may have promised to keep the connection before the end began.
-  mCaller->FinishAnswer(aKeepOpen && !mForwarder.IsStopping());
+  mCaller->FinishAnswer(aKeepOpen);
 }
 
 Milliseconds
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -15,6 +15,13 @@
 
 class CallerConnection;
 
+/** What callers of a process that shuts down are told. */
+constexpr const char* kShutdownReason = "the entry is shutting down";
+
+/** When callers that an entry refuses as it shuts down should come back. Other
+ * entries serve them, so they needn't wait for anything. */
+constexpr Milliseconds kReturnElsewhere{ 50 };
+
 /**
  * One request from its arrival to its final answer: chooses backend servers,
  * sends the request, judges answers and passes one of them on.
@@ -33,6 +40,9 @@
   /** Ends the request because its caller has left. */
   void Cancel();
 
+  /** Ends the request with an answer because the process ends. */
+  void EndForShutdown();
+
   /** Goes on reading the answer after the caller has taken what it got. */
   void ResumeReading();
 
@@ -129,6 +139,10 @@
   void Finish(bool aKeepOpen);
   void LogEnd(Event aEvent, int aStatus, const std::string& aReason);
   Milliseconds Elapsed() const;
+  /** @return Time until the request is given up. */
+  Milliseconds TimeLeft() const;
+  /** Refuses a request that can't end before the process does. */
+  void RefuseForShutdown();
   Milliseconds RetryTime();
   /** Notes at the chooser how an attempt has failed. */
   void RecordFailure(const Attempt& aAttempt, AttemptOutcome aOutcome);
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -375,6 +375,7 @@
 {
   const Timestamp now = BootNow();
   mForwarder.Chooser().RecordSuccess(aAttempt->mChoice.mId, now);
+  mForwarder.RecordDuration(*mRoute, Elapsed());
   if (mPrompt && aAttempt->mIsEventStream) {
     mForwarder.Admission(mPool->mName)
       .RecordStreamDuration(aAttempt->mChoice.mIsShortPrompt,
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -15,6 +15,7 @@
   { "answered_total", &ForwardCounters::mAnswered },
   { "refused_not_run_total", &ForwardCounters::mRefusedNotRun },
   { "refused_overloaded_total", &ForwardCounters::mRefusedOverloaded },
+  { "refused_shutting_down_total", &ForwardCounters::mRefusedShuttingDown },
   { "failed_unknown_total", &ForwardCounters::mFailedUnknown },
   { "rejected_total", &ForwardCounters::mRejected },
   { "callers_gone_total", &ForwardCounters::mCallersGone },
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -45,6 +45,8 @@
   std::uint64_t mRefusedNotRun = 0;
   /** Of those: turned away because the backend servers are overloaded. */
   std::uint64_t mRefusedOverloaded = 0;
+  /** Of those: could not have ended before the process. */
+  std::uint64_t mRefusedShuttingDown = 0;
   std::uint64_t mFailedUnknown = 0;
   std::uint64_t mRejected = 0;
   std::uint64_t mCallersGone = 0;
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -24,10 +24,19 @@
  * the balancer asks each second and takes an entry out after two misses. */
 constexpr Milliseconds kServeWhileStopping{ 3000 };
 
-/** Time before the shutdown bound at which the process ends in any case. */
-constexpr Milliseconds kEndMargin{ 400 };
+/** Time before the shutdown bound at which running requests are given up. */
+constexpr Milliseconds kGiveUpMargin{ 400 };
+
+/** Time before the shutdown bound at which the process ends in any case; until
+ * then the last answers are written. */
+constexpr Milliseconds kEndMargin{ 150 };
+
+/** Routes whose durations are known before those without recent requests are
+ * forgotten. */
+constexpr std::size_t kMaximumDurations = 1024;
 
 constexpr Milliseconds kStopCheck{ 100 };
+constexpr Milliseconds kEndCheck{ 20 };
 
 /** Time over which callers' returns are spread when all servers of a pool
  * asked for no requests. */
@@ -427,6 +436,37 @@
   }
 }
 
+bool
+Forwarder::CanBegin(const ForwardRoute& aRoute, Milliseconds aTimeLimit) const
+{
+  if (!mIsStopping) {
+    return true;
+  }
+  const Timestamp now = BootNow();
+  ShutdownRequest request;
+  request.mTimeLimit = aTimeLimit;
+  request.mTimeLeft = std::chrono::duration_cast<Milliseconds>(
+    mStopAt + mSettings.mShutdownBound - kGiveUpMargin - now);
+  const auto known = mDurations.find(aRoute.mName);
+  if (known != mDurations.end()) {
+    request.mRecentDuration = known->second.Value(now);
+  }
+  return CanEndBeforeShutdown(aRoute, request);
+}
+
+void
+Forwarder::RecordDuration(const ForwardRoute& aRoute, Milliseconds aDuration)
+{
+  const Timestamp now = BootNow();
+  if (mDurations.size() >= kMaximumDurations) {
+    for (auto place = mDurations.begin(); place != mDurations.end();) {
+      place =
+        place->second.Value(now) ? std::next(place) : mDurations.erase(place);
+    }
+  }
+  mDurations[aRoute.mName].Record(aDuration, now);
+}
+
 void
 Forwarder::Stop()
 {
@@ -438,33 +478,61 @@
   mLog.Write(Event::ShutdownStep,
              { { "step", "serving without readiness" },
                { "connections", mCallers.size() } });
-  EndIfDone();
+  ContinueShutdown();
+}
+
+void
+Forwarder::CloseIdleCallers()
+{
+  // The balancer goes on sending connections where no other entry is left.
+  Error ignored; // A closed acceptor is what is wanted.
+  mAcceptor.close(ignored);
+  const auto callers = mCallers;
+  for (const auto& caller : callers) {
+    caller->CloseIfIdle();
+  }
 }
 
 void
-Forwarder::EndIfDone()
+Forwarder::EndRequests()
+{
+  mHasEndedRequests = true;
+  mLog.Write(
+    Event::ShutdownStep,
+    { { "step", "ending requests" }, { "connections", mCallers.size() } });
+  const auto callers = mCallers;
+  for (const auto& caller : callers) {
+    caller->EndForShutdown();
+  }
+}
+
+void
+Forwarder::ContinueShutdown()
 {
   const Microseconds passed = BootNow() - mStopAt;
-  const bool isOver = passed >= mSettings.mShutdownBound - kEndMargin;
-  if (passed >= kServeWhileStopping) {
-    // The balancer goes on sending connections where no other entry is left.
-    Error ignored; // A closed acceptor is what is wanted.
-    mAcceptor.close(ignored);
-    const auto callers = mCallers;
-    for (const auto& caller : callers) {
-      caller->CloseIfIdle();
-    }
+  const Microseconds givesUpAfter = mSettings.mShutdownBound - kGiveUpMargin;
+  if (passed >= kServeWhileStopping || passed >= givesUpAfter) {
+    CloseIdleCallers();
+  }
+  if (passed >= givesUpAfter && !mHasEndedRequests) {
+    EndRequests();
   }
-  if (isOver || (passed >= kServeWhileStopping && mCallers.empty())) {
+  const bool isIdle =
+    mCallers.empty() && (passed >= kServeWhileStopping || mHasEndedRequests);
+  if (isIdle || passed >= mSettings.mShutdownBound - kEndMargin) {
     mLog.Write(Event::ShutdownStep,
                { { "step", "ending" }, { "connections", mCallers.size() } });
     mContext.stop();
     return;
   }
-  mStopTimer.expires_after(kStopCheck);
+  const Microseconds untilGiveUp = givesUpAfter - passed;
+  const Microseconds pause =
+    mHasEndedRequests ? Microseconds(kEndCheck)
+                      : std::min<Microseconds>(kStopCheck, untilGiveUp);
+  mStopTimer.expires_after(pause);
   mStopTimer.async_wait([this](const Error& aError) {
     if (!aError) {
-      EndIfDone();
+      ContinueShutdown();
     }
   });
 }
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -5,6 +5,7 @@
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
 #include "../libmedlarkeel/forwarding/retryschedule.h"
 #include "../libmedlarkeel/forwarding/serverlimits.h"
+#include "../libmedlarkeel/forwarding/shutdownadmission.h"
 #include "../libmedlarkeel/retrybudget.h"
 #include "../libmedlarkeelnet/eventlog.h"
 #include "backendconnections.h"
@@ -44,9 +45,18 @@
   /** Listens and begins to follow the directory. */
   void Start();
 
-  /** Ends gracefully: no work is cut before the shutdown bound is near. */
+  /** Ends gracefully: no work is given up before the shutdown bound is near. */
   void Stop();
 
+  /**
+   * @param aTimeLimit Longest time that a request may take.
+   * @return Whether the request can end before the process does.
+   */
+  bool CanBegin(const ForwardRoute& aRoute, Milliseconds aTimeLimit) const;
+
+  /** Records how long a request of a route took. */
+  void RecordDuration(const ForwardRoute& aRoute, Milliseconds aDuration);
+
   /** @return Whether the balancer may send new connections. */
   bool IsReady() const;
 
@@ -111,7 +121,11 @@
   void RecordPeerLimits(const PeerReport& aReport);
   void FillReport(PeerReport& aReport);
   void TakeNews(const FollowerUpdate& aNews);
-  void EndIfDone();
+  /** Takes the next step of a shutdown that is due. */
+  void ContinueShutdown();
+  void CloseIdleCallers();
+  /** Answers what is still running. */
+  void EndRequests();
 
   boost::asio::io_context& mContext;
   ForwardSettings mSettings;
@@ -137,7 +151,10 @@
   std::mt19937_64 mRandom;
   /** When the chooser was last told what the others do. */
   Timestamp mRefreshedAt;
+  /** Durations of requests, by the name of their route. */
+  std::unordered_map<std::string, RecentMaximum> mDurations;
   bool mIsStopping = false;
+  bool mHasEndedRequests = false;
   Timestamp mStopAt;
 };
 
--- a/tests/forward/forwardfixture.cpp
+++ b/tests/forward/forwardfixture.cpp
@@ -98,7 +98,7 @@
   mRevision += 1;
 }
 
-ForwardFixture::ForwardFixture()
+ForwardFixture::ForwardFixture(Milliseconds aShutdownBound)
   : mWork(mContext.get_executor())
   , mDirectory(std::make_shared<FakeDirectory>(mContext))
   , mLog("entry-1", std::make_shared<spdlog::sinks::null_sink_mt>())
@@ -107,6 +107,7 @@
   mSettings.mZone = ZoneName("zone-0");
   mSettings.mCallers = { "127.0.0.1", FreePort() };
   mSettings.mPeers = { "127.0.0.1", FreePort() };
+  mSettings.mShutdownBound = aShutdownBound;
 }
 
 ForwardFixture::~ForwardFixture()
--- a/tests/forward/forwardfixture.h
+++ b/tests/forward/forwardfixture.h
@@ -43,7 +43,7 @@
 class ForwardFixture
 {
 public:
-  ForwardFixture();
+  explicit ForwardFixture(Milliseconds aShutdownBound = Milliseconds(8000));
   ~ForwardFixture();
   ForwardFixture(const ForwardFixture&) = delete;
   ForwardFixture& operator=(const ForwardFixture&) = delete;
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -702,6 +702,111 @@
   BOOST_TEST(backend.Requests().size() == 1U);
 }
 
+// A request that arrives late in a shutdown is passed on and never answered
+// (review/3).
+BOOST_AUTO_TEST_CASE(EndingEntryRefusesWhatItMayNotFinish)
+{
+  // Less than a route's time is left at the begin of the shutdown.
+  ForwardFixture fixture(ForwardFixture::kRouteTimeout);
+  FakeBackend& backend = fixture.AddBackend(Answering(200, "yes"));
+  fixture.Start();
+  fixture.Run([](Forwarder& aForwarder) { aForwarder.Stop(); });
+  for (const char* const path : { "/once/x", "/again/x", "/stream/x" }) {
+    const SeenAnswer answer = fixture.Call(path);
+    BOOST_TEST(answer.Status() == 503);
+    BOOST_TEST(answer.Field("Retry-After") == "0.050");
+    BOOST_TEST(answer.Field("Connection") == "close");
+  }
+  BOOST_TEST(backend.Requests().empty());
+  BOOST_TEST(fixture.Call("/once/x", "Time-Left: 200\r\n").Status() == 200);
+}
+
+// Requests are refused through the whole shutdown although most end soon.
+BOOST_AUTO_TEST_CASE(EndingEntryBeginsWhatTookLittleTimeOfLate)
+{
+  ForwardFixture fixture(ForwardFixture::kRouteTimeout);
+  fixture.AddBackend(Answering(200, "yes"));
+  fixture.Start();
+  BOOST_TEST(fixture.Call("/again/x").Status() == 200);
+  BOOST_TEST(fixture.Call("/once/x").Status() == 200);
+  fixture.Run([](Forwarder& aForwarder) { aForwarder.Stop(); });
+  BOOST_TEST(fixture.Call("/again/x").Status() == 200);
+  BOOST_TEST(fixture.Call("/once/x").Status() == 503);
+}
+
+// What still runs at the end of a shutdown ends with a closed connection.
+BOOST_AUTO_TEST_CASE(EndingEntryAnswersWhatStillRuns)
+{
+  ForwardFixture fixture(Milliseconds(1000));
+  fixture.AddBackend([](Socket& aSocket, const std::string& aRequest) {
+    const bool isStream = aRequest.find("/stream/") != std::string::npos;
+    WriteBytes(aSocket,
+               isStream ? StreamHead(aRequest) + Chunk("id: 1\ndata: a\n\n")
+                        : std::string());
+  });
+  fixture.Start();
+  std::vector<std::future<SeenAnswer>> answers;
+  const auto begin = [&](const std::string& aText) {
+    answers.push_back(std::async(std::launch::async, [&fixture, aText]() {
+      Caller caller(fixture.Port());
+      caller.Send(aText);
+      return caller.Read();
+    }));
+  };
+  begin(ForwardFixture::RequestText("/once/x"));
+  begin(ForwardFixture::RequestText("/stream/x"));
+  begin(OldRequestText("/stream/x"));
+  std::this_thread::sleep_for(Milliseconds(200));
+  fixture.Run([](Forwarder& aForwarder) { aForwarder.Stop(); });
+  std::this_thread::sleep_for(Milliseconds(200));
+  const std::string slow = ForwardFixture::RequestText("/once/x", "", "body");
+  begin(slow.substr(0, slow.size() - 1));
+  const SeenAnswer once = answers[0].get();
+  BOOST_TEST(once.Status() == 504);
+  BOOST_TEST(once.mIsWhole);
+  const SeenAnswer stream = answers[1].get();
+  BOOST_TEST(stream.mBody == "id: 1\ndata: a\n\n");
+  BOOST_TEST(!stream.mIsWhole);
+  BOOST_TEST(!answers[2].get().mIsWhole);
+  const SeenAnswer unread = answers[3].get();
+  BOOST_TEST(unread.Status() == 503);
+  BOOST_TEST(unread.Field("Retry-After") == "0.050");
+  BOOST_TEST(unread.mIsWhole);
+}
+
+// A request behind a stream is read and never answered as the entry ends.
+BOOST_AUTO_TEST_CASE(EndingEntryAnswersARequestThatWaitsBehindAStream)
+{
+  ForwardFixture fixture;
+  std::promise<void> stopped;
+  const std::shared_future<void> isStopped = stopped.get_future().share();
+  FakeBackend& backend = fixture.AddBackend(
+    [isStopped](Socket& aSocket, const std::string& aRequest) {
+      if (aRequest.find("/stream/") == std::string::npos) {
+        WriteBytes(aSocket, AnswerTo(aRequest, 200, "yes"));
+        return;
+      }
+      WriteBytes(aSocket, StreamHead(aRequest) + Chunk("id: 1\ndata: a\n\n"));
+      isStopped.wait();
+      WriteBytes(aSocket, "0\r\n\r\n");
+    });
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send(ForwardFixture::RequestText("/stream/x"));
+  BOOST_REQUIRE(WaitUntil(Milliseconds(1000),
+                          [&]() { return !backend.Requests().empty(); }));
+  // Lets the head of the answer go out before the entry is told to end.
+  std::this_thread::sleep_for(Milliseconds(100));
+  caller.Send(ForwardFixture::RequestText("/once/x"));
+  std::this_thread::sleep_for(Milliseconds(100));
+  fixture.Run([](Forwarder& aForwarder) { aForwarder.Stop(); });
+  stopped.set_value();
+  BOOST_TEST(caller.Read().mIsWhole);
+  const SeenAnswer answer = caller.Read();
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.Field("Connection") == "close");
+}
+
 BOOST_AUTO_TEST_CASE(HeadWithoutEndIsGivenUp)
 {
   CheckEndlessBytes(
