--- a/src/libmedlarkeel/forwarding/answerend.h
+++ b/src/libmedlarkeel/forwarding/answerend.h
@@ -2,7 +2,9 @@
 
 #include "eventframer.h"
 
+#include <cstddef>
 #include <optional>
+#include <string_view>
 
 namespace medlarkeel {
 
@@ -34,20 +36,25 @@
   EndInBody,
   Reset,
   EndInsideEvent,
+  /** A stream without a length or chunks ended before its first event. */
   EndBeforeFirstEvent,
   InvalidHead,
   InvalidBody,
   HeadTooLarge,
   BodyTooLarge,
   EventTooLarge,
+  /** The answer doesn't repeat the id of the request. */
   NoRequestId,
+  /** Too many or too large answers to other requests, or interim ones. */
   OtherAnswers,
+  /** The run that should continue a stream answered with something else. */
   NotAStream,
+  /** A refusal that doesn't state that the request hasn't run. */
   UnstatedRefusal
 };
 
-/** Number of values of AnswerFault. */
-constexpr std::size_t kAnswerFaultCount = 15;
+constexpr std::size_t kAnswerFaultCount =
+  static_cast<std::size_t>(AnswerFault::UnstatedRefusal) + 1;
 
 /** @return The name of the fault in logs and metrics. */
 const char*
--- a/src/libmedlarkeel/forwarding/shutdownadmission.h
+++ b/src/libmedlarkeel/forwarding/shutdownadmission.h
@@ -6,24 +6,6 @@
 
 namespace medlarkeel {
 
-/** The longest of the recent values: of one to two periods. */
-class RecentMaximum
-{
-public:
-  /** Adds a value. */
-  void Record(Milliseconds aValue, Timestamp aNow);
-
-  /** @return The longest recent value, or nothing without one. */
-  std::optional<Milliseconds> Value(Timestamp aNow) const;
-
-private:
-  static constexpr Microseconds kPeriod = std::chrono::seconds(20);
-
-  Timestamp mPeriodBegin;
-  std::optional<Milliseconds> mCurrent;
-  std::optional<Milliseconds> mPrevious;
-};
-
 /** A request that arrived while the process shuts down. */
 struct ShutdownRequest
 {
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -3,6 +3,7 @@
 #include "../libmedlarkeel/forwarding/admissioncontrol.h"
 #include "../libmedlarkeel/forwarding/backendchooser.h"
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
+#include "../libmedlarkeel/forwarding/recentmaximum.h"
 #include "../libmedlarkeel/forwarding/retryschedule.h"
 #include "../libmedlarkeel/forwarding/serverlimits.h"
 #include "../libmedlarkeel/forwarding/shutdownadmission.h"
