Test answers without Asio, as the thread sanitizer can't build it

Asio's fences don't compile under that sanitizer, and the new test of StreamAnswer used Asio for its server. The server of the test uses sockets now; its cases and checks are the same.

--- a/tests/net/test_answerstream.cpp
+++ b/tests/net/test_answerstream.cpp
@@ -1,87 +1,107 @@
 #include "answerstream.h"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <functional>
 #include <thread>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace medlarkeel {
 
 namespace {
 
-using boost::asio::ip::tcp;
-using Error = boost::system::error_code;
-
 /** Answers one request with bytes that needn't be an answer. */
 class RawServer
 {
 public:
-  using Script = std::function<void(tcp::socket&)>;
+  /** Gets the descriptor of the connection. */
+  using Script = std::function<void(int aPeer)>;
 
   explicit RawServer(Script aScript)
-    : mAcceptor(mContext, { boost::asio::ip::make_address("127.0.0.1"), 0 })
-    , mThread([this, script = std::move(aScript)] { Serve(script); })
+    : mListening(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
   {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* place = reinterpret_cast<sockaddr*>(&address);
+    socklen_t size = sizeof address;
+    BOOST_REQUIRE(bind(mListening, place, size) == 0);
+    BOOST_REQUIRE(listen(mListening, 1) == 0);
+    BOOST_REQUIRE(getsockname(mListening, place, &size) == 0);
+    mPort = ntohs(address.sin_port);
+    mThread = std::thread([this, script = std::move(aScript)] {
+      const int peer = accept(mListening, nullptr, nullptr);
+      ReadRequest(peer);
+      script(peer);
+      close(peer);
+    });
+  }
+  ~RawServer()
+  {
+    mThread.join();
+    close(mListening);
   }
-  ~RawServer() { mThread.join(); }
 
   HttpCall Call() const
   {
     HttpCall call;
     call.mMethod = "POST";
     call.mBody = "{}";
-    call.mUrl =
-      "http://127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port()) +
-      "/x";
+    call.mUrl = "http://127.0.0.1:" + std::to_string(mPort) + "/x";
     return call;
   }
 
 private:
-  void Serve(const Script& aScript)
+  static void ReadRequest(int aPeer)
   {
-    tcp::socket socket(mContext);
-    Error error;
-    mAcceptor.accept(socket, error);
     std::string request;
-    while (!error && request.find("\r\n\r\n{}") == std::string::npos) {
-      char buffer[4096];
-      const std::size_t size =
-        socket.read_some(boost::asio::buffer(buffer), error);
-      request.append(buffer, size);
+    char buffer[4096];
+    while (request.find("\r\n\r\n{}") == std::string::npos) {
+      const ssize_t size = recv(aPeer, buffer, sizeof buffer, 0);
+      if (size <= 0) {
+        return;
+      }
+      request.append(buffer, static_cast<std::size_t>(size));
     }
-    aScript(socket);
   }
 
-  boost::asio::io_context mContext;
-  tcp::acceptor mAcceptor;
+  int mListening;
+  std::uint16_t mPort = 0;
   std::thread mThread;
 };
 
-void
-Write(tcp::socket& aSocket, const std::string& aBytes)
+/** @return Whether all bytes were written. */
+bool
+Write(int aPeer, const std::string& aBytes)
 {
-  Error ignored;
-  boost::asio::write(aSocket, boost::asio::buffer(aBytes), ignored);
+  std::size_t written = 0;
+  while (written < aBytes.size()) {
+    const ssize_t size = send(
+      aPeer, aBytes.data() + written, aBytes.size() - written, MSG_NOSIGNAL);
+    if (size <= 0) {
+      return false;
+    }
+    written += static_cast<std::size_t>(size);
+  }
+  return true;
 }
 
 RawServer::Script
 Writing(const std::string& aBytes)
 {
-  return [aBytes](tcp::socket& aSocket) { Write(aSocket, aBytes); };
+  return [aBytes](int aPeer) { Write(aPeer, aBytes); };
 }
 
 RawServer::Script
 WithoutEnd(const std::string& aBeginning, const std::string& aBytes)
 {
-  return [=](tcp::socket& aSocket) {
-    Write(aSocket, aBeginning);
-    Error error;
-    while (!error) {
-      boost::asio::write(aSocket, boost::asio::buffer(aBytes), error);
+  return [=](int aPeer) {
+    bool isOpen = Write(aPeer, aBeginning);
+    while (isOpen) {
+      isOpen = Write(aPeer, aBytes);
     }
   };
 }
@@ -171,11 +191,11 @@
   const Received lacksLastChunk = Receive(
     Writing(head + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n"));
   BOOST_CHECK(lacksLastChunk.Fault() == AnswerFault::EndInBody);
-  const Received reset = Receive([&](tcp::socket& aSocket) {
-    Write(aSocket, head + "\r\ndata: a\n\n");
+  const Received reset = Receive([&](int aPeer) {
+    Write(aPeer, head + "\r\ndata: a\n\n");
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    aSocket.set_option(boost::asio::socket_base::linger(true, 0));
-    aSocket.close();
+    const linger discarding{ 1, 0 };
+    setsockopt(aPeer, SOL_SOCKET, SO_LINGER, &discarding, sizeof discarding);
   });
   BOOST_CHECK(reset.Fault() == AnswerFault::Reset);
 }
