Log how a complete answer ended and how far a stream came

On event 404 says neither how a transfer ended nor whether a stream was continued, so a server that ended between two events can't be told from a run that continued a stream wrongly. Events 404 and 403 have the fields end, lastEventId, continuations and callerContinues; a counter has the complete answers that ended with their connection. No logic is changed.

--- a/src/libmedlarkeel/forwarding/answerend.cpp
+++ b/src/libmedlarkeel/forwarding/answerend.cpp
@@ -35,6 +35,28 @@
 
 } // namespace
 
+const char*
+TransferEndName(TransferEnd aEnd)
+{
+  switch (aEnd) {
+    case TransferEnd::Length:
+      return "length";
+    case TransferEnd::LastChunk:
+      return "last-chunk";
+    case TransferEnd::Close:
+      return "close";
+    case TransferEnd::CloseBeforeHead:
+      return "close-before-head";
+    case TransferEnd::CloseInHead:
+      return "close-in-head";
+    case TransferEnd::CloseInBody:
+      return "close-in-body";
+    case TransferEnd::Reset:
+      return "reset";
+  }
+  return "unknown";
+}
+
 const char*
 AnswerFaultName(AnswerFault aFault)
 {
--- a/src/libmedlarkeel/forwarding/answerend.h
+++ b/src/libmedlarkeel/forwarding/answerend.h
@@ -28,6 +28,10 @@
   Reset
 };
 
+/** @return The name of the end in logs. */
+const char*
+TransferEndName(TransferEnd aEnd);
+
 /** Why an answer counts as broken. */
 enum class AnswerFault
 {
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -21,6 +21,9 @@
 constexpr double kRetrySpreadShare = 0.7;
 constexpr Milliseconds kRetryWithoutRoute{ 500 };
 
+/** Characters of an event's id that are logged. */
+constexpr std::size_t kLoggedIdSize = 40;
+
 } // namespace
 
 Exchange::Exchange(Forwarder& aForwarder,
@@ -362,6 +365,19 @@
   return std::chrono::duration_cast<Milliseconds>(BootNow() - mArrived);
 }
 
+void
+Exchange::AddAnswerFields(EventFields& aFields) const
+{
+  if (mTransferEnd) {
+    aFields["end"] = TransferEndName(*mTransferEnd);
+  }
+  if (mRoute != nullptr && mRoute->mIsStream) {
+    aFields["lastEventId"] = mLastEventId.substr(0, kLoggedIdSize);
+    aFields["continuations"] = mContinuations;
+    aFields["callerContinues"] = mHead.Find("Last-Event-Id") != nullptr;
+  }
+}
+
 void
 Exchange::LogEnd(Event aEvent, int aStatus, const std::string& aReason)
 {
@@ -390,6 +406,7 @@
     fields["cold"] = mLastChoice->mIsCold;
     fields["otherZone"] = mLastChoice->mIsOtherZone;
   }
+  AddAnswerFields(fields);
   if (mAdmission) {
     AddAdmissionFields(fields);
   }
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -137,6 +137,8 @@
   void CutStream(const std::string& aReason);
   void TimeOut();
   void Finish(bool aKeepOpen);
+  /** Adds how the answer ended and, for a stream, how far it came. */
+  void AddAnswerFields(EventFields& aFields) const;
   void LogEnd(Event aEvent, int aStatus, const std::string& aReason);
   Milliseconds Elapsed() const;
   /** @return Time until the request is given up. */
@@ -179,6 +181,10 @@
   bool mIsChunked = true;
   bool mIsDone = false;
   std::string mLastEventId;
+  /** Runs at other servers that continued the stream. */
+  int mContinuations = 0;
+  /** How the transfer of a complete answer ended. */
+  std::optional<TransferEnd> mTransferEnd;
   Microseconds mFirstByteAfter{ 0 };
 };
 
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -381,6 +381,10 @@
       .RecordStreamDuration(aAttempt->mChoice.mIsShortPrompt,
                             now - aAttempt->mFirstByteAt);
   }
+  mTransferEnd = EndOfMessage(*aAttempt->mParser);
+  if (mTransferEnd == TransferEnd::Close) {
+    mForwarder.Counters().mAnswersEndedByClose += 1;
+  }
   const int status = aAttempt->mParser->Head().mStatus;
   if (!mHasAnswered) {
     PassWhole(aAttempt->mParser->Head(), aAttempt->mParser->Body());
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -388,6 +388,7 @@
       return;
     }
     mForwarder.Counters().mStreamsResumed += 1;
+    mContinuations += 1;
     TryBackend();
     return;
   }
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -21,6 +21,7 @@
   { "callers_gone_total", &ForwardCounters::mCallersGone },
   { "streams_cut_total", &ForwardCounters::mStreamsCut },
   { "streams_resumed_total", &ForwardCounters::mStreamsResumed },
+  { "answers_ended_by_close_total", &ForwardCounters::mAnswersEndedByClose },
   { "further_attempts_total", &ForwardCounters::mFurtherAttempts },
   { "retries_denied_total", &ForwardCounters::mRetriesDenied },
   { "limited_answers_total", &ForwardCounters::mLimitedAnswers },
