Tell an answer's framing from the end of its connection in tests

The tests' caller counted an answer without a length or chunks as whole when its connection was closed in order. Whether a framing shows the end and whether the connection was closed or reset are two facts, and the tests of HTTP/1.0 callers need the second one. The three assertions ask for the end in order in place of the whole answer, which is the same condition: such an answer has no framing that shows its end.

--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -366,7 +366,7 @@
   fixture.Start();
   Caller caller(fixture.Port());
   caller.Send(OldRequestText("/stream/x"));
-  BOOST_TEST(!caller.Read().mIsWhole);
+  BOOST_TEST(!caller.Read().mIsClosedInOrder);
 }
 
 // A complete stream without a length counts as broken.
@@ -383,7 +383,7 @@
     Caller old(fixture.Port());
     old.Send(OldRequestText("/stream/x"));
     const SeenAnswer oldAnswer = old.Read();
-    BOOST_TEST(oldAnswer.mIsWhole);
+    BOOST_TEST(oldAnswer.mIsClosedInOrder);
     BOOST_TEST(oldAnswer.mBody == kTwoEvents);
   }
 }
@@ -767,7 +767,7 @@
   const SeenAnswer stream = answers[1].get();
   BOOST_TEST(stream.mBody == "id: 1\ndata: a\n\n");
   BOOST_TEST(!stream.mIsWhole);
-  BOOST_TEST(!answers[2].get().mIsWhole);
+  BOOST_TEST(!answers[2].get().mIsClosedInOrder);
   const SeenAnswer unread = answers[3].get();
   BOOST_TEST(unread.Status() == 503);
   BOOST_TEST(unread.Field("Retry-After") == "0.050");
--- a/tests/support/loopback.cpp
+++ b/tests/support/loopback.cpp
@@ -86,12 +86,9 @@
       mSocket.read_some(boost::asio::buffer(buffer), error);
     mInput.append(buffer.data(), size);
   }
-  if (error == boost::asio::error::eof && parser.need_eof()) {
-    parser.put_eof(error);
-    state = parser.is_done() ? ParseState::Done : state;
-  }
   answer.mBody = parser.TakeBody();
   answer.mIsWhole = state == ParseState::Done;
+  answer.mIsClosedInOrder = error == boost::asio::error::eof;
   return answer;
 }
 
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -23,6 +23,8 @@
   std::string mBody;
   /** Whether the body's framing shows that it is whole. */
   bool mIsWhole = false;
+  /** Whether the connection was closed, not reset, before that was shown. */
+  bool mIsClosedInOrder = false;
 
   int Status() const;
   std::string Field(const std::string& aName) const
