Run streams amid the ends of real processes

The path of a stream describes it, so each server sends the same events and the caller checks each one; connections are used until their entry is gone.

--- a/tests/platform/loopbackplatform.cpp
+++ b/tests/platform/loopbackplatform.cpp
@@ -130,6 +130,12 @@
 
 } // namespace
 
+std::string
+ProgramPath(const std::string& aName)
+{
+  return EnvironmentOr("MEDLARKEEL_BIN", "build/plain") + "/" + aName;
+}
+
 LoopbackPlatform::LoopbackPlatform()
   : mFolder(NewFolder())
   , mDocument(FirstDocument())
@@ -220,7 +226,7 @@
 {
   aEntry.mProcess.reset();
   aEntry.mProcess = std::make_unique<ChildProcess>(
-    EnvironmentOr("MEDLARKEEL_BIN", "build/plain") + "/medlarkeelforward",
+    ProgramPath("medlarkeelforward"),
     std::vector<std::string>{ "--settings=" +
                               (mFolder / (aEntry.mName + ".json")).string() },
     mFolder / (aEntry.mName + ".log"));
--- a/tests/platform/loopbackplatform.h
+++ b/tests/platform/loopbackplatform.h
@@ -9,6 +9,10 @@
 
 namespace medlarkeel {
 
+/** @return Path of a program of the build under test. */
+std::string
+ProgramPath(const std::string& aName);
+
 /** One entry that a test has started; all its ports are its own. */
 struct EntryProcess
 {
@@ -36,6 +40,8 @@
   LoopbackPlatform& operator=(const LoopbackPlatform&) = delete;
 
   FakeStore& Store() { return mStore; }
+  /** @return Folder for files of the test's processes. */
+  const std::filesystem::path& Folder() const { return mFolder; }
   FakeServer& AddDesk(const std::string& aId);
   FakeServer& AddModel(const std::string& aId);
   FakeServer& AddServer(const FakeServerSettings& aSettings);
--- /dev/null
+++ b/tests/platform/test_serverends.cpp
@@ -0,0 +1,96 @@
+#include "serverprocess.h"
+#include "streamcaller.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <future>
+
+namespace medlarkeel {
+
+namespace {
+
+constexpr PlannedFraming kFramings[] = { PlannedFraming::Chunks,
+                                         PlannedFraming::Length,
+                                         PlannedFraming::Close };
+
+/** Time from a request to the disruption; some events have come then. */
+constexpr Milliseconds kTimeToDisruption{ 150 };
+
+/** One entry and servers that are processes. */
+struct EndingServers : LoopbackPlatform
+{
+  EndingServers()
+  {
+    for (const char* id : { "model-1", "model-2" }) {
+      mServers.push_back(
+        std::make_unique<ServerProcess>(Store(), id, Folder()));
+    }
+    mEntry = &StartEntry();
+    BOOST_REQUIRE_MESSAGE(WaitReady(*mEntry), mEntry->mProcess->Log());
+  }
+
+  /** Asks for a stream and disrupts it amid its events. */
+  template<typename Disrupt>
+  StreamResult AskAmid(PlannedFraming aFraming,
+                       bool aIsResumable,
+                       const Disrupt& aDisrupt)
+  {
+    StreamCall call;
+    call.mPlan.mFraming = aFraming;
+    call.mPlan.mEvents = 15;
+    call.mPlan.mPause = Milliseconds(30);
+    call.mPlan.mKey = "k" + std::to_string(++mStreams);
+    call.mIsResumable = aIsResumable;
+    auto stream = std::async(std::launch::async, [&]() {
+      return StreamCaller("c" + std::to_string(mStreams)).Ask(*mEntry, call);
+    });
+    std::this_thread::sleep_for(kTimeToDisruption);
+    aDisrupt();
+    return stream.get();
+  }
+
+  std::vector<std::unique_ptr<ServerProcess>> mServers;
+  EntryProcess* mEntry = nullptr;
+  int mStreams = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(serverends)
+
+// The end of a server between two events passes for the end of its streams.
+BOOST_FIXTURE_TEST_CASE(KilledServerLeavesNoStreamComplete, EndingServers)
+{
+  for (const PlannedFraming framing : kFramings) {
+    const StreamResult result = AskAmid(framing, false, [this]() {
+      mServers[0]->Kill();
+      mServers[1]->Kill();
+    });
+    BOOST_TEST(result.mViolation == "");
+    BOOST_TEST(result.mEvents > 0);
+    BOOST_TEST(!result.mIsComplete);
+    mServers[0]->Restart();
+    mServers[1]->Restart();
+  }
+}
+
+// The next process at a server's address passes for the one that ended.
+BOOST_FIXTURE_TEST_CASE(RestartedServerLeavesNoStreamComplete, EndingServers)
+{
+  for (const PlannedFraming framing : kFramings) {
+    const StreamResult result = AskAmid(framing, false, [this]() {
+      mEntry->mProcess->Signal(SIGSTOP);
+      mServers[0]->Restart();
+      mServers[1]->Restart();
+      mEntry->mProcess->Signal(SIGCONT);
+    });
+    BOOST_TEST(result.mViolation == "");
+    BOOST_TEST(result.mEvents > 0);
+    BOOST_TEST(!result.mIsComplete);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
