Judge a run that continues a stream like one that begins

What callers saw: a continued run that ended before its first event, without a length or chunks, completed the whole stream: event 1 of n and the last chunk. A caller that continued a stream itself got status 200 and an empty, complete stream.

Cause: FindEndFault excused continuations from the rule that a stream without a length or chunks doesn't end before its first event, so that a stream that had broken off behind its last event could be completed.

Why this works: one rule for all runs. A server that has nothing left can say so with a length or the last chunk, which still completes the stream (tested). Without either, an empty run can't be told from one that broke off; such a stream is resumed elsewhere or broken off, which its caller sees.

The core test OnlyAContinuationMayBeEmptyWithoutLength asserted the excuse; it is replaced by OnlyAStatedEndMayStandBeforeTheFirstEvent, which allows less. The tests' framed answers moved to a file of their own.

--- a/src/libmedlarkeel/forwarding/answerend.cpp
+++ b/src/libmedlarkeel/forwarding/answerend.cpp
@@ -96,7 +96,7 @@
 }
 
 std::optional<AnswerFault>
-FindEndFault(TransferEnd aEnd, const EventFramer* aEvents, bool aIsContinuation)
+FindEndFault(TransferEnd aEnd, const EventFramer* aEvents)
 {
   if (const auto fault = FindTransferFault(aEnd)) {
     return fault;
@@ -107,8 +107,7 @@
   if (aEvents->HasPartialEvent()) {
     return AnswerFault::EndInsideEvent;
   }
-  const bool lacksEvents = !aEvents->HasEvents() && !aIsContinuation;
-  if (aEnd == TransferEnd::Close && lacksEvents) {
+  if (aEnd == TransferEnd::Close && !aEvents->HasEvents()) {
     return AnswerFault::EndBeforeFirstEvent;
   }
   return std::nullopt;
--- a/src/libmedlarkeel/forwarding/answerend.h
+++ b/src/libmedlarkeel/forwarding/answerend.h
@@ -70,18 +70,15 @@
  *
  * An event stream is complete if the transfer ended as its framing states and
  * no event is incomplete. Without a length or chunks, an end between two events
- * can't be told from a complete stream; only an end before the first event is a
- * fault, unless the request asked for the events behind one it already has.
+ * can't be told from a complete stream; an end before the first event is a
+ * fault, also of a run that continues a stream.
  *
  * @param aEnd How the transfer ended.
  * @param aEvents What arrived of an event stream; nullptr for other bodies.
- * @param aIsContinuation Whether the request asked for a part of a stream.
  * @return The reason why the answer is broken, or nothing if it is complete.
  */
 std::optional<AnswerFault>
-FindEndFault(TransferEnd aEnd,
-             const EventFramer* aEvents,
-             bool aIsContinuation);
+FindEndFault(TransferEnd aEnd, const EventFramer* aEvents);
 
 /**
  * @param aContentType Value of the Content-Type field, with or without
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -110,8 +110,6 @@
    *
    * @param aIsClosed Whether it was closed, not reset. */
   void HandleConnectionEnd(const AttemptPointer& aAttempt, bool aIsClosed);
-  /** @return Whether the request asked for a part of a stream. */
-  bool IsContinuation() const;
   bool TakeHead(const AttemptPointer& aAttempt);
   /** @return Whether one more answer before the right one is allowed. */
   bool SkipsOtherAnswer(const AttemptPointer& aAttempt);
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -110,13 +110,7 @@
                                    : TransferEnd::CloseInHead;
   }
   EndBroken(aAttempt,
-            FindEndFault(end, nullptr, false).value_or(AnswerFault::EndInBody));
-}
-
-bool
-Exchange::IsContinuation() const
-{
-  return !mLastEventId.empty() || mHead.Find("Last-Event-Id") != nullptr;
+            FindEndFault(end, nullptr).value_or(AnswerFault::EndInBody));
 }
 
 void
@@ -327,7 +321,6 @@
 void
 Exchange::PassEvents(const AttemptPointer& aAttempt, bool aIsEnd)
 {
-  const bool isContinuation = IsContinuation();
   const EventFramer& framer = aAttempt->mFramer;
   const std::string events =
     aAttempt->mFramer.Push(aAttempt->mParser->TakeBody());
@@ -339,9 +332,8 @@
     mLastEventId = framer.LastEventId();
   }
   const std::optional<AnswerFault> fault =
-    aIsEnd
-      ? FindEndFault(EndOfMessage(*aAttempt->mParser), &framer, isContinuation)
-      : std::nullopt;
+    aIsEnd ? FindEndFault(EndOfMessage(*aAttempt->mParser), &framer)
+           : std::nullopt;
   const bool isComplete = aIsEnd && !fault;
   std::string text;
   if (!mHasAnswered && (!events.empty() || isComplete)) {
--- a/src/libmedlarkeelnet/answerstream.cpp
+++ b/src/libmedlarkeelnet/answerstream.cpp
@@ -52,7 +52,7 @@
 
   std::optional<AnswerFault> FaultAtEnd(TransferEnd aEnd) const
   {
-    return FindEndFault(aEnd, mIsEventStream ? &mFramer : nullptr, false);
+    return FindEndFault(aEnd, mIsEventStream ? &mFramer : nullptr);
   }
 
 private:
--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -347,15 +347,14 @@
   }
   switch (aCode) {
     case CURLE_GOT_NOTHING:
-      return FindEndFault(TransferEnd::CloseBeforeHead, nullptr, false);
+      return FindEndFault(TransferEnd::CloseBeforeHead, nullptr);
     case CURLE_PARTIAL_FILE:
       return FindEndFault(aTransfer.mIsHeadComplete ? TransferEnd::CloseInBody
                                                     : TransferEnd::CloseInHead,
-                          nullptr,
-                          false);
+                          nullptr);
     case CURLE_RECV_ERROR:
     case CURLE_SEND_ERROR:
-      return FindEndFault(TransferEnd::Reset, nullptr, false);
+      return FindEndFault(TransferEnd::Reset, nullptr);
     case CURLE_WEIRD_SERVER_REPLY:
     case CURLE_UNSUPPORTED_PROTOCOL:
       return AnswerFault::InvalidHead;
@@ -383,7 +382,7 @@
     return ErrorOf(aCode, aTransfer);
   }
   const TransferEnd end = EndOfTransfer(aTransfer);
-  if (const auto fault = FindEndFault(end, nullptr, false)) {
+  if (const auto fault = FindEndFault(end, nullptr)) {
     return NetError{ NetErrorKind::PeerClosed,
                      "the connection ended inside the head",
                      fault };
--- a/tests/core/test_answerend.cpp
+++ b/tests/core/test_answerend.cpp
@@ -50,7 +50,7 @@
   const auto size = *rc::gen::inRange<std::size_t>(1, body.size() + 1);
   const EventFramer framer = FramerOf(body.substr(0, size));
   for (const TransferEnd end : kStatedEnds) {
-    RC_ASSERT(FindEndFault(end, &framer, false).has_value() ==
+    RC_ASSERT(FindEndFault(end, &framer).has_value() ==
               (ends.count(size) == 0));
   }
 }
@@ -59,23 +59,22 @@
 {
   const EventFramer framer = FramerOf("data: x\n\n");
   for (const TransferEnd end : kBrokenEnds) {
-    BOOST_TEST(FindEndFault(end, &framer, false).has_value());
-    BOOST_TEST(FindEndFault(end, nullptr, false).has_value());
+    BOOST_TEST(FindEndFault(end, &framer).has_value());
+    BOOST_TEST(FindEndFault(end, nullptr).has_value());
   }
   for (const TransferEnd end : kStatedEnds) {
-    BOOST_TEST(!FindEndFault(end, nullptr, false).has_value());
+    BOOST_TEST(!FindEndFault(end, nullptr).has_value());
   }
 }
 
-// A resumed stream that has nothing left counts as broken.
-BOOST_AUTO_TEST_CASE(OnlyAContinuationMayBeEmptyWithoutLength)
+// A run that ends before its first event passes for a complete stream.
+BOOST_AUTO_TEST_CASE(OnlyAStatedEndMayStandBeforeTheFirstEvent)
 {
   const EventFramer empty;
-  BOOST_CHECK(FindEndFault(TransferEnd::Close, &empty, false) ==
+  BOOST_CHECK(FindEndFault(TransferEnd::Close, &empty) ==
               AnswerFault::EndBeforeFirstEvent);
-  BOOST_TEST(!FindEndFault(TransferEnd::Close, &empty, true).has_value());
-  BOOST_TEST(!FindEndFault(TransferEnd::Length, &empty, false).has_value());
-  BOOST_TEST(!FindEndFault(TransferEnd::LastChunk, &empty, false).has_value());
+  BOOST_TEST(!FindEndFault(TransferEnd::Length, &empty).has_value());
+  BOOST_TEST(!FindEndFault(TransferEnd::LastChunk, &empty).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(EachFaultHasANameOfItsOwn)
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -1,4 +1,4 @@
-#include "forwardfixture.h"
+#include "framedanswer.h"
 
 #include "../support/waituntil.h"
 #include "answertext.h"
@@ -46,79 +46,6 @@
   aSocket.shutdown(Socket::shutdown_both);
 }
 
-/** Framings of an answer. */
-enum class Framing
-{
-  Close,
-  Length,
-  Chunks
-};
-
-constexpr Framing kFramings[] = { Framing::Close,
-                                  Framing::Length,
-                                  Framing::Chunks };
-
-/** @return A whole 200 answer in the framing. */
-std::string
-FramedAnswer(const std::string& aRequest,
-             Framing aFraming,
-             const std::string& aBody,
-             const std::string& aExtra = "Content-Type: text/event-stream\r\n")
-{
-  const std::string head =
-    "HTTP/1.1 200 OK\r\nRequest: " + FieldOf(aRequest, "Request") +
-    "\r\nProof: p1\r\n" + aExtra;
-  switch (aFraming) {
-    case Framing::Length:
-      return head + "Content-Length: " + std::to_string(aBody.size()) +
-             "\r\n\r\n" + aBody;
-    case Framing::Chunks:
-      return head + "Transfer-Encoding: chunked\r\n\r\n" + Chunk(aBody) +
-             "0\r\n\r\n";
-    case Framing::Close:
-      break;
-  }
-  return head + "\r\n" + aBody;
-}
-
-/** Writes a whole answer in the framing and closes the connection in order. */
-FakeBackend::Script
-AnsweringInFraming(
-  Framing aFraming,
-  const std::string& aBody,
-  const std::string& aExtra = "Content-Type: text/event-stream\r\n")
-{
-  return [=](Socket& aSocket, const std::string& aRequest) {
-    WriteBytes(aSocket, FramedAnswer(aRequest, aFraming, aBody, aExtra));
-    if (aFraming == Framing::Close) {
-      aSocket.shutdown(Socket::shutdown_both);
-    }
-  };
-}
-
-const char* const kTwoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
-const char* const kOneEventAndAHalf = "id: 1\ndata: a\n\nid: 2\nda";
-
-/** @return Answers that the entry counts as broken for that reason. */
-std::uint64_t
-BrokenAnswers(ForwardFixture& aFixture, AnswerFault aFault)
-{
-  std::uint64_t count = 0;
-  aFixture.Run([&](Forwarder& aForwarder) {
-    count =
-      aForwarder.Counters().mBrokenAnswers[static_cast<std::size_t>(aFault)];
-  });
-  return count;
-}
-
-std::string
-OldRequestText(const std::string& aPath)
-{
-  return "POST " + aPath +
-         " HTTP/1.0\r\nHost: host\r\nRequest: r-1\r\n"
-         "Authorization: Key secret\r\nContent-Length: 0\r\n\r\n";
-}
-
 /** Writes a beginning, and then bytes until the other side closes. */
 FakeBackend::Script
 WithoutEnd(const std::function<std::string(const std::string&)>& aBeginning,
