A comment is no event

What callers saw: a stream without a length or chunks that had brought only a comment (a keep-alive line) counted as complete, at a first run and at one that continues.

Cause: EventFramer counted each block between empty lines as an event.

Why this works: a block counts as an event if it has an id or data. Comments are still forwarded at once.

Evidence: with each block counted again, eventframer/CommentIsForwardedButNoEvent and continuedstreams/CommentAloneIsNoStream fail.

--- a/src/libmedlarkeel/forwarding/eventframer.cpp
+++ b/src/libmedlarkeel/forwarding/eventframer.cpp
@@ -4,6 +4,36 @@
 
 namespace medlarkeel {
 
+namespace {
+
+/**
+ * @param aLine A line of an event.
+ * @param aName Name of a field.
+ * @return The value of the field, or nothing if the line is another field or a
+ * comment.
+ */
+std::optional<std::string_view>
+FieldValue(std::string_view aLine, std::string_view aName)
+{
+  if (aLine.substr(0, aName.size()) != aName) {
+    return std::nullopt;
+  }
+  aLine.remove_prefix(aName.size());
+  if (aLine.empty()) {
+    return aLine;
+  }
+  if (aLine.front() != ':') {
+    return std::nullopt;
+  }
+  aLine.remove_prefix(1);
+  while (!aLine.empty() && aLine.front() == ' ') {
+    aLine.remove_prefix(1);
+  }
+  return aLine;
+}
+
+} // namespace
+
 std::string
 EventFramer::Push(std::string_view aBytes)
 {
@@ -15,7 +45,7 @@
   }
   std::string events = mBuffer.substr(0, buffered + end);
   mBuffer.erase(0, buffered + end);
-  StoreLastEventId(events);
+  ReadEvents(events);
   return events;
 }
 
@@ -25,15 +55,14 @@
   std::size_t end = 0;
   for (std::size_t i = 0; i < aBytes.size(); ++i) {
     const char byte = aBytes[i];
-    const bool isSecondOfPair = byte == '\n' && mIsAfterCarriageReturn;
+    const bool isLineFeedOfPair = byte == '\n' && mIsAfterCarriageReturn;
     mIsAfterCarriageReturn = byte == '\r';
     if (byte != '\n' && byte != '\r') {
       mIsLineEmpty = false;
       mIsInEvent = true;
       continue;
     }
-    if (!isSecondOfPair && mIsLineEmpty) {
-      mHasEvents = mHasEvents || mIsInEvent;
+    if (!isLineFeedOfPair && mIsLineEmpty) {
       mIsInEvent = false;
     }
     mIsLineEmpty = true;
@@ -45,23 +74,42 @@
 }
 
 void
-EventFramer::StoreLastEventId(std::string_view aEvents)
+EventFramer::ReadEvents(std::string_view aEvents)
 {
-  constexpr std::string_view kIdField = "id:";
   std::size_t begin = 0;
   while (begin < aEvents.size()) {
     const std::size_t end =
       std::min(aEvents.find_first_of("\r\n", begin), aEvents.size());
-    std::string_view line = aEvents.substr(begin, end - begin);
-    if (line.substr(0, kIdField.size()) == kIdField) {
-      line.remove_prefix(kIdField.size());
-      while (!line.empty() && line.front() == ' ') {
-        line.remove_prefix(1);
-      }
-      mLastEventId = line;
+    const std::string_view line = aEvents.substr(begin, end - begin);
+    if (line.empty()) {
+      EndEvent();
+    } else {
+      ReadLine(line);
     }
-    begin = end + 1;
+    const bool isPair = aEvents.substr(end, 2) == "\r\n";
+    begin = end + (isPair ? 2 : 1);
+  }
+}
+
+void
+EventFramer::ReadLine(std::string_view aLine)
+{
+  if (const auto id = FieldValue(aLine, "id")) {
+    mEventId = std::string(*id);
+  }
+  mHasData = mHasData || FieldValue(aLine, "data").has_value();
+}
+
+void
+EventFramer::EndEvent()
+{
+  const bool isEvent = mHasData || mEventId.has_value();
+  mHasEvents = mHasEvents || isEvent;
+  if (mEventId) {
+    mLastEventId = *mEventId;
   }
+  mEventId.reset();
+  mHasData = false;
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/eventframer.h
+++ b/src/libmedlarkeel/forwarding/eventframer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,7 +29,8 @@
   /** @return Whether the buffer holds an incomplete event. */
   bool HasPartialEvent() const { return !mBuffer.empty(); }
 
-  /** @return Whether an event was complete. */
+  /** @return Whether an event was complete. A comment or a block without an id
+   * and data is no event. */
   bool HasEvents() const { return mHasEvents; }
 
   /** @return Size of the incomplete event in bytes. */
@@ -43,8 +45,10 @@
    */
   std::size_t FindEventEnd(std::string_view aBytes);
 
-  /** Stores the last id in complete events. */
-  void StoreLastEventId(std::string_view aEvents);
+  /** Reads the fields of complete events. */
+  void ReadEvents(std::string_view aEvents);
+  void ReadLine(std::string_view aLine);
+  void EndEvent();
 
   std::string mBuffer;
   std::string mLastEventId;
@@ -53,6 +57,9 @@
   bool mIsAfterCarriageReturn = false;
   /** The event has a line that isn't empty. */
   bool mIsInEvent = false;
+  /** Fields of the event that is read. */
+  std::optional<std::string> mEventId;
+  bool mHasData = false;
   bool mHasEvents = false;
 };
 
--- a/tests/core/test_eventframer.cpp
+++ b/tests/core/test_eventframer.cpp
@@ -46,6 +46,18 @@
   BOOST_TEST(!framer.HasPartialEvent());
 }
 
+// A comment passes for the first event of a stream.
+BOOST_AUTO_TEST_CASE(CommentIsForwardedButNoEvent)
+{
+  EventFramer framer;
+  BOOST_TEST(framer.Push(": wait\r\n\r\nretry: 10\n\n") ==
+             ": wait\r\n\r\nretry: 10\n\n");
+  BOOST_TEST(!framer.HasEvents());
+  BOOST_TEST(!framer.HasPartialEvent());
+  framer.Push("data: a\r\n\r\n");
+  BOOST_TEST(framer.HasEvents());
+}
+
 // Events may be lost, repeated or forwarded in part if the network splits the
 // body inside an event or a delimiter.
 RC_BOOST_PROP(AnySplitReturnsTheSameBytesAsCompleteEvents, ())
--- a/tests/forward/test_continuedstreams.cpp
+++ b/tests/forward/test_continuedstreams.cpp
@@ -88,6 +88,19 @@
   }
 }
 
+// A run that sends only a comment passes for a complete stream, a first one or
+// one that continues a stream.
+BOOST_AUTO_TEST_CASE(CommentAloneIsNoStream)
+{
+  const char* const comment = ": wait\n\n";
+  ContinuedStream continued(BreakAfterOneEvent,
+                            AnsweringInFraming(Framing::Close, comment));
+  BOOST_TEST(!continued.Call("/resume/x").mIsWhole);
+  ContinuedStream first(AnsweringInFraming(Framing::Close, comment),
+                        AnsweringInFraming(Framing::Close, comment));
+  BOOST_TEST(!first.Call("/stream/x").mIsWhole);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
