Break a run off whose ids go back

What callers saw: a server that began a stream anew in spite of Last-Event-Id made event 1 come twice, in an answer that ended as complete. The same for a caller that continues a stream itself.

Cause: nothing compared the ids of a run with those that the caller already has.

Why this works: EventFramer gets the id of the last event that the caller has, from the run before or, on a route whose streams can be resumed, from the request. Events are returned up to the first one whose id isn't greater; the run counts as broken there (event-out-of-order), in both data planes. Ids that are no numbers have no order. On other routes a request with Last-Event-Id is a new one (tested).

Evidence: with the comparison taken out these fail: continuedstreams/RunThatBeginsAnewIsBroken, answerstream/StreamWhoseIdsGoBackIsBroken, eventframer/EventsEndBeforeAnIdThatIsNotGreater.

--- a/src/libmedlarkeel/forwarding/answerend.cpp
+++ b/src/libmedlarkeel/forwarding/answerend.cpp
@@ -73,6 +73,8 @@
       return "end-inside-event";
     case AnswerFault::EndBeforeFirstEvent:
       return "end-before-first-event";
+    case AnswerFault::EventOutOfOrder:
+      return "event-out-of-order";
     case AnswerFault::InvalidHead:
       return "invalid-head";
     case AnswerFault::InvalidBody:
--- a/src/libmedlarkeel/forwarding/answerend.h
+++ b/src/libmedlarkeel/forwarding/answerend.h
@@ -42,6 +42,8 @@
   EndInsideEvent,
   /** A stream without a length or chunks ended before its first event. */
   EndBeforeFirstEvent,
+  /** The id of an event isn't greater than that of an event before it. */
+  EventOutOfOrder,
   InvalidHead,
   InvalidBody,
   HeadTooLarge,
--- a/src/libmedlarkeel/forwarding/eventframer.cpp
+++ b/src/libmedlarkeel/forwarding/eventframer.cpp
@@ -1,5 +1,7 @@
 #include "eventframer.h"
 
+#include "decimalnumber.h"
+
 #include <algorithm>
 
 namespace medlarkeel {
@@ -34,6 +36,12 @@
 
 } // namespace
 
+EventFramer::EventFramer(std::string aLastEventId)
+  : mLastEventId(std::move(aLastEventId))
+  , mLastNumber(ParseDecimalNumber(mLastEventId))
+{
+}
+
 std::string
 EventFramer::Push(std::string_view aBytes)
 {
@@ -45,7 +53,7 @@
   }
   std::string events = mBuffer.substr(0, buffered + end);
   mBuffer.erase(0, buffered + end);
-  ReadEvents(events);
+  events.resize(ReadEvents(events));
   return events;
 }
 
@@ -73,22 +81,25 @@
   return end;
 }
 
-void
+std::size_t
 EventFramer::ReadEvents(std::string_view aEvents)
 {
+  std::size_t inOrder = 0;
   std::size_t begin = 0;
-  while (begin < aEvents.size()) {
+  while (begin < aEvents.size() && !mIsOutOfOrder) {
     const std::size_t end =
       std::min(aEvents.find_first_of("\r\n", begin), aEvents.size());
     const std::string_view line = aEvents.substr(begin, end - begin);
-    if (line.empty()) {
-      EndEvent();
-    } else {
+    const bool isPair = aEvents.substr(end, 2) == "\r\n";
+    begin = std::min(end + (isPair ? 2 : 1), aEvents.size());
+    if (!line.empty()) {
       ReadLine(line);
+      continue;
     }
-    const bool isPair = aEvents.substr(end, 2) == "\r\n";
-    begin = end + (isPair ? 2 : 1);
+    EndEvent();
+    inOrder = mIsOutOfOrder ? inOrder : begin;
   }
+  return inOrder;
 }
 
 void
@@ -104,12 +115,15 @@
 EventFramer::EndEvent()
 {
   const bool isEvent = mHasData || mEventId.has_value();
-  mHasEvents = mHasEvents || isEvent;
+  mHasData = false;
   if (mEventId) {
-    mLastEventId = *mEventId;
+    const std::optional<double> number = ParseDecimalNumber(*mEventId);
+    mIsOutOfOrder = number && mLastNumber && *number <= *mLastNumber;
+    mLastNumber = number ? number : mLastNumber;
+    mLastEventId = mIsOutOfOrder ? mLastEventId : *mEventId;
+    mEventId.reset();
   }
-  mEventId.reset();
-  mHasData = false;
+  mHasEvents = mHasEvents || (isEvent && !mIsOutOfOrder);
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/eventframer.h
+++ b/src/libmedlarkeel/forwarding/eventframer.h
@@ -15,11 +15,18 @@
 class EventFramer
 {
 public:
+  EventFramer() = default;
+
+  /** @param aLastEventId Id of the last event that the caller has; empty if it
+   * has none. The events that follow must have greater ids. */
+  explicit EventFramer(std::string aLastEventId);
+
   /**
    * Adds bytes to the buffer and removes all complete events from it.
    *
    * @param aBytes The next bytes of the body.
-   * @return The complete events that were not returned before.
+   * @return The complete events that were not returned before, up to the first
+   * one that is out of order.
    */
   std::string Push(std::string_view aBytes);
 
@@ -33,6 +40,10 @@
    * and data is no event. */
   bool HasEvents() const { return mHasEvents; }
 
+  /** @return Whether the id of an event isn't greater than that of an event
+   * before it. No event is returned from there on. */
+  bool IsOutOfOrder() const { return mIsOutOfOrder; }
+
   /** @return Size of the incomplete event in bytes. */
   std::size_t BufferedBytes() const { return mBuffer.size(); }
 
@@ -45,13 +56,22 @@
    */
   std::size_t FindEventEnd(std::string_view aBytes);
 
-  /** Reads the fields of complete events. */
-  void ReadEvents(std::string_view aEvents);
+  /**
+   * Reads the fields of complete events.
+   *
+   * @return Size of the events in bytes, up to the first one that is out of
+   * order.
+   */
+  std::size_t ReadEvents(std::string_view aEvents);
   void ReadLine(std::string_view aLine);
+  /** Checks the order of an event that has been read. */
   void EndEvent();
 
   std::string mBuffer;
   std::string mLastEventId;
+  /** The last id that is a number; other ids have no order. */
+  std::optional<double> mLastNumber;
+  bool mIsOutOfOrder = false;
   bool mIsLineEmpty = true;
   /** The previous byte is a carriage return; a line feed belongs to it. */
   bool mIsAfterCarriageReturn = false;
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -59,6 +59,10 @@
   if (!FindRoute() || !CheckKey() || !ReadTimeLimit()) {
     return;
   }
+  const std::string* lastEventId = mHead.Find("Last-Event-Id");
+  if (mRoute->mIsResumable && lastEventId != nullptr) {
+    mLastEventId = *lastEventId;
+  }
   PickPool();
   if (mPool == nullptr) {
     Refuse(kUnavailable, "the route's pool is unknown");
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -324,16 +324,17 @@
   const EventFramer& framer = aAttempt->mFramer;
   const std::string events =
     aAttempt->mFramer.Push(aAttempt->mParser->TakeBody());
-  if (framer.BufferedBytes() > kMostEventBytes) {
-    EndBroken(aAttempt, AnswerFault::EventTooLarge);
-    return;
-  }
   if (!framer.LastEventId().empty()) {
     mLastEventId = framer.LastEventId();
   }
-  const std::optional<AnswerFault> fault =
-    aIsEnd ? FindEndFault(EndOfMessage(*aAttempt->mParser), &framer)
-           : std::nullopt;
+  std::optional<AnswerFault> fault;
+  if (framer.IsOutOfOrder()) {
+    fault = AnswerFault::EventOutOfOrder;
+  } else if (framer.BufferedBytes() > kMostEventBytes) {
+    fault = AnswerFault::EventTooLarge;
+  } else if (aIsEnd) {
+    fault = FindEndFault(EndOfMessage(*aAttempt->mParser), &framer);
+  }
   const bool isComplete = aIsEnd && !fault;
   std::string text;
   if (!mHasAnswered && (!events.empty() || isComplete)) {
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -215,6 +215,7 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->mChoice = aChoice;
   attempt->mBegunAt = BootNow();
+  attempt->mFramer = EventFramer(mLastEventId);
   mAttempt = attempt;
   mTried.insert(aChoice.mId);
   mForwarder.Chooser().RecordStarted(aChoice, mPrompt, attempt->mBegunAt);
--- a/src/libmedlarkeelnet/answerstream.cpp
+++ b/src/libmedlarkeelnet/answerstream.cpp
@@ -40,11 +40,15 @@
       return mOnData(aBytes);
     }
     const std::string events = mFramer.Push(aBytes);
-    if (mFramer.BufferedBytes() > mLimits.mEventBytes) {
-      mFault = AnswerFault::EventTooLarge;
+    if (!events.empty() && !mOnData(events)) {
       return false;
     }
-    return events.empty() || mOnData(events);
+    if (mFramer.IsOutOfOrder()) {
+      mFault = AnswerFault::EventOutOfOrder;
+    } else if (mFramer.BufferedBytes() > mLimits.mEventBytes) {
+      mFault = AnswerFault::EventTooLarge;
+    }
+    return !mFault;
   }
 
   /** @return Why the body was stopped, if it was. */
--- a/tests/core/test_eventframer.cpp
+++ b/tests/core/test_eventframer.cpp
@@ -46,6 +46,32 @@
   BOOST_TEST(!framer.HasPartialEvent());
 }
 
+// A server that begins anew makes events come twice.
+BOOST_AUTO_TEST_CASE(EventsEndBeforeAnIdThatIsNotGreater)
+{
+  for (const char* const id : { "1", "2", "02" }) {
+    EventFramer framer("2");
+    const std::string second = std::string("id: ") + id + "\ndata: b\n\n";
+    BOOST_TEST(framer.Push("id: 3\ndata: a\n\n" + second) ==
+               "id: 3\ndata: a\n\n");
+    BOOST_TEST(framer.IsOutOfOrder());
+    BOOST_TEST(framer.LastEventId() == "3");
+    BOOST_TEST(framer.Push("id: 4\ndata: c\n\n") == "");
+    EventFramer continued("2");
+    BOOST_TEST(continued.Push(second) == "");
+    BOOST_TEST(!continued.HasEvents());
+  }
+}
+
+// Ids that are no numbers have no order.
+BOOST_AUTO_TEST_CASE(OpaqueIdsAreInOrder)
+{
+  EventFramer framer("b");
+  const char* const events = "id: b\ndata: a\n\nid: a\ndata: b\n\n";
+  BOOST_TEST(framer.Push(events) == events);
+  BOOST_TEST(!framer.IsOutOfOrder());
+}
+
 // A comment passes for the first event of a stream.
 BOOST_AUTO_TEST_CASE(CommentIsForwardedButNoEvent)
 {
--- a/tests/forward/test_continuedstreams.cpp
+++ b/tests/forward/test_continuedstreams.cpp
@@ -101,6 +101,32 @@
   BOOST_TEST(!first.Call("/stream/x").mIsWhole);
 }
 
+// A server that begins anew makes events come twice.
+BOOST_AUTO_TEST_CASE(RunThatBeginsAnewIsBroken)
+{
+  for (const Framing framing : kFramings) {
+    ContinuedStream fixture(BreakAfterOneEvent,
+                            AnsweringInFraming(framing, kTwoEvents));
+    const SeenAnswer answer = fixture.Call("/resume/x");
+    BOOST_TEST(answer.mBody == kFirstEvent);
+    BOOST_TEST(!answer.mIsWhole);
+    BOOST_TEST(fixture.Call("/resume/x", "Last-Event-Id: 1\r\n").Status() ==
+               502);
+    BOOST_TEST(BrokenAnswers(fixture, AnswerFault::EventOutOfOrder) > 0U);
+  }
+}
+
+// Where a route has no streams that go on, a request that names an event it has
+// is a new one.
+BOOST_AUTO_TEST_CASE(StreamOfARouteThatIsNotResumableMayBeginAnew)
+{
+  ContinuedStream fixture(BreakAfterOneEvent,
+                          AnsweringInFraming(Framing::Chunks, kTwoEvents));
+  const SeenAnswer answer = fixture.Call("/stream/x", "Last-Event-Id: 1\r\n");
+  BOOST_TEST(answer.mIsWhole);
+  BOOST_TEST(answer.mBody == kTwoEvents);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/net/test_answerstream.cpp
+++ b/tests/net/test_answerstream.cpp
@@ -182,6 +182,19 @@
   }
 }
 
+// Events that come twice reach the caller.
+BOOST_AUTO_TEST_CASE(StreamWhoseIdsGoBackIsBroken)
+{
+  for (const std::string& answer :
+       InEachFraming(kStreamType,
+                     "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                     "id: 1\ndata: a\n\n")) {
+    const Received received = Receive(Writing(answer));
+    BOOST_CHECK(received.Fault() == AnswerFault::EventOutOfOrder);
+    BOOST_TEST(received.mBody == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnswerThatEndsBeforeItsFramingSaysIsBroken)
 {
   const std::string head = kHead + std::string(kStreamType) + "\r\n";
