Continue a stream only behind an event with an id

What callers saw: a stream with an event without an id behind one with an id was continued from the earlier one, so the event between came twice.

Cause: the last id of a stream outlived events without an id, in EventFramer and in Exchange.

Why this works: the id to continue from is that of the last event; without one the stream is broken off instead of continued.

--- a/src/libmedlarkeel/forwarding/eventframer.cpp
+++ b/src/libmedlarkeel/forwarding/eventframer.cpp
@@ -114,16 +114,20 @@
 void
 EventFramer::EndEvent()
 {
-  const bool isEvent = mHasData || mEventId.has_value();
+  if (!mHasData && !mEventId) {
+    return;
+  }
+  const std::string id = mEventId.value_or("");
   mHasData = false;
-  if (mEventId) {
-    const std::optional<double> number = ParseDecimalNumber(*mEventId);
-    mIsOutOfOrder = number && mLastNumber && *number <= *mLastNumber;
-    mLastNumber = number ? number : mLastNumber;
-    mLastEventId = mIsOutOfOrder ? mLastEventId : *mEventId;
-    mEventId.reset();
+  mEventId.reset();
+  const std::optional<double> number = ParseDecimalNumber(id);
+  if (number && mLastNumber && *number <= *mLastNumber) {
+    mIsOutOfOrder = true;
+    return;
   }
-  mHasEvents = mHasEvents || (isEvent && !mIsOutOfOrder);
+  mLastNumber = number ? number : mLastNumber;
+  mLastEventId = id;
+  mHasEvents = true;
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/eventframer.h
+++ b/src/libmedlarkeel/forwarding/eventframer.h
@@ -30,7 +30,8 @@
    */
   std::string Push(std::string_view aBytes);
 
-  /** @return The last id among the complete events, or an empty string. */
+  /** @return Id of the last event; empty if it has none. A stream can't be
+   * continued after an event without an id. */
   const std::string& LastEventId() const { return mLastEventId; }
 
   /** @return Whether the buffer holds an incomplete event. */
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -178,7 +178,7 @@
   bool mHasAnswered = false;
   bool mIsChunked = true;
   bool mIsDone = false;
-  /** Id of the last event that the caller has; empty without one. */
+  /** Id of the last event that the caller has; empty if it has none. */
   std::string mLastEventId;
   /** Runs at other servers that continued the stream. */
   int mContinuations = 0;
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -324,9 +324,7 @@
   const EventFramer& framer = aAttempt->mFramer;
   const std::string events =
     aAttempt->mFramer.Push(aAttempt->mParser->TakeBody());
-  if (!framer.LastEventId().empty()) {
-    mLastEventId = framer.LastEventId();
-  }
+  mLastEventId = framer.LastEventId();
   std::optional<AnswerFault> fault;
   if (framer.IsOutOfOrder()) {
     fault = AnswerFault::EventOutOfOrder;
--- a/tests/core/test_eventframer.cpp
+++ b/tests/core/test_eventframer.cpp
@@ -63,6 +63,16 @@
   }
 }
 
+// A stream is continued behind an earlier event than the last one.
+BOOST_AUTO_TEST_CASE(EventWithoutAnIdLeavesNoIdToContinueFrom)
+{
+  EventFramer framer;
+  framer.Push("id: 1\ndata: a\n\ndata: b\n\n");
+  BOOST_TEST(framer.LastEventId() == "");
+  framer.Push("id: 1\ndata: c\n\n");
+  BOOST_TEST(framer.IsOutOfOrder());
+}
+
 // Ids that are no numbers have no order.
 BOOST_AUTO_TEST_CASE(OpaqueIdsAreInOrder)
 {
--- a/tests/forward/test_continuedstreams.cpp
+++ b/tests/forward/test_continuedstreams.cpp
@@ -127,6 +127,22 @@
   BOOST_TEST(answer.mBody == kTwoEvents);
 }
 
+// A run that continues behind an event without an id sends that event again.
+BOOST_AUTO_TEST_CASE(StreamIsNotContinuedBehindAnEventWithoutAnId)
+{
+  const auto breakOff = [](Socket& aSocket, const std::string& aRequest) {
+    const std::string whole = FramedAnswer(
+      aRequest, Framing::Chunks, std::string(kFirstEvent) + "data: b\n\n");
+    WriteBytes(aSocket, whole.substr(0, whole.size() - kLastChunk.size()));
+    aSocket.shutdown(Socket::shutdown_both);
+  };
+  ContinuedStream fixture(
+    breakOff, AnsweringInFraming(Framing::Chunks, "data: b\n\ndata: c\n\n"));
+  const SeenAnswer answer = fixture.Call("/resume/x");
+  BOOST_TEST(answer.mBody == std::string(kFirstEvent) + "data: b\n\n");
+  BOOST_TEST(!answer.mIsWhole);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
