Check the server's process when an answer ends with its connection

Cause: the system closes the connections of a killed process in order, and the entry took that for the end of the answer. The same for plain answers of this form.

Why this works: before such an answer is ended, the entry opens a connection to the server. The system refuses it if the process has ended. Where another process may serve there by now, because the entry was suspended or slow, the report of a model server names the start of its process, which the directory also has. The answer of a process that has ended counts as broken (server-ended): resumed where the route allows it, else broken off.

--- a/src/libmedlarkeel/forwarding/answerend.cpp
+++ b/src/libmedlarkeel/forwarding/answerend.cpp
@@ -73,6 +73,8 @@
       return "end-inside-event";
     case AnswerFault::EndBeforeFirstEvent:
       return "end-before-first-event";
+    case AnswerFault::ServerEnded:
+      return "server-ended";
     case AnswerFault::EventOutOfOrder:
       return "event-out-of-order";
     case AnswerFault::InvalidHead:
@@ -115,6 +117,12 @@
   return std::nullopt;
 }
 
+bool
+NeedsProcess(TransferEnd aEnd)
+{
+  return aEnd == TransferEnd::Close;
+}
+
 bool
 IsEventStreamType(std::string_view aContentType)
 {
--- a/src/libmedlarkeel/forwarding/answerend.h
+++ b/src/libmedlarkeel/forwarding/answerend.h
@@ -42,6 +42,9 @@
   EndInsideEvent,
   /** A stream without a length or chunks ended before its first event. */
   EndBeforeFirstEvent,
+  /** The process ended, or another one took its address, when an answer without
+   * a length or chunks ended. */
+  ServerEnded,
   /** The id of an event isn't greater than that of an event before it. */
   EventOutOfOrder,
   InvalidHead,
@@ -71,9 +74,10 @@
  * planes use this function, for every framing.
  *
  * An event stream is complete if the transfer ended as its framing states and
- * no event is incomplete. Without a length or chunks, an end between two events
- * can't be told from a complete stream; an end before the first event is a
- * fault, also of a run that continues a stream.
+ * no event is incomplete. Without a length or chunks, an end before the first
+ * event is a fault, also of a run that continues a stream. An end between two
+ * events can't be told from a complete stream by the bytes; NeedsProcess tells
+ * whether the server's process has to run for the answer to be complete.
  *
  * @param aEnd How the transfer ended.
  * @param aEvents What arrived of an event stream; nullptr for other bodies.
@@ -82,6 +86,11 @@
 std::optional<AnswerFault>
 FindEndFault(TransferEnd aEnd, const EventFramer* aEvents);
 
+/** @return Whether an answer with that end is complete only if the process that
+ * sent it still runs: the end of a process closes its connections too. */
+bool
+NeedsProcess(TransferEnd aEnd);
+
 /**
  * @param aContentType Value of the Content-Type field, with or without
  * parameters.
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -72,6 +72,8 @@
     std::optional<AttemptOutcome> mFailure;
     /** Why the answer is broken, for AttemptOutcome::Broken. */
     std::optional<AnswerFault> mFault;
+    /** When the server's process started, if its entry has it. */
+    std::optional<Milliseconds> mProcessStartedAt;
     Timestamp mBegunAt;
     /** When the request was written to the connection. */
     Timestamp mSentAt;
@@ -120,6 +122,9 @@
   void RecordRequestLimit(const Attempt& aAttempt, const MessageHead& aHead);
   void TakeBody(const AttemptPointer& aAttempt, ParseState aState);
   void PassEvents(const AttemptPointer& aAttempt, bool aIsEnd);
+  /** Finishes an answer whose transfer has ended without a fault, after a check
+   * of the server's process if its end needs one. */
+  void CompleteAnswer(const AttemptPointer& aAttempt);
   void FinishAnswer(const AttemptPointer& aAttempt);
   void EndAttempt(const AttemptPointer& aAttempt, AttemptOutcome aOutcome);
   /** Ends an attempt whose answer is broken. */
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -3,6 +3,7 @@
 #include "../libmedlarkeel/forwarding/requestedpause.h"
 #include "../libmedlarkeelnet/bootclock.h"
 #include "callerconnection.h"
+#include "processcheck.h"
 
 namespace medlarkeel {
 
@@ -315,7 +316,7 @@
     EndAttempt(aAttempt, *aAttempt->mFailure);
     return;
   }
-  FinishAnswer(aAttempt);
+  CompleteAnswer(aAttempt);
 }
 
 void
@@ -346,21 +347,48 @@
                     mKeepOpen);
   }
   text += mIsChunked ? Chunk(events) : events;
-  if (isComplete && mIsChunked) {
-    text += kLastChunk;
-  }
   mCaller->Send(std::move(text));
   if (fault) {
     EndBroken(aAttempt, *fault);
     return;
   }
   if (isComplete) {
-    FinishAnswer(aAttempt);
+    CompleteAnswer(aAttempt);
     return;
   }
   aAttempt->mIsPaused = mCaller->PendingBytes() >= kMostPending;
 }
 
+void
+Exchange::CompleteAnswer(const AttemptPointer& aAttempt)
+{
+  if (!NeedsProcess(EndOfMessage(*aAttempt->mParser))) {
+    FinishAnswer(aAttempt);
+    return;
+  }
+  mForwarder.Counters().mProcessChecks += 1;
+  CheckedProcess process;
+  process.mId = aAttempt->mChoice.mId;
+  process.mEndpoint = aAttempt->mChoice.mEndpoint;
+  process.mStartedAt = aAttempt->mProcessStartedAt;
+  process.mHasStatus = mPool->mIsModel;
+  std::make_shared<ProcessCheck>(
+    mForwarder.Context(),
+    mForwarder.Protocol(),
+    process,
+    [self = shared_from_this(), aAttempt](bool aIsRunning) {
+      if (self->mIsDone || self->mAttempt != aAttempt) {
+        return;
+      }
+      if (aIsRunning) {
+        self->FinishAnswer(aAttempt);
+      } else {
+        self->EndBroken(aAttempt, AnswerFault::ServerEnded);
+      }
+    })
+    ->Start();
+}
+
 void
 Exchange::FinishAnswer(const AttemptPointer& aAttempt)
 {
@@ -379,6 +407,8 @@
   const int status = aAttempt->mParser->Head().mStatus;
   if (!mHasAnswered) {
     PassWhole(aAttempt->mParser->Head(), aAttempt->mParser->Body());
+  } else if (mIsChunked) {
+    mCaller->Send(std::string(kLastChunk));
   }
   ReleaseAttempt(aAttempt, true);
   mForwarder.Counters().mAnswered += 1;
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -215,6 +215,9 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->mChoice = aChoice;
   attempt->mBegunAt = BootNow();
+  if (const ListedBackend* listed = mForwarder.Backends().Find(aChoice.mId)) {
+    attempt->mProcessStartedAt = listed->mEntry.mStartedAt;
+  }
   attempt->mFramer = EventFramer(mLastEventId);
   mAttempt = attempt;
   mTried.insert(aChoice.mId);
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -22,6 +22,7 @@
   { "streams_cut_total", &ForwardCounters::mStreamsCut },
   { "streams_resumed_total", &ForwardCounters::mStreamsResumed },
   { "answers_ended_by_close_total", &ForwardCounters::mAnswersEndedByClose },
+  { "process_checks_total", &ForwardCounters::mProcessChecks },
   { "further_attempts_total", &ForwardCounters::mFurtherAttempts },
   { "retries_denied_total", &ForwardCounters::mRetriesDenied },
   { "limited_answers_total", &ForwardCounters::mLimitedAnswers },
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -54,6 +54,8 @@
   std::uint64_t mStreamsResumed = 0;
   /** Answers that count as complete and ended with their connection. */
   std::uint64_t mAnswersEndedByClose = 0;
+  /** Checks whether the process of an answer that ended so still runs. */
+  std::uint64_t mProcessChecks = 0;
   std::uint64_t mFurtherAttempts = 0;
   std::uint64_t mRetriesDenied = 0;
   /** Answers of backend servers that stated a request limit. */
--- a/src/libmedlarkeelforward/wireprotocol.h
+++ b/src/libmedlarkeelforward/wireprotocol.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include "../libmedlarkeel/types.h"
+
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace medlarkeel {
@@ -32,6 +36,12 @@
   std::string mPromptParts;
   /** Sizes of prompt and output in tokens. */
   std::string mPromptSize;
+  /** Path at which servers of model pools tell their state; empty without one.
+   */
+  std::string mStatusPath;
+  /** Reads from the answer when the server's process started, by wall clock. */
+  std::optional<Milliseconds> (*mReadStartTime)(std::string_view aBody) =
+    nullptr;
   /** Fields of callers that are not passed on. */
   std::vector<std::string> mReserved;
 };
--- a/tests/forward/forwardfixture.cpp
+++ b/tests/forward/forwardfixture.cpp
@@ -124,28 +124,28 @@
 ForwardFixture::AddBackend(FakeBackend::Script aScript)
 {
   mBackends.push_back(std::make_unique<FakeBackend>(std::move(aScript)));
-  BackendEntry entry;
-  entry.mId = InstanceId("server-" + std::to_string(mContent.size()));
-  entry.mPool = PoolName("pool");
-  entry.mZone = ZoneName("zone-0");
-  entry.mEndpoint = mBackends.back()->Address();
-  entry.mRevision = 1;
-  mContent.emplace_back(entry);
+  AddListed(mBackends.back()->Address());
   return *mBackends.back();
 }
 
 void
-ForwardFixture::AddUnreachable()
+ForwardFixture::AddListed(const Endpoint& aAddress)
 {
   BackendEntry entry;
   entry.mId = InstanceId("server-" + std::to_string(mContent.size()));
   entry.mPool = PoolName("pool");
   entry.mZone = ZoneName("zone-0");
-  entry.mEndpoint = { "127.0.0.1", FreePort() };
+  entry.mEndpoint = aAddress;
   entry.mRevision = 1;
   mContent.emplace_back(entry);
 }
 
+void
+ForwardFixture::AddUnreachable()
+{
+  AddListed({ "127.0.0.1", FreePort() });
+}
+
 void
 ForwardFixture::Start(bool aHasDocument)
 {
--- a/tests/forward/forwardfixture.h
+++ b/tests/forward/forwardfixture.h
@@ -51,6 +51,9 @@
   /** Adds a backend server; before Start. */
   FakeBackend& AddBackend(FakeBackend::Script aScript);
 
+  /** Lists a server at an address; before Start. */
+  void AddListed(const Endpoint& aAddress);
+
   /** Lists a server at an address that nobody serves; before Start. */
   void AddUnreachable();
 
--- a/tests/platform/test_serverends.cpp
+++ b/tests/platform/test_serverends.cpp
@@ -33,15 +33,15 @@
   /** Asks for a stream and disrupts it amid its events. */
   template<typename Disrupt>
   StreamResult AskAmid(PlannedFraming aFraming,
-                       bool aIsResumable,
+                       bool aIsOldVersion,
                        const Disrupt& aDisrupt)
   {
     StreamCall call;
+    call.mIsOldVersion = aIsOldVersion;
     call.mPlan.mFraming = aFraming;
     call.mPlan.mEvents = 15;
     call.mPlan.mPause = Milliseconds(30);
     call.mPlan.mKey = "k" + std::to_string(++mStreams);
-    call.mIsResumable = aIsResumable;
     auto stream = std::async(std::launch::async, [&]() {
       return StreamCaller("c" + std::to_string(mStreams)).Ask(*mEntry, call);
     });
--- a/tests/platform/test_storeitems.cpp
+++ b/tests/platform/test_storeitems.cpp
@@ -1,6 +1,7 @@
 #include "storeitems.h"
 
 #include "fakestore.h"
+#include "serverreport.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -155,6 +156,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(StartTimeIsReadFromAServersReport)
+{
+  BOOST_CHECK(ParseStartTime("{\"stage\":\"both\",\"born\":17}") ==
+              Milliseconds(17));
+  for (const char* const other :
+       { "", "{", "[]", "{}", "{\"born\":\"17\"}", "{\"born\":1.5}" }) {
+    BOOST_TEST(!ParseStartTime(other).has_value(), other);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel::platform
