Let a killed entry reset its callers without chunks

What callers saw: a caller of HTTP/1.0 whose entry was killed or stopped took the end of its stream for the end of the answer, whatever its server's framing.

Cause: streams to such callers end with the connection, and the system closes the connections of a killed process in order. Reset() helps only where the entry lives.

Why this works: when such an answer begins, its connection is set to be reset by any close (linger with no time); a complete answer takes the setting back before it is ended.

Evidence: serverends/KilledEntryLeavesNoStreamComplete fails with the commit before, in each framing of the server.

--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -301,6 +301,7 @@
     return;
   }
   mIsLingering = true;
+  SetResetOnClose(false);
   Error ignored; // The read below ends in either case.
   mSocket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   mTimer.expires_after(kLingerTime);
@@ -320,11 +321,23 @@
   Close();
 }
 
+void
+CallerConnection::SetResetOnClose(bool aIsReset)
+{
+  Error ignored; // Without the option the connection is closed in order.
+  mSocket.set_option(boost::asio::socket_base::linger(aIsReset, 0), ignored);
+}
+
+void
+CallerConnection::ResetUnlessFinished()
+{
+  SetResetOnClose(true);
+}
+
 void
 CallerConnection::Reset()
 {
-  Error ignored; // Without the option the connection is closed.
-  mSocket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  SetResetOnClose(true);
   Abort();
 }
 
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -36,6 +36,11 @@
    * answer can't look complete. */
   void Abort();
 
+  /** Lets each end of the connection that isn't in order be a reset, also the
+   * end of this process. An answer that ends with its connection would seem
+   * complete. */
+  void ResetUnlessFinished();
+
   /** Resets the connection. Nothing else shows that an answer is incomplete
    * which ends with its connection. */
   void Reset();
@@ -52,6 +57,9 @@
 private:
   using Error = boost::system::error_code;
 
+  /** Sets whether the connection is reset when its socket is closed. */
+  void SetResetOnClose(bool aIsReset);
+
   /** @return The limits in force, or the usual ones before a document. */
   CallerLimits Limits() const;
   void Read();
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -340,6 +340,9 @@
     mHasAnswered = true;
     mIsChunked = mHead.mVersion >= 11;
     mKeepOpen = mKeepOpen && mIsChunked && !mForwarder.IsStopping();
+    if (!mIsChunked) {
+      mCaller->ResetUnlessFinished();
+    }
     text =
       ForwardedHead(aAttempt->mParser->Head(),
                     mIsChunked ? BodyFraming::Chunked : BodyFraming::UntilClose,
--- a/tests/platform/test_serverends.cpp
+++ b/tests/platform/test_serverends.cpp
@@ -91,6 +91,23 @@
   }
 }
 
+// The end of an entry passes for the end of a stream of a caller without
+// chunks.
+BOOST_FIXTURE_TEST_CASE(KilledEntryLeavesNoStreamComplete, EndingServers)
+{
+  for (const PlannedFraming framing : kFramings) {
+    for (const bool isOldVersion : { false, true }) {
+      const StreamResult result =
+        AskAmid(framing, isOldVersion, [this]() { mEntry->mProcess->Kill(); });
+      BOOST_TEST(result.mViolation == "");
+      BOOST_TEST(result.mEvents > 0);
+      BOOST_TEST(!result.mIsComplete);
+      Restart(*mEntry);
+      BOOST_REQUIRE(WaitReady(*mEntry));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
