Collect streams for callers of the loopback daemon without chunks

What callers saw: a caller of HTTP/1.0 of the loopback daemon took a stream that broke off for a complete one, as libmicrohttpd closes its connection in order.

Cause: without chunks the end of the connection is the end of the answer.

Why this works: such a caller gets the stream when it is complete, with a length, or 502.

Evidence: http/FailedStreamIsNoSuccessForACallerWithoutChunks, which also has the sound stream; test_libmedlarkeelnet passes with it.

--- a/src/libmedlarkeelnet/httpserver.cpp
+++ b/src/libmedlarkeelnet/httpserver.cpp
@@ -19,11 +19,15 @@
 namespace {
 
 constexpr std::size_t kStreamBlockBytes = 16384;
+/** Maximum size of a stream that is collected for a caller without chunks. */
+constexpr std::size_t kMaximumCollectedBytes = 16U << 20U;
+
 constexpr std::size_t kConnectionPoolSpareBytes = 32768;
 constexpr unsigned kListenBacklog = 1024;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
 constexpr int kInternalError = 500;
+constexpr int kBadGateway = 502;
 constexpr int kVersionNotSupported = 505;
 
 /** The connection that a thread serves. */
@@ -186,6 +190,28 @@
   return result;
 }
 
+/**
+ * Replaces a stream by its whole body. A caller without chunks could not tell
+ * a stream that broke off from a complete one.
+ */
+HttpResponse
+CollectStream(HttpResponse aResponse)
+{
+  const std::unique_ptr<BodySource> source = std::move(aResponse.mStream);
+  while (aResponse.mBody.size() <= kMaximumCollectedBytes) {
+    const Piece piece = source->Next();
+    if (piece.mKind == PieceKind::End) {
+      return aResponse;
+    }
+    if (piece.mKind == PieceKind::Failed) {
+      break;
+    }
+    aResponse.mBody += piece.mData;
+  }
+  return ProblemResponse(
+    kBadGateway, "backend-failed", "The answer broke off", Executed::Unknown);
+}
+
 /** Hands the response to ulfius, which frees the stream when it is over. */
 void
 ConvertResponse(HttpResponse aSource, _u_response& aTarget)
@@ -311,13 +337,17 @@
       kHeadersTooLarge, "headers-too-large", "Request headers too large");
   }
   const bool reads = request.mMethod == "GET" || request.mMethod == "HEAD";
-  if (TextOrEmpty(aRequest.http_protocol) == "HTTP/1.0" && !reads) {
+  const bool lacksChunks = TextOrEmpty(aRequest.http_protocol) == "HTTP/1.0";
+  if (lacksChunks && !reads) {
     return ProblemResponse(
       kVersionNotSupported, "http-1-1-required", "HTTP/1.1 required");
   }
   const BlockingSection section;
   try {
-    return mHandler(request);
+    HttpResponse response = mHandler(request);
+    const bool isCollected = lacksChunks && response.mStream != nullptr;
+    return isCollected ? CollectStream(std::move(response))
+                       : std::move(response);
   } catch (const std::exception&) {
     return ProblemResponse(
       kInternalError, "internal-error", "Internal error", Executed::Unknown);
--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -148,6 +148,39 @@
   return aCondition();
 }
 
+/** What a caller of the earlier version sees. */
+struct OldAnswer
+{
+  std::string mText;
+  /** The connection was closed in order, not reset. */
+  bool mIsClosed = false;
+};
+
+/** Sends GET in HTTP/1.0 and reads up to the end of the connection. */
+OldAnswer
+FetchInOldVersion(std::uint16_t aPort)
+{
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(aPort);
+  BOOST_REQUIRE(connect(descriptor,
+                        reinterpret_cast<sockaddr*>(&address),
+                        sizeof address) == 0);
+  const std::string request = "GET / HTTP/1.0\r\nHost: a\r\n\r\n";
+  send(descriptor, request.data(), request.size(), MSG_NOSIGNAL);
+  OldAnswer answer;
+  char buffer[4096];
+  ssize_t size = 0;
+  while ((size = recv(descriptor, buffer, sizeof buffer, 0)) > 0) {
+    answer.mText.append(buffer, static_cast<std::size_t>(size));
+  }
+  answer.mIsClosed = size == 0;
+  close(descriptor);
+  return answer;
+}
+
 /** Accepts connections, reads each request and closes without a reply, except
  * that the first request of all is answered. */
 class ForgetfulServer
@@ -365,6 +398,24 @@
   BOOST_TEST(Eventually([&] { return destroyed == 2; }));
 }
 
+// A caller without chunks takes a stream that broke off for a complete one.
+BOOST_AUTO_TEST_CASE(FailedStreamIsNoSuccessForACallerWithoutChunks)
+{
+  std::atomic<int> destroyed{ 0 };
+  const auto broken = StartServer(StreamingHandler(
+    { { PieceKind::Data, "data: 1\n\n" }, { PieceKind::Failed, "" } },
+    destroyed));
+  const OldAnswer cut = FetchInOldVersion(broken->Port());
+  const bool isSuccess = cut.mText.find(" 200 ") != std::string::npos;
+  BOOST_TEST(!(isSuccess && cut.mIsClosed), cut.mText);
+  const auto sound = StartServer(StreamingHandler(
+    { { PieceKind::Data, "data: 1\n\n" }, { PieceKind::End, "" } }, destroyed));
+  const OldAnswer whole = FetchInOldVersion(sound->Port());
+  BOOST_TEST(whole.mText.find(" 200 ") != std::string::npos);
+  BOOST_TEST(whole.mText.find("\r\n\r\ndata: 1\n\n") != std::string::npos);
+  BOOST_TEST(whole.mIsClosed);
+}
+
 BOOST_AUTO_TEST_CASE(ReaderThatStopsEndsCallAndFreesSource)
 {
   std::atomic<int> destroyed{ 0 };
