Count a caller whose request waits as busy

By reading, without a test: between two requests of one connection the next one may lie in the buffer when a shutdown closes idle connections. It would be closed without an answer.

--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -41,8 +41,8 @@
    * complete. */
   void ResetUnlessFinished();
 
-  /** Resets the connection. Nothing else shows that an answer is incomplete
-   * which ends with its connection. */
+  /** Resets the connection: the only sign that an answer without a length or
+   * chunks is incomplete. */
   void Reset();
 
   /** Closes the connection if no request is under way. */
@@ -51,8 +51,11 @@
   /** Ends the request that is under way with an answer, as the process ends. */
   void EndForShutdown();
 
-  /** @return Whether a request is being read or answered. */
-  bool IsBusy() const { return mExchange != nullptr || mHasBegun; }
+  /** @return Whether a request waits, is being read or is answered. */
+  bool IsBusy() const
+  {
+    return mExchange != nullptr || mHasBegun || !mInput.empty();
+  }
 
 private:
   using Error = boost::system::error_code;
