--- a/src/libmedlarkeel/eventcatalogue.cpp
+++ b/src/libmedlarkeel/eventcatalogue.cpp
@@ -105,7 +105,8 @@
   { Event::BackendAttemptFailed,
     "backend-attempt-failed",
     Level::Warning,
-    "One send to a backend server brought no answer to pass on." },
+    "One send to a backend server brought no answer to pass on; for a broken "
+    "answer, why it is broken." },
   { Event::RequestTurnedAway,
     "request-turned-away",
     Level::Info,
--- a/src/libmedlarkeel/forwarding/shutdownadmission.cpp
+++ b/src/libmedlarkeel/forwarding/shutdownadmission.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/** Multiple of the recent duration that must be left. */
-constexpr int kDurationReserve = 2;
+/** The time left must be this multiple of the recent duration. */
+constexpr int kDurationFactor = 2;
 
 } // namespace
 
@@ -18,7 +18,7 @@
   }
   const bool mayBreakOff = aRoute.mIsStream || aRoute.MayRunAgain();
   return mayBreakOff && aRequest.mRecentDuration &&
-         kDurationReserve * *aRequest.mRecentDuration <= aRequest.mTimeLeft;
+         kDurationFactor * *aRequest.mRecentDuration <= aRequest.mTimeLeft;
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -289,7 +289,7 @@
     const std::shared_ptr<Exchange> exchange = mExchange;
     exchange->EndForShutdown();
   } else if (mHasBegun) {
-    Reject(kUnavailable, kShutdownReason, kReturnElsewhere);
+    Reject(kUnavailable, kShutdownReason, kShutdownRetryDelay);
   }
 }
 
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -68,7 +68,7 @@
     Refuse(kUnavailable, "the route's pool is unknown");
     return;
   }
-  if (!mForwarder.CanBegin(*mRoute, TimeLeft())) {
+  if (!mForwarder.CanEndBeforeShutdown(*mRoute, TimeLeft())) {
     RefuseForShutdown();
     return;
   }
@@ -249,7 +249,7 @@
 Exchange::RefuseForShutdown()
 {
   mForwarder.Counters().mRefusedShuttingDown += 1;
-  mRetryDelay = kReturnElsewhere;
+  mRetryDelay = kShutdownRetryDelay;
   Refuse(kUnavailable, kShutdownReason);
 }
 
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -18,9 +18,9 @@
 /** What callers of a process that shuts down are told. */
 constexpr const char* kShutdownReason = "the entry is shutting down";
 
-/** When callers that an entry refuses as it shuts down should come back. Other
- * entries serve them, so they needn't wait for anything. */
-constexpr Milliseconds kReturnElsewhere{ 50 };
+/** Time after which callers that are refused during a shutdown should retry. It
+ * is short because other entries serve them. */
+constexpr Milliseconds kShutdownRetryDelay{ 50 };
 
 /**
  * One request from its arrival to its final answer: chooses backend servers,
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -31,8 +31,7 @@
  * then the last answers are written. */
 constexpr Milliseconds kEndMargin{ 150 };
 
-/** Routes whose durations are known before those without recent requests are
- * forgotten. */
+/** Number of routes above which those without recent requests are removed. */
 constexpr std::size_t kMaximumDurations = 1024;
 
 constexpr Milliseconds kStopCheck{ 100 };
@@ -437,7 +436,8 @@
 }
 
 bool
-Forwarder::CanBegin(const ForwardRoute& aRoute, Milliseconds aTimeLimit) const
+Forwarder::CanEndBeforeShutdown(const ForwardRoute& aRoute,
+                                Milliseconds aTimeLimit) const
 {
   if (!mIsStopping) {
     return true;
@@ -451,7 +451,7 @@
   if (known != mDurations.end()) {
     request.mRecentDuration = known->second.Value(now);
   }
-  return CanEndBeforeShutdown(aRoute, request);
+  return medlarkeel::CanEndBeforeShutdown(aRoute, request);
 }
 
 void
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -53,7 +53,8 @@
    * @param aTimeLimit Longest time that a request may take.
    * @return Whether the request can end before the process does.
    */
-  bool CanBegin(const ForwardRoute& aRoute, Milliseconds aTimeLimit) const;
+  bool CanEndBeforeShutdown(const ForwardRoute& aRoute,
+                            Milliseconds aTimeLimit) const;
 
   /** Records how long a request of a route took. */
   void RecordDuration(const ForwardRoute& aRoute, Milliseconds aDuration);
--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -17,8 +17,7 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-/** Size of all heads and trailers of one reply beyond which the bytes count as
- * no reply. */
+/** Maximum size of all heads and trailers of one reply. */
 constexpr std::size_t kMaximumHeadBytes = 65'536;
 
 struct EasyDeleter
@@ -50,7 +49,7 @@
   int mStatus = 0;
   HttpHeaders mHeaders;
   std::size_t mHeadBytes = 0;
-  /** The empty line behind the last head has arrived. */
+  /** The empty line that ends the final head has arrived. */
   bool mIsHeadComplete = false;
   bool mHeadDelivered = false;
   bool mStopped = false;
