An agent checks its server's process at an end without a length

What callers saw: in the loopback daemon too, the end of a backend server between two events of an answer without a length or chunks passed for the end of the answer.

The agent connects once more; a refused connection makes the answer broken (server-ended). It doesn't know the start of the server's process, so a process that was replaced within that time isn't noticed.

Evidence: answerstream/AnswerWithoutLengthOfAnEndedServerIsBroken fails without the check; sound answers of each framing stay complete.

--- a/src/libmedlarkeelnet/answerstream.cpp
+++ b/src/libmedlarkeelnet/answerstream.cpp
@@ -93,6 +93,9 @@
   if (const auto fault = body.FaultAtEnd(end.value())) {
     return BrokenAnswer(*fault);
   }
+  if (NeedsProcess(end.value()) && !AcceptsConnections(aCall.mUrl)) {
+    return BrokenAnswer(AnswerFault::ServerEnded);
+  }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -6,7 +6,9 @@
 
 #include <memory>
 #include <mutex>
+#include <poll.h>
 #include <sys/socket.h>
+#include <thread>
 
 namespace medlarkeel {
 
@@ -17,6 +19,13 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
+/** Limits of a connection that shows whether a process runs: to be made, to be
+ * reset by a process that is just ending, and until another one. */
+constexpr std::chrono::milliseconds kConnectTimeout{ 200 };
+constexpr std::chrono::milliseconds kSettleTime{ 10 };
+constexpr std::chrono::milliseconds kReconnectPause{ 20 };
+constexpr int kMostConnections = 2;
+
 /** Maximum size of all heads and trailers of one reply. */
 constexpr std::size_t kMaximumHeadBytes = 65'536;
 
@@ -389,6 +398,39 @@
   return end;
 }
 
+enum class ConnectionState
+{
+  Refused,
+  Open,
+  /** It was closed or reset as soon as it stood. */
+  Closed
+};
+
+ConnectionState
+TryConnection(const std::string& aUrl)
+{
+  InitialiseLibrary();
+  const EasyHandle easy(curl_easy_init());
+  curl_easy_setopt(easy.get(), CURLOPT_URL, aUrl.c_str());
+  curl_easy_setopt(easy.get(), CURLOPT_CONNECT_ONLY, 1L);
+  curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(
+    easy.get(), CURLOPT_CONNECTTIMEOUT_MS, long{ kConnectTimeout.count() });
+  curl_socket_t descriptor = CURL_SOCKET_BAD;
+  const bool isMade =
+    curl_easy_perform(easy.get()) == CURLE_OK &&
+    curl_easy_getinfo(easy.get(), CURLINFO_ACTIVESOCKET, &descriptor) ==
+      CURLE_OK &&
+    descriptor != CURL_SOCKET_BAD;
+  if (!isMade) {
+    return ConnectionState::Refused;
+  }
+  pollfd entry{ descriptor, POLLIN | POLLRDHUP, 0 };
+  const bool isQuiet =
+    poll(&entry, 1, static_cast<int>(kSettleTime.count())) == 0;
+  return isQuiet ? ConnectionState::Open : ConnectionState::Closed;
+}
+
 } // namespace
 
 NetResult<TransferEnd>
@@ -444,4 +486,17 @@
   return reply;
 }
 
+bool
+AcceptsConnections(const std::string& aUrl)
+{
+  for (int i = 0; i < kMostConnections; ++i) {
+    const ConnectionState state = TryConnection(aUrl);
+    if (state != ConnectionState::Closed) {
+      return state == ConnectionState::Open;
+    }
+    std::this_thread::sleep_for(kReconnectPause);
+  }
+  return true; // The server may have too many connections.
+}
+
 } // namespace medlarkeel
--- a/src/libmedlarkeelnet/httpclient.h
+++ b/src/libmedlarkeelnet/httpclient.h
@@ -75,4 +75,14 @@
            const HeadReader& aOnHead,
            const DataReader& aOnData);
 
+/**
+ * Finds out whether the process behind an address still runs. The system closes
+ * the connections of a process that was killed in order and refuses new ones.
+ *
+ * @param aUrl Its address is connected to; nothing is sent.
+ * @return False if connections are refused or not made within 200 ms.
+ */
+bool
+AcceptsConnections(const std::string& aUrl);
+
 } // namespace medlarkeel
--- a/tests/net/test_answerstream.cpp
+++ b/tests/net/test_answerstream.cpp
@@ -20,7 +20,9 @@
   /** Gets the descriptor of the connection. */
   using Script = std::function<void(int aPeer)>;
 
-  explicit RawServer(Script aScript)
+  /** @param aEnds No connection is accepted after the first one, as when the
+   * process ends. */
+  explicit RawServer(Script aScript, bool aEnds = false)
     : mListening(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
   {
     sockaddr_in address{};
@@ -32,8 +34,11 @@
     BOOST_REQUIRE(listen(mListening, 1) == 0);
     BOOST_REQUIRE(getsockname(mListening, place, &size) == 0);
     mPort = ntohs(address.sin_port);
-    mThread = std::thread([this, script = std::move(aScript)] {
+    mThread = std::thread([this, script = std::move(aScript), aEnds] {
       const int peer = accept(mListening, nullptr, nullptr);
+      if (aEnds) {
+        shutdown(mListening, SHUT_RDWR);
+      }
       ReadRequest(peer);
       script(peer);
       close(peer);
@@ -140,9 +145,11 @@
 };
 
 Received
-Receive(const RawServer::Script& aScript, const AnswerLimits& aLimits = {})
+Receive(const RawServer::Script& aScript,
+        const AnswerLimits& aLimits = {},
+        bool aServerEnds = false)
 {
-  RawServer server(aScript);
+  RawServer server(aScript, aServerEnds);
   Received received;
   received.mEnd = StreamAnswer(
     server.Call(),
@@ -182,6 +189,19 @@
   }
 }
 
+// The end of a server between two events passes for the end of its answer.
+BOOST_AUTO_TEST_CASE(AnswerWithoutLengthOfAnEndedServerIsBroken)
+{
+  for (const std::string& type : { std::string(kStreamType), std::string() }) {
+    const auto answers = InEachFraming(type, kTwoEvents);
+    const Received cut = Receive(Writing(answers.front()), {}, true);
+    BOOST_CHECK(cut.Fault() == AnswerFault::ServerEnded);
+    for (std::size_t i = 1; i < answers.size(); ++i) {
+      BOOST_TEST(Receive(Writing(answers[i]), {}, true).mEnd.has_value());
+    }
+  }
+}
+
 // Events that come twice reach the caller.
 BOOST_AUTO_TEST_CASE(StreamWhoseIdsGoBackIsBroken)
 {
