--- a/tests/platform/test_serverends.cpp
+++ b/tests/platform/test_serverends.cpp
@@ -17,6 +17,9 @@
 /** Time from a request to the disruption; some events have come then. */
 constexpr Milliseconds kTimeToDisruption{ 150 };
 
+/** Time after which an entry that is alone uses the whole retry budget. */
+constexpr Milliseconds kLearnTime{ 3000 };
+
 /** One entry and servers that are processes. */
 struct EndingServers : LoopbackPlatform
 {
@@ -108,6 +111,27 @@
   }
 }
 
+// A stream that can be resumed goes on in some framings only.
+BOOST_FIXTURE_TEST_CASE(BrokenStreamOfEachFramingGoesOn, EndingServers)
+{
+  constexpr int kStreams = 8; // All together within the retry budget.
+  std::this_thread::sleep_for(kLearnTime);
+  for (const PlannedFraming framing : kFramings) {
+    for (int i = 0; i < kStreams; ++i) {
+      StreamCall call;
+      call.mPlan.mFraming = framing;
+      call.mPlan.mFlaw = i % 2 == 0 ? StreamFlaw::HalfEvent : StreamFlaw::Reset;
+      call.mPlan.mPause = Milliseconds(2);
+      call.mPlan.mKey = "k" + std::to_string(++mStreams);
+      call.mIsResumable = true;
+      StreamCaller caller("c" + std::to_string(mStreams));
+      const StreamResult result = caller.Ask(*mEntry, call);
+      BOOST_TEST(result.mViolation == "");
+      BOOST_TEST(result.mIsComplete, call.mPlan.Path());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/platform/test_streamsoak.cpp
+++ b/tests/platform/test_streamsoak.cpp
@@ -339,6 +339,7 @@
   std::atomic<bool> isOver{ false };
   std::vector<std::string> violations(kCallers);
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i]() {
       CallUntil(isOver,
