Compare ids of any size

What callers would see: a stream whose ids have 16 digits or more was broken off after its first event, since ParseDecimalNumber clamps at 1e15 and equal ids don't increase.

Why this works: whole numbers are compared by their digits; fractions have no order.

Evidence: eventframer/LargeIdsAreCompared fails with the sources before.

--- a/src/libmedlarkeel/forwarding/eventframer.cpp
+++ b/src/libmedlarkeel/forwarding/eventframer.cpp
@@ -1,7 +1,5 @@
 #include "eventframer.h"
 
-#include "decimalnumber.h"
-
 #include <algorithm>
 
 namespace medlarkeel {
@@ -34,11 +32,32 @@
   return aLine;
 }
 
+/** @return The digits of a whole number without leading zeros, or nothing for
+ * another text. */
+std::optional<std::string>
+WholeNumber(std::string_view aText)
+{
+  constexpr std::string_view kDigits = "0123456789";
+  if (aText.empty() ||
+      aText.find_first_not_of(kDigits) != std::string_view::npos) {
+    return std::nullopt;
+  }
+  aText.remove_prefix(std::min(aText.find_first_not_of('0'), aText.size() - 1));
+  return std::string(aText);
+}
+
+bool
+IsGreater(const std::string& aLeft, const std::string& aRight)
+{
+  return aLeft.size() == aRight.size() ? aLeft > aRight
+                                       : aLeft.size() > aRight.size();
+}
+
 } // namespace
 
 EventFramer::EventFramer(std::string aLastEventId)
   : mLastEventId(std::move(aLastEventId))
-  , mLastNumber(ParseDecimalNumber(mLastEventId))
+  , mLastNumber(WholeNumber(mLastEventId))
 {
 }
 
@@ -120,8 +139,8 @@
   const std::string id = mEventId.value_or("");
   mHasData = false;
   mEventId.reset();
-  const std::optional<double> number = ParseDecimalNumber(id);
-  if (number && mLastNumber && *number <= *mLastNumber) {
+  const std::optional<std::string> number = WholeNumber(id);
+  if (number && mLastNumber && !IsGreater(*number, *mLastNumber)) {
     mIsOutOfOrder = true;
     return;
   }
--- a/src/libmedlarkeel/forwarding/eventframer.h
+++ b/src/libmedlarkeel/forwarding/eventframer.h
@@ -70,8 +70,9 @@
 
   std::string mBuffer;
   std::string mLastEventId;
-  /** The last id that is a number; other ids have no order. */
-  std::optional<double> mLastNumber;
+  /** Digits of the last id that is a whole number, of any size; other ids have
+   * no order. */
+  std::optional<std::string> mLastNumber;
   bool mIsOutOfOrder = false;
   bool mIsLineEmpty = true;
   /** The previous byte is a carriage return; a line feed belongs to it. */
--- a/tests/core/test_eventframer.cpp
+++ b/tests/core/test_eventframer.cpp
@@ -73,6 +73,18 @@
   BOOST_TEST(framer.IsOutOfOrder());
 }
 
+// Ids of many digits count as equal.
+BOOST_AUTO_TEST_CASE(LargeIdsAreCompared)
+{
+  EventFramer framer;
+  const char* const events = "id: 99999999999999999998\ndata: a\n\n"
+                             "id: 99999999999999999999\ndata: b\n\n"
+                             "id: 100000000000000000000\ndata: c\n\n";
+  BOOST_TEST(framer.Push(events) == events);
+  BOOST_TEST(framer.Push("id: 99999999999999999999\ndata: b\n\n") == "");
+  BOOST_TEST(framer.IsOutOfOrder());
+}
+
 // Ids that are no numbers have no order.
 BOOST_AUTO_TEST_CASE(OpaqueIdsAreInOrder)
 {
