Check processes past no proxy

By reading, from the review; without a test: libcurl takes a proxy from the environment. A proxy accepts connections for servers that have ended.

--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -412,6 +412,7 @@
   InitialiseLibrary();
   const EasyHandle easy(curl_easy_init());
   curl_easy_setopt(easy.get(), CURLOPT_URL, aUrl.c_str());
+  curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
   curl_easy_setopt(easy.get(), CURLOPT_CONNECT_ONLY, 1L);
   curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(
