Check the server's process for failures that are passed on

What callers would see: a failure of a server without a length or chunks, cut short by the end of its process, with a length and the server's stamp.

Cause: answers with a failure status went past the check.

Why this works: only answers that state that the request hasn't run, which are never passed on, go without the check.

--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -125,6 +125,7 @@
   /** Finishes an answer whose transfer has ended without a fault, after a check
    * of the server's process if its end needs one. */
   void CompleteAnswer(const AttemptPointer& aAttempt);
+  /** Passes a complete answer on, or decides what follows on a failure. */
   void FinishAnswer(const AttemptPointer& aAttempt);
   void EndAttempt(const AttemptPointer& aAttempt, AttemptOutcome aOutcome);
   /** Ends an attempt whose answer is broken. */
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -312,7 +312,8 @@
     EndBroken(aAttempt, AnswerFault::UnstatedRefusal);
     return;
   }
-  if (aAttempt->mFailure) {
+  // Answers that state that the request hasn't run are not passed on.
+  if (aAttempt->mFailure && *aAttempt->mFailure != AttemptOutcome::Failed) {
     EndAttempt(aAttempt, *aAttempt->mFailure);
     return;
   }
@@ -395,6 +396,10 @@
 void
 Exchange::FinishAnswer(const AttemptPointer& aAttempt)
 {
+  if (aAttempt->mFailure) {
+    EndAttempt(aAttempt, *aAttempt->mFailure);
+    return;
+  }
   const Timestamp now = BootNow();
   mForwarder.Chooser().RecordSuccess(aAttempt->mChoice.mId, now);
   mForwarder.RecordDuration(*mRoute, Elapsed());
