Take silence and outdated time-outs of a process check for no answer

What callers would see, found by the review: (1) a time-out of the check that passed while the entry was suspended decided before the answer was read: a sound stream was broken off, or the stream of a process that had been replaced counted as complete.

Cause: a timer's handler that is queued already isn't taken back by a new time; silence counted as running.

Why this works: a handler does nothing if the timer has been set anew. Where the start of the process is known, silence means a second try and then that the process has ended. Only a refused connection ends the check at once; other errors and a time-out get the second try too.

Evidence: processcheck/CheckThatWasSuspendedWaitsForItsAnswer and SilentServerWhoseStartIsKnownCountsAsEnded fail with the sources before.

--- a/src/libmedlarkeelforward/processcheck.cpp
+++ b/src/libmedlarkeelforward/processcheck.cpp
@@ -44,28 +44,32 @@
 ProcessCheck::Connect()
 {
   mTries += 1;
-  StartTimer(kConnectTimeout, false);
+  WaitFor(kConnectTimeout, &ProcessCheck::HandleConnectTimeout);
   const boost::asio::ip::tcp::endpoint endpoint(
     boost::asio::ip::make_address(mProcess.mEndpoint.mAddress),
     mProcess.mEndpoint.mPort);
-  mSocket.async_connect(endpoint,
-                        [self = shared_from_this()](const Error& aError) {
-                          if (!self->mHandler) {
-                            return;
-                          }
-                          if (aError) {
-                            self->Finish(false);
-                            return;
-                          }
-                          self->Ask();
-                        });
+  mSocket.async_connect(
+    endpoint, [self = shared_from_this()](const Error& aError) {
+      const bool isGivenUp = aError == boost::asio::error::operation_aborted;
+      if (!self->mHandler || isGivenUp) {
+        return;
+      }
+      if (aError == boost::asio::error::connection_refused) {
+        self->Finish(false);
+      } else if (aError) {
+        self->TryAgain(false);
+      } else {
+        self->Ask();
+      }
+    });
 }
 
 void
 ProcessCheck::Ask()
 {
   const bool asksStatus = mProcess.mHasStatus && !mProtocol.mStatusPath.empty();
-  StartTimer(asksStatus ? kAnswerTimeout : kSettleTime, true);
+  WaitFor(asksStatus ? kAnswerTimeout : kSettleTime,
+          &ProcessCheck::HandleSilence);
   if (!asksStatus) {
     Read();
     return;
@@ -77,9 +81,9 @@
   boost::asio::async_write(
     mSocket,
     boost::asio::buffer(mRequest),
-    [self = shared_from_this()](const Error&, std::size_t) {
-      // A failed write shows as the end of the reading.
-      if (self->mHandler) {
+    [self = shared_from_this()](const Error& aError, std::size_t) {
+      // Another failed write shows as the end of the reading.
+      if (self->mHandler && aError != boost::asio::error::operation_aborted) {
         self->Read();
       }
     });
@@ -91,7 +95,7 @@
   mSocket.async_read_some(
     boost::asio::buffer(mBuffer),
     [self = shared_from_this()](const Error& aError, std::size_t aSize) {
-      if (self->mHandler) {
+      if (self->mHandler && aError != boost::asio::error::operation_aborted) {
         self->TakeBytes(aError, aSize);
       }
     });
@@ -115,7 +119,8 @@
   } else if (mParser) {
     Finish(IsAnswerOfProcess());
   } else {
-    TryAgain();
+    // The process was just ending, or the server has too many connections.
+    TryAgain(true);
   }
 }
 
@@ -133,33 +138,48 @@
 }
 
 void
-ProcessCheck::TryAgain()
+ProcessCheck::HandleConnectTimeout()
+{
+  TryAgain(false);
+}
+
+void
+ProcessCheck::HandleSilence()
+{
+  const bool mustAnswer = !mRequest.empty() && mProcess.mStartedAt;
+  if (mustAnswer) {
+    TryAgain(false);
+  } else {
+    Finish(true);
+  }
+}
+
+void
+ProcessCheck::TryAgain(bool aIsRunning)
 {
   Error ignored; // Nothing is expected from this connection.
   mSocket.close(ignored);
   mInput.clear();
+  mParser.reset();
   if (mTries >= kMostTries) {
-    Finish(true);
+    Finish(aIsRunning);
     return;
   }
-  mTimer.expires_after(kRetryPause);
-  mTimer.async_wait([self = shared_from_this()](const Error& aError) {
-    if (!aError && self->mHandler) {
-      self->Connect();
-    }
-  });
+  WaitFor(kRetryPause, &ProcessCheck::Connect);
 }
 
 void
-ProcessCheck::StartTimer(Milliseconds aTime, bool aIsRunning)
+ProcessCheck::WaitFor(Milliseconds aTime, void (ProcessCheck::*aMethod)())
 {
   mTimer.expires_after(aTime);
-  mTimer.async_wait(
-    [self = shared_from_this(), aIsRunning](const Error& aError) {
-      if (!aError && self->mHandler) {
-        self->Finish(aIsRunning);
-      }
-    });
+  mTimer.async_wait([self = shared_from_this(), aMethod](const Error& aError) {
+    // A handler that is queued already isn't taken back by a new time.
+    const bool isOutdated =
+      self->mTimer.expiry() > std::chrono::steady_clock::now();
+    if (!aError && !isOutdated && self->mHandler) {
+      (*self.*aMethod)();
+    }
+  });
 }
 
 void
--- a/src/libmedlarkeelforward/processcheck.h
+++ b/src/libmedlarkeelforward/processcheck.h
@@ -44,7 +44,7 @@
                CheckedProcess aProcess,
                Handler aHandler);
 
-  /** Calls the handler once, within half a second. */
+  /** Calls the handler once, within a second. */
   void Start();
 
 private:
@@ -54,12 +54,16 @@
   void Ask();
   void Read();
   void TakeBytes(const Error& aError, std::size_t aSize);
-  /** Connects again after a connection that was closed without an answer: the
-   * process was just ending, or the server has too many connections. */
-  void TryAgain();
+  /** Connects again after a try that showed nothing.
+   *
+   * @param aIsRunning The result if this was the last try. */
+  void TryAgain(bool aIsRunning);
   /** @return Whether the answer is that of the process. */
   bool IsAnswerOfProcess() const;
-  void StartTimer(Milliseconds aTime, bool aIsRunning);
+  /** Waits, unless the timer is set anew meanwhile, and calls the method. */
+  void WaitFor(Milliseconds aTime, void (ProcessCheck::*aMethod)());
+  void HandleConnectTimeout();
+  void HandleSilence();
   void Finish(bool aIsRunning);
 
   const WireProtocol& mProtocol;
--- a/tests/forward/test_processcheck.cpp
+++ b/tests/forward/test_processcheck.cpp
@@ -20,9 +20,15 @@
            : std::optional<Milliseconds>(std::stoi(std::string(aBody)));
 }
 
-/** @return Whether the process at an address counts as running. */
+/** @return Whether the process at an address counts as running.
+ *
+ * @param aStatusPath Path of its state; empty if it tells none.
+ * @param aDelay Time after its start in which the check isn't carried on, as
+ * when its own process is suspended. */
 bool
-Check(const Endpoint& aEndpoint, const char* aStatusPath = "/status")
+Check(const Endpoint& aEndpoint,
+      const char* aStatusPath = "/status",
+      Milliseconds aDelay = Milliseconds(0))
 {
   WireProtocol protocol;
   protocol.mExpectedBackend = "Expected";
@@ -41,6 +47,7 @@
     process,
     [&](bool aIsRunning) { isRunning = aIsRunning; })
     ->Start();
+  std::this_thread::sleep_for(aDelay);
   context.run();
   BOOST_REQUIRE(isRunning.has_value());
   return *isRunning;
@@ -61,8 +68,10 @@
 class EndingServer
 {
 public:
-  explicit EndingServer(std::string aContentType)
+  explicit EndingServer(std::string aContentType,
+                        std::string aStatus = "200 OK")
     : mContentType(std::move(aContentType))
+    , mStatus(std::move(aStatus))
     , mAcceptor(mContext, { boost::asio::ip::make_address("127.0.0.1"), 0 })
     , mAddress{ "127.0.0.1", mAcceptor.local_endpoint().port() }
     , mThread([this]() { Serve(); })
@@ -82,14 +91,16 @@
     mAcceptor.close();
     std::array<char, 4096> buffer{};
     socket.read_some(boost::asio::buffer(buffer));
-    WriteBytes(socket,
-               FramedAnswer("Request: r-1\r\n",
-                            Framing::Close,
-                            "id: 1\ndata: a\n\n",
-                            "Content-Type: " + mContentType + "\r\n"));
+    std::string answer = FramedAnswer("Request: r-1\r\n",
+                                      Framing::Close,
+                                      "id: 1\ndata: a\n\n",
+                                      "Content-Type: " + mContentType + "\r\n");
+    answer.replace(answer.find("200 OK"), 6, mStatus);
+    WriteBytes(socket, answer);
   }
 
   std::string mContentType;
+  std::string mStatus;
   boost::asio::io_context mContext;
   tcp::acceptor mAcceptor;
   Endpoint mAddress;
@@ -114,10 +125,30 @@
   BOOST_TEST(CheckAnswer(200, ""));
   BOOST_TEST(CheckAnswer(404, ""));
   const FakeBackend silent([](tcp::socket&, const std::string&) {});
-  BOOST_TEST(Check(silent.Address()));
   BOOST_TEST(Check(silent.Address(), ""));
 }
 
+// A process that has replaced another one and doesn't answer yet passes for it.
+BOOST_AUTO_TEST_CASE(SilentServerWhoseStartIsKnownCountsAsEnded)
+{
+  const FakeBackend silent([](tcp::socket&, const std::string&) {});
+  BOOST_TEST(!Check(silent.Address()));
+}
+
+// A time-out that passed while the entry was suspended decides.
+BOOST_AUTO_TEST_CASE(CheckThatWasSuspendedWaitsForItsAnswer)
+{
+  constexpr Milliseconds kSuspension{ 400 };
+  const FakeBackend server([&](tcp::socket& aSocket, const std::string& aText) {
+    WriteBytes(aSocket, AnswerTo(aText, 200, "1000"));
+  });
+  BOOST_TEST(Check(server.Address(), "/status", kSuspension));
+  const FakeBackend other([&](tcp::socket& aSocket, const std::string& aText) {
+    WriteBytes(aSocket, AnswerTo(aText, 200, "1001"));
+  });
+  BOOST_TEST(!Check(other.Address(), "/status", kSuspension));
+}
+
 BOOST_AUTO_TEST_CASE(ServerThatRefusesConnectionsHasEnded)
 {
   BOOST_TEST(!Check({ "127.0.0.1", FreePort() }));
@@ -153,6 +184,18 @@
   BOOST_TEST(fixture.Call("/once/x").Status() == 502);
 }
 
+// A failure without a length that its server's end cut short is passed on.
+BOOST_AUTO_TEST_CASE(FailureWithoutLengthOfAnEndedServerIsNotPassedOn)
+{
+  const EndingServer server("text/plain", "500 Error");
+  ForwardFixture fixture;
+  fixture.AddListed(server.Address());
+  fixture.Start();
+  const SeenAnswer answer = fixture.Call("/once/x");
+  BOOST_TEST(answer.Status() == 502);
+  BOOST_TEST(answer.Field("Proof").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
