--- a/tests/platform/test_streamsoak.cpp
+++ b/tests/platform/test_streamsoak.cpp
@@ -371,7 +371,7 @@
                              << counts.mStreams << " streams, " << counts.mWhole
                              << " whole, " << counts.mBroken << " broken, "
                              << counts.mRefused << " without an event, "
-                             << counts.mFurtherAnswers << " continued");
+                             << counts.mFurtherAnswers << " further answers");
 }
 
 } // namespace
