Log the type of an answer and how its end was judged

Whether the events of a body are looked at hangs on route, status and type, and no event of the log showed it: an answer with "end":"close" could be a stream that was judged as plain bytes. All Content-Type fields are logged, as a second one may differ.

--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -24,6 +24,9 @@
 /** Characters of an event's id that are logged. */
 constexpr std::size_t kLoggedIdSize = 40;
 
+/** Characters of an answer's type that are logged. */
+constexpr std::size_t kLoggedTypeSize = 60;
+
 } // namespace
 
 Exchange::Exchange(Forwarder& aForwarder,
@@ -375,6 +378,7 @@
   if (mTransferEnd) {
     aFields["end"] = TransferEndName(*mTransferEnd);
   }
+  aFields.update(mBodyFields);
   if (mRoute != nullptr && mRoute->mIsStream) {
     aFields["lastEventId"] = mLastEventId.substr(0, kLoggedIdSize);
     aFields["continuations"] = mContinuations;
@@ -382,6 +386,14 @@
   }
 }
 
+void
+Exchange::AddBodyFields(const Attempt& aAttempt, EventFields& aFields)
+{
+  const std::string types = aAttempt.mParser->Head().FindAll("Content-Type");
+  aFields["contentType"] = types.substr(0, kLoggedTypeSize);
+  aFields["body"] = aAttempt.mIsEventStream ? "events" : "opaque";
+}
+
 void
 Exchange::LogEnd(Event aEvent, int aStatus, const std::string& aReason)
 {
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -143,6 +143,8 @@
   void Finish(bool aKeepOpen);
   /** Adds how the answer ended and, for a stream, how far it came. */
   void AddAnswerFields(EventFields& aFields) const;
+  /** Adds the type of an answer and how its end was judged. */
+  static void AddBodyFields(const Attempt& aAttempt, EventFields& aFields);
   void LogEnd(Event aEvent, int aStatus, const std::string& aReason);
   Milliseconds Elapsed() const;
   /** @return Time until the request is given up. */
@@ -190,6 +192,8 @@
   int mContinuations = 0;
   /** How the transfer of a complete answer ended. */
   std::optional<TransferEnd> mTransferEnd;
+  /** Type of a complete answer and how its end was judged. */
+  EventFields mBodyFields = EventFields::object();
   Microseconds mFirstByteAfter{ 0 };
 };
 
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -409,6 +409,7 @@
                             now - aAttempt->mFirstByteAt);
   }
   mTransferEnd = EndOfMessage(*aAttempt->mParser);
+  AddBodyFields(*aAttempt, mBodyFields);
   if (mTransferEnd == TransferEnd::Close) {
     mForwarder.Counters().mAnswersEndedByClose += 1;
   }
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -379,6 +379,9 @@
   if (aAttempt->mFault) {
     fields["fault"] = AnswerFaultName(*aAttempt->mFault);
   }
+  if (hasAnswer) {
+    AddBodyFields(*aAttempt, fields);
+  }
   mForwarder.Log().Write(Event::BackendAttemptFailed, fields);
   const bool isWhole =
     aAttempt->mFailure.has_value() && hasAnswer && aAttempt->mParser->is_done();
--- a/src/libmedlarkeelforward/messageparser.cpp
+++ b/src/libmedlarkeelforward/messageparser.cpp
@@ -113,6 +113,20 @@
   return nullptr;
 }
 
+std::string
+MessageHead::FindAll(std::string_view aName) const
+{
+  std::string values;
+  bool isFirst = true;
+  for (const HeaderField& field : mFields) {
+    if (SameFieldName(field.first, aName)) {
+      values += (isFirst ? "" : ", ") + field.second;
+      isFirst = false;
+    }
+  }
+  return values;
+}
+
 std::string_view
 FindHeadFault(std::string_view aHead)
 {
--- a/src/libmedlarkeelforward/messageparser.h
+++ b/src/libmedlarkeelforward/messageparser.h
@@ -27,6 +27,10 @@
 
   /** @return The first field of that name in any case, or nothing. */
   const std::string* Find(std::string_view aName) const;
+
+  /** @return The values of all fields of that name in any case, separated by
+   * commas. */
+  std::string FindAll(std::string_view aName) const;
 };
 
 /** @return Whether two field names are the same but for their case. */
