Judge a stream of events whatever the route, the status and the types are

What callers saw: half an event at the end of an answer with a length, framed as complete, status 200 and the server's stamp.

Cause: Exchange::TakeHead looked at the events of a body only if the route is one of streams, the status a success and the first Content-Type field missing or that of an event stream. Where route and type disagree nobody looked, and any orderly end completed the answer, in each framing.

Why it works: AnswerBody is the one place that decides. A type that names an event stream makes the body one, on each route and with each status; with several types, an error's text under a stream's type, and a stream that is expected but not stated, the bytes decide. Each answer passes through AnswerBody::End before it can be passed on. On routes of other kinds the answer is still held until it is complete, so a repeatable request whose stream breaks is sent elsewhere; ids are compared only where a stream is expected.

--- a/src/libmedlarkeel/forwarding/answerend.cpp
+++ b/src/libmedlarkeel/forwarding/answerend.cpp
@@ -33,6 +33,28 @@
   return isUpper ? static_cast<char>(aCharacter - 'A' + 'a') : aCharacter;
 }
 
+/** @return The type without blanks and parameters. */
+std::string_view
+TypeOf(std::string_view aContentType)
+{
+  constexpr std::string_view kBlanks = " \t";
+  aContentType.remove_prefix(
+    std::min(aContentType.find_first_not_of(kBlanks), aContentType.size()));
+  return aContentType.substr(0, aContentType.find_first_of("; \t"));
+}
+
+bool
+IsEventStreamType(std::string_view aType)
+{
+  constexpr std::string_view kType = "text/event-stream";
+  return std::equal(
+    aType.begin(),
+    aType.end(),
+    kType.begin(),
+    kType.end(),
+    [](char aLeft, char aRight) { return LowerCase(aLeft) == aRight; });
+}
+
 } // namespace
 
 const char*
@@ -123,18 +145,26 @@
   return aEnd == TransferEnd::Close;
 }
 
-bool
-IsEventStreamType(std::string_view aContentType)
+StreamType
+ClassifyContentTypes(std::string_view aContentTypes)
 {
-  constexpr std::string_view kType = "text/event-stream";
-  const std::size_t end = aContentType.find_first_of("; \t");
-  const std::string_view type = aContentType.substr(0, end);
-  return std::equal(
-    type.begin(),
-    type.end(),
-    kType.begin(),
-    kType.end(),
-    [](char aLeft, char aRight) { return LowerCase(aLeft) == aRight; });
+  std::size_t types = 0;
+  std::size_t streams = 0;
+  while (!aContentTypes.empty()) {
+    const std::size_t end =
+      std::min(aContentTypes.find(','), aContentTypes.size());
+    const std::string_view type = TypeOf(aContentTypes.substr(0, end));
+    types += type.empty() ? 0 : 1;
+    streams += IsEventStreamType(type) ? 1 : 0;
+    aContentTypes.remove_prefix(std::min(end + 1, aContentTypes.size()));
+  }
+  if (types == 0) {
+    return StreamType::Missing;
+  }
+  if (streams == 0) {
+    return StreamType::Other;
+  }
+  return streams == types ? StreamType::Stated : StreamType::Ambiguous;
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/answerend.h
+++ b/src/libmedlarkeel/forwarding/answerend.h
@@ -91,12 +91,22 @@
 bool
 NeedsProcess(TransferEnd aEnd);
 
+/** What the types of a body say of server-sent events. */
+enum class StreamType
+{
+  Missing,
+  /** All types are that of an event stream. */
+  Stated,
+  /** Only some types are. */
+  Ambiguous,
+  Other
+};
+
 /**
- * @param aContentType Value of the Content-Type field, with or without
- * parameters.
- * @return Whether the body is a stream of server-sent events.
+ * @param aContentTypes Values of the Content-Type fields, with or without
+ * parameters, separated by commas.
  */
-bool
-IsEventStreamType(std::string_view aContentType);
+StreamType
+ClassifyContentTypes(std::string_view aContentTypes);
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/eventframer.cpp
+++ b/src/libmedlarkeel/forwarding/eventframer.cpp
@@ -55,8 +55,9 @@
 
 } // namespace
 
-EventFramer::EventFramer(std::string aLastEventId)
+EventFramer::EventFramer(std::string aLastEventId, IdOrder aOrder)
   : mLastEventId(std::move(aLastEventId))
+  , mOrder(aOrder)
   , mLastNumber(WholeNumber(mLastEventId))
 {
 }
@@ -140,7 +141,8 @@
   mHasData = false;
   mEventId.reset();
   const std::optional<std::string> number = WholeNumber(id);
-  if (number && mLastNumber && !IsGreater(*number, *mLastNumber)) {
+  const bool hasOrder = mOrder == IdOrder::Increasing && mLastNumber;
+  if (number && hasOrder && !IsGreater(*number, *mLastNumber)) {
     mIsOutOfOrder = true;
     return;
   }
--- a/src/libmedlarkeel/forwarding/eventframer.h
+++ b/src/libmedlarkeel/forwarding/eventframer.h
@@ -6,6 +6,13 @@
 
 namespace medlarkeel {
 
+/** Whether the ids of a stream's events have to increase. */
+enum class IdOrder
+{
+  Increasing,
+  Any
+};
+
 /**
  * Splits a body of server-sent events at the ends of events. Only complete
  * events are forwarded, so that a stream that broke off can be resumed after
@@ -18,8 +25,10 @@
   EventFramer() = default;
 
   /** @param aLastEventId Id of the last event that the caller has; empty if it
-   * has none. The events that follow must have greater ids. */
-  explicit EventFramer(std::string aLastEventId);
+   * has none.
+   * @param aOrder Whether the events that follow must have greater ids. */
+  explicit EventFramer(std::string aLastEventId,
+                       IdOrder aOrder = IdOrder::Increasing);
 
   /**
    * Adds bytes to the buffer and removes all complete events from it.
@@ -70,6 +79,7 @@
 
   std::string mBuffer;
   std::string mLastEventId;
+  IdOrder mOrder = IdOrder::Increasing;
   /** Digits of the last id that is a whole number, of any size; other ids have
    * no order. */
   std::optional<std::string> mLastNumber;
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -391,7 +391,9 @@
 {
   const std::string types = aAttempt.mParser->Head().FindAll("Content-Type");
   aFields["contentType"] = types.substr(0, kLoggedTypeSize);
-  aFields["body"] = aAttempt.mIsEventStream ? "events" : "opaque";
+  if (const auto kind = aAttempt.mBody.Kind()) {
+    aFields["body"] = BodyKindName(*kind);
+  }
 }
 
 void
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../libmedlarkeel/forwarding/answerend.h"
+#include "../libmedlarkeel/forwarding/answerbody.h"
 #include "../libmedlarkeel/forwarding/attemptdecision.h"
 #include "answertext.h"
 #include "forwarder.h"
@@ -57,13 +57,13 @@
     std::unique_ptr<AnswerParser> mParser;
     std::string mInput;
     std::string mRequest;
-    EventFramer mFramer;
+    AnswerBody mBody;
+    /** What is passed on only when the answer is complete. */
+    std::string mHeldBody;
     std::array<char, 16384> mBuffer{};
     bool mIsRequestWritten = false;
     bool mHasHead = false;
     bool mHasFirstByte = false;
-    /** The answer is a stream of events. */
-    bool mIsEventStream = false;
     /** The answer belongs to an earlier request on the connection. */
     bool mIsForeign = false;
     /** Nothing is read until the caller has taken what it got. */
@@ -121,7 +121,19 @@
    */
   void RecordRequestLimit(const Attempt& aAttempt, const MessageHead& aHead);
   void TakeBody(const AttemptPointer& aAttempt, ParseState aState);
-  void PassEvents(const AttemptPointer& aAttempt, bool aIsEnd);
+  void RecordFirstByte(Attempt& aAttempt);
+  /** @return Whether the answer's events are passed on as they arrive. */
+  bool PassesEvents(const Attempt& aAttempt) const;
+  /** Passes complete events on.
+   *
+   * @param aFault Why the answer breaks off behind them, if it does. */
+  void PassEvents(const AttemptPointer& aAttempt,
+                  const std::string& aEvents,
+                  bool aIsEnd,
+                  std::optional<AnswerFault> aFault);
+  /** Takes the end of an answer that is passed on only when it is complete. */
+  void EndHeldAnswer(const AttemptPointer& aAttempt,
+                     std::optional<AnswerFault> aFault);
   /** Finishes an answer whose transfer has ended without a fault, after a check
    * of the server's process if its end needs one. */
   void CompleteAnswer(const AttemptPointer& aAttempt);
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -168,10 +168,12 @@
     const bool saysNotRun =
       parser->Head().Find(mForwarder.Protocol().mNotRun) != nullptr;
     aAttempt->mFailure = ClassifyAnswer(parser->Head().mStatus, saysNotRun);
-    const std::string* type = parser->Head().Find("Content-Type");
-    aAttempt->mIsEventStream = mRoute->mIsStream && !aAttempt->mFailure &&
-                               parser->Head().mStatus < kFirstFailure &&
-                               (type == nullptr || IsEventStreamType(*type));
+    AnswerForm form;
+    form.mIsStreamExpected = mRoute->mIsStream;
+    form.mStatus = parser->Head().mStatus;
+    form.mContentTypes = parser->Head().FindAll("Content-Type");
+    form.mLastEventId = mLastEventId;
+    aAttempt->mBody = AnswerBody(form);
   }
   aAttempt->mParser = std::move(parser);
   aAttempt->mHasHead = true;
@@ -277,37 +279,58 @@
     }
     return;
   }
-  const bool hasBody = !aAttempt->mParser->Body().empty();
-  if (hasBody && !aAttempt->mHasFirstByte) {
-    aAttempt->mHasFirstByte = true;
-    aAttempt->mFirstByteAt = BootNow();
-    mForwarder.Chooser().RecordFirstByte(aAttempt->mChoice);
-    if (mPrompt && aAttempt->mIsEventStream) {
-      mForwarder.Admission(mPool->mName)
-        .RecordFirstEvent(aAttempt->mChoice.TokensBeforeFirstEvent(),
-                          aAttempt->mFirstByteAt - aAttempt->mBegunAt);
-    }
-    if (mFirstByteAfter.count() == 0) {
-      mFirstByteAfter = aAttempt->mFirstByteAt - mArrived;
-    }
-  }
   const bool isDone = aState == ParseState::Done;
-  if (aAttempt->mIsEventStream) {
-    PassEvents(aAttempt, isDone);
+  AnswerBody& body = aAttempt->mBody;
+  const std::string arrived = aAttempt->mParser->TakeBody();
+  std::string bytes = body.Push(arrived);
+  std::optional<AnswerFault> fault = body.Fault(kMostEventBytes);
+  if (isDone && !fault) {
+    BodyEnd end = body.End(EndOfMessage(*aAttempt->mParser));
+    bytes += end.mBytes;
+    fault = end.mFault;
+  }
+  if (!arrived.empty() && !aAttempt->mHasFirstByte) {
+    RecordFirstByte(*aAttempt);
+  }
+  if (PassesEvents(*aAttempt)) {
+    PassEvents(aAttempt, bytes, isDone, fault);
     return;
   }
-  if (mHasAnswered) {
+  if (mHasAnswered && body.Kind()) {
     // The run that should go on with a stream brought something else.
     EndBroken(aAttempt, AnswerFault::NotAStream);
     return;
   }
-  if (aAttempt->mParser->Body().size() > kMostHeldBody) {
+  aAttempt->mHeldBody += bytes;
+  if (aAttempt->mHeldBody.size() > kMostHeldBody) {
     EndBroken(aAttempt, AnswerFault::BodyTooLarge);
-    return;
+  } else if (isDone) {
+    EndHeldAnswer(aAttempt, fault);
+  } else if (fault) {
+    EndBroken(aAttempt, *fault);
   }
-  if (!isDone) {
-    return;
+}
+
+void
+Exchange::RecordFirstByte(Attempt& aAttempt)
+{
+  aAttempt.mHasFirstByte = true;
+  aAttempt.mFirstByteAt = BootNow();
+  mForwarder.Chooser().RecordFirstByte(aAttempt.mChoice);
+  if (mPrompt && aAttempt.mBody.IsEventStream()) {
+    mForwarder.Admission(mPool->mName)
+      .RecordFirstEvent(aAttempt.mChoice.TokensBeforeFirstEvent(),
+                        aAttempt.mFirstByteAt - aAttempt.mBegunAt);
+  }
+  if (mFirstByteAfter.count() == 0) {
+    mFirstByteAfter = aAttempt.mFirstByteAt - mArrived;
   }
+}
+
+void
+Exchange::EndHeldAnswer(const AttemptPointer& aAttempt,
+                        std::optional<AnswerFault> aFault)
+{
   if (aAttempt->mFailure == AttemptOutcome::Broken) {
     EndBroken(aAttempt, AnswerFault::UnstatedRefusal);
     return;
@@ -317,27 +340,30 @@
     EndAttempt(aAttempt, *aAttempt->mFailure);
     return;
   }
+  if (aFault) {
+    EndBroken(aAttempt, *aFault);
+    return;
+  }
   CompleteAnswer(aAttempt);
 }
 
+bool
+Exchange::PassesEvents(const Attempt& aAttempt) const
+{
+  return mRoute->mIsStream && aAttempt.mBody.IsEventStream() &&
+         !aAttempt.mFailure && aAttempt.mParser->Head().mStatus < kFirstFailure;
+}
+
 void
-Exchange::PassEvents(const AttemptPointer& aAttempt, bool aIsEnd)
+Exchange::PassEvents(const AttemptPointer& aAttempt,
+                     const std::string& aEvents,
+                     bool aIsEnd,
+                     std::optional<AnswerFault> aFault)
 {
-  const EventFramer& framer = aAttempt->mFramer;
-  const std::string events =
-    aAttempt->mFramer.Push(aAttempt->mParser->TakeBody());
-  mLastEventId = framer.LastEventId();
-  std::optional<AnswerFault> fault;
-  if (framer.IsOutOfOrder()) {
-    fault = AnswerFault::EventOutOfOrder;
-  } else if (framer.BufferedBytes() > kMostEventBytes) {
-    fault = AnswerFault::EventTooLarge;
-  } else if (aIsEnd) {
-    fault = FindEndFault(EndOfMessage(*aAttempt->mParser), &framer);
-  }
-  const bool isComplete = aIsEnd && !fault;
+  mLastEventId = aAttempt->mBody.LastEventId();
+  const bool isComplete = aIsEnd && !aFault;
   std::string text;
-  if (!mHasAnswered && (!events.empty() || isComplete)) {
+  if (!mHasAnswered && (!aEvents.empty() || isComplete)) {
     mHasAnswered = true;
     mIsChunked = mHead.mVersion >= 11;
     mKeepOpen = mKeepOpen && mIsChunked && !mForwarder.IsStopping();
@@ -350,10 +376,10 @@
                     0,
                     mKeepOpen);
   }
-  text += mIsChunked ? Chunk(events) : events;
+  text += mIsChunked ? Chunk(aEvents) : aEvents;
   mCaller->Send(std::move(text));
-  if (fault) {
-    EndBroken(aAttempt, *fault);
+  if (aFault) {
+    EndBroken(aAttempt, *aFault);
     return;
   }
   if (isComplete) {
@@ -403,7 +429,7 @@
   const Timestamp now = BootNow();
   mForwarder.Chooser().RecordSuccess(aAttempt->mChoice.mId, now);
   mForwarder.RecordDuration(*mRoute, Elapsed());
-  if (mPrompt && aAttempt->mIsEventStream) {
+  if (mPrompt && aAttempt->mBody.IsEventStream()) {
     mForwarder.Admission(mPool->mName)
       .RecordStreamDuration(aAttempt->mChoice.mIsShortPrompt,
                             now - aAttempt->mFirstByteAt);
@@ -415,7 +441,7 @@
   }
   const int status = aAttempt->mParser->Head().mStatus;
   if (!mHasAnswered) {
-    PassWhole(aAttempt->mParser->Head(), aAttempt->mParser->Body());
+    PassWhole(aAttempt->mParser->Head(), aAttempt->mHeldBody);
   } else if (mIsChunked) {
     mCaller->Send(std::string(kLastChunk));
   }
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -218,7 +218,6 @@
   if (const ListedBackend* listed = mForwarder.Backends().Find(aChoice.mId)) {
     attempt->mProcessStartedAt = listed->mEntry.mStartedAt;
   }
-  attempt->mFramer = EventFramer(mLastEventId);
   mAttempt = attempt;
   mTried.insert(aChoice.mId);
   mForwarder.Chooser().RecordStarted(aChoice, mPrompt, attempt->mBegunAt);
@@ -407,7 +406,7 @@
   }
   if (step == NextStep::ForwardAnswer) {
     const int status = aAttempt->mParser->Head().mStatus;
-    PassWhole(aAttempt->mParser->Head(), aAttempt->mParser->Body());
+    PassWhole(aAttempt->mParser->Head(), aAttempt->mHeldBody);
     LogEnd(Event::RequestCompleted, status, "the backend server failed");
     Finish(mKeepOpen);
     return;
--- a/src/libmedlarkeelnet/answerstream.cpp
+++ b/src/libmedlarkeelnet/answerstream.cpp
@@ -23,7 +23,8 @@
   void SetHeaders(const HttpHeaders& aHeaders)
   {
     const auto type = aHeaders.find("Content-Type");
-    mIsEventStream = type != aHeaders.end() && IsEventStreamType(type->second);
+    mIsEventStream = type != aHeaders.end() &&
+                     ClassifyContentTypes(type->second) == StreamType::Stated;
   }
 
   /** @return Whether to go on. */
--- a/src/medlarkeeld/relaysource.cpp
+++ b/src/medlarkeeld/relaysource.cpp
@@ -117,7 +117,7 @@
       break;
     }
   }
-  if (!IsEventStreamType(relay->ContentType())) {
+  if (ClassifyContentTypes(relay->ContentType()) != StreamType::Stated) {
     return CollectWhole(*relay);
   }
   HttpResponse response = HeadOf(*relay);
