End an event of CR LF lines with its line feed

What callers saw: a stream that was cut inside the last line end of an event, one byte short, framed as complete.

Cause: EventFramer took the carriage return of the empty line for the end of the event, whatever the line ends of the stream were, and forwarded it there.

Why it works: among lines that end with CR LF, an event that ends with CR is complete at the next byte. Streams of CR lines aren't held back.

Changed checks: answerend/StreamIsCompleteOnlyBetweenEvents allowed an end after the CR of CR LF, which is the fault; it now allows none. eventframer/LineFeedThatArrivesLater... expected the event without its line feed at once; it expects the whole event, in one piece. The property on splits of the body now covers all three line ends.

--- a/src/libmedlarkeel/forwarding/eventframer.cpp
+++ b/src/libmedlarkeel/forwarding/eventframer.cpp
@@ -65,25 +65,30 @@
 std::string
 EventFramer::Push(std::string_view aBytes)
 {
-  const std::size_t buffered = mBuffer.size();
   mBuffer.append(aBytes);
-  const std::size_t end = FindEventEnd(aBytes);
+  const std::size_t end = FindEventEnd();
   if (end == 0) {
     return {};
   }
-  std::string events = mBuffer.substr(0, buffered + end);
-  mBuffer.erase(0, buffered + end);
+  std::string events = mBuffer.substr(0, end);
+  mBuffer.erase(0, end);
+  mSearched -= end;
   events.resize(ReadEvents(events));
   return events;
 }
 
 std::size_t
-EventFramer::FindEventEnd(std::string_view aBytes)
+EventFramer::FindEventEnd()
 {
   std::size_t end = 0;
-  for (std::size_t i = 0; i < aBytes.size(); ++i) {
-    const char byte = aBytes[i];
+  for (; mSearched < mBuffer.size(); ++mSearched) {
+    const char byte = mBuffer[mSearched];
     const bool isLineFeedOfPair = byte == '\n' && mIsAfterCarriageReturn;
+    if (mAwaitsLineFeed && !isLineFeedOfPair) {
+      end = mSearched;
+    }
+    mAwaitsLineFeed = false;
+    mHasPairs = mHasPairs || isLineFeedOfPair;
     mIsAfterCarriageReturn = byte == '\r';
     if (byte != '\n' && byte != '\r') {
       mIsLineEmpty = false;
@@ -94,8 +99,9 @@
       mIsInEvent = false;
     }
     mIsLineEmpty = true;
-    if (!mIsInEvent) {
-      end = i + 1;
+    mAwaitsLineFeed = !mIsInEvent && byte == '\r' && mHasPairs;
+    if (!mIsInEvent && !mAwaitsLineFeed) {
+      end = mSearched + 1;
     }
   }
   return end;
--- a/src/libmedlarkeel/forwarding/eventframer.h
+++ b/src/libmedlarkeel/forwarding/eventframer.h
@@ -59,12 +59,11 @@
 
 private:
   /**
-   * Continues the search for ends of events.
+   * Continues the search for ends of events in the buffer.
    *
-   * @param aBytes Bytes that follow those searched before.
    * @return The number of bytes up to the last end of an event; 0 without one.
    */
-  std::size_t FindEventEnd(std::string_view aBytes);
+  std::size_t FindEventEnd();
 
   /**
    * Reads the fields of complete events.
@@ -78,6 +77,8 @@
   void EndEvent();
 
   std::string mBuffer;
+  /** Bytes of the buffer that were searched for ends of events. */
+  std::size_t mSearched = 0;
   std::string mLastEventId;
   IdOrder mOrder = IdOrder::Increasing;
   /** Digits of the last id that is a whole number, of any size; other ids have
@@ -87,6 +88,10 @@
   bool mIsLineEmpty = true;
   /** The previous byte is a carriage return; a line feed belongs to it. */
   bool mIsAfterCarriageReturn = false;
+  /** Lines of the stream end with both. */
+  bool mHasPairs = false;
+  /** The event ended with a carriage return whose line feed may follow. */
+  bool mAwaitsLineFeed = false;
   /** The event has a line that isn't empty. */
   bool mIsInEvent = false;
   /** Fields of the event that is read. */
--- a/tests/core/test_answerend.cpp
+++ b/tests/core/test_answerend.cpp
@@ -45,7 +45,6 @@
       body.append(line).append(lineEnd);
     }
     ends.insert(body.size());
-    ends.insert(body.size() - lineEnd.size() + 1); // CR LF ends with its CR.
   }
   const auto size = *rc::gen::inRange<std::size_t>(1, body.size() + 1);
   const EventFramer framer = FramerOf(body.substr(0, size));
--- a/tests/core/test_eventframer.cpp
+++ b/tests/core/test_eventframer.cpp
@@ -36,16 +36,27 @@
   BOOST_TEST(framer.HasPartialEvent());
 }
 
-// The line feed of an event's last line counts as the begin of another event.
+// The line feed of an event's last line counts as the begin of another event,
+// or an event without it as a complete one.
 BOOST_AUTO_TEST_CASE(LineFeedThatArrivesLaterBelongsToTheEvent)
 {
   EventFramer framer;
-  BOOST_TEST(framer.Push("data: a\r\n\r") == "data: a\r\n\r");
-  BOOST_TEST(!framer.HasPartialEvent());
-  BOOST_TEST(framer.Push("\n") == "\n");
+  BOOST_TEST(framer.Push("data: a\r\n\r") == "");
+  BOOST_TEST(framer.HasPartialEvent());
+  BOOST_TEST(framer.Push("\n") == "data: a\r\n\r\n");
   BOOST_TEST(!framer.HasPartialEvent());
 }
 
+// An event is held back after the carriage return that ends it.
+BOOST_AUTO_TEST_CASE(CarriageReturnAmongPairsEndsAnEventAtTheNextByte)
+{
+  EventFramer framer;
+  BOOST_TEST(framer.Push("data: a\r\n\r") == "");
+  BOOST_TEST(framer.Push("d") == "data: a\r\n\r");
+  BOOST_TEST(framer.HasPartialEvent());
+  BOOST_TEST(framer.Push("ata: b\n\n") == "data: b\n\n");
+}
+
 // A server that begins anew makes events come twice.
 BOOST_AUTO_TEST_CASE(EventsEndBeforeAnIdThatIsNotGreater)
 {
@@ -111,9 +122,11 @@
 RC_BOOST_PROP(AnySplitReturnsTheSameBytesAsCompleteEvents, ())
 {
   const auto count = *rc::gen::inRange(1, 8);
+  const auto lineEnd = *rc::gen::element<std::string>("\n", "\r", "\r\n");
+  const std::string eventEnd = lineEnd + lineEnd;
   std::string body;
   for (int i = 0; i < count; ++i) {
-    body += "id: " + std::to_string(i) + "\ndata: x\n\n";
+    body += "id: " + std::to_string(i) + lineEnd + "data: x" + eventEnd;
   }
   EventFramer framer;
   std::string forwarded;
@@ -122,7 +135,8 @@
     const auto size = *rc::gen::inRange<std::size_t>(1, 9);
     const std::string events = framer.Push(body.substr(begin, size));
     const bool isComplete =
-      events.empty() || events.substr(events.size() - 2) == "\n\n";
+      events.empty() ||
+      events.substr(events.size() - eventEnd.size()) == eventEnd;
     RC_ASSERT(isComplete);
     forwarded += events;
     begin += size;
--- a/tests/forward/test_answerforms.cpp
+++ b/tests/forward/test_answerforms.cpp
@@ -139,6 +139,17 @@
   }
 }
 
+/** @return The text with other line ends. */
+std::string
+WithLineEnds(std::string aText, const std::string& aLineEnd)
+{
+  for (std::size_t i = aText.find('\n'); i != std::string::npos;
+       i = aText.find('\n', i + aLineEnd.size())) {
+    aText.replace(i, 1, aLineEnd);
+  }
+  return aText;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(answerforms)
@@ -224,6 +235,23 @@
           CheckWhole);
 }
 
+// A stream that ends inside the last line end of its last event passes for a
+// complete one.
+BOOST_AUTO_TEST_CASE(StreamThatEndsInsideALineEndIsNotComplete)
+{
+  const std::string body = WithLineEnds(kTwoEvents, "\r\n");
+  for (const Framing framing : kFramings) {
+    for (const char* const path : { "/once/x", "/stream/x", "/resume/x" }) {
+      AnswerCase answer{ path, kStreamTypes[0], framing, body };
+      CheckWhole(answer);
+      answer.mBody.pop_back();
+      CheckBroken(answer);
+      answer.mBody = WithLineEnds(kTwoEvents, "\r");
+      CheckWhole(answer);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
