Send no body for answers that have none on the routes of streams

What callers saw: an answer to HEAD, or a 204, of a streaming route with Transfer-Encoding and a last chunk. The chunk stands where the next answer of the kept connection is due.

Cause: the route alone made such an answer a stream, and FinishAnswer ended it like one.

Why it works: an answer without a body has no events, so it is passed on whole, without chunks.

--- a/src/libmedlarkeel/forwarding/answerbody.cpp
+++ b/src/libmedlarkeel/forwarding/answerbody.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr int kFirstSuccess = 200;
+constexpr int kNoContent = 204;
 constexpr int kFirstRedirection = 300;
+constexpr int kNotModified = 304;
 
 constexpr std::string_view kLineEnds = "\r\n";
 
@@ -42,6 +44,13 @@
   return aStatus >= kFirstSuccess && aStatus < kFirstRedirection;
 }
 
+bool
+HasNoBody(const AnswerForm& aForm)
+{
+  return aForm.mIsHeadOnly || aForm.mStatus < kFirstSuccess ||
+         aForm.mStatus == kNoContent || aForm.mStatus == kNotModified;
+}
+
 bool
 IsNameCharacter(char aCharacter)
 {
@@ -175,6 +184,9 @@
 BodyKindRule
 FindBodyKindRule(const AnswerForm& aForm)
 {
+  if (HasNoBody(aForm)) {
+    return kOpaque;
+  }
   const bool isSuccess = IsSuccess(aForm.mStatus);
   const bool isStream = aForm.mIsStreamExpected && isSuccess;
   switch (ClassifyContentTypes(aForm.mContentTypes)) {
--- a/src/libmedlarkeel/forwarding/answerbody.h
+++ b/src/libmedlarkeel/forwarding/answerbody.h
@@ -17,6 +17,8 @@
   int mStatus = 0;
   /** The values of all Content-Type fields, separated by commas. */
   std::string mContentTypes;
+  /** The answer has no body, whatever its head says: HEAD was asked for. */
+  bool mIsHeadOnly = false;
   /** Id of the last event that the caller has; empty if it has none. */
   std::string mLastEventId;
 };
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -172,6 +172,7 @@
     form.mIsStreamExpected = mRoute->mIsStream;
     form.mStatus = parser->Head().mStatus;
     form.mContentTypes = parser->Head().FindAll("Content-Type");
+    form.mIsHeadOnly = mHead.mMethod == "HEAD";
     form.mLastEventId = mLastEventId;
     aAttempt->mBody = AnswerBody(form);
   }
--- a/tests/core/test_answerbody.cpp
+++ b/tests/core/test_answerbody.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNoContent = 204;
 constexpr int kNotFound = 404;
 
 constexpr const char* kEventType = "text/event-stream";
@@ -78,6 +79,8 @@
     BOOST_TEST(!IsComplete(Form(types, true), "", TransferEnd::Close));
     BOOST_TEST(
       IsComplete(Form(types, true, kNotFound), "", TransferEnd::Close));
+    BOOST_TEST(
+      IsComplete(Form(types, true, kNoContent), "", TransferEnd::Length));
   }
   BOOST_TEST(IsComplete(Form("text/plain", false), "", TransferEnd::Close));
 }
--- a/tests/forward/test_answerforms.cpp
+++ b/tests/forward/test_answerforms.cpp
@@ -14,6 +14,7 @@
 
 constexpr int kOk = 200;
 constexpr int kCreated = 201;
+constexpr int kNoContent = 204;
 constexpr int kNotFound = 404;
 constexpr int kInternalError = 500;
 
@@ -252,6 +253,32 @@
   }
 }
 
+// An answer that has no body gets the last chunk of a stream as its body.
+BOOST_AUTO_TEST_CASE(AnswerWithoutABodyOnTheRouteOfAStreamHasNone)
+{
+  for (const std::string method : { "HEAD", "POST" }) {
+    ForwardFixture fixture;
+    fixture.AddBackend([&](Socket& aSocket, const std::string& aRequest) {
+      const int status = method == "HEAD" ? kOk : kNoContent;
+      WriteBytes(aSocket,
+                 "HTTP/1.1 " + std::to_string(status) + " Answer\r\nRequest: " +
+                   FieldOf(aRequest, "Request") + "\r\n" + kStreamTypes[0] +
+                   (method == "HEAD" ? "Transfer-Encoding: chunked\r\n" : "") +
+                   "\r\n");
+    });
+    fixture.Start();
+    Caller caller(fixture.Port());
+    for (int i = 0; i < 2; ++i) {
+      std::string request = ForwardFixture::RequestText("/stream/x");
+      request.replace(0, 4, method);
+      caller.Send(request);
+      const std::string head = caller.ReadHead();
+      BOOST_TEST(head.substr(0, 9) == "HTTP/1.1 ", method << ": " << head);
+      BOOST_TEST(FieldOf(head, "Transfer-Encoding") == "", method);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/support/loopback.cpp
+++ b/tests/support/loopback.cpp
@@ -92,6 +92,22 @@
   return answer;
 }
 
+std::string
+Caller::ReadHead()
+{
+  std::array<char, 4096> buffer{};
+  Error error;
+  while (!FindHeadEnd(mInput) && !error) {
+    const std::size_t size =
+      mSocket.read_some(boost::asio::buffer(buffer), error);
+    mInput.append(buffer.data(), size);
+  }
+  const std::size_t end = FindHeadEnd(mInput).value_or(mInput.size());
+  const std::string head = mInput.substr(0, end);
+  mInput.erase(0, end);
+  return head;
+}
+
 void
 Caller::Close()
 {
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -44,6 +44,8 @@
   void Send(const std::string& aBytes);
   /** Reads one answer, or up to the end of the connection. */
   SeenAnswer Read();
+  /** Reads the head of an answer that has no body. */
+  std::string ReadHead();
   void Close();
 
 private:
