Judge the answers at an agent by the rule of the forwarder

What callers saw: half an event at the end of an answer of the loopback daemon, complete, with a length.

Cause: the agent's rule hung on one spelling of the type alone; an answer with a missing type, another one or two was opaque.

Why it works: StreamAnswer passes each answer through AnswerBody, the one place that decides for both data planes. A model server may answer with a stream, so the bytes decide where the type doesn't state one; a plain server's answer is a stream if its type says so, and its ids have no order. The test of ids that go back states that a stream is expected, as agents of model servers do.

--- a/src/libmedlarkeelnet/answerstream.cpp
+++ b/src/libmedlarkeelnet/answerstream.cpp
@@ -1,5 +1,7 @@
 #include "answerstream.h"
 
+#include "forwarding/answerbody.h"
+
 namespace medlarkeel {
 
 namespace {
@@ -11,61 +13,65 @@
 }
 
 /** Passes the body of one answer on and finds what is wrong with it. */
-class AnswerBody
+class BodyReader
 {
 public:
-  AnswerBody(const AnswerLimits& aLimits, const DataReader& aOnData)
+  BodyReader(const AnswerLimits& aLimits, const DataReader& aOnData)
     : mLimits(aLimits)
     , mOnData(aOnData)
   {
   }
 
-  void SetHeaders(const HttpHeaders& aHeaders)
+  void Begin(const HttpCall& aCall, int aStatus, const HttpHeaders& aHeaders)
   {
-    const auto type = aHeaders.find("Content-Type");
-    mIsEventStream = type != aHeaders.end() &&
-                     ClassifyContentTypes(type->second) == StreamType::Stated;
+    AnswerForm form;
+    form.mIsStreamExpected = mLimits.mIsStreamExpected;
+    form.mStatus = aStatus;
+    const auto types = aHeaders.find("Content-Type");
+    form.mContentTypes = types == aHeaders.end() ? "" : types->second;
+    form.mIsHeadOnly = aCall.mMethod == "HEAD";
+    mBody = AnswerBody(form);
   }
 
   /** @return Whether to go on. */
   bool Add(std::string_view aBytes)
   {
     mBodyBytes += aBytes.size();
+    const std::string passed = mBody.Push(aBytes);
     const std::optional<std::size_t> limit =
-      mIsEventStream ? mLimits.mStreamBytes : mLimits.mBodyBytes;
+      mBody.IsEventStream() ? mLimits.mStreamBytes : mLimits.mBodyBytes;
     if (limit && mBodyBytes > *limit) {
       mFault = AnswerFault::BodyTooLarge;
       return false;
     }
-    if (!mIsEventStream) {
-      return mOnData(aBytes);
-    }
-    const std::string events = mFramer.Push(aBytes);
-    if (!events.empty() && !mOnData(events)) {
+    if (!passed.empty() && !mOnData(passed)) {
       return false;
     }
-    if (mFramer.IsOutOfOrder()) {
-      mFault = AnswerFault::EventOutOfOrder;
-    } else if (mFramer.BufferedBytes() > mLimits.mEventBytes) {
-      mFault = AnswerFault::EventTooLarge;
-    }
+    mFault = mBody.Fault(mLimits.mEventBytes);
     return !mFault;
   }
 
   /** @return Why the body was stopped, if it was. */
   std::optional<AnswerFault> Fault() const { return mFault; }
 
-  std::optional<AnswerFault> FaultAtEnd(TransferEnd aEnd) const
+  /** @return Success only for a complete body. */
+  NetResult<void> End(TransferEnd aEnd)
   {
-    return FindEndFault(aEnd, mIsEventStream ? &mFramer : nullptr);
+    const BodyEnd end = mBody.End(aEnd);
+    if (end.mFault) {
+      return BrokenAnswer(*end.mFault);
+    }
+    if (!end.mBytes.empty() && !mOnData(end.mBytes)) {
+      return NetError{ NetErrorKind::StoppedByReader, "stopped by the reader" };
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
 private:
   const AnswerLimits& mLimits;
   const DataReader& mOnData;
-  EventFramer mFramer;
+  AnswerBody mBody;
   std::size_t mBodyBytes = 0;
-  bool mIsEventStream = false;
   std::optional<AnswerFault> mFault;
 };
 
@@ -77,11 +83,11 @@
              const HeadReader& aOnHead,
              const DataReader& aOnData)
 {
-  AnswerBody body(aLimits, aOnData);
+  BodyReader body(aLimits, aOnData);
   const auto end = StreamHttp(
     aCall,
     [&](int aStatus, const HttpHeaders& aHeaders) {
-      body.SetHeaders(aHeaders);
+      body.Begin(aCall, aStatus, aHeaders);
       aOnHead(aStatus, aHeaders);
     },
     [&](std::string_view aBytes) { return body.Add(aBytes); });
@@ -91,9 +97,7 @@
   if (!end) {
     return end.error();
   }
-  if (const auto fault = body.FaultAtEnd(end.value())) {
-    return BrokenAnswer(*fault);
-  }
+  BOOST_OUTCOME_TRY(body.End(end.value()));
   if (NeedsProcess(end.value()) && !AcceptsConnections(aCall.mUrl)) {
     return BrokenAnswer(AnswerFault::ServerEnded);
   }
--- a/src/libmedlarkeelnet/answerstream.h
+++ b/src/libmedlarkeelnet/answerstream.h
@@ -7,9 +7,12 @@
 
 namespace medlarkeel {
 
-/** Bounds on what is held of the answer of a backend server. */
+/** What is expected of the answer of a backend server. */
 struct AnswerLimits
 {
+  /** The server may answer with a stream of events whose ids increase, also
+   * without its type. */
+  bool mIsStreamExpected = false;
   /** Size of one event in bytes. */
   std::size_t mEventBytes = 1U << 20U;
   /** Size of a body that isn't an event stream, in bytes. */
@@ -23,11 +26,12 @@
  * event stream in complete events.
  *
  * @param aCall The request.
- * @param aLimits Bounds beyond which the answer is broken.
+ * @param aLimits What is expected, and bounds beyond which the answer is
+ *        broken.
  * @param aOnHead Called once, before the first data.
  * @param aOnData Called with complete events, or with pieces of another body;
  *        false closes the connection.
- * @return Success only if the answer is complete (FindEndFault), whatever its
+ * @return Success only if the answer is complete (AnswerBody), whatever its
  *         framing. The error of a broken answer has a fault.
  */
 NetResult<void>
--- a/src/medlarkeeld/agentsession.cpp
+++ b/src/medlarkeeld/agentsession.cpp
@@ -263,6 +263,7 @@
   request.mKey = IdempotencyKey(mReserve.idempotency_key());
   request.mConnection = mConnection;
   request.mTimeout = kLongestRun;
+  request.mLimits.mIsStreamExpected = work.mKind == PoolKind::Model;
   if (!work.mRepeatable) {
     request.mLimits.mStreamBytes = request.mLimits.mBodyBytes;
   }
--- a/tests/net/test_answerstream.cpp
+++ b/tests/net/test_answerstream.cpp
@@ -202,14 +202,49 @@
   }
 }
 
+// Half an event passes for a complete answer if its type is missing, another
+// one, or one of two.
+BOOST_AUTO_TEST_CASE(HalfAnEventOfAnyTypeIsBroken)
+{
+  AnswerLimits limits;
+  limits.mIsStreamExpected = true;
+  for (const char* const type :
+       { "",
+         "text/plain",
+         "application/json",
+         "text/event-stream",
+         "application/json\r\nContent-Type: text/event-stream" }) {
+    for (const std::string& answer : InEachFraming(type, kOneEventAndAHalf)) {
+      const Received received = Receive(Writing(answer), limits);
+      BOOST_CHECK(received.Fault() == AnswerFault::EndInsideEvent);
+    }
+    for (const std::string& answer : InEachFraming(type, kTwoEvents)) {
+      const Received received = Receive(Writing(answer), limits);
+      BOOST_TEST(received.mEnd.has_value());
+      BOOST_TEST(received.mBody == kTwoEvents);
+    }
+  }
+  for (const char* const type : { "", "text/plain", "application/json" }) {
+    for (const char* const body : { "{\"a\":1}", "plain text" }) {
+      for (const std::string& answer : InEachFraming(type, body)) {
+        const Received received = Receive(Writing(answer), limits);
+        BOOST_TEST(received.mEnd.has_value());
+        BOOST_TEST(received.mBody == body);
+      }
+    }
+  }
+}
+
 // Events that come twice reach the caller.
 BOOST_AUTO_TEST_CASE(StreamWhoseIdsGoBackIsBroken)
 {
+  AnswerLimits limits;
+  limits.mIsStreamExpected = true;
   for (const std::string& answer :
        InEachFraming(kStreamType,
                      "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
                      "id: 1\ndata: a\n\n")) {
-    const Received received = Receive(Writing(answer));
+    const Received received = Receive(Writing(answer), limits);
     BOOST_CHECK(received.Fault() == AnswerFault::EventOutOfOrder);
     BOOST_TEST(received.mBody == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   }
