Take only the coding of chunks for chunks at an agent

What callers saw (by the test): a stream of a server that had ended, complete, if the answer stated another transfer coding than chunks.

Cause: EndOfTransfer took any Transfer-Encoding for chunks, so an end of the connection counted as the last chunk and the server's process wasn't checked.

Why it works: libcurl reads an answer without chunks up to the end of its connection; that end needs the process like any other.

--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <poll.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <thread>
 
@@ -328,6 +329,17 @@
   return bytes == 0 && !aCall.mReuseConnection;
 }
 
+/** @return Whether the last transfer coding is that of chunks. */
+bool
+IsChunked(std::string_view aCodings)
+{
+  const std::string_view last =
+    Trim(aCodings.substr(aCodings.find_last_of(',') + 1));
+  constexpr std::string_view kChunked = "chunked";
+  return last.size() == kChunked.size() &&
+         strncasecmp(last.data(), kChunked.data(), kChunked.size()) == 0;
+}
+
 /** @return How a transfer that libcurl reports as complete has ended. */
 TransferEnd
 EndOfTransfer(const Transfer& aTransfer)
@@ -335,8 +347,10 @@
   if (!aTransfer.mIsHeadComplete) {
     return TransferEnd::CloseInHead;
   }
-  if (aTransfer.mHeaders.count("Transfer-Encoding") > 0) {
-    return TransferEnd::LastChunk;
+  const auto codings = aTransfer.mHeaders.find("Transfer-Encoding");
+  if (codings != aTransfer.mHeaders.end()) {
+    return IsChunked(codings->second) ? TransferEnd::LastChunk
+                                      : TransferEnd::Close;
   }
   const int status = aTransfer.mStatus;
   const bool hasNoBody = aTransfer.mCall->mMethod == "HEAD" ||
--- a/tests/net/test_answerstream.cpp
+++ b/tests/net/test_answerstream.cpp
@@ -235,6 +235,18 @@
   }
 }
 
+// An answer with a transfer coding other than chunks passes for one that ended
+// with its last chunk, and its server isn't checked.
+BOOST_AUTO_TEST_CASE(OtherTransferCodingOfAnEndedServerIsBroken)
+{
+  const std::string answer = kHead + std::string(kStreamType) +
+                             "\r\nTransfer-Encoding: identity\r\n\r\n" +
+                             kTwoEvents;
+  BOOST_TEST(Receive(Writing(answer)).mEnd.has_value());
+  BOOST_CHECK(Receive(Writing(answer), {}, true).Fault() ==
+              AnswerFault::ServerEnded);
+}
+
 // Events that come twice reach the caller.
 BOOST_AUTO_TEST_CASE(StreamWhoseIdsGoBackIsBroken)
 {
