--- a/tests/net/test_http.cpp
+++ b/tests/net/test_http.cpp
@@ -148,17 +148,17 @@
   return aCondition();
 }
 
-/** What a caller of the earlier version sees. */
-struct OldAnswer
+/** What a caller sees of an answer up to the end of its connection. */
+struct ClosedAnswer
 {
   std::string mText;
   /** The connection was closed in order, not reset. */
   bool mIsClosed = false;
 };
 
-/** Sends GET in HTTP/1.0 and reads up to the end of the connection. */
-OldAnswer
-FetchInOldVersion(std::uint16_t aPort)
+/** Sends a request and reads up to the end of the connection. */
+ClosedAnswer
+FetchUntilClose(std::uint16_t aPort, const std::string& aRequest)
 {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
@@ -168,9 +168,8 @@
   BOOST_REQUIRE(connect(descriptor,
                         reinterpret_cast<sockaddr*>(&address),
                         sizeof address) == 0);
-  const std::string request = "GET / HTTP/1.0\r\nHost: a\r\n\r\n";
-  send(descriptor, request.data(), request.size(), MSG_NOSIGNAL);
-  OldAnswer answer;
+  send(descriptor, aRequest.data(), aRequest.size(), MSG_NOSIGNAL);
+  ClosedAnswer answer;
   char buffer[4096];
   ssize_t size = 0;
   while ((size = recv(descriptor, buffer, sizeof buffer, 0)) > 0) {
@@ -181,6 +180,12 @@
   return answer;
 }
 
+ClosedAnswer
+FetchInOldVersion(std::uint16_t aPort)
+{
+  return FetchUntilClose(aPort, "GET / HTTP/1.0\r\nHost: a\r\n\r\n");
+}
+
 /** Accepts connections, reads each request and closes without a reply, except
  * that the first request of all is answered. */
 class ForgetfulServer
@@ -405,12 +410,12 @@
   const auto broken = StartServer(StreamingHandler(
     { { PieceKind::Data, "data: 1\n\n" }, { PieceKind::Failed, "" } },
     destroyed));
-  const OldAnswer cut = FetchInOldVersion(broken->Port());
+  const ClosedAnswer cut = FetchInOldVersion(broken->Port());
   const bool isSuccess = cut.mText.find(" 200 ") != std::string::npos;
   BOOST_TEST(!(isSuccess && cut.mIsClosed), cut.mText);
   const auto sound = StartServer(StreamingHandler(
     { { PieceKind::Data, "data: 1\n\n" }, { PieceKind::End, "" } }, destroyed));
-  const OldAnswer whole = FetchInOldVersion(sound->Port());
+  const ClosedAnswer whole = FetchInOldVersion(sound->Port());
   BOOST_TEST(whole.mText.find(" 200 ") != std::string::npos);
   BOOST_TEST(whole.mText.find("\r\n\r\ndata: 1\n\n") != std::string::npos);
   BOOST_TEST(whole.mIsClosed);
@@ -623,6 +628,20 @@
   BOOST_TEST(Eventually([&] { return destroyed == kStreams; }));
 }
 
+// The end of a process passes for the end of a stream whose caller asked for
+// the end of the connection.
+BOOST_AUTO_TEST_CASE(StreamOfACallerThatClosesHasChunks)
+{
+  std::atomic<int> destroyed{ 0 };
+  const auto server = StartServer(StreamingHandler(
+    { { PieceKind::Data, "data: a\n\n" }, { PieceKind::Failed, "" } },
+    destroyed));
+  const ClosedAnswer answer = FetchUntilClose(
+    server->Port(), "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  BOOST_TEST(answer.mText.find("chunked") != std::string::npos, answer.mText);
+  BOOST_TEST(answer.mText.find("\r\n0\r\n") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
