Ask a silent server's process longer

What callers saw (by the test): a sound answer without a length broken off, since its server was busy or suspended for half a second when it had ended.

Cause: the check of the process gave up after two tries of 200 ms. Silence of a process whose start is known counts as its end, which is right only after the time that a suspension takes.

Why it works: seven tries take 1.5 s, less than callers wait for an event; a process that has ended refuses the connection at the first one. Events are passed on meanwhile, only the end of the answer waits.

--- a/src/libmedlarkeelforward/processcheck.cpp
+++ b/src/libmedlarkeelforward/processcheck.cpp
@@ -17,6 +17,9 @@
 /** Pause between two tries. */
 constexpr Milliseconds kRetryPause{ 20 };
 constexpr int kMostTries = 2;
+/** Tries at a process that is silent, as when it is suspended or its instance is
+ * busy. They take less time than callers wait for an event. */
+constexpr int kMostSilentTries = 7;
 
 constexpr std::size_t kMostAnswerBytes = 65'536;
 
@@ -161,7 +164,7 @@
   mSocket.close(ignored);
   mInput.clear();
   mParser.reset();
-  if (mTries >= kMostTries) {
+  if (mTries >= (aIsRunning ? kMostTries : kMostSilentTries)) {
     Finish(aIsRunning);
     return;
   }
--- a/tests/forward/test_processcheck.cpp
+++ b/tests/forward/test_processcheck.cpp
@@ -135,6 +135,19 @@
   BOOST_TEST(!Check(silent.Address()));
 }
 
+// A sound answer counts as broken since its server is busy or suspended for a
+// while.
+BOOST_AUTO_TEST_CASE(ServerThatIsSilentForAWhileCountsAsRunning)
+{
+  constexpr Milliseconds kSilence{ 900 };
+  const auto begin = std::chrono::steady_clock::now();
+  const FakeBackend slow([&](tcp::socket& aSocket, const std::string& aText) {
+    std::this_thread::sleep_until(begin + kSilence);
+    WriteBytes(aSocket, AnswerTo(aText, 200, "1000"));
+  });
+  BOOST_TEST(Check(slow.Address()));
+}
+
 // A time-out that passed while the entry was suspended decides.
 BOOST_AUTO_TEST_CASE(CheckThatWasSuspendedWaitsForItsAnswer)
 {
