Take no new process at a server's address for the one that answered

What callers saw: an answer of the loopback daemon without a length, complete after event 5 of 12, as its server was killed and started again.

Cause: at the end of such an answer the agent asked whether the address accepts connections. The next process there does, and the agent knows no start of it.

Why it works: when the head shows that an answer will end with its connection, the agent makes a second one. If the answer's is still open then, both belong to the same process, and its end closes both, whoever has the address afterwards; a server that ends the answer closes one. Where the answer has ended before, the address is asked as before.

--- a/src/libmedlarkeelnet/answerstream.cpp
+++ b/src/libmedlarkeelnet/answerstream.cpp
@@ -1,6 +1,7 @@
 #include "answerstream.h"
 
 #include "forwarding/answerbody.h"
+#include "processconnection.h"
 
 namespace medlarkeel {
 
@@ -78,12 +79,13 @@
 } // namespace
 
 NetResult<void>
-StreamAnswer(const HttpCall& aCall,
+StreamAnswer(HttpCall aCall,
              const AnswerLimits& aLimits,
              const HeadReader& aOnHead,
              const DataReader& aOnData)
 {
   BodyReader body(aLimits, aOnData);
+  aCall.mProcess = std::make_shared<ProcessConnection>(aCall.mUrl);
   const auto end = StreamHttp(
     aCall,
     [&](int aStatus, const HttpHeaders& aHeaders) {
@@ -98,7 +100,7 @@
     return end.error();
   }
   BOOST_OUTCOME_TRY(body.End(end.value()));
-  if (NeedsProcess(end.value()) && !AcceptsConnections(aCall.mUrl)) {
+  if (NeedsProcess(end.value()) && !aCall.mProcess->IsRunning()) {
     return BrokenAnswer(AnswerFault::ServerEnded);
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/libmedlarkeelnet/answerstream.h
+++ b/src/libmedlarkeelnet/answerstream.h
@@ -35,7 +35,7 @@
  *         framing. The error of a broken answer has a fault.
  */
 NetResult<void>
-StreamAnswer(const HttpCall& aCall,
+StreamAnswer(HttpCall aCall,
              const AnswerLimits& aLimits,
              const HeadReader& aOnHead,
              const DataReader& aOnData);
--- a/src/libmedlarkeelnet/httpclient.cpp
+++ b/src/libmedlarkeelnet/httpclient.cpp
@@ -1,15 +1,14 @@
 #include "httpclient.h"
 
 #include "preparedconnection.h"
+#include "processconnection.h"
 
 #include <curl/curl.h>
 
 #include <memory>
 #include <mutex>
-#include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
-#include <thread>
 
 namespace medlarkeel {
 
@@ -20,13 +19,6 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-/** Limits of a connection that shows whether a process runs: to be made, to be
- * reset by a process that is just ending, and until another one. */
-constexpr std::chrono::milliseconds kConnectTimeout{ 200 };
-constexpr std::chrono::milliseconds kSettleTime{ 10 };
-constexpr std::chrono::milliseconds kReconnectPause{ 20 };
-constexpr int kMostConnections = 2;
-
 /** Maximum size of all heads and trailers of one reply. */
 constexpr std::size_t kMaximumHeadBytes = 65'536;
 
@@ -66,6 +58,7 @@
   bool mIdleTooLong = false;
   bool mNothingSent = false;
   bool mTookConnection = false;
+  int mDescriptor = -1;
   SteadyClock::time_point mLastByte = SteadyClock::now();
 };
 
@@ -123,6 +116,47 @@
   }
 }
 
+/** @return Whether the last transfer coding is that of chunks. */
+bool
+IsChunked(std::string_view aCodings)
+{
+  const std::string_view last =
+    Trim(aCodings.substr(aCodings.find_last_of(',') + 1));
+  constexpr std::string_view kChunked = "chunked";
+  return last.size() == kChunked.size() &&
+         strncasecmp(last.data(), kChunked.data(), kChunked.size()) == 0;
+}
+
+/** @return How a transfer that libcurl reports as complete has ended. */
+TransferEnd
+EndOfTransfer(const Transfer& aTransfer)
+{
+  if (!aTransfer.mIsHeadComplete) {
+    return TransferEnd::CloseInHead;
+  }
+  const auto codings = aTransfer.mHeaders.find("Transfer-Encoding");
+  if (codings != aTransfer.mHeaders.end()) {
+    return IsChunked(codings->second) ? TransferEnd::LastChunk
+                                      : TransferEnd::Close;
+  }
+  const int status = aTransfer.mStatus;
+  const bool hasNoBody = aTransfer.mCall->mMethod == "HEAD" ||
+                         status == kNoContent || status == kNotModified;
+  return hasNoBody || aTransfer.mHeaders.count("Content-Length") > 0
+           ? TransferEnd::Length
+           : TransferEnd::Close;
+}
+
+/** Observes the server's process if the answer ends with its connection. */
+void
+BeginObserving(const Transfer& aTransfer)
+{
+  const auto& process = aTransfer.mCall->mProcess;
+  if (process && EndOfTransfer(aTransfer) == TransferEnd::Close) {
+    process->Begin(aTransfer.mDescriptor);
+  }
+}
+
 std::size_t
 OnHeaderLine(char* aData,
              std::size_t aSize,
@@ -143,6 +177,7 @@
     AddHeader(transfer.mHeaders, line);
   } else if (transfer.mStatus >= kLowestFinalStatus) {
     transfer.mIsHeadComplete = true;
+    BeginObserving(transfer);
     DeliverHead(transfer);
   }
   return line.size();
@@ -167,15 +202,16 @@
 {
   static_cast<void>(aPurpose);
   auto& transfer = *static_cast<Transfer*>(aTransfer);
-  const int prepared = transfer.mCall->mConnection->Release();
-  transfer.mTookConnection = prepared >= 0;
-  if (transfer.mTookConnection) {
-    return prepared;
-  }
-  return socket(aAddress->family,
-                aAddress->socktype |
-                  SOCK_CLOEXEC, // NOLINT(hicpp-signed-bitwise)
-                aAddress->protocol);
+  const auto& prepared = transfer.mCall->mConnection;
+  transfer.mDescriptor = prepared ? prepared->Release() : -1;
+  transfer.mTookConnection = transfer.mDescriptor >= 0;
+  if (!transfer.mTookConnection) {
+    transfer.mDescriptor =
+      socket(aAddress->family,
+             aAddress->socktype | SOCK_CLOEXEC, // NOLINT(hicpp-signed-bitwise)
+             aAddress->protocol);
+  }
+  return transfer.mDescriptor;
 }
 
 int
@@ -254,7 +290,7 @@
   curl_easy_setopt(aEasy, CURLOPT_HEADERDATA, &aTransfer);
   curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(aEasy, CURLOPT_WRITEDATA, &aTransfer);
-  if (aTransfer.mCall->mConnection) {
+  if (aTransfer.mCall->mConnection || aTransfer.mCall->mProcess) {
     curl_easy_setopt(aEasy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
     curl_easy_setopt(aEasy, CURLOPT_OPENSOCKETDATA, &aTransfer);
     curl_easy_setopt(aEasy, CURLOPT_SOCKOPTFUNCTION, &TellWhetherConnected);
@@ -286,6 +322,9 @@
     if (curl_multi_perform(aMulti, &running) != CURLM_OK) {
       return CURLE_GOT_NOTHING;
     }
+    if (aTransfer.mCall->mProcess) {
+      aTransfer.mCall->mProcess->Observe();
+    }
     if (running > 0 && MustStop(aTransfer)) {
       return CURLE_ABORTED_BY_CALLBACK;
     }
@@ -329,37 +368,6 @@
   return bytes == 0 && !aCall.mReuseConnection;
 }
 
-/** @return Whether the last transfer coding is that of chunks. */
-bool
-IsChunked(std::string_view aCodings)
-{
-  const std::string_view last =
-    Trim(aCodings.substr(aCodings.find_last_of(',') + 1));
-  constexpr std::string_view kChunked = "chunked";
-  return last.size() == kChunked.size() &&
-         strncasecmp(last.data(), kChunked.data(), kChunked.size()) == 0;
-}
-
-/** @return How a transfer that libcurl reports as complete has ended. */
-TransferEnd
-EndOfTransfer(const Transfer& aTransfer)
-{
-  if (!aTransfer.mIsHeadComplete) {
-    return TransferEnd::CloseInHead;
-  }
-  const auto codings = aTransfer.mHeaders.find("Transfer-Encoding");
-  if (codings != aTransfer.mHeaders.end()) {
-    return IsChunked(codings->second) ? TransferEnd::LastChunk
-                                      : TransferEnd::Close;
-  }
-  const int status = aTransfer.mStatus;
-  const bool hasNoBody = aTransfer.mCall->mMethod == "HEAD" ||
-                         status == kNoContent || status == kNotModified;
-  return hasNoBody || aTransfer.mHeaders.count("Content-Length") > 0
-           ? TransferEnd::Length
-           : TransferEnd::Close;
-}
-
 /** @return Why a call that libcurl reports as failed has no complete reply. */
 std::optional<AnswerFault>
 FaultOf(CURLcode aCode, const Transfer& aTransfer)
@@ -412,40 +420,6 @@
   return end;
 }
 
-enum class ConnectionState
-{
-  Refused,
-  Open,
-  /** It was closed or reset as soon as it stood. */
-  Closed
-};
-
-ConnectionState
-TryConnection(const std::string& aUrl)
-{
-  InitialiseLibrary();
-  const EasyHandle easy(curl_easy_init());
-  curl_easy_setopt(easy.get(), CURLOPT_URL, aUrl.c_str());
-  curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
-  curl_easy_setopt(easy.get(), CURLOPT_CONNECT_ONLY, 1L);
-  curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(
-    easy.get(), CURLOPT_CONNECTTIMEOUT_MS, long{ kConnectTimeout.count() });
-  curl_socket_t descriptor = CURL_SOCKET_BAD;
-  const bool isMade =
-    curl_easy_perform(easy.get()) == CURLE_OK &&
-    curl_easy_getinfo(easy.get(), CURLINFO_ACTIVESOCKET, &descriptor) ==
-      CURLE_OK &&
-    descriptor != CURL_SOCKET_BAD;
-  if (!isMade) {
-    return ConnectionState::Refused;
-  }
-  pollfd entry{ descriptor, POLLIN | POLLRDHUP, 0 };
-  const bool isQuiet =
-    poll(&entry, 1, static_cast<int>(kSettleTime.count())) == 0;
-  return isQuiet ? ConnectionState::Open : ConnectionState::Closed;
-}
-
 } // namespace
 
 NetResult<TransferEnd>
@@ -501,17 +475,4 @@
   return reply;
 }
 
-bool
-AcceptsConnections(const std::string& aUrl)
-{
-  for (int i = 0; i < kMostConnections; ++i) {
-    const ConnectionState state = TryConnection(aUrl);
-    if (state != ConnectionState::Closed) {
-      return state == ConnectionState::Open;
-    }
-    std::this_thread::sleep_for(kReconnectPause);
-  }
-  return true; // The server may have too many connections.
-}
-
 } // namespace medlarkeel
--- a/src/libmedlarkeelnet/httpclient.h
+++ b/src/libmedlarkeelnet/httpclient.h
@@ -13,6 +13,7 @@
 namespace medlarkeel {
 
 class PreparedConnection;
+class ProcessConnection;
 
 /** A request to send; the URL's host is an IP number. */
 struct HttpCall
@@ -35,6 +36,9 @@
   bool mReuseConnection = false;
   /** Used in place of a new connection if it still stands. */
   std::shared_ptr<PreparedConnection> mConnection;
+  /** Observes the server's process if the answer ends with its connection. Not
+   * with mReuseConnection. */
+  std::shared_ptr<ProcessConnection> mProcess;
   /** Asked every 50 ms while nothing arrives; true ends the call. */
   std::function<bool()> mShouldStop;
 };
@@ -75,14 +79,4 @@
            const HeadReader& aOnHead,
            const DataReader& aOnData);
 
-/**
- * Finds out whether the process behind an address still runs. The system closes
- * the connections of a process that was killed in order and refuses new ones.
- *
- * @param aUrl Its address is connected to; nothing is sent.
- * @return False if connections are refused or not made within 200 ms.
- */
-bool
-AcceptsConnections(const std::string& aUrl);
-
 } // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelnet/processconnection.cpp
@@ -0,0 +1,131 @@
+#include "processconnection.h"
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <mutex>
+#include <poll.h>
+#include <thread>
+
+namespace medlarkeel {
+
+namespace {
+
+/** Limits of a connection that shows whether a process runs: to be made, to be
+ * closed by a process that is just ending, and until another one. */
+constexpr std::chrono::milliseconds kConnectTimeout{ 200 };
+constexpr std::chrono::milliseconds kSettleTime{ 10 };
+constexpr std::chrono::milliseconds kReconnectPause{ 20 };
+constexpr int kMostConnections = 2;
+
+struct EasyDeleter
+{
+  void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
+};
+
+void
+InitialiseLibrary()
+{
+  static std::once_flag sInitialised;
+  std::call_once(sInitialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+/** @return Whether the peer has closed or reset a connection. */
+bool
+IsClosed(int aDescriptor, std::chrono::milliseconds aWait)
+{
+  pollfd entry{ aDescriptor, POLLRDHUP, 0 };
+  return poll(&entry, 1, static_cast<int>(aWait.count())) > 0;
+}
+
+} // namespace
+
+struct ProcessConnection::Connection
+{
+  explicit Connection(const std::string& aUrl)
+  {
+    InitialiseLibrary();
+    mEasy.reset(curl_easy_init());
+    curl_easy_setopt(mEasy.get(), CURLOPT_URL, aUrl.c_str());
+    curl_easy_setopt(mEasy.get(), CURLOPT_PROXY, "");
+    curl_easy_setopt(mEasy.get(), CURLOPT_CONNECT_ONLY, 1L);
+    curl_easy_setopt(mEasy.get(), CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(
+      mEasy.get(), CURLOPT_CONNECTTIMEOUT_MS, long{ kConnectTimeout.count() });
+    curl_socket_t descriptor = CURL_SOCKET_BAD;
+    const bool isMade =
+      curl_easy_perform(mEasy.get()) == CURLE_OK &&
+      curl_easy_getinfo(mEasy.get(), CURLINFO_ACTIVESOCKET, &descriptor) ==
+        CURLE_OK;
+    mDescriptor = isMade ? descriptor : CURL_SOCKET_BAD;
+  }
+
+  bool IsMade() const { return mDescriptor != CURL_SOCKET_BAD; }
+
+  std::unique_ptr<CURL, EasyDeleter> mEasy;
+  int mDescriptor = CURL_SOCKET_BAD;
+};
+
+bool
+AcceptsConnections(const std::string& aUrl)
+{
+  for (int i = 0; i < kMostConnections; ++i) {
+    const ProcessConnection::Connection connection(aUrl);
+    if (!connection.IsMade()) {
+      return false;
+    }
+    if (!IsClosed(connection.mDescriptor, kSettleTime)) {
+      return true;
+    }
+    std::this_thread::sleep_for(kReconnectPause);
+  }
+  return true; // The server may have too many connections.
+}
+
+ProcessConnection::ProcessConnection(std::string aUrl)
+  : mUrl(std::move(aUrl))
+{
+}
+
+ProcessConnection::~ProcessConnection() = default;
+
+void
+ProcessConnection::Begin(int aAnswer)
+{
+  constexpr std::chrono::milliseconds kNoWait{ 0 };
+  mAnswer = aAnswer;
+  mState = State::Unknown;
+  if (IsClosed(mAnswer, kNoWait)) {
+    return;
+  }
+  mConnection = std::make_unique<Connection>(mUrl);
+  const bool isOfProcess = mConnection->IsMade() && !IsClosed(mAnswer, kNoWait);
+  mState = isOfProcess ? State::Open : State::Unknown;
+}
+
+void
+ProcessConnection::Observe()
+{
+  constexpr std::chrono::milliseconds kNoWait{ 0 };
+  if (mState != State::Open || !IsClosed(mConnection->mDescriptor, kNoWait)) {
+    return;
+  }
+  if (IsClosed(mAnswer, kNoWait)) {
+    mState = State::Ended;
+  } else {
+    Begin(mAnswer);
+  }
+}
+
+bool
+ProcessConnection::IsRunning()
+{
+  if (mState == State::Open &&
+      IsClosed(mConnection->mDescriptor, kSettleTime)) {
+    mState = State::Ended;
+  }
+  return mState == State::Unknown ? AcceptsConnections(mUrl)
+                                  : mState == State::Open;
+}
+
+} // namespace medlarkeel
--- a/src/medlarkeeld/backendcall.cpp
+++ b/src/medlarkeeld/backendcall.cpp
@@ -51,7 +51,8 @@
   };
   HttpCall call = MakeCall(aBaseUrl, aRequest);
   call.mShouldStop = aShouldStop;
-  const auto ended = StreamAnswer(call, aRequest.mLimits, onHead, onData);
+  const auto ended =
+    StreamAnswer(std::move(call), aRequest.mLimits, onHead, onData);
   if (ended) {
     return { CallEnd::Complete, std::nullopt };
   }
--- a/tests/platform/streamplan.cpp
+++ b/tests/platform/streamplan.cpp
@@ -64,6 +64,27 @@
   return ": wait" + LineEnd() + LineEnd();
 }
 
+std::string
+StreamPlan::EventWithComment(int aNumber) const
+{
+  constexpr int kCommentInterval = 4;
+  const bool hasComment = aNumber % kCommentInterval == 0;
+  return (hasComment ? Comment() : "") + Event(aNumber);
+}
+
+std::string
+StreamPlan::Body() const
+{
+  if (mIsOpaque) {
+    return OpaqueBody();
+  }
+  std::string body;
+  for (int i = 1; i <= mEvents; ++i) {
+    body += EventWithComment(i);
+  }
+  return body;
+}
+
 std::string
 StreamPlan::OpaqueBody() const
 {
--- a/tests/platform/streamplan.h
+++ b/tests/platform/streamplan.h
@@ -79,7 +79,7 @@
   int mEvents = 5;
   std::chrono::milliseconds mPause{ 20 };
   /** Distinguishes the stream from all others. */
-  std::string mKey;
+  std::string mKey{ "key" };
 
   /** @return The path behind the route's prefix. */
   std::string Path() const;
@@ -94,9 +94,15 @@
   /** @return A comment that stands between events. */
   std::string Comment() const;
 
+  /** @return An event, behind a comment where one stands before it. */
+  std::string EventWithComment(int aNumber) const;
+
   /** @return The whole body if it is opaque. */
   std::string OpaqueBody() const;
 
+  /** @return The whole body. */
+  std::string Body() const;
+
   /** @return The Content-Type fields of the answer. */
   std::string TypeFields() const;
 
--- a/tests/platform/streamserver/main.cpp
+++ b/tests/platform/streamserver/main.cpp
@@ -27,7 +27,6 @@
 constexpr std::chrono::milliseconds kStreamTime{ 3000 };
 /** Pause inside an event that is written in two parts. */
 constexpr std::chrono::milliseconds kPauseInEvent{ 2 };
-constexpr int kCommentInterval = 4;
 
 std::atomic<int> sStreams{ 0 };
 
@@ -132,7 +131,7 @@
   {
     std::size_t size = mRest.size();
     for (int i = mFirst; i <= aLast; ++i) {
-      size += EventText(i).size();
+      size += mPlan.EventWithComment(i).size();
     }
     return size;
   }
@@ -154,12 +153,6 @@
            "\r\n";
   }
 
-  std::string EventText(int aNumber) const
-  {
-    const bool hasComment = aNumber % kCommentInterval == 0;
-    return (hasComment ? mPlan.Comment() : "") + mPlan.Event(aNumber);
-  }
-
   void Write(const std::string& aBytes)
   {
     if (!aBytes.empty()) {
@@ -171,7 +164,7 @@
   /** Each second event is written in two parts. */
   void WriteEvent(int aNumber)
   {
-    const std::string text = EventText(aNumber);
+    const std::string text = mPlan.EventWithComment(aNumber);
     const std::size_t half = aNumber % 2 == 0 ? text.size() / 2 : text.size();
     Write(text.substr(0, half));
     if (half < text.size()) {
@@ -196,9 +189,21 @@
          "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
+/** @return The path of the plan: that of a chat call stands in its body. */
+std::string
+PlanPath(const std::string& aPath, const std::string& aBody)
+{
+  const std::size_t begin = aBody.find("/plan/");
+  return begin == std::string::npos
+           ? aPath
+           : aBody.substr(begin, aBody.find('"', begin) - begin);
+}
+
 /** @return Whether the connection goes on. */
 bool
-ServeRequest(tcp::socket& aSocket, const std::string& aHead)
+ServeRequest(tcp::socket& aSocket,
+             const std::string& aHead,
+             const std::string& aBody)
 {
   constexpr int kOk = 200;
   constexpr int kNotFound = 404;
@@ -221,7 +226,11 @@
                                std::to_string(FLAGS_born) + "}"));
     return true;
   }
-  const auto plan = ParseStreamPlan(path);
+  if (path == "/stats") {
+    WriteBytes(aSocket, OwnAnswerText(kOk, "", "{}"));
+    return true;
+  }
+  const auto plan = ParseStreamPlan(PlanPath(path, aBody));
   if (!plan) {
     WriteBytes(aSocket, OwnAnswerText(kNotFound, fields, ""));
     return true;
@@ -255,8 +264,9 @@
                         boost::asio::transfer_exactly(length - input.size()),
                         error);
     }
+    const std::string body = input.substr(0, length);
     input.erase(0, length);
-    goesOn = !error && ServeRequest(aSocket, head);
+    goesOn = !error && ServeRequest(aSocket, head, body);
   }
 }
 
--- a/tests/processes/fleet.cpp
+++ b/tests/processes/fleet.cpp
@@ -292,6 +292,16 @@
     "fakeservice", kService, "service", std::move(aArguments), aZone);
 }
 
+BackendPair&
+Fleet::AddStreamServer(bool aIsModel)
+{
+  return AddPair("streamserver",
+                 aIsModel ? "proclamation" : kService,
+                 aIsModel ? "model" : "service",
+                 {},
+                 "xela-a");
+}
+
 void
 Fleet::RequireReady()
 {
--- a/tests/processes/fleet.h
+++ b/tests/processes/fleet.h
@@ -70,6 +70,10 @@
   BackendPair& AddService(std::vector<std::string> aArguments = {},
                           const std::string& aZone = "xela-a");
 
+  /** Adds a server of planned answers (StreamPlan) to the pool of models or to
+   * that of plain services. */
+  BackendPair& AddStreamServer(bool aIsModel);
+
   /** Sets what the settings of agents to come have beyond the usual. */
   void SetAgentSettings(const nlohmann::json& aPatch)
   {
