Watch the process of a server that tells no start

What callers saw: an answer of a plain service without a length, complete after event 5 of 15 or with half of its body.

Cause: where a server tells no start, the check after the end asked only whether its address accepts connections; the next process there does.

Evidence: serverends/RestartedPlainServerLeavesNoAnswerComplete without the change: 2 of 2 short answers, a stream and JSON, are complete.

Why it works: the same as at the agent. When the head shows that an answer will end with its connection, the entry makes a second one to the same process; the end of the process closes both, whoever serves the address afterwards. Model servers tell their start, so they get no further connection, and an answer that has ended when its head is read gets the check as before. A watch that servers close as idle is made anew, four times at most; the agent's has that bound too.

--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -5,6 +5,7 @@
 #include "answertext.h"
 #include "forwarder.h"
 #include "messageparser.h"
+#include "processwatch.h"
 
 #include <memory>
 #include <optional>
@@ -74,6 +75,9 @@
     std::optional<AnswerFault> mFault;
     /** When the server's process started, if its entry has it. */
     std::optional<Milliseconds> mProcessStartedAt;
+    /** Observes a process whose start can't be asked for while it sends an
+     * answer that ends with its connection. */
+    std::shared_ptr<ProcessWatch> mWatch;
     Timestamp mBegunAt;
     /** When the request was written to the connection. */
     Timestamp mSentAt;
@@ -137,6 +141,10 @@
   /** Finishes an answer whose transfer has ended without a fault, after a check
    * of the server's process if its end needs one. */
   void CompleteAnswer(const AttemptPointer& aAttempt);
+  /** Asks the server whether its process still runs. */
+  void CheckProcess(const AttemptPointer& aAttempt);
+  /** Finishes an answer, or ends it as broken if the process has ended. */
+  void FinishIfRunning(const AttemptPointer& aAttempt, bool aIsRunning);
   /** Passes a complete answer on, or decides what follows on a failure. */
   void FinishAnswer(const AttemptPointer& aAttempt);
   void EndAttempt(const AttemptPointer& aAttempt, AttemptOutcome aOutcome);
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -178,6 +178,14 @@
   }
   aAttempt->mParser = std::move(parser);
   aAttempt->mHasHead = true;
+  const bool tellsStart = mPool->mIsModel && aAttempt->mProcessStartedAt;
+  if (aAttempt->mParser->need_eof() && !tellsStart) {
+    aAttempt->mWatch =
+      std::make_shared<ProcessWatch>(mForwarder.Context(),
+                                     aAttempt->mChoice.mEndpoint,
+                                     aAttempt->mConnection->mSocket);
+    aAttempt->mWatch->Start();
+  }
   return true;
 }
 
@@ -398,6 +406,26 @@
     return;
   }
   mForwarder.Counters().mProcessChecks += 1;
+  if (!aAttempt->mWatch) {
+    CheckProcess(aAttempt);
+    return;
+  }
+  aAttempt->mWatch->Conclude(
+    [self = shared_from_this(), aAttempt](std::optional<bool> aIsRunning) {
+      if (self->mIsDone || self->mAttempt != aAttempt) {
+        return;
+      }
+      if (aIsRunning) {
+        self->FinishIfRunning(aAttempt, *aIsRunning);
+      } else {
+        self->CheckProcess(aAttempt);
+      }
+    });
+}
+
+void
+Exchange::CheckProcess(const AttemptPointer& aAttempt)
+{
   CheckedProcess process;
   process.mId = aAttempt->mChoice.mId;
   process.mEndpoint = aAttempt->mChoice.mEndpoint;
@@ -411,15 +439,21 @@
       if (self->mIsDone || self->mAttempt != aAttempt) {
         return;
       }
-      if (aIsRunning) {
-        self->FinishAnswer(aAttempt);
-      } else {
-        self->EndBroken(aAttempt, AnswerFault::ServerEnded);
-      }
+      self->FinishIfRunning(aAttempt, aIsRunning);
     })
     ->Start();
 }
 
+void
+Exchange::FinishIfRunning(const AttemptPointer& aAttempt, bool aIsRunning)
+{
+  if (aIsRunning) {
+    FinishAnswer(aAttempt);
+  } else {
+    EndBroken(aAttempt, AnswerFault::ServerEnded);
+  }
+}
+
 void
 Exchange::FinishAnswer(const AttemptPointer& aAttempt)
 {
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -310,6 +310,9 @@
 Exchange::ReleaseAttempt(const AttemptPointer& aAttempt, bool aIsReusable)
 {
   mForwarder.Chooser().RecordEnded(aAttempt->mChoice, aAttempt->mHasFirstByte);
+  if (aAttempt->mWatch) {
+    aAttempt->mWatch->Stop();
+  }
   const BackendConnectionPointer connection = aAttempt->mConnection;
   if (connection) {
     const bool isReusable = aIsReusable && aAttempt->mIsRequestWritten &&
--- a/src/libmedlarkeelforward/processcheck.cpp
+++ b/src/libmedlarkeelforward/processcheck.cpp
@@ -17,8 +17,8 @@
 /** Pause between two tries. */
 constexpr Milliseconds kRetryPause{ 20 };
 constexpr int kMostTries = 2;
-/** Tries at a process that is silent, as when it is suspended or its instance is
- * busy. They take less time than callers wait for an event. */
+/** Tries at a process that is silent, as when it is suspended or its instance
+ * is busy. They take less time than callers wait for an event. */
 constexpr int kMostSilentTries = 7;
 
 constexpr std::size_t kMostAnswerBytes = 65'536;
--- a/src/libmedlarkeelforward/processcheck.h
+++ b/src/libmedlarkeelforward/processcheck.h
@@ -44,7 +44,7 @@
                CheckedProcess aProcess,
                Handler aHandler);
 
-  /** Calls the handler once, within a second. */
+  /** Calls the handler once, within two seconds. */
   void Start();
 
 private:
--- /dev/null
+++ b/src/libmedlarkeelforward/processwatch.cpp
@@ -0,0 +1,133 @@
+#include "processwatch.h"
+
+#include <poll.h>
+
+namespace medlarkeel {
+
+namespace {
+
+/** Time in which the connections of a process that is ending are closed. */
+constexpr Milliseconds kSettleTime{ 10 };
+
+/** Connections for one answer; servers close those that are idle, and reset
+ * those that are too many. */
+constexpr int kMostConnections = 4;
+
+} // namespace
+
+ProcessWatch::ProcessWatch(boost::asio::io_context& aContext,
+                           const Endpoint& aEndpoint,
+                           boost::asio::ip::tcp::socket& aAnswer)
+  : mEndpoint(aEndpoint)
+  , mAnswer(&aAnswer)
+  , mSocket(aContext)
+  , mTimer(aContext)
+{
+}
+
+void
+ProcessWatch::Start()
+{
+  Connect();
+}
+
+bool
+ProcessWatch::IsAnswerClosed() const
+{
+  if (mAnswer == nullptr || !mAnswer->is_open()) {
+    return true;
+  }
+  pollfd entry{ mAnswer->native_handle(), POLLRDHUP, 0 };
+  return poll(&entry, 1, 0) > 0;
+}
+
+void
+ProcessWatch::Connect()
+{
+  mState = State::Unknown;
+  if (IsAnswerClosed() || mConnections >= kMostConnections) {
+    return;
+  }
+  mConnections += 1;
+  const boost::asio::ip::tcp::endpoint endpoint(
+    boost::asio::ip::make_address(mEndpoint.mAddress), mEndpoint.mPort);
+  mSocket.async_connect(endpoint,
+                        [self = shared_from_this()](const Error& aError) {
+                          if (!aError && !self->IsAnswerClosed()) {
+                            self->mState = State::Open;
+                            self->Read();
+                          }
+                        });
+}
+
+void
+ProcessWatch::Read()
+{
+  mSocket.async_read_some(
+    boost::asio::buffer(mBuffer),
+    [self = shared_from_this()](const Error& aError, std::size_t) {
+      if (aError == boost::asio::error::operation_aborted) {
+        return;
+      }
+      if (aError) {
+        self->HandleEnd();
+      } else {
+        self->Read();
+      }
+    });
+}
+
+void
+ProcessWatch::HandleEnd()
+{
+  Error ignored; // The server has closed the connection.
+  mSocket.close(ignored);
+  if (!IsAnswerClosed()) {
+    Connect();
+    return;
+  }
+  mState = State::Ended;
+  Finish();
+}
+
+void
+ProcessWatch::Conclude(Handler aHandler)
+{
+  mAnswer = nullptr;
+  mHandler = std::move(aHandler);
+  if (mState != State::Open) {
+    Finish();
+    return;
+  }
+  mTimer.expires_after(kSettleTime);
+  mTimer.async_wait([self = shared_from_this()](const Error& aError) {
+    if (!aError) {
+      self->Finish();
+    }
+  });
+}
+
+void
+ProcessWatch::Finish()
+{
+  const Handler handler = std::exchange(mHandler, nullptr);
+  if (!handler) {
+    return;
+  }
+  const State state = mState;
+  Stop();
+  handler(state == State::Unknown ? std::nullopt
+                                  : std::optional<bool>(state == State::Open));
+}
+
+void
+ProcessWatch::Stop()
+{
+  mAnswer = nullptr;
+  mHandler = nullptr;
+  Error ignored; // Nothing more is expected from this connection.
+  mSocket.close(ignored);
+  mTimer.cancel();
+}
+
+} // namespace medlarkeel
--- /dev/null
+++ b/src/libmedlarkeelforward/processwatch.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "../libmedlarkeel/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace medlarkeel {
+
+/**
+ * A connection to a backend server that is open while an answer arrives that
+ * ends with its own connection. The end of the server's process closes both, a
+ * server that ends the answer only one. Nothing is sent.
+ *
+ * It belongs to the process that answers if the answer's connection was still
+ * open after it had been made.
+ */
+class ProcessWatch : public std::enable_shared_from_this<ProcessWatch>
+{
+public:
+  /** Gets whether the process that answered still runs; nothing if there was no
+   * connection to it. */
+  using Handler = std::function<void(std::optional<bool> aIsRunning)>;
+
+  /** @param aAnswer The connection of the answer; used until Stop. */
+  ProcessWatch(boost::asio::io_context& aContext,
+               const Endpoint& aEndpoint,
+               boost::asio::ip::tcp::socket& aAnswer);
+
+  void Start();
+
+  /** Ends the watch when the answer has ended, and calls the handler once. */
+  void Conclude(Handler aHandler);
+
+  /** Ends the watch without a result. */
+  void Stop();
+
+private:
+  using Error = boost::system::error_code;
+
+  enum class State
+  {
+    /** There is no connection that belongs to the process. */
+    Unknown,
+    Open,
+    /** It was closed together with that of the answer. */
+    Ended
+  };
+
+  void Connect();
+  void Read();
+  void HandleEnd();
+  bool IsAnswerClosed() const;
+  void Finish();
+
+  Endpoint mEndpoint;
+  boost::asio::ip::tcp::socket* mAnswer;
+  boost::asio::ip::tcp::socket mSocket;
+  boost::asio::steady_timer mTimer;
+  std::array<char, 256> mBuffer{};
+  Handler mHandler;
+  State mState = State::Unknown;
+  int mConnections = 0;
+};
+
+} // namespace medlarkeel
--- a/src/libmedlarkeelnet/processconnection.cpp
+++ b/src/libmedlarkeelnet/processconnection.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds kSettleTime{ 10 };
 constexpr std::chrono::milliseconds kReconnectPause{ 20 };
 constexpr int kMostConnections = 2;
+/** Connections for one answer; servers close those that are idle, and reset
+ * those that are too many. */
+constexpr int kMostObservers = 4;
 
 struct EasyDeleter
 {
@@ -95,9 +98,10 @@
   constexpr std::chrono::milliseconds kNoWait{ 0 };
   mAnswer = aAnswer;
   mState = State::Unknown;
-  if (IsClosed(mAnswer, kNoWait)) {
+  if (IsClosed(mAnswer, kNoWait) || mConnections >= kMostObservers) {
     return;
   }
+  mConnections += 1;
   mConnection = std::make_unique<Connection>(mUrl);
   const bool isOfProcess = mConnection->IsMade() && !IsClosed(mAnswer, kNoWait);
   mState = isOfProcess ? State::Open : State::Unknown;
--- a/src/libmedlarkeelnet/processconnection.h
+++ b/src/libmedlarkeelnet/processconnection.h
@@ -59,6 +59,7 @@
 
   std::string mUrl;
   int mAnswer = -1;
+  int mConnections = 0;
   State mState = State::Unknown;
   std::unique_ptr<Connection> mConnection;
 };
--- a/tests/platform/test_serverends.cpp
+++ b/tests/platform/test_serverends.cpp
@@ -94,6 +94,36 @@
   }
 }
 
+// The next process of a server that tells no start passes for the one that
+// ended.
+BOOST_FIXTURE_TEST_CASE(RestartedPlainServerLeavesNoAnswerComplete,
+                        EndingServers)
+{
+  ServerProcess desk(Store(), "desk-1", Folder(), "desk");
+  for (const bool isOpaque : { false, true }) {
+    StreamCall call;
+    call.mRoute = "/once/";
+    call.mPlan.mFraming = PlannedFraming::Close;
+    call.mPlan.mIsOpaque = isOpaque;
+    call.mPlan.mType = isOpaque ? PlannedType::Other : PlannedType::EventStream;
+    call.mPlan.mPause = Milliseconds(isOpaque ? 400 : 30);
+    call.mPlan.mEvents = 15;
+    StreamCaller caller("plain");
+    BOOST_TEST(WaitUntil(std::chrono::seconds(5), [&]() {
+      return caller.Ask(*mEntry, call).mIsComplete;
+    }));
+    auto answer = std::async(std::launch::async,
+                             [&]() { return caller.Ask(*mEntry, call); });
+    std::this_thread::sleep_for(kTimeToDisruption);
+    mEntry->mProcess->Signal(SIGSTOP);
+    desk.Restart();
+    mEntry->mProcess->Signal(SIGCONT);
+    const StreamResult result = answer.get();
+    BOOST_TEST(result.mViolation == "");
+    BOOST_TEST(!result.mIsComplete);
+  }
+}
+
 // The end of an entry passes for the end of a stream of a caller without
 // chunks.
 BOOST_FIXTURE_TEST_CASE(KilledEntryLeavesNoStreamComplete, EndingServers)
