--- a/tests/platform/test_streamsoak.cpp
+++ b/tests/platform/test_streamsoak.cpp
@@ -33,7 +33,8 @@
 constexpr const char* kRoutes[] = { "/stream/",
                                     "/kept/",
                                     "/repeated/",
-                                    "/changing/" };
+                                    "/changing/",
+                                    "/plain/" };
 
 /** Size of events that a caller who reads slowly leaves at the entry. */
 constexpr int kLargePadding = 200'000;
@@ -129,9 +130,15 @@
       mProcesses.push_back(std::make_unique<ServerProcess>(
         Store(), "model-" + std::to_string(i), Folder()));
     }
+    for (int i = 1; i <= std::max(1, aSize.mServers / 2); ++i) {
+      mProcesses.push_back(std::make_unique<ServerProcess>(
+        Store(), "plain-" + std::to_string(i), Folder(), "plain"));
+    }
     for (int i = 1; i <= kCalmServers; ++i) {
-      mCalmServers.push_back(std::make_unique<ServerProcess>(
-        Store(), "calm-" + std::to_string(i), Folder(), "calm"));
+      for (const std::string service : { "calm", "calm-plain" }) {
+        mCalmServers.push_back(std::make_unique<ServerProcess>(
+          Store(), service + "-" + std::to_string(i), Folder(), service));
+      }
     }
     AddRoutes();
     mCalmEntry = &StartEntry();
@@ -206,6 +213,8 @@
     auto& document = Document();
     document["services"].push_back(
       { { "name", "calm" }, { "engine", nlohmann::json::object() } });
+    document["services"].push_back({ { "name", "plain" } });
+    document["services"].push_back({ { "name", "calm-plain" } });
     nlohmann::json route = document["routes"][2];
     const auto add = [&](const std::string& aPrefix, const char* aKind) {
       route["name"] = aPrefix;
@@ -221,6 +230,10 @@
     add("/calm-kept/", "non_idempotent");
     add("/calm-repeated/", "idempotent");
     add("/calm-changing/", "streaming");
+    route["service"] = "calm-plain";
+    add("/calm-plain/", "non_idempotent");
+    route["service"] = "plain";
+    add("/plain/", "non_idempotent");
     PublishDocument();
   }
 
