--- a/tests/core/test_eventframer.cpp
+++ b/tests/core/test_eventframer.cpp
@@ -126,7 +126,8 @@
   const std::string eventEnd = lineEnd + lineEnd;
   std::string body;
   for (int i = 0; i < count; ++i) {
-    body += "id: " + std::to_string(i) + lineEnd + "data: x" + eventEnd;
+    body.append("id: ").append(std::to_string(i)).append(lineEnd);
+    body.append("data: x").append(eventEnd);
   }
   EventFramer framer;
   std::string forwarded;
--- a/tests/platform/test_streamsoak.cpp
+++ b/tests/platform/test_streamsoak.cpp
@@ -522,6 +522,7 @@
 {
   std::atomic<int> disruptions{ 0 };
   std::vector<std::thread> disruptors;
+  disruptors.reserve(kDisruptors);
   const auto end = Clock::now() + aTime;
   for (int i = 0; i < kDisruptors; ++i) {
     disruptors.emplace_back([&, i]() {
@@ -549,6 +550,7 @@
   const int all = aSize.mCallers + kCalmCallers;
   std::vector<std::string> violations(static_cast<std::size_t>(all));
   std::vector<std::thread> callers;
+  callers.reserve(violations.size());
   for (int i = 0; i < all; ++i) {
     const auto call = i < aSize.mCallers ? CallUntil : CallCalmly;
     callers.emplace_back([&, i, call]() {
--- a/tests/support/loopback.cpp
+++ b/tests/support/loopback.cpp
@@ -103,7 +103,7 @@
     mInput.append(buffer.data(), size);
   }
   const std::size_t end = FindHeadEnd(mInput).value_or(mInput.size());
-  const std::string head = mInput.substr(0, end);
+  std::string head = mInput.substr(0, end);
   mInput.erase(0, end);
   return head;
 }
