Let no sound answer break at a server that has just started

What callers saw: whole streams of a model server without a length that were broken off behind their last event, for as long as the directory didn't tell that the server has started anew.

Cause: the check after the end compared the start that the process tells with the one of the directory, which was that of the process before.

Why it works: the watch made at the head belongs to the process that answers, whatever the directory knows, so it decides for all servers; the comparison stays for answers that have ended when their head is read. It takes the connection that the check took, for longer. A server that has too many connections resets it at once and gets no further one.

A proxy that holds connections for its servers hides their ends from the watch; the comparison of starts told some of them. Backend servers are called directly on the platform.

--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -75,8 +75,8 @@
     std::optional<AnswerFault> mFault;
     /** When the server's process started, if its entry has it. */
     std::optional<Milliseconds> mProcessStartedAt;
-    /** Observes a process whose start can't be asked for while it sends an
-     * answer that ends with its connection. */
+    /** Observes the process while it sends an answer that ends with its
+     * connection. */
     std::shared_ptr<ProcessWatch> mWatch;
     Timestamp mBegunAt;
     /** When the request was written to the connection. */
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -178,8 +178,7 @@
   }
   aAttempt->mParser = std::move(parser);
   aAttempt->mHasHead = true;
-  const bool tellsStart = mPool->mIsModel && aAttempt->mProcessStartedAt;
-  if (aAttempt->mParser->need_eof() && !tellsStart) {
+  if (aAttempt->mParser->need_eof()) {
     aAttempt->mWatch =
       std::make_shared<ProcessWatch>(mForwarder.Context(),
                                      aAttempt->mChoice.mEndpoint,
--- a/src/libmedlarkeelforward/processwatch.cpp
+++ b/src/libmedlarkeelforward/processwatch.cpp
@@ -1,5 +1,7 @@
 #include "processwatch.h"
 
+#include "../libmedlarkeelnet/bootclock.h"
+
 #include <poll.h>
 
 namespace medlarkeel {
@@ -9,10 +11,13 @@
 /** Time in which the connections of a process that is ending are closed. */
 constexpr Milliseconds kSettleTime{ 10 };
 
-/** Connections for one answer; servers close those that are idle, and reset
- * those that are too many. */
+/** Connections for one answer; servers close those that are idle. */
 constexpr int kMostConnections = 4;
 
+/** Time after which a server has accepted a connection for good. A server that
+ * has too many resets it at once, and gets no further one. */
+constexpr Microseconds kAcceptTime = std::chrono::milliseconds(100);
+
 } // namespace
 
 ProcessWatch::ProcessWatch(boost::asio::io_context& aContext,
@@ -44,7 +49,6 @@
 void
 ProcessWatch::Connect()
 {
-  mState = State::Unknown;
   if (IsAnswerClosed() || mConnections >= kMostConnections) {
     return;
   }
@@ -55,6 +59,7 @@
                         [self = shared_from_this()](const Error& aError) {
                           if (!aError && !self->IsAnswerClosed()) {
                             self->mState = State::Open;
+                            self->mConnectedAt = BootNow();
                             self->Read();
                           }
                         });
@@ -83,7 +88,10 @@
   Error ignored; // The server has closed the connection.
   mSocket.close(ignored);
   if (!IsAnswerClosed()) {
-    Connect();
+    mState = State::Unknown;
+    if (BootNow() - mConnectedAt > kAcceptTime) {
+      Connect();
+    }
     return;
   }
   mState = State::Ended;
--- a/src/libmedlarkeelforward/processwatch.h
+++ b/src/libmedlarkeelforward/processwatch.h
@@ -66,6 +66,7 @@
   std::array<char, 256> mBuffer{};
   Handler mHandler;
   State mState = State::Unknown;
+  Timestamp mConnectedAt;
   int mConnections = 0;
 };
 
--- a/tests/platform/test_serverends.cpp
+++ b/tests/platform/test_serverends.cpp
@@ -124,6 +124,24 @@
   }
 }
 
+// A sound stream of a new process counts as broken until the directory tells
+// its start.
+BOOST_FIXTURE_TEST_CASE(SoundStreamsOfARestartedServerAreWhole, EndingServers)
+{
+  Store().SetTrouble(StoreTrouble::Silent);
+  mServers[0]->Restart();
+  mServers[1]->Restart();
+  StreamCall call;
+  call.mPlan.mFraming = PlannedFraming::Close;
+  for (int i = 0; i < 4; ++i) {
+    StreamCaller caller("sound" + std::to_string(i));
+    const StreamResult result = caller.Ask(*mEntry, call);
+    BOOST_TEST(result.mStatus == 200);
+    BOOST_TEST(result.mEvents == call.mPlan.mEvents);
+    BOOST_TEST(result.mIsComplete);
+  }
+}
+
 // The end of an entry passes for the end of a stream of a caller without
 // chunks.
 BOOST_FIXTURE_TEST_CASE(KilledEntryLeavesNoStreamComplete, EndingServers)
