Tell a server that is full from a process that ends by the reset

What callers saw: an answer of a plain service without a length, complete after event 2 of 12, as its server was killed and started again 58 ms after the head.

Cause: a watch that ended within 100 ms counted as refused by a full server, also when it was closed in order; the check that followed met the next process.

The log of the entry has "end":"close" 69 ms after the request, and the directory tells the restart 85 ms later.

Why it works: a full server resets a connection; the system closes those of a process that ends in order where nothing unread is left, and nothing is sent on a watch.

The test's full server closed connections in order, since asio's destructor takes a reset back; it resets them now.

--- a/src/libmedlarkeelforward/processwatch.cpp
+++ b/src/libmedlarkeelforward/processwatch.cpp
@@ -75,7 +75,7 @@
         return;
       }
       if (aError) {
-        self->HandleEnd();
+        self->HandleEnd(aError);
       } else {
         self->Read();
       }
@@ -83,7 +83,7 @@
 }
 
 void
-ProcessWatch::HandleEnd()
+ProcessWatch::HandleEnd(const Error& aError)
 {
   Error ignored; // The server has closed the connection.
   mSocket.close(ignored);
@@ -92,7 +92,9 @@
     Finish();
     return;
   }
-  if (BootNow() - mConnectedAt <= kAcceptTime) {
+  const bool isRefused = aError == boost::asio::error::connection_reset &&
+                         BootNow() - mConnectedAt <= kAcceptTime;
+  if (isRefused) {
     mState = State::Unknown;
     return;
   }
--- a/src/libmedlarkeelforward/processwatch.h
+++ b/src/libmedlarkeelforward/processwatch.h
@@ -60,7 +60,7 @@
   void Connect();
   void Read();
   /** Handles the end of the watch's own connection. */
-  void HandleEnd();
+  void HandleEnd(const Error& aError);
   bool IsAnswerClosed() const;
   /** Calls the handler if there is one. */
   void Finish();
--- a/tests/forward/test_processwatch.cpp
+++ b/tests/forward/test_processwatch.cpp
@@ -90,6 +90,7 @@
       aKept.pop_back();
     } else if (mSilent == SilentConnections::Reset) {
       aKept.back().set_option(boost::asio::socket_base::linger(true, 0));
+      aKept.back().close(); // The destructor wouldn't reset it.
       aKept.pop_back();
     }
   }
