--- a/tests/platform/test_streamsoak.cpp
+++ b/tests/platform/test_streamsoak.cpp
@@ -25,8 +25,8 @@
 
 /** Servers that aren't disrupted, and callers that use only them and an entry
  * that isn't disrupted. */
-constexpr int kCalmServers = 2;
-constexpr int kCalmCallers = 4;
+constexpr int kSoundServers = 2;
+constexpr int kSoundCallers = 4;
 
 /** Prefixes of the routes to the disrupted servers, but for the one whose
  * streams may be resumed. */
@@ -134,21 +134,21 @@
       mProcesses.push_back(std::make_unique<ServerProcess>(
         Store(), "plain-" + std::to_string(i), Folder(), "plain"));
     }
-    for (int i = 1; i <= kCalmServers; ++i) {
-      for (const std::string service : { "calm", "calm-plain" }) {
-        mCalmServers.push_back(std::make_unique<ServerProcess>(
+    for (int i = 1; i <= kSoundServers; ++i) {
+      for (const std::string service : { "sound", "sound-plain" }) {
+        mSoundServers.push_back(std::make_unique<ServerProcess>(
           Store(), service + "-" + std::to_string(i), Folder(), service));
       }
     }
     AddRoutes();
-    mCalmEntry = &StartEntry();
+    mSoundEntry = &StartEntry();
     for (int i = 0; i < aSize.mEntries; ++i) {
       mStarted.push_back(&StartEntry());
     }
     for (const EntryProcess* entry : mStarted) {
       BOOST_REQUIRE_MESSAGE(WaitReady(*entry), entry->mProcess->Log());
     }
-    BOOST_REQUIRE(WaitReady(*mCalmEntry));
+    BOOST_REQUIRE(WaitReady(*mSoundEntry));
     mRenewer = std::thread([this]() { Renew(); });
   }
 
@@ -162,10 +162,10 @@
   StreamFleet& operator=(const StreamFleet&) = delete;
 
   std::vector<EntryProcess*>& Entries() { return mStarted; }
-  EntryProcess& CalmEntry() { return *mCalmEntry; }
-  std::vector<std::unique_ptr<ServerProcess>>& CalmServers()
+  EntryProcess& SoundEntry() { return *mSoundEntry; }
+  std::vector<std::unique_ptr<ServerProcess>>& SoundServers()
   {
-    return mCalmServers;
+    return mSoundServers;
   }
 
   /** Locks an entry, so that its process isn't replaced meanwhile. */
@@ -188,7 +188,7 @@
       }
     }
     PublishDocument();
-    mCalmEntry->mProcess->Signal(SIGHUP);
+    mSoundEntry->mProcess->Signal(SIGHUP);
   }
   std::vector<std::unique_ptr<ServerProcess>>& Servers() { return mProcesses; }
 
@@ -212,9 +212,9 @@
   {
     auto& document = Document();
     document["services"].push_back(
-      { { "name", "calm" }, { "engine", nlohmann::json::object() } });
+      { { "name", "sound" }, { "engine", nlohmann::json::object() } });
     document["services"].push_back({ { "name", "plain" } });
-    document["services"].push_back({ { "name", "calm-plain" } });
+    document["services"].push_back({ { "name", "sound-plain" } });
     nlohmann::json route = document["routes"][2];
     const auto add = [&](const std::string& aPrefix, const char* aKind) {
       route["name"] = aPrefix;
@@ -225,13 +225,13 @@
     add("/kept/", "non_idempotent");
     add("/repeated/", "idempotent");
     add("/changing/", "streaming");
-    route["service"] = "calm";
-    add("/calm-stream/", "streaming");
-    add("/calm-kept/", "non_idempotent");
-    add("/calm-repeated/", "idempotent");
-    add("/calm-changing/", "streaming");
-    route["service"] = "calm-plain";
-    add("/calm-plain/", "non_idempotent");
+    route["service"] = "sound";
+    add("/sound-stream/", "streaming");
+    add("/sound-kept/", "non_idempotent");
+    add("/sound-repeated/", "idempotent");
+    add("/sound-changing/", "streaming");
+    route["service"] = "sound-plain";
+    add("/sound-plain/", "non_idempotent");
     route["service"] = "plain";
     add("/plain/", "non_idempotent");
     PublishDocument();
@@ -243,7 +243,7 @@
       for (const auto& server : mProcesses) {
         server->Publish();
       }
-      for (const auto& server : mCalmServers) {
+      for (const auto& server : mSoundServers) {
         server->Publish();
       }
       std::this_thread::sleep_for(kRenewInterval);
@@ -251,10 +251,10 @@
   }
 
   std::vector<std::unique_ptr<ServerProcess>> mProcesses;
-  std::vector<std::unique_ptr<ServerProcess>> mCalmServers;
+  std::vector<std::unique_ptr<ServerProcess>> mSoundServers;
   std::vector<EntryProcess*> mStarted;
   std::vector<std::mutex> mEntryMutexes;
-  EntryProcess* mCalmEntry = nullptr;
+  EntryProcess* mSoundEntry = nullptr;
   std::mutex mDocumentMutex;
   std::atomic<bool> mIsRenewing{ true };
   std::thread mRenewer;
@@ -359,16 +359,16 @@
 
 /** Suspends a server of sound answers or their entry; no answer is lost. */
 void
-PauseCalmProcess(StreamFleet& aFleet, Dice& aDice)
+PauseSoundProcess(StreamFleet& aFleet, Dice& aDice)
 {
   const Milliseconds pause = aDice.Pause(20, 900);
   if (aDice.Chance(0.3)) {
-    aFleet.CalmEntry().mProcess->Signal(SIGSTOP);
+    aFleet.SoundEntry().mProcess->Signal(SIGSTOP);
     std::this_thread::sleep_for(pause);
-    aFleet.CalmEntry().mProcess->Signal(SIGCONT);
+    aFleet.SoundEntry().mProcess->Signal(SIGCONT);
     return;
   }
-  ServerProcess& server = *aDice.Pick(aFleet.CalmServers());
+  ServerProcess& server = *aDice.Pick(aFleet.SoundServers());
   server.Pause();
   std::this_thread::sleep_for(pause);
   server.Continue();
@@ -383,11 +383,11 @@
 }
 
 constexpr Disruption kDisruptions[] = {
-  KillServer,      KillServer,     PauseServer,
-  StopServer,      KillEntry,      PauseEntry,
-  StopEntry,       KillAllServers, RestartServerBehindPausedEntry,
-  ChangeDocument,  TroubleStore,   PauseCalmProcess,
-  PauseCalmProcess
+  KillServer,       KillServer,     PauseServer,
+  StopServer,       KillEntry,      PauseEntry,
+  StopEntry,        KillAllServers, RestartServerBehindPausedEntry,
+  ChangeDocument,   TroubleStore,   PauseSoundProcess,
+  PauseSoundProcess
 };
 
 /** Draws the form of a sound answer and how it is asked for. */
@@ -434,19 +434,19 @@
 /** A caller whose answers are sound and come from servers and through an entry
  * that aren't disrupted: each one has to be whole. */
 void
-CallCalmly(const std::atomic<bool>& aIsOver,
-           StreamFleet& aFleet,
-           const std::string& aName,
-           std::uint64_t aSeed,
-           SoakCounts& aCounts,
-           std::string& aViolation)
+CallForSoundAnswers(const std::atomic<bool>& aIsOver,
+                    StreamFleet& aFleet,
+                    const std::string& aName,
+                    std::uint64_t aSeed,
+                    SoakCounts& aCounts,
+                    std::string& aViolation)
 {
   Dice dice(aSeed);
   StreamCaller caller(aName);
   for (int i = 0; !aIsOver && aViolation.empty(); ++i) {
     StreamCall call = DrawSoundCall(dice, aName + "s" + std::to_string(i));
-    call.mRoute = "/calm-" + call.mRoute.substr(1);
-    const StreamResult result = caller.Ask(aFleet.CalmEntry(), call);
+    call.mRoute = "/sound-" + call.mRoute.substr(1);
+    const StreamResult result = caller.Ask(aFleet.SoundEntry(), call);
     aCounts.mSound += 1;
     aViolation = result.mViolation;
     if (!result.mIsComplete && result.mStatus != kUnavailable) {
@@ -547,12 +547,12 @@
   CheckSoundStreams(fleet, "before");
   SoakCounts counts;
   std::atomic<bool> isOver{ false };
-  const int all = aSize.mCallers + kCalmCallers;
+  const int all = aSize.mCallers + kSoundCallers;
   std::vector<std::string> violations(static_cast<std::size_t>(all));
   std::vector<std::thread> callers;
   callers.reserve(violations.size());
   for (int i = 0; i < all; ++i) {
-    const auto call = i < aSize.mCallers ? CallUntil : CallCalmly;
+    const auto call = i < aSize.mCallers ? CallUntil : CallForSoundAnswers;
     callers.emplace_back([&, i, call]() {
       call(isOver,
            fleet,
