Show which answers twofaults loses

Which callers were affected: none.

It now prints status, size and end of each answer that isn't whole and, where it fails, the logs of all processes. Check and bound are unchanged.

--- a/tests/processes/test_twofaults.cpp
+++ b/tests/processes/test_twofaults.cpp
@@ -2,9 +2,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <sstream>
 #include <string>
 #include <sys/wait.h>
 #include <thread>
@@ -18,7 +20,8 @@
 using std::chrono::seconds;
 using std::chrono::steady_clock;
 
-constexpr std::size_t kLongAnswer = 900; // tokens
+constexpr std::size_t kLongAnswer = 900;    // tokens
+constexpr std::size_t kShownOfAnswer = 300; // bytes
 
 /** Two services in two zones, one of which runs a confirmation. */
 struct Confirmation
@@ -158,14 +161,28 @@
   leaving.mAgent->Signal(SIGTERM);
   killed.mAgent->Kill();
   std::size_t whole = 0;
+  std::ostringstream lost;
   for (std::size_t number = 0; number < kStreams; ++number) {
     const std::string marker = "m" + std::to_string(number);
     const auto answer = answers[number].get();
     CheckIsWholeOrAnError(answer, marker, 60);
-    whole += IsWhole(answer, marker, 60) ? 1 : 0;
+    if (IsWhole(answer, marker, 60)) {
+      ++whole;
+    } else {
+      lost << marker << ": status " << answer.mStatus << ", "
+           << answer.mBody.size() << " bytes, ends with "
+           << answer.mBody.substr(
+                answer.mBody.size() -
+                std::min<std::size_t>(answer.mBody.size(), kShownOfAnswer))
+           << '\n';
+    }
   }
   // Only what ran at the killed agent may be lost.
+  BOOST_TEST_INFO(lost.str());
   BOOST_TEST(whole >= kStreams - kSlots);
+  if (whole < kStreams - kSlots) {
+    fleet.PrintLogs();
+  }
   BOOST_TEST(Statistic(leaving, "cancelled") == 0);
   RequireExitCode(*leaving.mAgent, seconds(25), 0);
 }
