Require that half an event has reached the entry

CheckBroken took a refusal of the entry for an answer that isn't complete, so that a half event that never reached the entry would have passed unseen.

It also requires now that the server was asked.

--- a/tests/forward/test_answerforms.cpp
+++ b/tests/forward/test_answerforms.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <vector>
 
 namespace medlarkeel {
@@ -81,6 +82,7 @@
   {
     AddBackend([this](Socket& aSocket, const std::string& aRequest) {
       const AnswerCase answer = mCase; // The next one may begin meanwhile.
+      mRequests += 1;
       WriteBytes(aSocket, answer.Text(aRequest));
       if (answer.mFraming == Framing::Close) {
         aSocket.shutdown(Socket::shutdown_both);
@@ -100,8 +102,12 @@
     return caller.Read();
   }
 
+  /** @return Requests that have reached the server. */
+  int Requests() const { return mRequests; }
+
 private:
   AnswerCase mCase;
+  std::atomic<int> mRequests{ 0 };
 };
 
 /** Servers whose answers break are used less, so each case has a new one. */
@@ -110,6 +116,7 @@
 {
   AnsweringServer server;
   BOOST_TEST(!aCase.IsComplete(server.Ask(aCase)), aCase.Description());
+  BOOST_TEST(server.Requests() > 0, aCase.Description());
 }
 
 void
