Tell a full server from an ending process at an agent, too

What callers of the loopback daemon saw: a sound answer without a length that was broken off as it ended within 10 ms of the reset of the connection beside it.

Cause: ProcessConnection took each end of that connection for a close. The forwarder tells a reset, by which a full server refuses a connection, since; the agent didn't.

Why it works: a connection that is reset within 100 ms shows nothing, so a new one decides, as in the forwarder. The system closes the connections of a process that ends in order where nothing was sent on them.

--- a/src/libmedlarkeelnet/processconnection.cpp
+++ b/src/libmedlarkeelnet/processconnection.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using SteadyClock = std::chrono::steady_clock;
+
 /** Limits of a connection that shows whether a process runs: to be made, to be
  * closed by a process that is just ending, and until another one. */
 constexpr std::chrono::milliseconds kConnectTimeout{ 200 };
@@ -20,6 +22,8 @@
 /** Connections for one answer; servers close those that are idle, and reset
  * those that are too many. */
 constexpr int kMostObservers = 4;
+/** Time after which a server has accepted a connection for good. */
+constexpr std::chrono::milliseconds kAcceptTime{ 100 };
 
 struct EasyDeleter
 {
@@ -33,12 +37,31 @@
   std::call_once(sInitialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
 }
 
-/** @return Whether the peer has closed or reset a connection. */
+enum class PeerState
+{
+  Open,
+  Closed,
+  Reset
+};
+
+/** @return What the peer has done with a connection after a time. */
+PeerState
+PeerStateOf(int aDescriptor, std::chrono::milliseconds aWait)
+{
+  pollfd entry{ aDescriptor, POLLRDHUP, 0 };
+  if (poll(&entry, 1, static_cast<int>(aWait.count())) <= 0) {
+    return PeerState::Open;
+  }
+  const int events = entry.revents;
+  return (events & POLLERR) != 0 // NOLINT(hicpp-signed-bitwise)
+           ? PeerState::Reset
+           : PeerState::Closed;
+}
+
 bool
 IsClosed(int aDescriptor, std::chrono::milliseconds aWait)
 {
-  pollfd entry{ aDescriptor, POLLRDHUP, 0 };
-  return poll(&entry, 1, static_cast<int>(aWait.count())) > 0;
+  return PeerStateOf(aDescriptor, aWait) != PeerState::Open;
 }
 
 } // namespace
@@ -65,8 +88,19 @@
 
   bool IsMade() const { return mDescriptor != CURL_SOCKET_BAD; }
 
+  /** @return Whether the server has reset it at once, as it has too many. The
+   * system resets none of those of a process that ends on which nothing was
+   * sent. */
+  bool IsRefused() const
+  {
+    constexpr std::chrono::milliseconds kNoWait{ 0 };
+    return SteadyClock::now() - mMadeAt <= kAcceptTime &&
+           PeerStateOf(mDescriptor, kNoWait) == PeerState::Reset;
+  }
+
   std::unique_ptr<CURL, EasyDeleter> mEasy;
   int mDescriptor = CURL_SOCKET_BAD;
+  SteadyClock::time_point mMadeAt = SteadyClock::now();
 };
 
 bool
@@ -114,8 +148,10 @@
   if (mState != State::Open || !IsClosed(mConnection->mDescriptor, kNoWait)) {
     return;
   }
-  // A process that ends closes its connections one after the other.
-  if (IsClosed(mAnswer, kSettleTime)) {
+  if (mConnection->IsRefused()) {
+    mState = State::Unknown;
+    // A process that ends closes its connections one after the other.
+  } else if (IsClosed(mAnswer, kSettleTime)) {
     mState = State::Ended;
   } else {
     Begin(mAnswer);
@@ -127,7 +163,7 @@
 {
   if (mState == State::Open &&
       IsClosed(mConnection->mDescriptor, kSettleTime)) {
-    mState = State::Ended;
+    mState = mConnection->IsRefused() ? State::Unknown : State::Ended;
   }
   return mState == State::Unknown ? AcceptsConnections(mUrl)
                                   : mState == State::Open;
