Test sound streams of servers that have stopped listening

The connection beside the answer decides, in both data planes, so it is whole as long as the server keeps that open: processwatch of test_libmedlarkeelforward and processconnection of test_libmedlarkeelnet, passed on this commit.

--- a/tests/forward/test_processwatch.cpp
+++ b/tests/forward/test_processwatch.cpp
@@ -14,6 +14,8 @@
 enum class SilentConnections
 {
   Keep,
+  /** Keeps them and accepts no further ones. */
+  KeepLast,
   /** Closes them as idle. */
   Close,
   /** Resets them, as it has too many. */
@@ -69,8 +71,14 @@
         kept.push_back(mAcceptor.accept());
         mConnections += 1;
         End(kept);
+        if (mSilent == SilentConnections::KeepLast) {
+          break;
+        }
       }
     }
+    if (mSilent == SilentConnections::KeepLast) {
+      mAcceptor.close();
+    }
     // An idle connection that ends with the answer looks like the process's
     // end.
     std::this_thread::sleep_for(kPauseBeforeEnd);
@@ -134,6 +142,15 @@
   BOOST_TEST(full.Connections() == 1U);
 }
 
+// A sound stream breaks since its server, which is about to end, accepts no
+// connections any more.
+BOOST_AUTO_TEST_CASE(SoundStreamOfAServerThatStoppedListeningIsWhole)
+{
+  StreamingServer leaving(SilentConnections::KeepLast);
+  BOOST_TEST(IsWhole(leaving));
+  BOOST_TEST(leaving.Connections() == 1U);
+}
+
 // A process that ends passes for a server that ends its answer, as the next one
 // accepts connections.
 BOOST_AUTO_TEST_CASE(ConnectionsThatEndTogetherAreTheEndOfTheProcess)
--- a/tests/net/test_processconnection.cpp
+++ b/tests/net/test_processconnection.cpp
@@ -116,14 +116,19 @@
 // A sound answer breaks at its end though the process goes on.
 BOOST_AUTO_TEST_CASE(EndOfTheAnswerAloneIsNotTheEndOfTheProcess)
 {
-  AnsweringServer server;
-  ProcessConnection process(server.Url());
-  process.Begin(server.Caller());
-  const Socket observing = server.Accept();
-  process.Observe();
-  server.Answer().Close();
-  process.Observe();
-  BOOST_TEST(process.IsRunning());
+  for (const bool isListening : { true, false }) {
+    AnsweringServer server;
+    ProcessConnection process(server.Url());
+    process.Begin(server.Caller());
+    const Socket observing = server.Accept();
+    if (!isListening) {
+      server.StopListening();
+    }
+    process.Observe();
+    server.Answer().Close();
+    process.Observe();
+    BOOST_TEST(process.IsRunning(), "listening: " << isListening);
+  }
 }
 
 // The next process at the address passes for the one that answered.
