Make up no length for answers without a body

What callers saw: Content-Length: 0 with a 204, where the field isn't allowed, and with an answer to HEAD whose server told no length, which says that the resource is empty.

Cause: whole answers were always framed by the size of the body at hand; the length that the server told was taken for HEAD only, with 0 for none.

Evidence: answerframing/LengthThatTheServerLeftOutIsNotMadeUp failed for the answer in chunks and for the 204 on the code before.

Why it works: WholeAnswer is the one place that frames them. An answer without a body passes on the server's length or none, a 304 as well.

--- a/src/libmedlarkeelforward/answertext.cpp
+++ b/src/libmedlarkeelforward/answertext.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::string_view kLineEnd = "\r\n";
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
 std::string
 StatusLine(int aStatus, const std::string& aReason)
@@ -148,6 +150,29 @@
   return text;
 }
 
+std::string
+WholeAnswer(const MessageHead& aHead,
+            const std::string& aBody,
+            bool aIsHeadOnly,
+            bool aKeepOpen)
+{
+  if (aHead.mStatus == kNoContent) {
+    return ForwardedHead(aHead, BodyFraming::None, 0, aKeepOpen);
+  }
+  if (!aIsHeadOnly && aHead.mStatus != kNotModified) {
+    return ForwardedHead(aHead, BodyFraming::Length, aBody.size(), aKeepOpen) +
+           aBody;
+  }
+  // The length is that of the body which the server has left out.
+  const std::string* field = aHead.Find("Content-Length");
+  const std::optional<std::int64_t> length =
+    field == nullptr ? std::nullopt : ParseWholeNumber(*field);
+  return ForwardedHead(aHead,
+                       length ? BodyFraming::Length : BodyFraming::None,
+                       static_cast<std::size_t>(length.value_or(0)),
+                       aKeepOpen);
+}
+
 std::string
 Chunk(std::string_view aBytes)
 {
--- a/src/libmedlarkeelforward/answertext.h
+++ b/src/libmedlarkeelforward/answertext.h
@@ -33,6 +33,8 @@
 /** How the length of a body is told. */
 enum class BodyFraming
 {
+  /** There is no body, and no field for one. */
+  None,
   Length,
   Chunked,
   UntilClose
@@ -51,6 +53,19 @@
               std::size_t aLength,
               bool aKeepOpen);
 
+/**
+ * @param aHead Head of a backend server's answer.
+ * @param aBody Its whole body.
+ * @param aIsHeadOnly Whether the request is a HEAD.
+ * @param aKeepOpen Whether the connection goes on.
+ * @return The answer as it is passed on to the caller.
+ */
+std::string
+WholeAnswer(const MessageHead& aHead,
+            const std::string& aBody,
+            bool aIsHeadOnly,
+            bool aKeepOpen);
+
 /** @return The bytes as one chunk; an empty text for no bytes. */
 std::string
 Chunk(std::string_view aBytes);
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -490,13 +490,7 @@
 {
   mHasAnswered = true;
   mKeepOpen = mKeepOpen && !mForwarder.IsStopping();
-  std::size_t length = aBody.size();
-  const std::string* told = aHead.Find("Content-Length");
-  if (IsHeadOnly() && told != nullptr) {
-    length = static_cast<std::size_t>(ParseWholeNumber(*told).value_or(0));
-  }
-  mCaller->Send(ForwardedHead(aHead, BodyFraming::Length, length, mKeepOpen) +
-                aBody);
+  mCaller->Send(WholeAnswer(aHead, aBody, IsHeadOnly(), mKeepOpen));
 }
 
 } // namespace medlarkeel
--- a/tests/forward/test_answerframing.cpp
+++ b/tests/forward/test_answerframing.cpp
@@ -129,6 +129,24 @@
   }
 }
 
+// An answer without a body tells a length that isn't that of the resource.
+BOOST_AUTO_TEST_CASE(LengthThatTheServerLeftOutIsNotMadeUp)
+{
+  for (const AnswerSource& source : kSources) {
+    if (source.mServerText == nullptr || source.mStatus == 401 ||
+        source.mStatus == 404) {
+      continue;
+    }
+    SourceFixture fixture(source);
+    Caller caller(fixture.Port());
+    caller.Send(RequestFrom(source, "HEAD"));
+    BOOST_TEST(
+      FieldOf(caller.ReadHead(), "Content-Length") ==
+        FieldOf(std::string("\r\n") + source.mServerText, "Content-Length"),
+      source.mName);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
