Relay a cold time that grows, and put it into the digest

Cause: entries that don't read the directory learn of a change only when the digest of the server's entry differs, and the digest said whether a server is cold, not until when. A server that became cold again while its last entry still called it cold was warm for these entries at the end of the first cold time.

Without the new branch in BackendList::Put the two new tests fail: backendlist/DigestCoversAnExtendedColdTime and directorydelta/ReaderRelaysAnExtendedColdTime.

Why it works: an entry that tells a longer rest than the one before, or an end more than a second later, is a change of its own. It is relayed at once, and its revision is in the digest until the server is warm, so that an entry which missed the report calls the directory. A heartbeat with the same end changes nothing: the rest in entries only falls, whenever they are read.

--- a/src/libmedlarkeel/forwarding/backendlist.cpp
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -28,15 +28,32 @@
          aBefore.mEndpoint.mPort != aAfter.mEndpoint.mPort;
 }
 
+/** @return Whether a new entry tells a later end of the cold time than the
+ * known one, by more than the delays with which entries are read differ. */
+bool
+ExtendsColdTime(const ListedBackend& aKnown,
+                const BackendEntry& aEntry,
+                Timestamp aNow)
+{
+  constexpr Milliseconds kReadDelays{ 1000 };
+  const Milliseconds before = aKnown.mEntry.mColdRemaining;
+  const Milliseconds after = aEntry.mColdRemaining;
+  const bool isNewer = aEntry.mRevision > aKnown.mEntry.mRevision;
+  return isNewer && before.count() > 0 && after.count() > 0 &&
+         (after > before || aNow + after > aKnown.mColdUntil + kReadDelays);
+}
+
 std::uint64_t
-EntryDigest(const BackendEntry& aEntry)
+EntryDigest(const BackendEntry& aEntry, std::uint64_t aColdExtendedAt)
 {
   const auto start = static_cast<std::uint64_t>(
     aEntry.mStartedAt.value_or(Milliseconds(0)).count());
   const std::uint64_t state = (aEntry.mIsDraining ? 1U : 0U) +
                               (aEntry.mColdRemaining.count() > 0 ? 2U : 0U);
-  return HashText(aEntry.mId.Text() + EndpointText(aEntry.mEndpoint),
-                  start + state);
+  const std::string name = aEntry.mId.Text() + EndpointText(aEntry.mEndpoint);
+  const std::uint64_t digest = HashText(name, start + state);
+  return aColdExtendedAt == 0 ? digest
+                              : HashText(name, digest + aColdExtendedAt);
 }
 
 } // namespace
@@ -66,13 +83,20 @@
   const bool isKnown = found != mBackends.end();
   const bool isRestart = isKnown && IsRestart(found->second.mEntry, aEntry);
   const bool wasDraining = isKnown && found->second.mEntry.mIsDraining;
+  const bool isExtended =
+    isKnown && !isRestart && ExtendsColdTime(found->second, aEntry, aNow);
   if (isRestart) {
     mMisdirected.erase(aEntry.mId);
   }
   ListedBackend& backend = mBackends[aEntry.mId];
   backend.mEntry = aEntry;
   backend.mProcessHash = ProcessHashOf(aEntry);
-  backend.mDigest = EntryDigest(aEntry);
+  if (isExtended) {
+    backend.mColdExtendedAt = aEntry.mRevision;
+  } else if (isRestart || aEntry.mColdRemaining.count() <= 0) {
+    backend.mColdExtendedAt = 0;
+  }
+  backend.mDigest = EntryDigest(aEntry, backend.mColdExtendedAt);
   backend.mColdUntil = aNow + aEntry.mColdRemaining;
   backend.mRemoveAt.reset();
   if (aEntry.mIsDraining) {
@@ -81,7 +105,10 @@
   if (!isKnown) {
     return BackendChange::Added;
   }
-  return isRestart ? BackendChange::Restarted : BackendChange::Refreshed;
+  if (isRestart) {
+    return BackendChange::Restarted;
+  }
+  return isExtended ? BackendChange::ColdExtended : BackendChange::Refreshed;
 }
 
 BackendChange
--- a/src/libmedlarkeel/forwarding/backendlist.h
+++ b/src/libmedlarkeel/forwarding/backendlist.h
@@ -46,11 +46,14 @@
 {
   BackendEntry mEntry;
   ProcessHash mProcessHash = 0;
-  /** Digest of the id, the endpoint, the start time and whether the server is
-   * draining or cold. */
+  /** Digest of the id, the endpoint, the start time, whether the server is
+   * draining or cold, and mColdExtendedAt. */
   std::uint64_t mDigest = 0;
   /** The server is cold before this time. */
   Timestamp mColdUntil;
+  /** Revision of the entry with which the server was cold for longer than known
+   * before; 0 unless it is still cold. */
+  std::uint64_t mColdExtendedAt = 0;
   /** Time at which the server is removed from the list unless its entry
    * reappears. */
   std::optional<Timestamp> mRemoveAt;
@@ -64,6 +67,8 @@
   Added,
   Restarted,
   Draining,
+  /** A cold server is cold for longer than its earlier entry said. */
+  ColdExtended,
   Removed,
   RemovalDelayed
 };
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -55,6 +55,8 @@
       return "restarted";
     case BackendChange::Draining:
       return "draining";
+    case BackendChange::ColdExtended:
+      return "cold-extended";
     case BackendChange::Removed:
       return "removed";
     case BackendChange::RemovalDelayed:
--- a/tests/core/test_backendlist.cpp
+++ b/tests/core/test_backendlist.cpp
@@ -161,6 +161,35 @@
               kStart + Milliseconds(500));
 }
 
+// Entries that rely on others take a server that is cold again for warm.
+BOOST_AUTO_TEST_CASE(DigestCoversAnExtendedColdTime)
+{
+  BackendList list;
+  const auto put = [&](std::uint64_t aRevision, int aRemaining, int aAt) {
+    BackendEntry cold = Entry("one", aRevision);
+    cold.mColdRemaining = Milliseconds(aRemaining);
+    return list.Put(cold, kStart + Milliseconds(aAt));
+  };
+  put(1, 3000, 0);
+  const std::uint64_t before = list.Digest();
+  // Read late or repeated, but with the same end.
+  BOOST_CHECK(put(2, 1800, 1900) == BackendChange::Refreshed);
+  BOOST_CHECK(put(2, 1800, 2800) == BackendChange::Refreshed);
+  BOOST_TEST(list.Digest() == before);
+  BOOST_CHECK(put(3, 3000, 2900) == BackendChange::ColdExtended);
+  const std::uint64_t extended = list.Digest();
+  BOOST_TEST(extended != before);
+  BOOST_CHECK(put(4, 1800, 4100) == BackendChange::Refreshed);
+  BOOST_TEST(list.Digest() == extended);
+  // The entry that told of it wasn't read.
+  BOOST_CHECK(put(6, 1800, 6000) == BackendChange::ColdExtended);
+  BOOST_TEST(list.Digest() != extended);
+  put(7, 0, 8000);
+  BackendList warm;
+  warm.Put(Entry("one", 9), kStart);
+  BOOST_TEST(list.Digest() == warm.Digest());
+}
+
 BOOST_AUTO_TEST_CASE(DigestCoversWhatMattersForChoosing)
 {
   BackendList one;
--- a/tests/core/test_directorydelta.cpp
+++ b/tests/core/test_directorydelta.cpp
@@ -371,6 +371,36 @@
   BOOST_TEST(other.Digest() == follower.Digest());
 }
 
+// A server that is cold again while cold is warm for entries that don't read
+// the directory.
+BOOST_AUTO_TEST_CASE(ReaderRelaysAnExtendedColdTime)
+{
+  const auto coldEntry = [](std::uint64_t aRevision, int aRemaining) {
+    BackendEntry entry = MakeBackendEntry(kStaying, aRevision);
+    entry.mColdRemaining = Milliseconds(aRemaining);
+    return entry;
+  };
+  DirectoryFollower reader = MakeFollowerAtRevision(10);
+  DirectoryFollower other = MakeFollowerAtRevision(10);
+  const auto relay = [&](std::uint64_t aRevision, int aRemaining, int aAt) {
+    const Timestamp now = kStart + Milliseconds(aAt);
+    const FollowerUpdate update = reader.RecordWatch(
+      DirectoryChanges{ { coldEntry(aRevision, aRemaining) }, aRevision }, now);
+    if (const auto delta = reader.RecentDelta(now)) {
+      other.RecordRelayedDelta(*delta, now);
+    }
+    BOOST_TEST(reader.Digest() == other.Digest());
+    return update.mBackends.size();
+  };
+  relay(11, 3000, 0);
+  relay(12, 1800, 1200);
+  BOOST_TEST(relay(13, 3000, 2000) == 1U);
+  BOOST_TEST(relay(14, 1800, 3200) == 0U);
+  const Timestamp end = kStart + Milliseconds(5000);
+  BOOST_CHECK(reader.Backends().Find(kStaying)->mColdUntil == end);
+  BOOST_CHECK(other.Backends().Find(kStaying)->mColdUntil == end);
+}
+
 /** A relayed delta arrives while a directory call is in progress. The answer is
  * older than the delta and must not revert it. */
 BOOST_AUTO_TEST_CASE(LateAnswerDoesNotRevertRelayedChanges)
