Let no caller in where the list of teams is empty

What callers saw: with "tenants": [] every request was served, with any key or none, so that the removal of the last team opened its routes to all.

Evidence: wholepath/EmptyListOfTenantsLetsNoCallerIn fails when the reading of the document looks at the number again: three checks, 200 for 401 twice.

A document that requires keys and has none is logged as event 203, document-without-keys.

--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -22,6 +22,7 @@
   DocumentAccepted = 200,
   DocumentRejected = 201,
   DocumentStale = 202,
+  DocumentWithoutKeys = 203,
 
   ListObserved = 300,
   ZoneChanged = 301,
--- a/src/libmedlarkeel/forwarding/forwardingdocument.cpp
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.cpp
@@ -56,7 +56,7 @@
       if (!UsesPool(route, name)) {
         continue;
       }
-      if (route.mIsPublic || !RequiresKeys()) {
+      if (route.mIsPublic || !mRequiresKeys) {
         priorities.insert({ route.mTier, route.mTier });
       }
       for (const std::optional<TierRank>& tier : teamTiers) {
--- a/src/libmedlarkeel/forwarding/forwardingdocument.h
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.h
@@ -117,6 +117,8 @@
   std::vector<ForwardTeam> mTeams;
   /** Maps each key to the index of its team in mTeams. */
   std::unordered_map<std::string, std::size_t> mKeys;
+  /** Whether routes that aren't public require a key, even if there is none. */
+  bool mRequiresKeys = false;
   CallerLimits mLimits;
 
   /**
@@ -135,9 +137,6 @@
 
   /** @return The team that the key belongs to, or null. */
   const ForwardTeam* FindTeam(const std::string& aKey) const;
-
-  /** @return Whether routes that aren't public require a key. */
-  bool RequiresKeys() const { return !mTeams.empty(); }
 };
 
 using ForwardingDocumentPointer = std::shared_ptr<const ForwardingDocument>;
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -111,7 +111,7 @@
     mTeam = mDocument->FindTeam(field->substr(scheme.size()));
   }
   const bool isAllowed =
-    mTeam != nullptr || mRoute->mIsPublic || !mDocument->RequiresKeys();
+    mTeam != nullptr || mRoute->mIsPublic || !mDocument->mRequiresKeys;
   if (!isAllowed) {
     Reject(kUnauthorized, "the key is missing or unknown");
   }
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -407,6 +407,10 @@
                { { "document", document->mVersion },
                  { "routes", document->mRoutes.size() },
                  { "teams", document->mTeams.size() } });
+    if (document->mRequiresKeys && document->mKeys.empty()) {
+      mLog.Write(Event::DocumentWithoutKeys,
+                 { { "document", document->mVersion } });
+    }
   }
   for (const auto& [id, change] : aNews.mBackends) {
     mLog.Write(
--- a/tests/core/test_forwardingdocument.cpp
+++ b/tests/core/test_forwardingdocument.cpp
@@ -49,6 +49,7 @@
                       { TeamName("two"), TierRank{ 1 } },
                       { TeamName("three"), std::nullopt } };
   document.mKeys = { { "key", 0 } };
+  document.mRequiresKeys = true;
   document.mPools[PoolName("models")].mName = PoolName("models");
   document.DerivePoolValues();
   const std::vector<RequestPriority> expected{
--- a/tests/forward/forwardfixture.cpp
+++ b/tests/forward/forwardfixture.cpp
@@ -62,6 +62,7 @@
   document->mPools[PoolName("pool")].mName = PoolName("pool");
   document->mTeams = { { TeamName("team-1"), std::nullopt } };
   document->mKeys = { { "secret", 0 } };
+  document->mRequiresKeys = true;
   document->mLimits.mHeaderTimeout = Milliseconds(500);
   return document;
 }
--- a/tests/platform/test_wholepath.cpp
+++ b/tests/platform/test_wholepath.cpp
@@ -156,6 +156,21 @@
     Ask("r-2", "/changed/a", "Authorization: Token third\r\n").Status() == kOk);
 }
 
+// A document whose last tenant was removed lets every caller in.
+BOOST_FIXTURE_TEST_CASE(EmptyListOfTenantsLetsNoCallerIn, OneEntry)
+{
+  Document()["tenants"] = Json::array();
+  Document()["routes"][0]["path-prefix"] = "/changed/";
+  PublishDocument();
+  std::this_thread::sleep_for(kChangeBound);
+  constexpr int kUnauthorized = 401;
+  BOOST_TEST(Ask("r-1", "/changed/a").Status() == kUnauthorized);
+  BOOST_TEST(
+    Ask("r-2", "/changed/a", "Authorization: Token other\r\n").Status() ==
+    kUnauthorized);
+  BOOST_TEST(Arrivals("r-1").empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(ChangeIsFoundThoughTheHistoryIsLost, OneEntry)
 {
   Store().ForgetHistory();
