Read the bytes that show the kind of a body once

What callers saw: where the type of an answer on the route of a stream is missing, and its server sends a first line without end, the route's time ran out (504) before the entry gave the answer up (502), on a slow processor; and one such answer cost the entry time that grows with the square of its size.

Why it works: BodyKindDetector keeps its place in the line and as much of the name of a field as can be that of an event, so each byte is read once. What bytes show is as before: the cases of answerbody are unchanged, and each is checked in single bytes as well now.

--- a/src/libmedlarkeel/forwarding/answerbody.cpp
+++ b/src/libmedlarkeel/forwarding/answerbody.cpp
@@ -20,6 +20,7 @@
                                                            "event",
                                                            "id",
                                                            "retry" };
+constexpr std::size_t kLongestEventField = 5;
 
 constexpr BodyKindRule kOpaque{ BodyKind::Opaque,
                                 BodyKind::Opaque,
@@ -79,111 +80,69 @@
                      });
 }
 
-/** What one line shows. */
-enum class LineEvidence
-{
-  Events,
-  /** A field that server-sent events may have as well. */
-  OtherField,
-  /** The line is too short to show anything. */
-  Unfinished,
-  Opaque
-};
+} // namespace
 
-/**
- * @param aLine A line that isn't empty, without its end.
- * @param aIsWhole Whether the end of the line has arrived.
- */
-LineEvidence
-ReadLine(std::string_view aLine, bool aIsWhole)
+const char*
+BodyKindName(BodyKind aKind)
 {
-  if (aLine.front() == ':') {
-    return LineEvidence::Events;
-  }
-  const auto nameEnd =
-    std::find_if_not(aLine.begin(), aLine.end(), IsNameCharacter);
-  const std::string_view name =
-    aLine.substr(0, static_cast<std::size_t>(nameEnd - aLine.begin()));
-  const bool hasColon = nameEnd != aLine.end() && *nameEnd == ':';
-  const bool isNameOnly = nameEnd == aLine.end();
-  if (isNameOnly && !aIsWhole) {
-    return LineEvidence::Unfinished;
-  }
-  if (IsEventField(name) && (hasColon || isNameOnly)) {
-    return LineEvidence::Events;
-  }
-  return hasColon && !name.empty() ? LineEvidence::OtherField
-                                   : LineEvidence::Opaque;
+  return aKind == BodyKind::Events ? "events" : "opaque";
 }
 
-/** What the lines of a body tell of its kind if no line shows it. */
-struct Undecided
-{
-  std::string_view mLastLine;
-  /** A line is a field that server-sent events may have as well. */
-  bool mHasField = false;
-};
-
-/**
- * @param aBytes The beginning of a body.
- * @param aUndecided Set if no line shows the kind.
- * @return The kind that the first line shows that does show one.
- */
 std::optional<BodyKind>
-ReadLines(std::string_view aBytes, Undecided& aUndecided)
+BodyKindDetector::Push(std::string_view aBytes)
 {
-  while (!aBytes.empty()) {
-    const std::size_t end =
-      std::min(aBytes.find_first_of(kLineEnds), aBytes.size());
-    const bool isWhole = end < aBytes.size();
-    aUndecided.mLastLine = aBytes.substr(0, end);
-    if (end > 0) {
-      switch (ReadLine(aUndecided.mLastLine, isWhole)) {
-        case LineEvidence::Events:
-          return BodyKind::Events;
-        case LineEvidence::Opaque:
-          return BodyKind::Opaque;
-        case LineEvidence::OtherField:
-          aUndecided.mHasField = true;
-          break;
-        case LineEvidence::Unfinished:
-          break;
-      }
+  for (const char character : aBytes) {
+    if (const auto kind = Read(character)) {
+      return kind;
     }
-    aBytes.remove_prefix(isWhole ? end + 1 : end);
   }
   return std::nullopt;
 }
 
-/** @return The kind of a body that has ended before its bytes show it. */
-BodyKind
-KindAtEnd(std::string_view aBytes, const BodyKindRule& aRule)
+std::optional<BodyKind>
+BodyKindDetector::Read(char aCharacter)
 {
-  if (aBytes.empty()) {
-    return aRule.mEmpty;
+  if (kLineEnds.find(aCharacter) != std::string_view::npos) {
+    return EndLine();
+  }
+  if (mPlace == Place::OtherField) {
+    return std::nullopt;
   }
-  Undecided undecided;
-  if (const auto kind = ReadLines(aBytes, undecided)) {
-    return *kind;
+  const bool isLineBegin = mPlace == Place::LineBegin;
+  if (aCharacter == ':') {
+    if (isLineBegin || IsEventField(mName)) {
+      return BodyKind::Events;
+    }
+    mPlace = Place::OtherField;
+    mHasOtherField = true;
+    return std::nullopt;
   }
-  const bool mayBeEvents =
-    undecided.mHasField || BeginsEventField(undecided.mLastLine);
-  return mayBeEvents ? BodyKind::Events : aRule.mUnclear;
+  if (!IsNameCharacter(aCharacter)) {
+    return BodyKind::Opaque;
+  }
+  mPlace = Place::FieldName;
+  if (mName.size() <= kLongestEventField) {
+    mName += aCharacter;
+  }
+  return std::nullopt;
 }
 
-} // namespace
-
-const char*
-BodyKindName(BodyKind aKind)
+std::optional<BodyKind>
+BodyKindDetector::EndLine()
 {
-  return aKind == BodyKind::Events ? "events" : "opaque";
+  const Place place = std::exchange(mPlace, Place::LineBegin);
+  const std::string name = std::exchange(mName, std::string());
+  if (place != Place::FieldName) {
+    return std::nullopt;
+  }
+  return IsEventField(name) ? BodyKind::Events : BodyKind::Opaque;
 }
 
-std::optional<BodyKind>
-DetectBodyKind(std::string_view aBytes)
+bool
+BodyKindDetector::MayBeEvents() const
 {
-  Undecided undecided;
-  return ReadLines(aBytes, undecided);
+  return mHasOtherField ||
+         (mPlace == Place::FieldName && BeginsEventField(mName));
 }
 
 BodyKindRule
@@ -223,7 +182,7 @@
     return Accept(aBytes);
   }
   mHeld.append(aBytes);
-  mKind = DetectBodyKind(mHeld);
+  mKind = mDetector.Push(aBytes);
   return mKind ? Accept(std::exchange(mHeld, std::string())) : std::string();
 }
 
@@ -250,7 +209,9 @@
 {
   BodyEnd end;
   if (!mKind) {
-    mKind = KindAtEnd(mHeld, mRule);
+    const BodyKind unclear =
+      mDetector.MayBeEvents() ? BodyKind::Events : mRule.mUnclear;
+    mKind = mHeld.empty() ? mRule.mEmpty : unclear;
     end.mBytes = Accept(std::exchange(mHeld, std::string()));
   }
   end.mFault = FindEndFault(aEnd, IsEventStream() ? &mFramer : nullptr);
--- a/src/libmedlarkeel/forwarding/answerbody.h
+++ b/src/libmedlarkeel/forwarding/answerbody.h
@@ -36,12 +36,37 @@
 const char*
 BodyKindName(BodyKind aKind);
 
-/**
- * @param aBytes The beginning of a body.
- * @return What the bytes show it to be; nothing if more bytes are needed.
- */
-std::optional<BodyKind>
-DetectBodyKind(std::string_view aBytes);
+/** Finds out from the lines of a body whether they are events. */
+class BodyKindDetector
+{
+public:
+  /**
+   * @param aBytes The next bytes of the body.
+   * @return What the bytes up to now show it to be; nothing if more are needed.
+   */
+  std::optional<BodyKind> Push(std::string_view aBytes);
+
+  /** @return Whether a body that ends here, with its kind unknown, may be a
+   * part of events. */
+  bool MayBeEvents() const;
+
+private:
+  enum class Place
+  {
+    LineBegin,
+    FieldName,
+    /** Behind the name of a field that server-sent events may have as well. */
+    OtherField
+  };
+
+  std::optional<BodyKind> Read(char aCharacter);
+  std::optional<BodyKind> EndLine();
+
+  Place mPlace = Place::LineBegin;
+  /** The field's name, as far as it may be that of an event's field. */
+  std::string mName;
+  bool mHasOtherField = false;
+};
 
 /** How the kind of a body is found. */
 struct BodyKindRule
@@ -123,6 +148,7 @@
   std::optional<BodyKind> mKind = BodyKind::Opaque;
   /** Bytes that came before the kind is known. */
   std::string mHeld;
+  BodyKindDetector mDetector;
   EventFramer mFramer;
 };
 
--- a/tests/core/test_answerbody.cpp
+++ b/tests/core/test_answerbody.cpp
@@ -34,6 +34,22 @@
   return !body.End(aEnd).mFault;
 }
 
+/** @return What a body shows, the same whether it comes whole or in bytes. */
+std::optional<BodyKind>
+DetectBodyKind(std::string_view aBytes)
+{
+  BodyKindDetector whole;
+  const std::optional<BodyKind> kind = whole.Push(aBytes);
+  BodyKindDetector bytewise;
+  std::optional<BodyKind> last;
+  for (std::size_t i = 0; i < aBytes.size() && !last; ++i) {
+    last = bytewise.Push(aBytes.substr(i, 1));
+  }
+  BOOST_CHECK(kind == last);
+  BOOST_TEST(whole.MayBeEvents() == bytewise.MayBeEvents());
+  return kind;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(answerbody)
