--- a/src/libmedlarkeel/forwarding/backendlist.cpp
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -28,8 +28,8 @@
          aBefore.mEndpoint.mPort != aAfter.mEndpoint.mPort;
 }
 
-/** @return Whether a new entry tells a later end of the cold time than the
- * known one, by more than the delays with which entries are read differ. */
+/** @return Whether a new entry extends the cold time. Its end is compared with
+ * a tolerance, since entries are read with varying delays. */
 bool
 ExtendsColdTime(const ListedBackend& aKnown,
                 const BackendEntry& aEntry,
--- a/src/libmedlarkeel/forwarding/backendlist.h
+++ b/src/libmedlarkeel/forwarding/backendlist.h
@@ -51,8 +51,8 @@
   std::uint64_t mDigest = 0;
   /** The server is cold before this time. */
   Timestamp mColdUntil;
-  /** Revision of the entry with which the server was cold for longer than known
-   * before; 0 unless it is still cold. */
+  /** Revision of the last entry that extended the cold time; 0 when the server
+   * isn't cold. */
   std::uint64_t mColdExtendedAt = 0;
   /** Time at which the server is removed from the list unless its entry
    * reappears. */
--- a/src/libmedlarkeelnet/processconnection.cpp
+++ b/src/libmedlarkeelnet/processconnection.cpp
@@ -88,9 +88,9 @@
 
   bool IsMade() const { return mDescriptor != CURL_SOCKET_BAD; }
 
-  /** @return Whether the server has reset it at once, as it has too many. The
-   * system resets none of those of a process that ends on which nothing was
-   * sent. */
+  /** @return Whether the server has reset it at once, as it has too many. When
+   * a process ends, the system closes the connections that it had accepted and
+   * on which nothing was sent; it doesn't reset them. */
   bool IsRefused() const
   {
     constexpr std::chrono::milliseconds kNoWait{ 0 };
@@ -150,8 +150,10 @@
   }
   if (mConnection->IsRefused()) {
     mState = State::Unknown;
-    // A process that ends closes its connections one after the other.
-  } else if (IsClosed(mAnswer, kSettleTime)) {
+    return;
+  }
+  // A process that ends closes its connections one after the other.
+  if (IsClosed(mAnswer, kSettleTime)) {
     mState = State::Ended;
   } else {
     Begin(mAnswer);
