--- a/tests/platform/streamcaller.cpp
+++ b/tests/platform/streamcaller.cpp
@@ -85,6 +85,7 @@
       mConnection.emplace(aEntry.mCallers, aEntry.mAddress.c_str());
     }
     result.mAnswers += 1;
+    result.mRequestId = id;
     SeenAnswer answer;
     if (mConnection->IsConnected()) {
       mConnection->Send(request);
--- a/tests/platform/streamcaller.h
+++ b/tests/platform/streamcaller.h
@@ -27,6 +27,8 @@
 /** What a caller has of a stream after all its answers. */
 struct StreamResult
 {
+  /** Id of the last request. */
+  std::string mRequestId;
   int mEvents = 0;
   int mAnswers = 0;
   /** The last answer ended as a complete one does. */
--- a/tests/platform/test_streamsoak.cpp
+++ b/tests/platform/test_streamsoak.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <mutex>
 #include <random>
+#include <sstream>
 #include <thread>
 
 namespace medlarkeel {
@@ -431,6 +432,20 @@
   return call;
 }
 
+/** @return What an entry logged of a request. */
+std::string
+LogLinesOf(const EntryProcess& aEntry, const std::string& aRequestId)
+{
+  std::istringstream log(aEntry.mProcess->Log());
+  std::string lines;
+  for (std::string line; std::getline(log, line);) {
+    if (line.find('"' + aRequestId + '"') != std::string::npos) {
+      lines += line + '\n';
+    }
+  }
+  return lines;
+}
+
 /** A caller whose answers are sound and come from servers and through an entry
  * that aren't disrupted: each one has to be whole. */
 void
@@ -453,7 +468,8 @@
       aViolation = call.mRoute + call.mPlan.Path() +
                    ": a sound answer isn't whole, status " +
                    std::to_string(result.mStatus) + ", " +
-                   std::to_string(result.mEvents) + " events";
+                   std::to_string(result.mEvents) + " events\n" +
+                   LogLinesOf(aFleet.SoundEntry(), result.mRequestId);
     }
     aCounts.mSoundRefused += result.mIsComplete ? 0 : 1;
   }
