Keep a connection that was made as its time ran out

What callers saw: 502 for a call that may not be repeated, at a sound server, as the entry's process had been suspended, or had no processor, for 300 ms while it connected to the server; on other routes a needless second attempt.

Cause: the connect and its time-out may be due in the same turn. The connect's handler ran first and cancelled the timer, whose handler was queued already; it closed the socket on which the request had been sent.

The log of that run wasn't kept, so that it was this cause is inferred.

Why it works: the time-out closes nothing once the connection is made.

--- a/src/libmedlarkeelforward/backendconnections.cpp
+++ b/src/libmedlarkeelforward/backendconnections.cpp
@@ -98,9 +98,11 @@
   auto connection = std::make_shared<BackendConnection>(mContext);
   connection->mKey = aKey;
   auto timer = std::make_shared<boost::asio::steady_timer>(mContext);
+  // Both may be due at once, and a handler that is due can't be cancelled.
+  auto isMade = std::make_shared<bool>(false);
   timer->expires_after(kConnectTimeout);
-  timer->async_wait([connection, timer](const Error& aError) {
-    if (!aError) {
+  timer->async_wait([connection, timer, isMade](const Error& aError) {
+    if (!aError && !*isMade) {
       Error ignored; // The connect handler gets the error.
       connection->mSocket.close(ignored);
     }
@@ -108,12 +110,13 @@
   const tcp::endpoint endpoint(
     boost::asio::ip::make_address(aEndpoint.mAddress), aEndpoint.mPort);
   connection->mSocket.async_connect(
-    endpoint, [connection, timer, aHandler](const Error& aError) {
+    endpoint, [connection, timer, isMade, aHandler](const Error& aError) {
       timer->cancel();
       if (aError || !connection->mSocket.is_open()) {
         aHandler(nullptr);
         return;
       }
+      *isMade = true;
       ApplySocketOptions(connection->mSocket);
       aHandler(connection);
     });
