Show what the entry logged of a broken answer that is complete

The soak names the route of such an answer now and prints the entry's log lines of it. No check changes.

--- a/tests/platform/test_streamsoak.cpp
+++ b/tests/platform/test_streamsoak.cpp
@@ -493,6 +493,11 @@
     aCounts.mStreams += 1;
     aCounts.mFurtherAnswers += result.mAnswers - 1;
     aViolation = result.mViolation;
+    if (!aViolation.empty()) {
+      const auto lock = aFleet.Lock(entry);
+      aViolation +=
+        " on " + call.mRoute + '\n' + LogLinesOf(entry, result.mRequestId);
+    }
     if (result.mIsComplete) {
       aCounts.mWhole += 1;
     } else if (result.mEvents > 0) {
