--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -117,6 +117,7 @@
   ForwardPool& pool = mDocument.mPools[poolName];
   pool.mName = poolName;
   pool.mIsModel = true;
+  mDocument.mRequiresKeys = !mDocument.mTeams.empty();
   mDocument.DerivePoolValues();
   mPool = &pool;
 }
