Break answers whose status is outside 100 to 599 at the entry

What callers saw: a status of 600 to 999 reached them; a server that answered 000 to 099 with a length made them wait for the route's time limit, and without a length it counted as one that closes without an answer.

Cause: the parser takes any three digits. A number below 200 was taken for an interim answer, and one above 599 for a failure that may be passed on.

Change: such a head is invalid; the attempt is broken, with the fault invalid-head.

Evidence: with the range 0 to 999, which is the behaviour before, earlyanswers/AnswerOfAnInvalidStatusIsBroken failed in 20 of 66 forms (000, 099, 600 and 999). The parser refuses the other statuses of the test already: 0, 20, 2000, -20, 2x0, 0200 and none. AnswerOfAnUnusualStatusIsWhole (299 to 599) held.

--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 constexpr int kFirstFailure = 300;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
@@ -146,13 +148,14 @@
   if (IsHeadOnly()) {
     parser->skip(true);
   }
-  const bool isSound =
+  const bool isRead =
     FindHeadFault(head).empty() && Feed(*parser, head) != ParseState::Invalid;
-  if (!isSound) {
+  const int status = parser->Head().mStatus;
+  if (!isRead || status < kFirstStatus || status > kLastStatus) {
     EndBroken(aAttempt, AnswerFault::InvalidHead);
     return false;
   }
-  if (parser->Head().mStatus < kFirstFinalStatus) {
+  if (status < kFirstFinalStatus) {
     return SkipsOtherAnswer(aAttempt) && TakeHead(aAttempt);
   }
   RecordServerState(*aAttempt, parser->Head());
--- a/tests/forward/test_earlyanswers.cpp
+++ b/tests/forward/test_earlyanswers.cpp
@@ -14,6 +14,8 @@
 using Socket = boost::asio::ip::tcp::socket;
 
 constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
+constexpr int kInternalError = 500;
 
 constexpr int kMostAsks = 3;
 
@@ -272,6 +274,60 @@
   }
 }
 
+// An answer whose status is none of HTTP reaches the caller, or is taken for an
+// interim one, so that the caller waits until the time limit.
+BOOST_AUTO_TEST_CASE(AnswerOfAnInvalidStatusIsBroken)
+{
+  const char* const statuses[] = { "000", "0",   "",    "20",  "099", "2000",
+                                   "600", "999", "-20", "2x0", "0200" };
+  for (const char* const status : statuses) {
+    for (const bool isOldCaller : { false, true }) {
+      for (const Framing framing : kFramings) {
+        const char* const path = isOldCaller ? "/resume/x" : "/once/x";
+        ForwardFixture fixture;
+        fixture.AddBackend([&](Socket& aSocket, const std::string& aRequest) {
+          std::string text = FramedAnswer(aRequest, framing, kTwoEvents);
+          text.replace(text.find("200"), 3, status);
+          WriteBytes(aSocket, text);
+          if (framing == Framing::Close) {
+            End(aSocket, Ending::Shutdown);
+          }
+        });
+        fixture.Start();
+        Caller caller(fixture.Port());
+        caller.Send(isOldCaller ? OldRequestText(path)
+                                : ForwardFixture::RequestText(path));
+        const SeenAnswer answer = caller.Read();
+        const std::string form = std::string(status) + " on " + path +
+                                 " framing " +
+                                 std::to_string(static_cast<int>(framing));
+        BOOST_TEST(answer.Status() == kBadGateway, form);
+        BOOST_TEST(BrokenAnswers(fixture, AnswerFault::InvalidHead) > 0U, form);
+      }
+    }
+  }
+}
+
+// An answer breaks since its status is unusual.
+BOOST_AUTO_TEST_CASE(AnswerOfAnUnusualStatusIsWhole)
+{
+  for (const int status : { 299, 399, 450, 499, 599 }) {
+    ForwardFixture fixture;
+    fixture.AddBackend([&](Socket& aSocket, const std::string& aRequest) {
+      WriteBytes(aSocket, AnswerTo(aRequest, status, kJson));
+    });
+    fixture.Start();
+    for (const char* const path : { kRoutes[0], kRoutes[2] }) {
+      const SeenAnswer answer = fixture.Call(path);
+      BOOST_TEST(answer.Status() == status, path);
+      BOOST_TEST(answer.mBody == kJson, path);
+      if (status >= kInternalError) {
+        break; // The server is used less from now on.
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
