Ask a model server on the watch whether its process runs

Cause: the watch took the process for running if its own connection was still open 10 ms after the end of the answer. A killed process that gets little time closes its connections later than that, one after the other.

Change: when the answer has ended, a model server is asked for its state on the watch's connection, which only the process that accepted it can answer. Any answer shows that it runs, the end of the connection that it doesn't. A process that is silent for 200 ms, the time of a process check, is suspended or busy and counts as running, as before. Plain services tell no state and keep the 10 ms.

Evidence: processwatch/ProcessIsAskedWhenItsAnswerHasEnded, whose server closes the watch 60 ms after the answer, failed without the question.

--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -15,6 +15,7 @@
 namespace medlarkeel {
 
 class CallerConnection;
+struct CheckedProcess;
 
 /** What callers of a process that shuts down are told. */
 constexpr const char* kShutdownReason = "the entry is shutting down";
@@ -141,6 +142,8 @@
   /** Finishes an answer whose transfer has ended without a fault, after a check
    * of the server's process if its end needs one. */
   void CompleteAnswer(const AttemptPointer& aAttempt);
+  /** @return The process that answers. */
+  CheckedProcess ProcessOf(const Attempt& aAttempt) const;
   /** Asks the server whether its process still runs. */
   void CheckProcess(const AttemptPointer& aAttempt);
   /** Finishes an answer, or ends it as broken if the process has ended. */
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -188,10 +188,11 @@
   aAttempt->mParser = std::move(parser);
   aAttempt->mHasHead = true;
   if (aAttempt->mParser->need_eof()) {
-    aAttempt->mWatch =
-      std::make_shared<ProcessWatch>(mForwarder.Context(),
-                                     aAttempt->mChoice.mEndpoint,
-                                     aAttempt->mConnection->mSocket);
+    aAttempt->mWatch = std::make_shared<ProcessWatch>(
+      mForwarder.Context(),
+      aAttempt->mChoice.mEndpoint,
+      aAttempt->mConnection->mSocket,
+      StatusRequestText(mForwarder.Protocol(), ProcessOf(*aAttempt)));
     aAttempt->mWatch->Start();
   }
   return true;
@@ -431,18 +432,24 @@
     });
 }
 
-void
-Exchange::CheckProcess(const AttemptPointer& aAttempt)
+CheckedProcess
+Exchange::ProcessOf(const Attempt& aAttempt) const
 {
   CheckedProcess process;
-  process.mId = aAttempt->mChoice.mId;
-  process.mEndpoint = aAttempt->mChoice.mEndpoint;
-  process.mStartedAt = aAttempt->mProcessStartedAt;
+  process.mId = aAttempt.mChoice.mId;
+  process.mEndpoint = aAttempt.mChoice.mEndpoint;
+  process.mStartedAt = aAttempt.mProcessStartedAt;
   process.mHasStatus = mPool->mIsModel;
+  return process;
+}
+
+void
+Exchange::CheckProcess(const AttemptPointer& aAttempt)
+{
   std::make_shared<ProcessCheck>(
     mForwarder.Context(),
     mForwarder.Protocol(),
-    process,
+    ProcessOf(*aAttempt),
     [self = shared_from_this(), aAttempt](bool aIsRunning) {
       if (self->mIsDone || self->mAttempt != aAttempt) {
         return;
--- a/src/libmedlarkeelforward/processcheck.cpp
+++ b/src/libmedlarkeelforward/processcheck.cpp
@@ -25,6 +25,18 @@
 
 } // namespace
 
+std::string
+StatusRequestText(const WireProtocol& aProtocol, const CheckedProcess& aProcess)
+{
+  if (!aProcess.mHasStatus || aProtocol.mStatusPath.empty()) {
+    return {};
+  }
+  return "GET " + aProtocol.mStatusPath +
+         " HTTP/1.1\r\nHost: " + EndpointText(aProcess.mEndpoint) + "\r\n" +
+         aProtocol.mExpectedBackend + ": " + aProcess.mId.Text() +
+         "\r\nConnection: close\r\n\r\n";
+}
+
 ProcessCheck::ProcessCheck(boost::asio::io_context& aContext,
                            const WireProtocol& aProtocol,
                            CheckedProcess aProcess,
@@ -70,17 +82,14 @@
 void
 ProcessCheck::Ask()
 {
-  const bool asksStatus = mProcess.mHasStatus && !mProtocol.mStatusPath.empty();
+  mRequest = StatusRequestText(mProtocol, mProcess);
+  const bool asksStatus = !mRequest.empty();
   WaitFor(asksStatus ? kAnswerTimeout : kSettleTime,
           &ProcessCheck::HandleSilence);
   if (!asksStatus) {
     Read();
     return;
   }
-  mRequest = "GET " + mProtocol.mStatusPath +
-             " HTTP/1.1\r\nHost: " + EndpointText(mProcess.mEndpoint) + "\r\n" +
-             mProtocol.mExpectedBackend + ": " + mProcess.mId.Text() +
-             "\r\nConnection: close\r\n\r\n";
   boost::asio::async_write(
     mSocket,
     boost::asio::buffer(mRequest),
--- a/src/libmedlarkeelforward/processcheck.h
+++ b/src/libmedlarkeelforward/processcheck.h
@@ -27,6 +27,11 @@
   bool mHasStatus = false;
 };
 
+/** @return The request for the state of a process; empty if it tells none. */
+std::string
+StatusRequestText(const WireProtocol& aProtocol,
+                  const CheckedProcess& aProcess);
+
 /**
  * Finds out whether a process of a backend server still runs, by a connection
  * of its own. The system closes the connections of a process that was killed in
--- a/src/libmedlarkeelforward/processwatch.cpp
+++ b/src/libmedlarkeelforward/processwatch.cpp
@@ -2,6 +2,8 @@
 
 #include "../libmedlarkeelnet/bootclock.h"
 
+#include <boost/asio/write.hpp>
+
 #include <poll.h>
 
 namespace medlarkeel {
@@ -11,6 +13,11 @@
 /** Time in which the connections of a process that is ending are closed. */
 constexpr Milliseconds kSettleTime{ 10 };
 
+/** Time for the answer of a process that is asked. One that is silent for
+ * longer is suspended or busy; one that was killed has closed its connections.
+ */
+constexpr Milliseconds kAnswerTime{ 200 };
+
 /** Connections for one answer; servers close those that are idle. */
 constexpr int kMostConnections = 4;
 
@@ -22,8 +29,10 @@
 
 ProcessWatch::ProcessWatch(boost::asio::io_context& aContext,
                            const Endpoint& aEndpoint,
-                           boost::asio::ip::tcp::socket& aAnswer)
+                           boost::asio::ip::tcp::socket& aAnswer,
+                           std::string aRequest)
   : mEndpoint(aEndpoint)
+  , mRequest(std::move(aRequest))
   , mAnswer(&aAnswer)
   , mSocket(aContext)
   , mTimer(aContext)
@@ -76,6 +85,8 @@
       }
       if (aError) {
         self->HandleEnd(aError);
+      } else if (self->mHandler && !self->mRequest.empty()) {
+        self->Finish();
       } else {
         self->Read();
       }
@@ -117,7 +128,10 @@
     Finish();
     return;
   }
-  mTimer.expires_after(kSettleTime);
+  if (!mRequest.empty()) {
+    Ask();
+  }
+  mTimer.expires_after(mRequest.empty() ? kSettleTime : kAnswerTime);
   mTimer.async_wait([self = shared_from_this()](const Error& aError) {
     if (!aError) {
       self->Finish();
@@ -125,6 +139,17 @@
   });
 }
 
+void
+ProcessWatch::Ask()
+{
+  boost::asio::async_write(
+    mSocket,
+    boost::asio::buffer(mRequest),
+    [self = shared_from_this()](const Error&, std::size_t) {
+      // A failed write shows as the end of the reading.
+    });
+}
+
 void
 ProcessWatch::Finish()
 {
--- a/src/libmedlarkeelforward/processwatch.h
+++ b/src/libmedlarkeelforward/processwatch.h
@@ -10,13 +10,16 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace medlarkeel {
 
 /**
  * A connection to a backend server that is open while an answer arrives that
  * ends with its own connection. The end of the server's process closes both, a
- * server that ends the answer only one. Nothing is sent.
+ * server that ends the answer only one. A process that is ending may keep its
+ * connections for a while, so one that tells its state is asked for it when the
+ * answer has ended; nothing else is sent.
  *
  * It belongs to the process that answers if the answer's connection was still
  * open after it had been made.
@@ -31,10 +34,13 @@
   /**
    * @param aEndpoint Address of the server.
    * @param aAnswer The connection of the answer; used until Conclude or Stop.
+   * @param aRequest Request that the process answers at any time; empty if none
+   * is known.
    */
   ProcessWatch(boost::asio::io_context& aContext,
                const Endpoint& aEndpoint,
-               boost::asio::ip::tcp::socket& aAnswer);
+               boost::asio::ip::tcp::socket& aAnswer,
+               std::string aRequest);
 
   /** Connects, unless the answer's connection has ended. */
   void Start();
@@ -59,6 +65,8 @@
 
   void Connect();
   void Read();
+  /** Sends the request, whose answer shows that the process runs. */
+  void Ask();
   /** Handles the end of the watch's own connection. */
   void HandleEnd(const Error& aError);
   bool IsAnswerClosed() const;
@@ -66,6 +74,7 @@
   void Finish();
 
   Endpoint mEndpoint;
+  std::string mRequest;
   boost::asio::ip::tcp::socket* mAnswer;
   boost::asio::ip::tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
--- a/tests/forward/test_processwatch.cpp
+++ b/tests/forward/test_processwatch.cpp
@@ -1,5 +1,7 @@
 #include "framedanswer.h"
 
+#include "processwatch.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <poll.h>
@@ -123,10 +125,88 @@
   return answer.mIsWhole;
 }
 
+/** What a server does with the watch's connection when its answer has ended. */
+enum class AfterAnswer
+{
+  /** Closes it later, as a process that takes its time to end. */
+  CloseLate,
+  /** Answers the request for its state. */
+  Answer,
+  /** Keeps it and answers nothing, as a suspended process. */
+  Silence
+};
+
+/** Longer than the wait for connections that are closed one after the other. */
+constexpr Milliseconds kTimeToEnd{ 60 };
+constexpr Milliseconds kLongestWait{ 3000 };
+
+/** @return Whether the process of a server counts as running. */
+std::optional<bool>
+Watch(AfterAnswer aAfter)
+{
+  boost::asio::io_context context;
+  tcp::acceptor acceptor(context,
+                         { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  const tcp::endpoint address = acceptor.local_endpoint();
+  std::optional<bool> isRunning;
+  std::atomic<bool> isOver{ false };
+  std::thread server([&]() {
+    std::array<char, 4096> buffer{};
+    boost::system::error_code ignored; // The caller's end ends the test.
+    tcp::socket answer = acceptor.accept();
+    tcp::socket watch = acceptor.accept();
+    answer.read_some(boost::asio::buffer(buffer), ignored);
+    answer.close();
+    if (aAfter == AfterAnswer::CloseLate) {
+      std::this_thread::sleep_for(kTimeToEnd);
+      return;
+    }
+    watch.read_some(boost::asio::buffer(buffer), ignored);
+    if (aAfter == AfterAnswer::Answer) {
+      WriteBytes(watch, AnswerTo("Request: r-1\r\n", 200, "{}"));
+    }
+    while (!isOver) {
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+  });
+  tcp::socket answer(context);
+  answer.connect(address);
+  const auto watch = std::make_shared<ProcessWatch>(
+    context,
+    Endpoint{ address.address().to_string(), address.port() },
+    answer,
+    "GET /status HTTP/1.1\r\n\r\n");
+  watch->Start();
+  context.run_for(kPauseBeforeEnd);
+  WriteBytes(answer, "end");
+  std::array<char, 16> buffer{};
+  boost::system::error_code end;
+  answer.read_some(boost::asio::buffer(buffer), end);
+  watch->Conclude([&](std::optional<bool> aIsRunning) {
+    isRunning = aIsRunning;
+    context.stop();
+  });
+  context.restart();
+  context.run_for(kLongestWait);
+  isOver = true;
+  watch->Stop();
+  server.join();
+  return isRunning;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(processwatch)
 
+// A process that ends passes for one that runs, as it is slow to close its
+// connections; one that is asked and runs passes for one that has ended.
+BOOST_AUTO_TEST_CASE(ProcessIsAskedWhenItsAnswerHasEnded)
+{
+  BOOST_CHECK(Watch(AfterAnswer::CloseLate) == false);
+  BOOST_CHECK(Watch(AfterAnswer::Answer) == true);
+  BOOST_CHECK(Watch(AfterAnswer::Silence) == true);
+}
+
 // A sound stream breaks since its server closes or refuses a connection on
 // which no request comes.
 BOOST_AUTO_TEST_CASE(EndOfASilentConnectionBreaksNoSoundStream)
