--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -3,13 +3,16 @@
 #include "../libmedlarkeel/forwarding/requestedpause.h"
 #include "../libmedlarkeelnet/bootclock.h"
 #include "callerconnection.h"
+#include "connectionend.h"
 #include "processcheck.h"
 
 namespace medlarkeel {
 
 namespace {
 
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 constexpr int kFirstFailure = 300;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
@@ -66,9 +69,14 @@
                     std::size_t aSize)
 {
   if (aError) {
-    HandleConnectionEnd(aAttempt, aError == boost::asio::error::eof);
+    BackendConnection& connection = *aAttempt->mConnection;
+    HandleConnectionEnd(aAttempt,
+                        aError == boost::asio::error::eof &&
+                          IsClosedInOrder(connection.mSocket.native_handle(),
+                                          connection.mBytesRead));
     return;
   }
+  aAttempt->mConnection->mBytesRead += aSize;
   aAttempt->mInput.append(aAttempt->mBuffer.data(), aSize);
   while (!mIsDone && mAttempt == aAttempt) {
     if (!aAttempt->mHasHead && !TakeHead(aAttempt)) {
@@ -140,13 +148,14 @@
   if (IsHeadOnly()) {
     parser->skip(true);
   }
-  const bool isSound =
+  const bool isRead =
     FindHeadFault(head).empty() && Feed(*parser, head) != ParseState::Invalid;
-  if (!isSound) {
+  const int status = parser->Head().mStatus;
+  if (!isRead || status < kFirstStatus || status > kLastStatus) {
     EndBroken(aAttempt, AnswerFault::InvalidHead);
     return false;
   }
-  if (parser->Head().mStatus < kFirstFinalStatus) {
+  if (status < kFirstFinalStatus) {
     return SkipsOtherAnswer(aAttempt) && TakeHead(aAttempt);
   }
   RecordServerState(*aAttempt, parser->Head());
@@ -179,10 +188,11 @@
   aAttempt->mParser = std::move(parser);
   aAttempt->mHasHead = true;
   if (aAttempt->mParser->need_eof()) {
-    aAttempt->mWatch =
-      std::make_shared<ProcessWatch>(mForwarder.Context(),
-                                     aAttempt->mChoice.mEndpoint,
-                                     aAttempt->mConnection->mSocket);
+    aAttempt->mWatch = std::make_shared<ProcessWatch>(
+      mForwarder.Context(),
+      aAttempt->mChoice.mEndpoint,
+      aAttempt->mConnection->mSocket,
+      StatusRequestText(mForwarder.Protocol(), ProcessOf(*aAttempt)));
     aAttempt->mWatch->Start();
   }
   return true;
@@ -422,18 +432,24 @@
     });
 }
 
-void
-Exchange::CheckProcess(const AttemptPointer& aAttempt)
+CheckedProcess
+Exchange::ProcessOf(const Attempt& aAttempt) const
 {
   CheckedProcess process;
-  process.mId = aAttempt->mChoice.mId;
-  process.mEndpoint = aAttempt->mChoice.mEndpoint;
-  process.mStartedAt = aAttempt->mProcessStartedAt;
+  process.mId = aAttempt.mChoice.mId;
+  process.mEndpoint = aAttempt.mChoice.mEndpoint;
+  process.mStartedAt = aAttempt.mProcessStartedAt;
   process.mHasStatus = mPool->mIsModel;
+  return process;
+}
+
+void
+Exchange::CheckProcess(const AttemptPointer& aAttempt)
+{
   std::make_shared<ProcessCheck>(
     mForwarder.Context(),
     mForwarder.Protocol(),
-    process,
+    ProcessOf(*aAttempt),
     [self = shared_from_this(), aAttempt](bool aIsRunning) {
       if (self->mIsDone || self->mAttempt != aAttempt) {
         return;
