Take the end of a connection for orderly where the kernel doesn't count its bytes

Cause: an older kernel, or another network stack, may return a shorter TCP_INFO or leave the number of received bytes at 0; each answer that ends with its connection would then count as reset.

Change: the number decides only if it was returned and isn't below what was read.

Result: not tried on such a system; forward/earlyanswers is run with the merge.

--- a/src/libmedlarkeelforward/connectionend.cpp
+++ b/src/libmedlarkeelforward/connectionend.cpp
@@ -2,6 +2,7 @@
 
 // That of the C library lacks the number of bytes, and can't be included beside
 // this one.
+#include <cstddef>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -13,7 +14,12 @@
 {
   tcp_info info{};
   socklen_t size = sizeof info;
-  if (getsockopt(aDescriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+  constexpr std::size_t kNeededSize =
+    offsetof(tcp_info, tcpi_bytes_received) + sizeof info.tcpi_bytes_received;
+  const bool isKnown =
+    getsockopt(aDescriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+    size >= kNeededSize && info.tcpi_bytes_received >= aBytesRead;
+  if (!isKnown) {
     return true;
   }
   // The segment that closes a connection counts as a byte.
