Weigh cached parts against queues by the expected delay

Cause: fixed weights keep a prompt at the server that has cached its parts up to 24 times as long as that saves, and reserve idle servers for short prompts, where the targets would bear a long prompt ahead (docs/design/hard-load.md).

Change: the cost of a server is a strategy (servercost) that the document selects: expected delay if it states the engines' memory and its shortest latency target bears the prefill of a long prompt, else the weights of before. Which parts a server has cached, and for how long, is a class of its own (cachedparts). The log shows the kind of cost, the prompt's tokens, what has to be read and the queue.

--- a/bench/experiment/main.cpp
+++ b/bench/experiment/main.cpp
@@ -52,6 +52,8 @@
   BackendChooserSettings (*mSettings)();
   /** Whether requests are turned away under overload. */
   bool mRefuses = true;
+  /** Whether the document states the memory of the engines. */
+  bool mStatesEngineMemory = true;
 };
 
 BackendChooserSettings
@@ -108,9 +110,10 @@
   return settings;
 }
 
-constexpr std::array<Policy, 7> kPolicies{
+constexpr std::array<Policy, 8> kPolicies{
   { { "product", Product },
     { "no-refusals", Product, false },
+    { "no-engine-memory", Product, true, false },
     { "flat-weights", FlatWeights },
     { "flat-unread-weight", FlatUnreadWeight },
     { "no-stream-tokens", NoStreamTokens },
@@ -239,6 +242,7 @@
 {
   FleetPolicy policy;
   policy.mChooser = aPolicy.mSettings();
+  policy.mStatesEngineMemory = aPolicy.mStatesEngineMemory;
   if (!aPolicy.mRefuses) {
     policy.mAdmission.reset();
   }
--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -15,13 +15,8 @@
  * it independent of the other hashes. */
 constexpr std::uint64_t kShortPromptHashSeed = 0x5eed0001;
 
-/** Prefill tokens of backlog for which mPrefillWeightByBacklog is added once.
- */
-constexpr double kBacklogUnitTokens = 10'000.0;
-
-/** When more parts are recorded for a server, all of its records are
- * dropped. */
-constexpr std::size_t kMaximumSentParts = 4096;
+/** Prompts over which the mean size of a prompt is averaged. */
+constexpr double kAveragedPrompts = 64.0;
 
 /** @return The aCount servers with the highest rendezvous scores for a key, in
  * descending order. */
@@ -73,6 +68,8 @@
                                ZoneName aZone,
                                std::uint64_t aSeed)
   : mSettings(aSettings)
+  , mFixedWeightCost(MakeServerCost(ServerCostKind::FixedWeights, aSettings))
+  , mExpectedDelayCost(MakeServerCost(ServerCostKind::ExpectedDelay, aSettings))
   , mZone(std::move(aZone))
   , mRandom(aSeed)
 {
@@ -83,7 +80,8 @@
                        const std::optional<PromptDescription>& aPrompt,
                        const std::set<InstanceId>& aExcluded,
                        const ColdLimit& aColdLimit,
-                       Timestamp aNow)
+                       Timestamp aNow,
+                       const PoolPlacement& aPlacement)
 {
   const std::vector<const ListedBackend*> candidates =
     Candidates(aUsable, aExcluded, aColdLimit, aNow);
@@ -91,7 +89,7 @@
     return std::nullopt;
   }
   BackendChoice choice =
-    aPrompt ? ChooseForPrompt(aUsable, candidates, *aPrompt, aNow)
+    aPrompt ? ChooseForPrompt(aUsable, candidates, *aPrompt, aPlacement, aNow)
             : ChooseWithoutPrompt(candidates);
   choice.mCandidates = candidates.size();
   for (const ListedBackend* server : candidates) {
@@ -169,35 +167,44 @@
 }
 
 std::uint32_t
-BackendChooser::EstimatePrefillTokens(const ListedBackend& aServer,
+BackendChooser::EstimatePrefillTokens(const InstanceId& aServer,
                                       const PromptDescription& aPrompt,
                                       bool aIsMostPreferred,
+                                      const PartLifetime& aLifetime,
                                       Timestamp aNow) const
 {
-  const auto found = mServers.find(aServer.mEntry.mId);
-  const std::size_t sharedParts =
-    aPrompt.mParts.empty() ? 0 : aPrompt.mParts.size() - 1;
-  double cached = 0.0;
-  double shared = 0.0;
-  for (std::size_t i = 0; i < sharedParts; ++i) {
-    shared += aPrompt.mParts[i].mTokens;
-    if (found == mServers.end()) {
-      continue;
-    }
-    const auto sent = found->second.mSentParts.find(
-      static_cast<std::uint32_t>(aPrompt.mParts[i].mId));
-    const bool isCached = sent != found->second.mSentParts.end() &&
-                          aNow - sent->second < mSettings.mMaximumCachedPartAge;
-    // Caches are by prefix: a cached part implies all parts before it.
-    cached = isCached ? shared : cached;
-  }
+  const auto found = mServers.find(aServer);
+  double cached =
+    found == mServers.end()
+      ? 0.0
+      : found->second.mCachedParts.CachedTokens(aPrompt, aLifetime, aNow);
   if (aIsMostPreferred) {
-    cached = std::max(cached, shared * mSettings.mAssumedCachedShare);
+    cached =
+      std::max(cached, aPrompt.SharedTokens() * mSettings.mAssumedCachedShare);
   }
   const double prefillTokens = std::max(0.0, aPrompt.mPromptTokens - cached);
   return static_cast<std::uint32_t>(prefillTokens);
 }
 
+EngineMemoryUse
+BackendChooser::MemoryUse(std::size_t aRunningRequests,
+                          const PoolPlacement& aPlacement,
+                          std::size_t aServers) const
+{
+  const double demand = mDemand.mShortPromptDemand + mDemand.mLongPromptDemand +
+                        mPeerLoad.mDemand.mShortPromptDemand +
+                        mPeerLoad.mDemand.mLongPromptDemand;
+  const double seconds =
+    std::chrono::duration<double>(mSettings.mDemandTimeConstant).count();
+  EngineMemoryUse use;
+  use.mMemoryTokens = static_cast<double>(aPlacement.mEngineMemoryTokens);
+  use.mRunningTokens =
+    mMeanPromptTokens * static_cast<double>(aRunningRequests);
+  use.mPrefillTokensPerSecond =
+    demand / seconds / static_cast<double>(std::max<std::size_t>(1, aServers));
+  return use;
+}
+
 double
 BackendChooser::MeanBacklog(
   const std::vector<const ListedBackend*>& aUsable) const
@@ -209,48 +216,12 @@
   return aUsable.empty() ? 0.0 : tokens / static_cast<double>(aUsable.size());
 }
 
-double
-BackendChooser::PromptCost(const ListedBackend& aServer,
-                           const PromptDescription& aPrompt,
-                           std::uint32_t aPrefillTokens,
-                           bool aIsReservedForShort,
-                           Timestamp aNow) const
-{
-  const double weight =
-    mSettings.mPrefillWeight +
-    mSettings.mPrefillWeightByBacklog * mMeanBacklog / kBacklogUnitTokens;
-  const double queuedTokens = QueuedTokens(aServer.mEntry.mId);
-  const double longQueueTokens =
-    std::max(0.0, queuedTokens - mMeanBacklog - mSettings.mLongQueueTokens);
-  double cost = weight * aPrefillTokens + queuedTokens;
-  cost += mSettings.mLongQueueWeight * longQueueTokens;
-  cost += mSettings.mRunningRequestPenalty *
-          static_cast<double>(RunningRequests(aServer.mEntry.mId));
-  const bool isShort = aPrompt.mPromptTokens < mSettings.mShortPromptLimit;
-  if (isShort && aServer.mEntry.mSlots > 0) {
-    const double beyondSlots =
-      static_cast<double>(RunningRequests(aServer.mEntry.mId)) -
-      mSettings.mFreeSlotShare * aServer.mEntry.mSlots;
-    cost += mSettings.mBeyondSlotsPenalty * std::max(0.0, beyondSlots);
-  }
-  cost += aNow < aServer.mColdUntil ? mSettings.mColdPenalty : 0.0;
-  if (isShort && !aIsReservedForShort) {
-    cost += mSettings.mShortOnLongPenalty;
-  }
-  if (!isShort && aIsReservedForShort) {
-    cost += mSettings.mLongOnShortPenalty;
-  }
-  if (aServer.mEntry.mZone != mZone) {
-    cost += mSettings.mOtherZonePenalty;
-  }
-  return cost;
-}
-
 BackendChoice
 BackendChooser::ChooseForPrompt(
   const std::vector<const ListedBackend*>& aUsable,
   const std::vector<const ListedBackend*>& aCandidates,
   const PromptDescription& aPrompt,
+  const PoolPlacement& aPlacement,
   Timestamp aNow)
 {
   mMeanBacklog = MeanBacklog(aUsable);
@@ -265,24 +236,32 @@
   const std::uint64_t key = aPrompt.AffinityKey();
   const std::vector<const ListedBackend*> first = PreferredServers(
     sizeGroup, key, key == 0 ? 0 : mSettings.mPreferredServers);
+  const ServerCost& cost = CostOf(aPlacement.mCost);
+  const PlacementContext context{ isShort, mMeanBacklog };
   BackendChoice choice;
+  choice.mCostKind = aPlacement.mCost;
   bool isFirst = true;
   for (const ListedBackend* server : aCandidates) {
+    const InstanceId& id = server->mEntry.mId;
     const auto position = std::find(first.begin(), first.end(), server);
     const bool isMostPreferred = !first.empty() && position == first.begin();
-    const std::uint32_t prefillTokens =
-      EstimatePrefillTokens(*server, aPrompt, isMostPreferred, aNow);
-    const bool isReservedForShort =
-      reservedForShort.count(server->mEntry.mId) != 0;
-    double cost =
-      PromptCost(*server, aPrompt, prefillTokens, isReservedForShort, aNow);
-    if (!first.empty() && position == first.end()) {
-      cost += mSettings.mNonPreferredPenalty;
-    }
-    if (isFirst || cost < choice.mCost) {
-      choice.mId = server->mEntry.mId;
-      choice.mCost = cost;
-      choice.mPrefillTokens = prefillTokens;
+    ServerEstimate estimate;
+    estimate.mRunningRequests = RunningRequests(id);
+    const PartLifetime lifetime = cost.LifetimeOfParts(
+      MemoryUse(estimate.mRunningRequests, aPlacement, aUsable.size()));
+    estimate.mPrefillTokens =
+      EstimatePrefillTokens(id, aPrompt, isMostPreferred, lifetime, aNow);
+    estimate.mQueuedTokens = QueuedTokens(id);
+    estimate.mSlots = server->mEntry.mSlots;
+    estimate.mIsCold = aNow < server->mColdUntil;
+    estimate.mIsOtherZone = server->mEntry.mZone != mZone;
+    estimate.mIsReservedForShort = reservedForShort.count(id) != 0;
+    estimate.mIsPreferred = first.empty() || position != first.end();
+    const double serverCost = cost.Of(estimate, context);
+    if (isFirst || serverCost < choice.mCost) {
+      choice.mId = id;
+      choice.mCost = serverCost;
+      choice.mPrefillTokens = estimate.mPrefillTokens;
       isFirst = false;
     }
   }
@@ -363,17 +342,18 @@
 }
 
 void
-BackendChooser::RecordDemand(const PromptDescription& aPrompt,
-                             std::uint32_t aPrefillTokens,
+BackendChooser::RecordDemand(const BackendChoice& aChoice,
+                             const PromptDescription& aPrompt,
                              Timestamp aNow)
 {
   OwnDemand(aNow);
   const bool isShort = aPrompt.mPromptTokens < mSettings.mShortPromptLimit;
-  const double streamTokens =
-    mSettings.mDecodeCostTokens *
-    std::min(1.0, mMeanBacklog / mSettings.mFullDecodeCostBacklog);
+  const double answerTokens =
+    CostOf(aChoice.mCostKind).AnswerTokens(mMeanBacklog);
   (isShort ? mDemand.mShortPromptDemand : mDemand.mLongPromptDemand) +=
-    aPrefillTokens + streamTokens;
+    aChoice.mPrefillTokens + answerTokens;
+  mMeanPromptTokens +=
+    (aPrompt.mPromptTokens - mMeanPromptTokens) / kAveragedPrompts;
 }
 
 void
@@ -392,18 +372,15 @@
     return;
   }
   mPriorityLoads.RecordStarted(aChoice.mLoadGroup, aChoice.mPrefillTokens);
-  RecordDemand(*aPrompt, aChoice.mPrefillTokens, aNow);
-  if (state.mSentParts.size() > kMaximumSentParts) {
-    state.mSentParts.clear();
-  }
+  RecordDemand(aChoice, *aPrompt, aNow);
+  state.mCachedParts.LimitSize();
   const std::uint64_t key = aPrompt->AffinityKey();
   for (const PromptPart& part : aPrompt->mParts) {
-    Timestamp& sentAt = state.mSentParts[static_cast<std::uint32_t>(part.mId)];
-    if (part.mId == key && aNow - sentAt >= mSettings.mPartReportInterval) {
+    const Timestamp previous = state.mCachedParts.RecordUse(part.mId, aNow);
+    if (part.mId == key && aNow - previous >= mSettings.mPartReportInterval) {
       mUnreportedParts.push_back(
         { ServerHash(aChoice.mId), static_cast<std::uint32_t>(part.mId) });
     }
-    sentAt = aNow;
   }
 }
 
@@ -418,7 +395,7 @@
   for (const SentPart& part : aSent) {
     const auto found = byHash.find(part.mServer);
     if (found != byHash.end()) {
-      found->second->mSentParts[part.mPart] = aNow;
+      found->second->mCachedParts.RecordUse(part.mPart, aNow);
     }
   }
 }
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -4,10 +4,12 @@
 #include "backendlist.h"
 #include "peerview.h"
 #include "promptdescription.h"
+#include "servercost.h"
 
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -15,63 +17,23 @@
 
 namespace medlarkeel {
 
-/** Weights of the cost function; costs are in prompt tokens to prefill. */
-struct BackendChooserSettings
+/** Parameters of the choice of a server; the inherited ones are those of the
+ * cost functions. */
+struct BackendChooserSettings : ServerCostSettings
 {
   /** Prompts with fewer tokens are short: four chunks of a usual chunked
    * prefill. */
   std::uint32_t mShortPromptLimit = 4096;
-  /** Weight of the request's own prefill tokens relative to queued ones:
-   * repeating the prefill of a cached part also delays all later requests. */
-  double mPrefillWeight = 6.0;
-  /** Added to mPrefillWeight for each 10,000 prefill tokens of mean backlog per
-   * server: the longer the queues, the more requests are delayed. */
-  double mPrefillWeightByBacklog = 2.0;
-  /** Prefill tokens above the mean backlog beyond which a queue is long: about
-   * one second of prefill, two thirds of the longest latency targets. */
-  double mLongQueueTokens = 60'000.0;
-  /** Added to the weight of queued tokens beyond mLongQueueTokens, so that
-   * cached parts don't make a server's queue exceed the latency targets. */
-  double mLongQueueWeight = 3.0;
-  /** Mean backlog per server, in prefill tokens, from which mDecodeCostTokens
-   * counts in full: 0.3 to 0.4 s of prefill. Below it, the share is
-   * proportional. */
-  double mFullDecodeCostBacklog = 20'000.0;
-  /** Cost of generating a usual answer: the prompt tokens that a loaded server
-   * could prefill in that time. Short prompts come with many answers, so they
-   * need more servers than their prompt tokens alone suggest. */
-  double mDecodeCostTokens = 2500.0;
-  /** Cost of a short prompt on a server that isn't reserved for short ones. */
-  double mShortOnLongPenalty = 6000.0;
-  /** Cost of a long prompt on a server that is reserved for short ones. */
-  double mLongOnShortPenalty = 72'000.0;
-  /** Cost of a server in another availability zone. */
-  double mOtherZonePenalty = 1500.0;
-  /** Cost of a cold server, which has no cached parts and is slower. */
-  double mColdPenalty = 3000.0;
   /** Window of the rate limit for cold servers: one second, plus the variation
    * of network delays. */
   Microseconds mColdLimitWindow = std::chrono::milliseconds(1150);
-  /** Cost of each request in progress on the server. */
-  double mRunningRequestPenalty = 150.0;
-  /** Share of a server's slots up to which requests slow each other down, but
-   * don't wait. */
-  double mFreeSlotShare = 0.75;
-  /** Cost, for a short prompt, of each request beyond mFreeSlotShare: the
-   * prompt would wait or preempt another request, however few tokens it has. */
-  double mBeyondSlotsPenalty = 1000.0;
   /** Number of preferred servers of a prompt, by rendezvous hash. They differ
    * by prompt, so entries that act on the same outdated loads move from a busy
    * server to different ones. */
   std::size_t mPreferredServers = 3;
-  /** Cost of a server that isn't preferred. */
-  double mNonPreferredPenalty = 5000.0;
   /** Share of a prompt's shared tokens that its most preferred server is
    * assumed to have cached, although this entry didn't send them there. */
   double mAssumedCachedShare = 0.7;
-  /** Time since a part was last sent to a server, after which it no longer
-   * counts as cached there. */
-  Microseconds mMaximumCachedPartAge = std::chrono::seconds(30);
   /** Time since a part was last sent to a server, within which it isn't
    * reported to peers again. */
   Microseconds mPartReportInterval = std::chrono::seconds(5);
@@ -105,6 +67,8 @@
   std::uint32_t mPrefillTokens = 0;
   /** Estimated prefill tokens of other requests that are queued ahead. */
   double mQueuedTokens = 0.0;
+  /** The cost function that led to the choice. */
+  ServerCostKind mCostKind = ServerCostKind::FixedWeights;
   ProcessHash mProcessHash = 0;
   /** Set by AssignPriority(). */
   LoadGroup mLoadGroup;
@@ -157,6 +121,7 @@
    * @param aPrompt The prompt, or nothing for services without prompts.
    * @param aExcluded Servers that the request was already sent to.
    * @param aColdLimit Gives the limit for a cold server.
+   * @param aPlacement How the requests of the pool are placed.
    * @return The choice, or nothing if no server is left.
    */
   std::optional<BackendChoice> Choose(
@@ -164,7 +129,8 @@
     const std::optional<PromptDescription>& aPrompt,
     const std::set<InstanceId>& aExcluded,
     const ColdLimit& aColdLimit,
-    Timestamp aNow);
+    Timestamp aNow,
+    const PoolPlacement& aPlacement = PoolPlacement());
 
   /**
    * Assigns a choice to the group of requests that its request belongs to, and
@@ -251,8 +217,7 @@
     std::size_t mPrefillingRequests = 0;
     /** Prefill tokens of those requests. */
     double mPrefillTokens = 0.0;
-    /** Time at which each part was last sent, by the lower half of its id. */
-    std::unordered_map<std::uint32_t, Timestamp> mSentParts;
+    CachedParts mCachedParts;
     BackendHealth mHealth;
     /** Times of the requests that were sent while the server was cold. */
     std::deque<Timestamp> mColdRequests;
@@ -265,28 +230,34 @@
     Timestamp aNow);
   std::set<InstanceId> ServersForShortPrompts(
     const std::vector<const ListedBackend*>& aUsable) const;
-  std::uint32_t EstimatePrefillTokens(const ListedBackend& aServer,
+  /** @param aLifetime How long the server keeps parts. */
+  std::uint32_t EstimatePrefillTokens(const InstanceId& aServer,
                                       const PromptDescription& aPrompt,
                                       bool aIsMostPreferred,
+                                      const PartLifetime& aLifetime,
                                       Timestamp aNow) const;
+  /** @return The memory use of a server in a pool of aServers servers. */
+  EngineMemoryUse MemoryUse(std::size_t aRunningRequests,
+                            const PoolPlacement& aPlacement,
+                            std::size_t aServers) const;
+  const ServerCost& CostOf(ServerCostKind aKind) const
+  {
+    return aKind == ServerCostKind::ExpectedDelay ? *mExpectedDelayCost
+                                                  : *mFixedWeightCost;
+  }
   /** @return Mean load of the servers that are neither avoided nor cold. */
   MeanLoad MeanLoadOf(const std::vector<const ListedBackend*>& aServers,
                       Timestamp aNow) const;
   /** @return Mean queued prefill tokens per server. */
   double MeanBacklog(const std::vector<const ListedBackend*>& aUsable) const;
-  double PromptCost(const ListedBackend& aServer,
-                    const PromptDescription& aPrompt,
-                    std::uint32_t aPrefillTokens,
-                    bool aIsReservedForShort,
-                    Timestamp aNow) const;
   /** @return Time before which a server gets no requests: it asked for none, or
    * this entry was denied a permit. */
   std::optional<Timestamp> NotBefore(ProcessHash aBoot, Timestamp aNow) const;
   ServerLoad PeerLoad(const InstanceId& aId) const;
   /** @return Queued prefill tokens on a server, of all entries. */
   double QueuedTokens(const InstanceId& aId) const;
-  void RecordDemand(const PromptDescription& aPrompt,
-                    std::uint32_t aPrefillTokens,
+  void RecordDemand(const BackendChoice& aChoice,
+                    const PromptDescription& aPrompt,
                     Timestamp aNow);
   /**
    * Chooses the less busy of two random servers, for a request without prompt.
@@ -301,9 +272,12 @@
     const std::vector<const ListedBackend*>& aUsable,
     const std::vector<const ListedBackend*>& aCandidates,
     const PromptDescription& aPrompt,
+    const PoolPlacement& aPlacement,
     Timestamp aNow);
 
   BackendChooserSettings mSettings;
+  std::unique_ptr<ServerCost> mFixedWeightCost;
+  std::unique_ptr<ServerCost> mExpectedDelayCost;
   ZoneName mZone;
   std::mt19937_64 mRandom;
   std::unordered_map<InstanceId, ServerState> mServers;
@@ -320,6 +294,8 @@
   /** Mean backlog at the last choice for a prompt, in prefill tokens per
    * server. */
   double mMeanBacklog = 0.0;
+  /** Moving average of the tokens of a prompt; 0 at the start. */
+  double mMeanPromptTokens = 0.0;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/forwardingdocument.cpp
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.cpp
@@ -52,6 +52,7 @@
   for (auto& [name, pool] : mPools) {
     std::set<RequestPriority> priorities;
     pool.mMaximumLatencyTarget = Milliseconds(0);
+    std::optional<Milliseconds> minimumTarget;
     for (const ForwardRoute& route : mRoutes) {
       if (!UsesPool(route, name)) {
         continue;
@@ -64,7 +65,12 @@
       }
       pool.mMaximumLatencyTarget =
         std::max(pool.mMaximumLatencyTarget, route.mLatencyTarget);
+      minimumTarget = std::min(minimumTarget.value_or(route.mLatencyTarget),
+                               route.mLatencyTarget);
     }
+    pool.mPlacement.mCost =
+      ServerCostFor(pool.mPlacement.mEngineMemoryTokens,
+                    minimumTarget.value_or(Milliseconds(0)));
     pool.mPriorities.assign(priorities.begin(), priorities.end());
   }
 }
--- a/src/libmedlarkeel/forwarding/forwardingdocument.h
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "requestpriority.h"
+#include "servercost.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -85,6 +86,8 @@
   /** Longest latency target of the routes that use the pool. Set by
    * DerivePoolValues(). */
   Milliseconds mMaximumLatencyTarget{ 0 };
+  /** How requests are placed; the cost is set by DerivePoolValues(). */
+  PoolPlacement mPlacement;
 };
 
 /** Limits on the size of requests and on the time that callers take. */
@@ -131,8 +134,8 @@
   const ForwardRoute* FindRoute(std::string_view aHost,
                                 std::string_view aPath) const;
 
-  /** Computes the priorities and the longest latency target of each pool. Call
-   * it after all routes, pools and teams have been added. */
+  /** Computes the priorities, the longest latency target and the placement of
+   * each pool. Call it after all routes, pools and teams have been added. */
   void DerivePoolValues();
 
   /** @return The team that the key belongs to, or null. */
--- a/src/libmedlarkeel/forwarding/promptdescription.cpp
+++ b/src/libmedlarkeel/forwarding/promptdescription.cpp
@@ -37,6 +37,16 @@
   return mParts.size() < 2 ? 0 : mParts[mParts.size() - 2].mId;
 }
 
+double
+PromptDescription::SharedTokens() const
+{
+  double tokens = 0.0;
+  for (std::size_t i = 0; i + 1 < mParts.size(); ++i) {
+    tokens += mParts[i].mTokens;
+  }
+  return tokens;
+}
+
 std::optional<PromptDescription>
 ParsePromptDescription(std::string_view aParts, std::string_view aUsage)
 {
--- a/src/libmedlarkeel/forwarding/promptdescription.h
+++ b/src/libmedlarkeel/forwarding/promptdescription.h
@@ -24,6 +24,9 @@
   /** @return Id of the last shared part, which is the last part but one; 0 if
    * there are fewer than two parts. */
   std::uint64_t AffinityKey() const;
+
+  /** @return Tokens of all parts but the last one. */
+  double SharedTokens() const;
 };
 
 /**
--- /dev/null
+++ b/src/libmedlarkeel/forwarding/servercost.cpp
@@ -0,0 +1,132 @@
+#include "servercost.h"
+
+#include <algorithm>
+
+namespace medlarkeel {
+
+namespace {
+
+/** Prefill tokens of backlog for which the weights by backlog are added once.
+ */
+constexpr double kBacklogUnitTokens = 10'000.0;
+
+/** Prompt tokens of a long prompt, and the prefill rate that is assumed before
+ * any measurement; their quotient is what an urgent request has to bear. */
+constexpr double kLongPromptTokens = 20'000.0;
+constexpr double kAssumedTokensPerMs = 64.0;
+
+class FixedWeightCost : public ServerCost
+{
+public:
+  using ServerCost::ServerCost;
+
+  PartLifetime LifetimeOfParts(const EngineMemoryUse& /*aUse*/) const override
+  {
+    return { Settings().mMaximumCachedPartAge,
+             Settings().mMaximumCachedPartAge };
+  }
+
+private:
+  double PrefillWeight(double aMeanBacklog) const override
+  {
+    return Settings().mPrefillWeight + Settings().mPrefillWeightByBacklog *
+                                         aMeanBacklog / kBacklogUnitTokens;
+  }
+
+  double FullAnswerTokens() const override
+  {
+    return Settings().mDecodeCostTokens;
+  }
+};
+
+class ExpectedDelayCost : public ServerCost
+{
+public:
+  using ServerCost::ServerCost;
+
+  PartLifetime LifetimeOfParts(const EngineMemoryUse& aUse) const override
+  {
+    return EvictionLifetime(aUse);
+  }
+
+private:
+  double PrefillWeight(double aMeanBacklog) const override
+  {
+    // The request itself, streams, and arrivals until the queue is empty.
+    return 1.0 + Settings().mDelayedStreams +
+           Settings().mArrivalsByBacklog * aMeanBacklog / kBacklogUnitTokens;
+  }
+
+  double FullAnswerTokens() const override
+  {
+    return Settings().mTolerantDecodeCostTokens;
+  }
+};
+
+} // namespace
+
+const char*
+ServerCostKindName(ServerCostKind aKind)
+{
+  return aKind == ServerCostKind::ExpectedDelay ? "expected-delay"
+                                                : "fixed-weights";
+}
+
+ServerCostKind
+ServerCostFor(std::uint64_t aEngineMemoryTokens,
+              Milliseconds aMinimumLatencyTarget)
+{
+  const bool bearsLongPrompt =
+    static_cast<double>(aMinimumLatencyTarget.count()) >
+    kLongPromptTokens / kAssumedTokensPerMs;
+  return aEngineMemoryTokens > 0 && bearsLongPrompt
+           ? ServerCostKind::ExpectedDelay
+           : ServerCostKind::FixedWeights;
+}
+
+double
+ServerCost::Of(const ServerEstimate& aServer,
+               const PlacementContext& aContext) const
+{
+  const auto running = static_cast<double>(aServer.mRunningRequests);
+  const double longQueueTokens = std::max(
+    0.0,
+    aServer.mQueuedTokens - aContext.mMeanBacklog - mSettings.mLongQueueTokens);
+  double cost = PrefillWeight(aContext.mMeanBacklog) * aServer.mPrefillTokens +
+                aServer.mQueuedTokens;
+  cost += mSettings.mLongQueueWeight * longQueueTokens;
+  cost += mSettings.mRunningRequestPenalty * running;
+  if (aContext.mIsShortPrompt && aServer.mSlots > 0) {
+    const double beyondSlots =
+      running - mSettings.mFreeSlotShare * aServer.mSlots;
+    cost += mSettings.mBeyondSlotsPenalty * std::max(0.0, beyondSlots);
+  }
+  cost += aServer.mIsCold ? mSettings.mColdPenalty : 0.0;
+  if (aContext.mIsShortPrompt && !aServer.mIsReservedForShort) {
+    cost += mSettings.mShortOnLongPenalty;
+  }
+  if (!aContext.mIsShortPrompt && aServer.mIsReservedForShort) {
+    cost += mSettings.mLongOnShortPenalty;
+  }
+  cost += aServer.mIsOtherZone ? mSettings.mOtherZonePenalty : 0.0;
+  cost += aServer.mIsPreferred ? 0.0 : mSettings.mNonPreferredPenalty;
+  return cost;
+}
+
+double
+ServerCost::AnswerTokens(double aMeanBacklog) const
+{
+  return FullAnswerTokens() *
+         std::min(1.0, aMeanBacklog / mSettings.mFullDecodeCostBacklog);
+}
+
+std::unique_ptr<ServerCost>
+MakeServerCost(ServerCostKind aKind, const ServerCostSettings& aSettings)
+{
+  if (aKind == ServerCostKind::ExpectedDelay) {
+    return std::make_unique<ExpectedDelayCost>(aSettings);
+  }
+  return std::make_unique<FixedWeightCost>(aSettings);
+}
+
+} // namespace medlarkeel
--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -117,6 +117,9 @@
   ForwardPool& pool = mDocument.mPools[poolName];
   pool.mName = poolName;
   pool.mIsModel = true;
+  if (mPolicy.mStatesEngineMemory) {
+    pool.mPlacement.mEngineMemoryTokens = mPlan.mSpeed.mMemoryTokens;
+  }
   mDocument.mRequiresKeys = !mDocument.mTeams.empty();
   mDocument.DerivePoolValues();
   mPool = &pool;
@@ -292,7 +295,8 @@
     planned.mRequest.mPrompt,
     {},
     [](const InstanceId&) { return std::numeric_limits<std::size_t>::max(); },
-    Now());
+    Now(),
+    mPool->mPlacement);
   entry.mChooser->AssignPriority(
     PoolHash(mPool->mName), PriorityOfRequest(planned), *choice);
   if (IsAdmitted(aNumber, *choice)) {
--- a/src/libmedlarkeelemulator/emulatedfleet.h
+++ b/src/libmedlarkeelemulator/emulatedfleet.h
@@ -66,6 +66,9 @@
   BackendChooserSettings mChooser;
   /** Nothing is turned away without them. */
   std::optional<AdmissionSettings> mAdmission = AdmissionSettings();
+  /** Whether the document states the memory of the engines, which may select
+   * another cost of servers. */
+  bool mStatesEngineMemory = true;
 };
 
 /**
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -426,6 +426,13 @@
   if (mLastChoice) {
     fields["server"] = mLastChoice->mId.Text();
     fields["cost"] = static_cast<std::int64_t>(mLastChoice->mCost);
+    if (mPrompt) {
+      fields["costKind"] = ServerCostKindName(mLastChoice->mCostKind);
+      fields["promptTokens"] = mPrompt->mPromptTokens;
+      fields["prefillTokens"] = mLastChoice->mPrefillTokens;
+      fields["queuedTokens"] =
+        static_cast<std::int64_t>(mLastChoice->mQueuedTokens);
+    }
     fields["candidates"] = mLastChoice->mCandidates;
     fields["cold"] = mLastChoice->mIsCold;
     fields["otherZone"] = mLastChoice->mIsOtherZone;
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -84,7 +84,8 @@
     [this](const InstanceId& aServer) {
       return mForwarder.ColdLimit(*mPool, aServer);
     },
-    now);
+    now,
+    mPool->mPlacement);
   if (!choice) {
     if (const auto earliest = chooser.EarliestAvailableTime(usable, now)) {
       mRetryDelay = mForwarder.RetryDelay(mPool->mName, usable, *earliest);
--- a/tests/emulator/test_emulatedfleet.cpp
+++ b/tests/emulator/test_emulatedfleet.cpp
@@ -129,6 +129,26 @@
   }
 }
 
+/** Load: a burst of long prompts at servers that haven't cached their parts
+ * yet, with targets that bear a long prompt ahead. Guards against long prompts
+ * that wait at the servers of their parts while others are idle. */
+BOOST_AUTO_TEST_CASE(BurstOfLongPromptsUsesIdleServers)
+{
+  constexpr std::uint64_t kSeeds = 4;
+  constexpr std::size_t kLong = 0;
+  const LoadPlan plan = ReadPlan("hard-load.json");
+  FleetPolicy fixedWeights;
+  fixedWeights.mStatesEngineMemory = false;
+  double onTime = 0.0;
+  double onTimeWithFixedWeights = 0.0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    onTime += Play(plan, FleetPolicy(), seed).mClasses[kLong].OnTimeShare();
+    onTimeWithFixedWeights +=
+      Play(plan, fixedWeights, seed).mClasses[kLong].OnTimeShare();
+  }
+  BOOST_TEST(onTime > onTimeWithFixedWeights);
+}
+
 /** Twice the load that eight servers bear for eleven seconds. */
 BOOST_AUTO_TEST_CASE(TeamsOfOneTierHideTheUrgencyOfRoutes)
 {
