--- a/tests/platform/loopbackplatform.cpp
+++ b/tests/platform/loopbackplatform.cpp
@@ -196,6 +196,8 @@
     { "platform",
       { { "address", store.mAddress + ":" + std::to_string(store.mPort) } } },
     { "heartbeat-ms", 1200 },
+    { "limits",
+      { { "memory-mb", mMemoryMb }, { "max-fds", mMostDescriptors } } },
     { "bounds",
       { { "drain-ms", 2000 },
         { "grace-s", 8.0 },
--- a/tests/platform/loopbackplatform.h
+++ b/tests/platform/loopbackplatform.h
@@ -46,6 +46,13 @@
   FakeServer& AddModel(const std::string& aId);
   FakeServer& AddServer(const FakeServerSettings& aSettings);
 
+  /** Sets the limits of the machines of entries to come. */
+  void SetMachine(int aMemoryMb, int aMostDescriptors)
+  {
+    mMemoryMb = aMemoryMb;
+    mMostDescriptors = aMostDescriptors;
+  }
+
   /** Starts an entry; WaitReady tells when it takes requests. */
   EntryProcess& StartEntry();
 
@@ -90,6 +97,8 @@
   std::vector<std::unique_ptr<FakeServer>> mServers;
   std::vector<std::unique_ptr<EntryProcess>> mEntries;
   nlohmann::json mDocument;
+  int mMemoryMb = 512;
+  int mMostDescriptors = 8192;
 };
 
 } // namespace medlarkeel
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -26,6 +26,8 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  pid_t Pid() const { return mPid; }
+
   void Signal(int aSignal) const;
 
   /** Kills the process and waits for its end. */
