Hold the body of a request once

Cause: the exchange held the body, and each attempt another copy within the text of its request, until the answer had ended.

Change: attempts write their own head and the one shared body from two buffers. The body is released when the first part of an answer has been passed on that no other server can continue.

--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -37,7 +37,7 @@
   : mForwarder(aForwarder)
   , mCaller(std::move(aCaller))
   , mHead(std::move(aHead))
-  , mBody(std::move(aBody))
+  , mBody(std::make_shared<const std::string>(std::move(aBody)))
   , mKeepOpen(aKeepOpen)
   , mDocument(aForwarder.Document())
   , mArrived(BootNow())
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -57,7 +57,8 @@
     BackendConnectionPointer mConnection;
     std::unique_ptr<AnswerParser> mParser;
     std::string mInput;
-    std::string mRequest;
+    /** Head of the request as it is sent. */
+    std::string mRequestHead;
     AnswerBody mBody;
     /** What is passed on only when the answer is complete. */
     std::string mHeldBody;
@@ -107,7 +108,7 @@
   /** Adds the tiers of the request and the load at its admission. */
   void AddAdmissionFields(EventFields& aFields) const;
   void SendRequest(const AttemptPointer& aAttempt);
-  std::string RequestText(const Attempt& aAttempt) const;
+  std::string RequestHeadText(const Attempt& aAttempt) const;
   void ReadAnswer(const AttemptPointer& aAttempt);
   void TakeBytes(const AttemptPointer& aAttempt,
                  const Error& aError,
@@ -181,7 +182,8 @@
   Forwarder& mForwarder;
   std::shared_ptr<CallerConnection> mCaller;
   MessageHead mHead;
-  std::string mBody;
+  /** Shared by all attempts; null once it can't be sent again. */
+  std::shared_ptr<const std::string> mBody;
   bool mKeepOpen;
   ForwardingDocumentPointer mDocument;
   const ForwardRoute* mRoute = nullptr;
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -373,6 +373,9 @@
   std::string text;
   if (!mHasAnswered && (!aEvents.empty() || isComplete)) {
     mHasAnswered = true;
+    if (!mRoute->mIsResumable) {
+      mBody.reset(); // No other server can go on with the stream.
+    }
     mIsChunked = mHead.mVersion >= 11;
     mKeepOpen = mKeepOpen && mIsChunked && !mForwarder.IsStopping();
     if (!mIsChunked) {
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -243,7 +243,7 @@
 }
 
 std::string
-Exchange::RequestText(const Attempt& aAttempt) const
+Exchange::RequestHeadText(const Attempt& aAttempt) const
 {
   const WireProtocol& names = mForwarder.Protocol();
   const std::vector<std::string> declared = DeclaredConnectionFields(mHead);
@@ -286,23 +286,27 @@
     text += "Last-Event-Id: " + mLastEventId + "\r\n";
   }
   if (hasLength) {
-    text += "Content-Length: " + std::to_string(mBody.size()) + "\r\n";
+    text += "Content-Length: " + std::to_string(mBody->size()) + "\r\n";
   }
-  return text + "\r\n" + mBody;
+  return text + "\r\n";
 }
 
 void
 Exchange::SendRequest(const AttemptPointer& aAttempt)
 {
-  aAttempt->mRequest = RequestText(*aAttempt);
+  aAttempt->mRequestHead = RequestHeadText(*aAttempt);
   aAttempt->mSentAt = BootNow();
-  boost::asio::async_write(aAttempt->mConnection->mSocket,
-                           boost::asio::buffer(aAttempt->mRequest),
-                           [aAttempt](const Error& aError, std::size_t) {
-                             // A failed write shows as the end of the answer's
-                             // reading.
-                             aAttempt->mIsRequestWritten = !aError;
-                           });
+  // All attempts send the one body; it lives as long as a write needs it.
+  const std::array<boost::asio::const_buffer, 2> request{
+    boost::asio::buffer(aAttempt->mRequestHead), boost::asio::buffer(*mBody)
+  };
+  boost::asio::async_write(
+    aAttempt->mConnection->mSocket,
+    request,
+    [aAttempt, body = mBody](const Error& aError, std::size_t) {
+      // A failed write shows as the end of the answer's reading.
+      aAttempt->mIsRequestWritten = !aError;
+    });
   ReadAnswer(aAttempt);
 }
 
