--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -154,7 +154,7 @@
     Reject(kBadRequest, "the body can't be read");
     return;
   }
-  if (mParser->Body().size() > limits.mBodyBytes) {
+  if (mParser->AnnouncedBytes() > limits.mBodyBytes) {
     Reject(kTooLarge, "the body is too large");
     return;
   }
--- a/src/libmedlarkeelforward/messageparser.h
+++ b/src/libmedlarkeelforward/messageparser.h
@@ -72,6 +72,13 @@
 
   const std::string& Body() const { return mBody; }
 
+  /** @return Bytes of the body up to the end of the chunk that has begun, or
+   * those that have arrived if there are no chunks. */
+  std::uint64_t AnnouncedBytes() const
+  {
+    return this->chunked() ? mChunkBytes : mBody.size();
+  }
+
   /**
    * @param aSize Bytes that are there.
    * @return Whether they are too few for any first chunk with its end; Beast
@@ -136,9 +143,11 @@
     return aBytes.size();
   }
 
-  void on_chunk_header_impl(std::uint64_t, Text, Error&) override
+  void on_chunk_header_impl(std::uint64_t aSize, Text, Error&) override
   {
+    constexpr std::uint64_t kMost = std::numeric_limits<std::uint64_t>::max();
     mHasChunk = true;
+    mChunkBytes = aSize > kMost - mChunkBytes ? kMost : mChunkBytes + aSize;
   }
 
   std::size_t on_chunk_body_impl(std::uint64_t, Text aBytes, Error&) override
@@ -151,6 +160,7 @@
 
   MessageHead mHead;
   std::string mBody;
+  std::uint64_t mChunkBytes = 0;
   bool mHasChunk = false;
 };
 
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -566,6 +566,19 @@
   BOOST_TEST(body.Read().Status() == 413);
 }
 
+// A chunk over the limit was read up to the limit before it was refused.
+BOOST_AUTO_TEST_CASE(ChunksOverTheLimitAreRejectedByTheirAnnouncedSize)
+{
+  ForwardFixture fixture;
+  fixture.AddBackend(Answering(200, ""));
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send("POST /once/x HTTP/1.1\r\nHost: host\r\nRequest: r\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+              "7fffffff\r\nabc");
+  BOOST_TEST(caller.Read().Status() == 413);
+}
+
 /** The balancer goes on sending connections where no other entry is left;
  * those taken until the end were cut (hunt-bb9d-7, hunt-bb9d-19). */
 BOOST_AUTO_TEST_CASE(EndingEntryStopsTakingConnectionsInTimeToFinishThem)
