Bound the memory that an entry holds for all callers

Cause: heads, bodies, second attempts' bodies and unread answers were bounded for each connection, not in all, so that 60 callers with bodies of 4 MB used 250 MB. The kernel held up to 6 MB more for each connection, and the allocator kept freed blocks of up to 32 MB.

Change: each connection tells CallerMemory what it holds and asks it before it reads. Near the bound large requests wait, in the order of urgency and of what they lack; stalled bodies and unread answers lose their memory, and requests that haven't begun are refused with a true 503. Reads follow a wait for readiness, so that a connection that isn't read takes no buffer. The kernel's receive buffer of callers' connections is 64 KB; freed memory is returned. Metrics held_bytes, held_bytes_bound, refused_for_memory_total, refused_for_size_total and answers_cut_for_memory_total; event 107.

--- a/src/libmedlarkeel/eventcatalogue.cpp
+++ b/src/libmedlarkeel/eventcatalogue.cpp
@@ -32,6 +32,16 @@
     "accept-failed",
     Level::Error,
     "A caller's connection could not be accepted." },
+  { Event::CallerMemoryShort,
+    "caller-memory-short",
+    Level::Warning,
+    "Memory for callers is used up: requests that haven't begun are refused, "
+    "and answers that nobody reads are cut; at most one line a second." },
+  { Event::CallerRefused,
+    "caller-refused",
+    Level::Warning,
+    "A caller's connection was closed at once, as its address or all callers "
+    "have as many as are allowed; at most one line a second." },
   { Event::DocumentAccepted,
     "document-accepted",
     Level::Info,
--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -18,6 +18,8 @@
   PauseNoticed = 104,
   SettingsReloaded = 105,
   AcceptFailed = 106,
+  CallerMemoryShort = 107,
+  CallerRefused = 108,
 
   DocumentAccepted = 200,
   DocumentRejected = 201,
--- a/src/libmedlarkeel/forwarding/callermemory.cpp
+++ b/src/libmedlarkeel/forwarding/callermemory.cpp
@@ -277,8 +277,8 @@
   std::size_t compared = 0;
   std::vector<CallerId> resumed;
   for (const auto& [priority, missing, id] : mReadOrders) {
-    const bool isNext = compared == 0 || missing <= room ||
-                        (isBelowMark && resumed.empty());
+    const bool isNext =
+      compared == 0 || missing <= room || (isBelowMark && resumed.empty());
     if (!isNext || compared > kMostCompared) {
       break;
     }
--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -1,10 +1,14 @@
 #include "callerconnection.h"
 
+#include "../libmedlarkeelnet/bootclock.h"
 #include "answertext.h"
 #include "exchange.h"
+#include "requestroute.h"
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace medlarkeel {
 
 namespace {
@@ -15,19 +19,31 @@
 constexpr int kHeadTooLarge = 431;
 constexpr int kUnavailable = 503;
 
+/** Bytes that are read at once. */
+constexpr std::size_t kReadSize = 16'384;
+
 /** Bytes of further requests that are read while one is answered. */
 constexpr std::size_t kMostAhead = 65'536;
 
 /** Time for the caller to close after the last answer. */
 constexpr Milliseconds kLingerTime{ 1000 };
 
+/** Time after which callers that were refused for memory should retry: as long
+ * as a stalled body may keep its memory. */
+constexpr Milliseconds kMemoryRetryDelay{ 500 };
+
+constexpr const char* kMemoryReason = "the entry lacks memory";
+
 } // namespace
 
 CallerConnection::CallerConnection(Forwarder& aForwarder,
-                                   boost::asio::ip::tcp::socket aSocket)
+                                   boost::asio::ip::tcp::socket aSocket,
+                                   std::string aAddress)
   : mForwarder(aForwarder)
   , mSocket(std::move(aSocket))
   , mTimer(aForwarder.Context())
+  , mAddress(std::move(aAddress))
+  , mId(aForwarder.Memory().Add(BootNow()))
 {
 }
 
@@ -42,6 +58,8 @@
 CallerConnection::Start()
 {
   ApplySocketOptions(mSocket);
+  Error ignored; // Reads follow a wait, so that a blocking one rarely waits.
+  mSocket.non_blocking(true, ignored);
   StartTimer(Limits().mIdleTimeout);
   Read();
 }
@@ -53,16 +71,137 @@
     return;
   }
   mIsReading = true;
-  mSocket.async_read_some(
-    boost::asio::buffer(mReadBuffer),
-    [self = shared_from_this()](const Error& aError, std::size_t aSize) {
-      self->mIsReading = false;
-      self->TakeBytes(aError, aSize);
-    });
+  mSocket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const Error& aError) {
+                       self->mIsReading = false;
+                       self->TakeReadable(aError);
+                     });
 }
 
 void
-CallerConnection::TakeBytes(const Error& aError, std::size_t aSize)
+CallerConnection::TakeReadable(const Error& aError)
+{
+  if (mIsClosed) {
+    return;
+  }
+  if (aError) {
+    TakeBytes(aError, {});
+    return;
+  }
+  if (!HasMemory()) {
+    return;
+  }
+  std::array<char, kReadSize> buffer; // NOLINT: filled by the read
+  Error error;
+  const std::size_t size =
+    mSocket.read_some(boost::asio::buffer(buffer), error);
+  if (error == boost::asio::error::would_block) {
+    Read();
+    return;
+  }
+  mMovedBytes += size;
+  TakeBytes(error, std::string_view(buffer.data(), size));
+}
+
+bool
+CallerConnection::HasMemory()
+{
+  if (mIsLingering || mClosesAfterWrite) {
+    return true; // What arrives is discarded.
+  }
+  if (mExchange) {
+    return true; // It reads ahead up to a limit of its own.
+  }
+  const ReadDecision decision =
+    mForwarder.Memory().Decide(mId, kReadSize, BootNow());
+  mForwarder.EvictCallers(decision.mEvicted);
+  switch (decision.mVerdict) {
+    case ReadVerdict::Read:
+      return true;
+    case ReadVerdict::Pause:
+      mForwarder.WatchPaused();
+      return false;
+    case ReadVerdict::Refuse:
+      RefuseForMemory();
+      return false;
+  }
+  return true;
+}
+
+void
+CallerConnection::Resume()
+{
+  if (mHasBegun && !mExchange) {
+    Read();
+  }
+}
+
+void
+CallerConnection::Evict()
+{
+  if (mIsClosed) {
+    return;
+  }
+  if (mHasBegun && !mExchange) {
+    RefuseForMemory();
+  } else if (!mExchange) {
+    mForwarder.Counters().mAnswersCutForMemory += 1;
+    mForwarder.LogMemoryPressure();
+    Reset();
+  }
+}
+
+void
+CallerConnection::RefuseForMemory()
+{
+  mForwarder.Counters().mRefusedForMemory += 1;
+  mForwarder.LogMemoryPressure();
+  Reject(kUnavailable, kMemoryReason, kMemoryRetryDelay);
+}
+
+CallerPhase
+CallerConnection::Phase() const
+{
+  if (mExchange) {
+    return CallerPhase::Running;
+  }
+  if (mHasBegun) {
+    return CallerPhase::Receiving;
+  }
+  return mPendingBytes > 0 ? CallerPhase::Answering : CallerPhase::Idle;
+}
+
+std::size_t
+CallerConnection::MissingBytes() const
+{
+  if (!mParser || mParser->is_done()) {
+    return 0;
+  }
+  const auto length = mParser->content_length();
+  const std::size_t whole = length ? *length : Limits().mBodyBytes;
+  return whole - std::min<std::size_t>(whole, mParser->Body().size());
+}
+
+void
+CallerConnection::UpdateMemory()
+{
+  if (mIsClosed) {
+    return;
+  }
+  CallerUsage usage;
+  usage.mPhase = Phase();
+  usage.mHeldBytes = mInput.size() + mPendingBytes +
+                     (mParser ? mParser->HeldBytes() : 0) +
+                     (mExchange ? mExchange->HeldBytes() : 0);
+  usage.mMissingBytes = MissingBytes();
+  usage.mIsLengthKnown = !mParser || mParser->content_length();
+  usage.mPriority = mPriority;
+  usage.mMovedBytes = mMovedBytes;
+  mForwarder.Memory().Update(mId, usage, BootNow());
+}
+
+void
+CallerConnection::TakeBytes(const Error& aError, std::string_view aBytes)
 {
   if (mIsClosed) {
     return;
@@ -75,12 +214,13 @@
     Close();
     return;
   }
-  if (mIsLingering) {
+  if (mIsLingering || mClosesAfterWrite) {
     Read();
     return;
   }
-  mInput.append(mReadBuffer.data(), aSize);
+  mInput.append(aBytes);
   Process();
+  UpdateMemory();
   Read();
 }
 
@@ -123,9 +263,10 @@
   }
   const auto length = parser->content_length();
   if (length && *length > limits.mBodyBytes) {
-    Reject(kTooLarge, "the body is too large");
+    RejectTooLarge();
     return false;
   }
+  ReadPriority(parser->Head());
   const std::string* expect = parser->Head().Find("Expect");
   if (expect != nullptr && !parser->is_done() && mInput.empty()) {
     Send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -155,7 +296,7 @@
     return;
   }
   if (mParser->AnnouncedBytes() > limits.mBodyBytes) {
-    Reject(kTooLarge, "the body is too large");
+    RejectTooLarge();
     return;
   }
   if (state == ParseState::NeedMore) {
@@ -173,6 +314,27 @@
   exchange->Start();
 }
 
+void
+CallerConnection::ReadPriority(const MessageHead& aHead)
+{
+  const ForwardingDocumentPointer document = mForwarder.Document();
+  mPriority = RequestPriority();
+  if (!document) {
+    return;
+  }
+  if (const ForwardRoute* route = FindRequestRoute(*document, aHead)) {
+    mPriority = PriorityOf(
+      FindRequestTeam(*document, aHead, mForwarder.Protocol()), *route);
+  }
+}
+
+void
+CallerConnection::RejectTooLarge()
+{
+  mForwarder.Counters().mRefusedForSize += 1;
+  Reject(kTooLarge, "the body is too large");
+}
+
 void
 CallerConnection::Reject(int aStatus,
                          const std::string& aReason,
@@ -188,7 +350,7 @@
   answer.mIsHeadOnly = mIsHeadOnly;
   Send(TextOf(answer));
   mParser.reset();
-  mInput.clear();
+  std::string().swap(mInput);
   FinishAnswer(false);
 }
 
@@ -200,7 +362,9 @@
     if (aError || self->mIsClosed || self->mExchange) {
       return;
     }
-    if (self->mHasBegun) {
+    if (self->mHasBegun && self->mForwarder.Memory().IsPaused(self->mId)) {
+      self->RefuseForMemory();
+    } else if (self->mHasBegun) {
       self->Reject(kRequestTimeout, "the request came too slowly");
     } else {
       self->Close();
@@ -216,6 +380,7 @@
   }
   mPendingBytes += aBytes.size();
   mOutput.push_back(std::move(aBytes));
+  UpdateMemory();
   Write();
 }
 
@@ -241,11 +406,13 @@
         return;
       }
       if (aError) {
-        self->TakeBytes(aError, 0);
+        self->TakeBytes(aError, {});
         return;
       }
+      self->mMovedBytes += self->mOutput.front().size();
       self->mPendingBytes -= self->mOutput.front().size();
       self->mOutput.pop_front();
+      self->UpdateMemory();
       if (self->mExchange && self->mOutput.empty()) {
         self->mExchange->ResumeReading();
       }
@@ -261,6 +428,7 @@
   if (mIsClosed) {
     return;
   }
+  UpdateMemory();
   // The answer may have promised to keep the connection before the shutdown
   // began: a request that has arrived behind it gets an answer.
   const bool isLast = mForwarder.IsStopping() && mInput.empty();
@@ -273,6 +441,7 @@
   StartTimer(Limits().mIdleTimeout);
   boost::asio::post(mSocket.get_executor(), [self = shared_from_this()]() {
     self->Process();
+    self->UpdateMemory();
     self->Read();
   });
 }
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../libmedlarkeel/forwarding/callermemory.h"
 #include "forwarder.h"
 #include "messageparser.h"
 
@@ -19,10 +20,27 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(Forwarder& aForwarder, boost::asio::ip::tcp::socket aSocket);
+  /** @param aAddress Address of the caller, under which it is counted. */
+  CallerConnection(Forwarder& aForwarder,
+                   boost::asio::ip::tcp::socket aSocket,
+                   std::string aAddress);
 
   void Start();
 
+  CallerId Id() const { return mId; }
+  const std::string& Address() const { return mAddress; }
+
+  /** Records what the connection holds; call it when its request or answer
+   * has changed. */
+  void UpdateMemory();
+
+  /** Goes on reading after a pause for lack of memory. */
+  void Resume();
+
+  /** Releases what the connection holds, as others need the memory: a request
+   * that hasn't begun is refused, an unread answer is cut. */
+  void Evict();
+
   /** Writes bytes of the answer behind those that are still being written. */
   void Send(std::string aBytes);
 
@@ -66,11 +84,22 @@
   /** @return The limits in force, or the usual ones before a document. */
   CallerLimits Limits() const;
   void Read();
-  void TakeBytes(const Error& aError, std::size_t aSize);
+  /** Reads what has arrived, if there is memory for it. */
+  void TakeReadable(const Error& aError);
+  /** @return Whether the connection may be read. */
+  bool HasMemory();
+  void TakeBytes(const Error& aError, std::string_view aBytes);
+  CallerPhase Phase() const;
+  /** @return Bytes of the request's body that are still to arrive. */
+  std::size_t MissingBytes() const;
+  void RefuseForMemory();
   void Process();
   bool ProcessHead();
   bool CheckHead(std::string_view aHead);
+  /** Reads the urgency of the request from its head. */
+  void ReadPriority(const MessageHead& aHead);
   void ProcessBody();
+  void RejectTooLarge();
   void Reject(int aStatus,
               const std::string& aReason,
               std::optional<Milliseconds> aRetryAfter = std::nullopt);
@@ -82,7 +111,11 @@
   Forwarder& mForwarder;
   boost::asio::ip::tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
-  std::array<char, 8192> mReadBuffer{};
+  std::string mAddress;
+  CallerId mId;
+  RequestPriority mPriority;
+  /** Bytes received and sent. */
+  std::uint64_t mMovedBytes = 0;
   std::string mInput;
   std::unique_ptr<RequestParser> mParser;
   std::shared_ptr<Exchange> mExchange;
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "../libmedlarkeelnet/bootclock.h"
 #include "callerconnection.h"
+#include "requestroute.h"
 
 #include <algorithm>
 
@@ -43,6 +44,10 @@
   , mArrived(BootNow())
   , mTimer(aForwarder.Context())
 {
+  for (const HeaderField& field : mHead.mFields) {
+    mHeadBytes +=
+      sizeof(HeaderField) + field.first.size() + field.second.size();
+  }
 }
 
 void
@@ -81,20 +86,25 @@
   TryBackend();
 }
 
+std::size_t
+Exchange::HeldBytes() const
+{
+  const std::size_t request = mBody ? mBody->size() : 0;
+  const std::size_t attempt =
+    mAttempt
+      ? sizeof(Attempt) + mAttempt->mInput.size() + mAttempt->mHeldBody.size()
+      : 0;
+  return sizeof(Exchange) + mHeadBytes + request + attempt;
+}
+
 bool
 Exchange::FindRoute()
 {
-  const std::string* host = mHead.Find("Host");
-  if (host == nullptr) {
+  if (mHead.Find("Host") == nullptr) {
     Reject(kBadRequest, "the request has no host");
     return false;
   }
-  const std::string_view name(host->data(),
-                              std::min(host->find(':'), host->size()));
-  const std::string_view path(
-    mHead.mTarget.data(),
-    std::min(mHead.mTarget.find('?'), mHead.mTarget.size()));
-  mRoute = mDocument->FindRoute(name, path);
+  mRoute = FindRequestRoute(*mDocument, mHead);
   if (mRoute == nullptr) {
     Reject(kNotFound, "no route for this host and path");
     return false;
@@ -105,11 +115,7 @@
 bool
 Exchange::CheckKey()
 {
-  const std::string* field = mHead.Find("Authorization");
-  const std::string& scheme = mForwarder.Protocol().mKeyScheme;
-  if (field != nullptr && field->compare(0, scheme.size(), scheme) == 0) {
-    mTeam = mDocument->FindTeam(field->substr(scheme.size()));
-  }
+  mTeam = FindRequestTeam(*mDocument, mHead, mForwarder.Protocol());
   const bool isAllowed =
     mTeam != nullptr || mRoute->mIsPublic || !mDocument->mRequiresKeys;
   if (!isAllowed) {
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -47,6 +47,9 @@
   /** Goes on reading the answer after the caller has taken what it got. */
   void ResumeReading();
 
+  /** @return Bytes of the request and of answers that are held. */
+  std::size_t HeldBytes() const;
+
 private:
   using Error = boost::system::error_code;
 
@@ -184,6 +187,7 @@
   MessageHead mHead;
   /** Shared by all attempts; null once it can't be sent again. */
   std::shared_ptr<const std::string> mBody;
+  std::size_t mHeadBytes = 0;
   bool mKeepOpen;
   ForwardingDocumentPointer mDocument;
   const ForwardRoute* mRoute = nullptr;
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -88,6 +88,7 @@
   if (mIsDone || mAttempt != aAttempt) {
     return;
   }
+  mCaller->UpdateMemory();
   if (!aAttempt->mIsPaused) {
     ReadAnswer(aAttempt);
   }
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -16,6 +16,10 @@
   { "refused_not_run_total", &ForwardCounters::mRefusedNotRun },
   { "refused_overloaded_total", &ForwardCounters::mRefusedOverloaded },
   { "refused_shutting_down_total", &ForwardCounters::mRefusedShuttingDown },
+  { "refused_for_memory_total", &ForwardCounters::mRefusedForMemory },
+  { "refused_for_size_total", &ForwardCounters::mRefusedForSize },
+  { "refused_for_descriptors_total", &ForwardCounters::mRefusedForDescriptors },
+  { "answers_cut_for_memory_total", &ForwardCounters::mAnswersCutForMemory },
   { "failed_unknown_total", &ForwardCounters::mFailedUnknown },
   { "rejected_total", &ForwardCounters::mRejected },
   { "callers_gone_total", &ForwardCounters::mCallersGone },
@@ -91,6 +95,9 @@
   }
   AppendLine(
     text, "log_lines_dropped_total", static_cast<double>(aDroppedLogLines));
+  AppendLine(text, "held_bytes", static_cast<double>(aCounters.mHeldBytes));
+  AppendLine(
+    text, "held_bytes_bound", static_cast<double>(aCounters.mHeldBytesBound));
   for (std::size_t i = 0; i < kAnswerFaultCount; ++i) {
     const std::string fault = AnswerFaultName(static_cast<AnswerFault>(i));
     AppendLine(text,
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -47,6 +47,16 @@
   std::uint64_t mRefusedOverloaded = 0;
   /** Of those: could not have ended before the process. */
   std::uint64_t mRefusedShuttingDown = 0;
+  /** Requests that were refused before they had arrived, for their memory. */
+  std::uint64_t mRefusedForMemory = 0;
+  /** Requests whose bodies were over the limit. */
+  std::uint64_t mRefusedForSize = 0;
+  /** Connections of callers that were closed, and requests that were refused,
+   * for lack of descriptors. */
+  std::uint64_t mRefusedForDescriptors = 0;
+  /** Complete answers that were cut because their callers didn't read them and
+   * others needed the memory. */
+  std::uint64_t mAnswersCutForMemory = 0;
   std::uint64_t mFailedUnknown = 0;
   std::uint64_t mRejected = 0;
   std::uint64_t mCallersGone = 0;
@@ -84,6 +94,9 @@
   std::array<std::uint64_t, kAnswerFaultCount> mBrokenAnswers{};
   LatencyHistogram mFirstByte;
   LatencyHistogram mWhole;
+  /** Bytes held for callers, and their bound. */
+  std::size_t mHeldBytes = 0;
+  std::size_t mHeldBytesBound = 0;
   /** At the last decision on admission, by the name of the pool. */
   std::map<std::string, PoolLoadGauge> mPoolLoads;
 
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -4,6 +4,7 @@
 #include "callerconnection.h"
 
 #include <limits>
+#include <malloc.h>
 
 namespace medlarkeel {
 
@@ -69,6 +70,31 @@
  * of the shortest time between two reports. */
 constexpr Milliseconds kRefreshPause{ 20 };
 
+/** Pause between two looks for memory for paused connections: a tenth of the
+ * time after which a body counts as stalled. */
+constexpr Milliseconds kPauseCheck{ 50 };
+
+/** Pause between two looks whether freed memory is returned. */
+constexpr Milliseconds kTrimCheck{ 500 };
+
+/** Released bytes above which freed memory is returned to the machine. */
+constexpr std::size_t kLeastTrim = 4U << 20U;
+
+/** Bytes that the kernel holds for a caller's connection that isn't read. A
+ * body of the largest size still arrives in time over 30 ms of latency. */
+constexpr int kReceiveBuffer = 65'536;
+
+/** Shortest time between two log lines on a lack of memory. */
+constexpr Milliseconds kRefusalLogPause{ 1000 };
+
+CallerMemorySettings
+MemorySettingsFor(const ForwardSettings& aSettings)
+{
+  CallerMemorySettings settings;
+  settings.mBoundBytes = CallerMemoryBoundFor(aSettings);
+  return settings;
+}
+
 /** Pause between two looks at what the others know. */
 constexpr Milliseconds kPeerCheck{ 150 };
 
@@ -111,6 +137,9 @@
                mPeerChannel.SendTo({ aTarget }, aBytes);
              })
   , mConnections(aContext, mCounters)
+  , mMemory(MemorySettingsFor(aSettings))
+  , mPauseTimer(aContext)
+  , mTrimTimer(aContext)
   , mAcceptor(aContext)
   , mDirectoryTimer(aContext)
   , mStopTimer(aContext)
@@ -124,6 +153,7 @@
 {
   Listen();
   Accept();
+  TrimMemory();
   mPeerChannel.Start();
   CallDirectory();
 }
@@ -136,6 +166,9 @@
     mSettings.mCallers.mPort);
   mAcceptor.open(endpoint.protocol());
   mAcceptor.set_option(tcp::acceptor::reuse_address(true));
+  // Callers' connections inherit it; set later, it wouldn't bound the window.
+  mAcceptor.set_option(
+    boost::asio::socket_base::receive_buffer_size(kReceiveBuffer));
   mAcceptor.bind(endpoint);
   mAcceptor.listen();
 }
@@ -148,10 +181,7 @@
       return;
     }
     if (!aError) {
-      auto caller =
-        std::make_shared<CallerConnection>(*this, std::move(aSocket));
-      mCallers.insert(caller);
-      caller->Start();
+      TakeCaller(std::move(aSocket));
     } else {
       mLog.Write(Event::AcceptFailed, { { "error", aError.message() } });
     }
@@ -159,6 +189,107 @@
   });
 }
 
+void
+Forwarder::TakeCaller(tcp::socket aSocket)
+{
+  Error error;
+  const tcp::endpoint remote = aSocket.remote_endpoint(error);
+  if (error) {
+    return; // It has ended.
+  }
+  const std::string address = remote.address().to_string();
+  auto caller =
+    std::make_shared<CallerConnection>(*this, std::move(aSocket), address);
+  mCallers.emplace(caller->Id(), caller);
+  caller->Start();
+}
+
+void
+Forwarder::LogMemoryPressure()
+{
+  const Timestamp now = BootNow();
+  if (mPressureLoggedAt && now - *mPressureLoggedAt < kRefusalLogPause) {
+    return;
+  }
+  mPressureLoggedAt = now;
+  mLog.Write(Event::CallerMemoryShort,
+             { { "heldBytes", mMemory.TotalBytes() },
+               { "boundBytes", mMemory.BoundBytes() },
+               { "connections", mCallers.size() },
+               { "refusedInAll", mCounters.mRefusedForMemory },
+               { "cutInAll", mCounters.mAnswersCutForMemory } });
+}
+
+void
+Forwarder::UpdateGauges()
+{
+  mCounters.mHeldBytes = mMemory.TotalBytes();
+  mCounters.mHeldBytesBound = mMemory.BoundBytes();
+}
+
+void
+Forwarder::EvictCallers(const std::vector<CallerId>& aCallers)
+{
+  for (const CallerId id : aCallers) {
+    const auto place = mCallers.find(id);
+    if (place != mCallers.end()) {
+      const std::shared_ptr<CallerConnection> caller = place->second;
+      caller->Evict();
+    }
+  }
+}
+
+void
+Forwarder::WatchPaused()
+{
+  if (mIsWatchingPaused) {
+    return;
+  }
+  mIsWatchingPaused = true;
+  mPauseTimer.expires_after(kPauseCheck);
+  mPauseTimer.async_wait([this](const Error& aError) {
+    mIsWatchingPaused = false;
+    if (!aError) {
+      ResumeCallers();
+    }
+  });
+}
+
+void
+Forwarder::ResumeCallers()
+{
+  const ResumeDecision decision = mMemory.TakeResumable(BootNow());
+  EvictCallers(decision.mEvicted);
+  for (const CallerId id : decision.mResumed) {
+    const auto place = mCallers.find(id);
+    if (place != mCallers.end()) {
+      const std::shared_ptr<CallerConnection> caller = place->second;
+      caller->Resume();
+    }
+  }
+  if (mMemory.HasPaused()) {
+    WatchPaused();
+  }
+}
+
+void
+Forwarder::TrimMemory()
+{
+  mMostHeld = std::max(mMostHeld, mMemory.TotalBytes());
+  if (mMostHeld >= mMemory.TotalBytes() + kLeastTrim) {
+    mMostHeld = mMemory.TotalBytes();
+#ifdef __GLIBC__
+    malloc_trim(0);
+#endif
+  }
+  mTrimTimer.expires_after(kTrimCheck);
+  mTrimTimer.async_wait([this](const Error& aError) {
+    if (!aError) {
+      TrimMemory();
+    }
+  });
+}
+
 bool
 Forwarder::IsReady() const
 {
@@ -252,7 +383,12 @@
 void
 Forwarder::Remove(const std::shared_ptr<CallerConnection>& aConnection)
 {
-  mCallers.erase(aConnection);
+  if (mCallers.erase(aConnection->Id()) > 0) {
+    mMemory.Remove(aConnection->Id());
+    if (mMemory.HasPaused()) {
+      WatchPaused();
+    }
+  }
 }
 
 void
@@ -494,7 +630,7 @@
   Error ignored; // A closed acceptor is what is wanted.
   mAcceptor.close(ignored);
   const auto callers = mCallers;
-  for (const auto& caller : callers) {
+  for (const auto& [id, caller] : callers) {
     caller->CloseIfIdle();
   }
 }
@@ -507,7 +643,7 @@
     Event::ShutdownStep,
     { { "step", "ending requests" }, { "connections", mCallers.size() } });
   const auto callers = mCallers;
-  for (const auto& caller : callers) {
+  for (const auto& [id, caller] : callers) {
     caller->EndForShutdown();
   }
 }
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -2,6 +2,7 @@
 
 #include "../libmedlarkeel/forwarding/admissioncontrol.h"
 #include "../libmedlarkeel/forwarding/backendchooser.h"
+#include "../libmedlarkeel/forwarding/callermemory.h"
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
 #include "../libmedlarkeel/forwarding/recentmaximum.h"
 #include "../libmedlarkeel/forwarding/retryschedule.h"
@@ -20,10 +21,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
 #include <random>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace medlarkeel {
 
@@ -108,12 +109,31 @@
   /** @return A number from 0 to 1, for shares and jitter. */
   double Random();
 
+  /** @return The memory that is held for callers. */
+  CallerMemory& Memory() { return mMemory; }
+
+  /** Releases what connections hold that others need the memory of. */
+  void EvictCallers(const std::vector<CallerId>& aCallers);
+
+  /** Logs that memory for callers is short, at most once a second. */
+  void LogMemoryPressure();
+
+  /** Sets the counters that show a state. */
+  void UpdateGauges();
+
+  /** Resumes paused connections as soon as there is memory for them. */
+  void WatchPaused();
+
   /** Notes that a connection has ended. */
   void Remove(const std::shared_ptr<CallerConnection>& aConnection);
 
 private:
   void Listen();
   void Accept();
+  void TakeCaller(boost::asio::ip::tcp::socket aSocket);
+  void ResumeCallers();
+  /** Returns freed memory to the machine after a load. */
+  void TrimMemory();
   void CallDirectory();
   void CallDirectoryLater(Milliseconds aDelay);
   void TakeReading(const DirectoryResult& aResult, ReadFreshness aFreshness);
@@ -146,7 +166,15 @@
   std::unordered_map<PoolName, AdmissionControl> mAdmissions;
   /** Retries of callers that were refused because of request limits. */
   std::unordered_map<PoolName, RetrySchedule> mRetrySchedules;
-  std::unordered_set<std::shared_ptr<CallerConnection>> mCallers;
+  CallerMemory mMemory;
+  std::map<CallerId, std::shared_ptr<CallerConnection>> mCallers;
+  boost::asio::steady_timer mPauseTimer;
+  bool mIsWatchingPaused = false;
+  /** When a lack of memory was last logged. */
+  std::optional<Timestamp> mPressureLoggedAt;
+  /** Most bytes that were held since memory was last returned. */
+  std::size_t mMostHeld = 0;
+  boost::asio::steady_timer mTrimTimer;
   boost::asio::ip::tcp::acceptor mAcceptor;
   boost::asio::steady_timer mDirectoryTimer;
   boost::asio::steady_timer mStopTimer;
--- a/src/libmedlarkeelforward/forwardsettings.cpp
+++ b/src/libmedlarkeelforward/forwardsettings.cpp
@@ -1,5 +1,8 @@
 #include "forwardsettings.h"
 
+#include "../libmedlarkeel/forwarding/callerdescriptors.h"
+#include "../libmedlarkeel/forwarding/callermemory.h"
+
 #include <charconv>
 
 namespace medlarkeel {
@@ -8,6 +11,14 @@
 
 constexpr const char* kEndpointExpected = "\"IP number:port\"";
 
+/** Limits of a machine that isn't known: the smallest one that entries run on,
+ * so that the bounds hold on every machine. */
+constexpr std::int64_t kUnknownMemoryMb = 160;
+constexpr std::int64_t kUnknownDescriptors = 4100;
+
+constexpr const char* kMemoryKey = "memoryMb";
+constexpr const char* kDescriptorsKey = "maximumDescriptors";
+
 bool
 IsEndpoint(std::string_view aText)
 {
@@ -23,6 +34,45 @@
   aOut = ParseEndpointText(text).value_or(aOut);
 }
 
+/** Removes limits of the machine that the platform states as null. */
+void
+RemoveUnknownLimits(nlohmann::json& aSettings)
+{
+  for (const char* key : { kMemoryKey, kDescriptorsKey }) {
+    const auto place = aSettings.find(key);
+    if (place != aSettings.end() && place->is_null()) {
+      aSettings.erase(place);
+    }
+  }
+}
+
+void
+ReadMachine(ObjectReader& aReader, ForwardSettings& aOut)
+{
+  constexpr std::int64_t kMostMegabytes = 1 << 24;
+  constexpr std::int64_t kMostDescriptors = 1 << 24;
+  std::int64_t memory = 0;
+  aReader.Number(kMemoryKey,
+                 Presence::Optional,
+                 IntegerRange{ 1, kMostMegabytes, "MB" },
+                 memory);
+  std::int64_t descriptors = 0;
+  aReader.Number(kDescriptorsKey,
+                 Presence::Optional,
+                 IntegerRange{ 1, kMostDescriptors, "descriptors" },
+                 descriptors);
+  aReader.Number("callerMemoryShare",
+                 Presence::Optional,
+                 NumberRange{ 0.0, 1.0, "", true },
+                 aOut.mCallerMemoryShare);
+  if (memory > 0) {
+    aOut.mMemoryMb = memory;
+  }
+  if (descriptors > 0) {
+    aOut.mMostDescriptors = descriptors;
+  }
+}
+
 /** Reads an endpoint of which only the IP number is used. */
 void
 ReadSeed(const nlohmann::json& aItem,
@@ -42,6 +92,22 @@
 
 } // namespace
 
+std::size_t
+CallerMemoryBoundFor(const ForwardSettings& aSettings)
+{
+  constexpr std::int64_t kMegabyte = 1 << 20;
+  const std::int64_t megabytes = aSettings.mMemoryMb.value_or(kUnknownMemoryMb);
+  return CallerMemoryBound(static_cast<std::size_t>(megabytes * kMegabyte),
+                           aSettings.mCallerMemoryShare);
+}
+
+std::size_t
+CallerDescriptorBoundFor(const ForwardSettings& aSettings)
+{
+  return CallerDescriptorBound(static_cast<std::size_t>(
+    aSettings.mMostDescriptors.value_or(kUnknownDescriptors)));
+}
+
 std::optional<Endpoint>
 ParseEndpointText(std::string_view aText)
 {
@@ -68,10 +134,12 @@
   constexpr double kMillisecondsPerSecond = 1000.0;
   ProblemList problems;
   ForwardSettings settings;
-  if (const auto json = ParseJson(aText, JsonLimits(), problems)) {
+  if (auto json = ParseJson(aText, JsonLimits(), problems)) {
+    RemoveUnknownLimits(*json);
     ObjectReader reader(*json, "$", problems);
     reader.Name("node", Presence::Required, settings.mNode);
     reader.Name("zone", Presence::Required, settings.mZone);
+    ReadMachine(reader, settings);
     ReadEndpoint(reader, "callers", settings.mCallers);
     ReadEndpoint(reader, "readiness", settings.mReadiness);
     ReadEndpoint(reader, "metrics", settings.mMetrics);
--- a/src/libmedlarkeelforward/forwardsettings.h
+++ b/src/libmedlarkeelforward/forwardsettings.h
@@ -9,6 +9,13 @@
 {
   InstanceId mNode;
   ZoneName mZone;
+  /** Memory of the machine; nothing if it isn't known. */
+  std::optional<std::int64_t> mMemoryMb;
+  /** Part of it that may be held for callers. The rest is for the process
+   * itself, the kernel's buffers and what the allocator keeps. */
+  double mCallerMemoryShare = 0.4;
+  /** File descriptors of the machine; nothing if it isn't known. */
+  std::optional<std::int64_t> mMostDescriptors;
   /** Where callers connect. */
   Endpoint mCallers;
   /** Where the balancer asks whether the entry takes new connections. */
@@ -37,6 +44,14 @@
   double mColdReserve = 5.0;
 };
 
+/** @return Most bytes that are held for callers. */
+std::size_t
+CallerMemoryBoundFor(const ForwardSettings& aSettings);
+
+/** @return Most descriptors for connections to callers and servers. */
+std::size_t
+CallerDescriptorBoundFor(const ForwardSettings& aSettings);
+
 /** @return The endpoint in "IP number:port", or nothing. */
 std::optional<Endpoint>
 ParseEndpointText(std::string_view aText);
--- a/src/libmedlarkeelforward/messageparser.h
+++ b/src/libmedlarkeelforward/messageparser.h
@@ -72,6 +72,9 @@
 
   const std::string& Body() const { return mBody; }
 
+  /** @return Bytes that are held, those of the head included. */
+  std::size_t HeldBytes() const { return mHeadBytes + mBody.size(); }
+
   /** @return Bytes of the body up to the end of the chunk that has begun, or
    * those that have arrived if there are no chunks. */
   std::uint64_t AnnouncedBytes() const
@@ -129,6 +132,7 @@
                      Error&) override
   {
     mHead.mFields.emplace_back(Copy(aName), Copy(aValue));
+    mHeadBytes += sizeof(HeaderField) + aName.size() + aValue.size();
   }
 
   void on_header_impl(Error&) override {}
@@ -160,6 +164,7 @@
 
   MessageHead mHead;
   std::string mBody;
+  std::size_t mHeadBytes = 0;
   std::uint64_t mChunkBytes = 0;
   bool mHasChunk = false;
 };
--- a/src/medlarkeelforward/main.cpp
+++ b/src/medlarkeelforward/main.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <malloc.h>
 
 DEFINE_string(settings,
               "",
@@ -57,6 +58,7 @@
   if (aPath != "/metrics") {
     return { kNotFound, "no such page\n" };
   }
+  aForwarder.UpdateGauges();
   return { 200,
            RenderForwardCounters(aForwarder.Counters(),
                                  aForwarder.Log().DroppedLines()) };
@@ -85,9 +87,21 @@
     });
 }
 
+/** Lets memory of large bodies return to the machine as soon as it is freed.
+ * By default the allocator keeps blocks of up to 32 MB once some were freed. */
+void
+ReturnLargeBlocks()
+{
+#ifdef __GLIBC__
+  constexpr int kLargeBlock = 131'072;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlock);
+#endif
+}
+
 int
 Run(const ForwardSettings& aSettings)
 {
+  ReturnLargeBlocks();
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(1);
   EventLog log(aSettings.mNode.Text(),
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -577,6 +577,33 @@
               "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
               "7fffffff\r\nabc");
   BOOST_TEST(caller.Read().Status() == 413);
+  fixture.Run([](Forwarder& aForwarder) {
+    BOOST_TEST(aForwarder.Counters().mRefusedForSize == 1U);
+  });
+}
+
+// All attempts send one body; none may get a part of it or an emptied one.
+BOOST_AUTO_TEST_CASE(SecondAttemptsSendTheWholeBodyAgain)
+{
+  constexpr std::size_t kBodySize = 1'000'000;
+  ForwardFixture fixture;
+  FakeBackend& one = fixture.AddBackend(Answering(500, "failed"));
+  FakeBackend& other = fixture.AddBackend(Answering(500, "failed"));
+  fixture.Start();
+  const std::string body(kBodySize, 'b');
+  BOOST_TEST(fixture.Call("/again/x", "", body).Status() == 500);
+  for (const FakeBackend* backend : { &one, &other }) {
+    BOOST_REQUIRE(backend->Requests().size() == 1U);
+    const std::string request = backend->Requests().at(0);
+    BOOST_REQUIRE(request.size() > kBodySize);
+    BOOST_TEST((request.substr(request.size() - kBodySize) == body));
+  }
+  BOOST_TEST(WaitUntil(std::chrono::seconds(5), [&]() {
+    std::size_t held = 0;
+    fixture.Run(
+      [&](Forwarder& aForwarder) { held = aForwarder.Memory().TotalBytes(); });
+    return held < kBodySize;
+  }));
 }
 
 /** The balancer goes on sending connections where no other entry is left;
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -29,6 +29,31 @@
   BOOST_TEST(settings.value().mSeeds.size() == 2U);
 }
 
+// Without the limits of the machine the bounds of the smallest one apply.
+BOOST_AUTO_TEST_CASE(BoundsFollowTheMachineOrTheSmallestOne)
+{
+  const auto settingsWith = [](const std::string& aFields) {
+    return ParseForwardSettings("{" + aFields +
+                                std::string(kSettings).substr(1));
+  };
+  const ForwardSettingsResult unknown = settingsWith("");
+  const ForwardSettingsResult null =
+    settingsWith(R"("memoryMb": null, "maximumDescriptors": null,)");
+  for (const ForwardSettingsResult& settings : { unknown, null }) {
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(CallerMemoryBoundFor(settings.value()) == 67'108'864U);
+    BOOST_TEST(CallerDescriptorBoundFor(settings.value()) == 3852U);
+  }
+  const ForwardSettingsResult known = settingsWith(
+    R"("memoryMb": 512, "maximumDescriptors": 8192,
+       "callerMemoryShare": 0.25,)");
+  BOOST_REQUIRE(known.has_value());
+  BOOST_TEST(CallerMemoryBoundFor(known.value()) == 134'217'728U);
+  BOOST_TEST(CallerDescriptorBoundFor(known.value()) == 7944U);
+  BOOST_TEST(!settingsWith(R"("memoryMb": 0,)").has_value());
+  BOOST_TEST(!settingsWith(R"("callerMemoryShare": 1.5,)").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(EveryMistakeIsReportedAtOnce)
 {
   const ForwardSettingsResult settings = ParseForwardSettings(R"({
--- a/tests/platform/test_callercrowds.cpp
+++ b/tests/platform/test_callercrowds.cpp
@@ -181,6 +181,23 @@
   BOOST_TEST(monitor.MostDescriptors() <= std::size_t(kMostDescriptors));
 }
 
+// Stalled bodies that fill the bound must lose their memory to a request that
+// makes progress, however large it is.
+BOOST_FIXTURE_TEST_CASE(LargestBodyIsServedBesideStalledBodies, CrowdedEntry)
+{
+  const CallerCrowd crowd(
+    mEntry->mAddress,
+    mEntry->mCallers,
+    kCallers,
+    AnnouncedBody(kHead, kBodyLimit, kBodyLimit - 1, kLargePiece));
+  WaitUntil(kSettleTime, [&]() { return crowd.IsSettled(); });
+  const std::string body(kBodyLimit, 'b');
+  for (const char* id : { "r-1", "r-2", "r-3" }) {
+    BOOST_TEST(Call(*mEntry, id, "/once/a", "", body).Status() == kOk);
+  }
+  BOOST_TEST(mEntry->mProcess->IsRunning());
+}
+
 // Bodies of the largest size are served one after the other.
 BOOST_FIXTURE_TEST_CASE(LargestBodyIsServed, CrowdedEntry)
 {
