Bound the connections of an entry, and those of one caller address

Cause: callers could open connections until the machine's descriptors were used up, and one address could take all of them.

A connection beyond is closed, and a request that would need a connection to a server beyond is refused with a true 503.

--- a/src/libmedlarkeelforward/backendconnections.cpp
+++ b/src/libmedlarkeelforward/backendconnections.cpp
@@ -95,7 +95,7 @@
                             const Handler& aHandler)
 {
   mCounters.mConnectionsOpened += 1;
-  auto connection = std::make_shared<BackendConnection>(mContext);
+  auto connection = std::make_shared<BackendConnection>(mContext, mCount);
   connection->mKey = aKey;
   auto timer = std::make_shared<boost::asio::steady_timer>(mContext);
   // Both may be due at once, and a handler that is due can't be cancelled.
--- a/src/libmedlarkeelforward/backendconnections.h
+++ b/src/libmedlarkeelforward/backendconnections.h
@@ -18,12 +18,20 @@
 /** A connection to a backend server; used by one request at a time. */
 struct BackendConnection
 {
-  explicit BackendConnection(boost::asio::io_context& aContext)
+  /** @param aCount Counts the connections that exist. */
+  BackendConnection(boost::asio::io_context& aContext,
+                    std::shared_ptr<std::size_t> aCount)
     : mSocket(aContext)
+    , mCount(std::move(aCount))
   {
+    *mCount += 1;
   }
+  ~BackendConnection() { *mCount -= 1; }
+  BackendConnection(const BackendConnection&) = delete;
+  BackendConnection& operator=(const BackendConnection&) = delete;
 
   boost::asio::ip::tcp::socket mSocket;
+  std::shared_ptr<std::size_t> mCount;
   /** Id and address of the backend server. */
   std::string mKey;
   bool mIsReused = false;
@@ -66,6 +74,9 @@
   void Release(const BackendConnectionPointer& aConnection,
                Microseconds aKeepAlive);
 
+  /** @return Connections that are open or being opened. */
+  std::size_t Count() const { return *mCount; }
+
   /** Closes the idle connections to a server that is gone. */
   void CloseIdle(const InstanceId& aId);
 
@@ -78,6 +89,7 @@
 
   boost::asio::io_context& mContext;
   ForwardCounters& mCounters;
+  std::shared_ptr<std::size_t> mCount = std::make_shared<std::size_t>(0);
   std::map<std::string, std::vector<BackendConnectionPointer>> mIdle;
 };
 
--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -33,6 +33,7 @@
 constexpr Milliseconds kMemoryRetryDelay{ 500 };
 
 constexpr const char* kMemoryReason = "the entry lacks memory";
+constexpr const char* kDescriptorReason = "the entry lacks descriptors";
 
 } // namespace
 
@@ -302,6 +303,9 @@
   if (state == ParseState::NeedMore) {
     return;
   }
+  if (!CheckDescriptors()) {
+    return;
+  }
   mTimer.cancel();
   mHasBegun = false;
   const std::unique_ptr<RequestParser> parser = std::move(mParser);
@@ -328,6 +332,17 @@
   }
 }
 
+bool
+CallerConnection::CheckDescriptors()
+{
+  if (mForwarder.MayOpenServerConnection()) {
+    return true;
+  }
+  mForwarder.Counters().mRefusedForDescriptors += 1;
+  Reject(kUnavailable, kDescriptorReason, kMemoryRetryDelay);
+  return false;
+}
+
 void
 CallerConnection::RejectTooLarge()
 {
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -99,6 +99,7 @@
   /** Reads the urgency of the request from its head. */
   void ReadPriority(const MessageHead& aHead);
   void ProcessBody();
+  bool CheckDescriptors();
   void RejectTooLarge();
   void Reject(int aStatus,
               const std::string& aReason,
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -84,7 +84,8 @@
  * body of the largest size still arrives in time over 30 ms of latency. */
 constexpr int kReceiveBuffer = 65'536;
 
-/** Shortest time between two log lines on a lack of memory. */
+/** Shortest time between two log lines on refused connections, and between two
+ * on a lack of memory. */
 constexpr Milliseconds kRefusalLogPause{ 1000 };
 
 CallerMemorySettings
@@ -95,6 +96,14 @@
   return settings;
 }
 
+CallerDescriptorSettings
+DescriptorSettingsFor(const ForwardSettings& aSettings)
+{
+  CallerDescriptorSettings settings;
+  settings.mBound = CallerDescriptorBoundFor(aSettings);
+  return settings;
+}
+
 /** Pause between two looks at what the others know. */
 constexpr Milliseconds kPeerCheck{ 150 };
 
@@ -138,6 +147,7 @@
              })
   , mConnections(aContext, mCounters)
   , mMemory(MemorySettingsFor(aSettings))
+  , mDescriptors(DescriptorSettingsFor(aSettings))
   , mPauseTimer(aContext)
   , mTrimTimer(aContext)
   , mAcceptor(aContext)
@@ -198,6 +208,18 @@
     return; // It has ended.
   }
   const std::string address = remote.address().to_string();
+  if (!mDescriptors.Add(address, mConnections.Count())) {
+    mCounters.mRefusedForDescriptors += 1;
+    const Timestamp now = BootNow();
+    if (!mRefusalLoggedAt || now - *mRefusalLoggedAt >= kRefusalLogPause) {
+      mRefusalLoggedAt = now;
+      mLog.Write(Event::CallerRefused,
+                 { { "address", address },
+                   { "connections", mCallers.size() },
+                   { "refusedInAll", mCounters.mRefusedForDescriptors } });
+    }
+    return;
+  }
   auto caller =
     std::make_shared<CallerConnection>(*this, std::move(aSocket), address);
   mCallers.emplace(caller->Id(), caller);
@@ -385,6 +407,7 @@
 {
   if (mCallers.erase(aConnection->Id()) > 0) {
     mMemory.Remove(aConnection->Id());
+    mDescriptors.Remove(aConnection->Address());
     if (mMemory.HasPaused()) {
       WatchPaused();
     }
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -2,6 +2,7 @@
 
 #include "../libmedlarkeel/forwarding/admissioncontrol.h"
 #include "../libmedlarkeel/forwarding/backendchooser.h"
+#include "../libmedlarkeel/forwarding/callerdescriptors.h"
 #include "../libmedlarkeel/forwarding/callermemory.h"
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
 #include "../libmedlarkeel/forwarding/recentmaximum.h"
@@ -124,6 +125,12 @@
   /** Resumes paused connections as soon as there is memory for them. */
   void WatchPaused();
 
+  /** @return Whether there is a descriptor for a connection to a server. */
+  bool MayOpenServerConnection() const
+  {
+    return mDescriptors.MayOpen(mConnections.Count());
+  }
+
   /** Notes that a connection has ended. */
   void Remove(const std::shared_ptr<CallerConnection>& aConnection);
 
@@ -167,9 +174,12 @@
   /** Retries of callers that were refused because of request limits. */
   std::unordered_map<PoolName, RetrySchedule> mRetrySchedules;
   CallerMemory mMemory;
+  CallerDescriptors mDescriptors;
   std::map<CallerId, std::shared_ptr<CallerConnection>> mCallers;
   boost::asio::steady_timer mPauseTimer;
   bool mIsWatchingPaused = false;
+  /** When the refusal of a connection was last logged. */
+  std::optional<Timestamp> mRefusalLoggedAt;
   /** When a lack of memory was last logged. */
   std::optional<Timestamp> mPressureLoggedAt;
   /** Most bytes that were held since memory was last returned. */
