Watch the memory of requests that arrive at the loopback daemon (partial)

Cause: ulfius collects each body on its connection's thread, 1 MB for each of up to 2048 connections, and nothing bounded the sum.

Change: UploadMonitor observes how much each connection has received and ends those that CallerMemory names once all hold too much; the bound is limits.callerMemoryShare (0.4) of limits.memoryMb (512). Receive buffers are 64 KB, one address may have three quarters of the connections, and freed memory is returned. Ended callers get no 503, and bodies over the limit are still read to their end.

UploadMonitor has no test without processes.

--- a/src/libmedlarkeel/settings.cpp
+++ b/src/libmedlarkeel/settings.cpp
@@ -12,6 +12,8 @@
 constexpr IntegerRange kPortRange{ 1, 65535, "" };
 constexpr IntegerRange kBodyRange{ 1024, 64 << 20, "bytes" };
 constexpr IntegerRange kConnectionRange{ 1, 1'000'000, "connections" };
+constexpr IntegerRange kMemoryRange{ 64, 1 << 24, "MB" };
+constexpr NumberRange kShareRange{ 0.0, 1.0, "", true };
 constexpr IntegerRange kIntervalRange{ 10, 600'000, "milliseconds" };
 constexpr IntegerRange kOrderRange{ 0, 3'600'000, "milliseconds" };
 constexpr IntegerRange kWidthRange{ 1, 1000, "agents" };
@@ -84,6 +86,11 @@
                  Presence::Optional,
                  kConnectionRange,
                  aOut.mConnectionLimit);
+  reader->Number("memoryMb", Presence::Optional, kMemoryRange, aOut.mMemoryMb);
+  reader->Number("callerMemoryShare",
+                 Presence::Optional,
+                 kShareRange,
+                 aOut.mCallerMemoryShare);
   reader->RefuseUnknownKeys();
 }
 
--- a/src/libmedlarkeel/settings.h
+++ b/src/libmedlarkeel/settings.h
@@ -42,6 +42,10 @@
 {
   std::size_t mBodyLimitBytes = 1U << 20U;
   std::size_t mConnectionLimit = 2048;
+  /** Memory of the machine, in MB. */
+  std::size_t mMemoryMb = 512;
+  /** Part of it that bodies which arrive may take. */
+  double mCallerMemoryShare = 0.4;
 };
 
 /** Intervals and bounds of the control messages. */
--- a/src/libmedlarkeelnet/httpserver.cpp
+++ b/src/libmedlarkeelnet/httpserver.cpp
@@ -24,6 +24,14 @@
 
 constexpr std::size_t kConnectionPoolSpareBytes = 32768;
 constexpr unsigned kListenBacklog = 1024;
+
+/** Memory of a connection: the server's buffer for it (64 KB), and an estimate
+ * for the used part of its thread's stack. */
+constexpr std::size_t kThreadBytes = 98'304;
+
+/** Part of the connections that one address may have. All callers may come from
+ * the address of one load balancer. */
+constexpr double kAddressShare = 0.75;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
 constexpr int kInternalError = 500;
@@ -37,6 +45,8 @@
   int mDescriptor = -1;
   unsigned mIdleTimeout = 0; // seconds
   std::string mTarget;
+  /** Bytes that the connection received with earlier requests. */
+  std::uint64_t mEarlierBytes = 0;
 };
 
 thread_local ServedConnection sConnection;
@@ -245,6 +255,23 @@
   }
 }
 
+/** Sets how much the kernel receives for connections to come that aren't read.
+ * Without the option it holds more, and nothing else changes. */
+void
+LimitReceiveBuffers(MHD_Daemon* aDaemon)
+{
+  constexpr int kReceiveBuffer = 65'536;
+  const MHD_DaemonInfo* info =
+    MHD_get_daemon_info(aDaemon, MHD_DAEMON_INFO_LISTEN_FD);
+  if (info != nullptr) {
+    setsockopt(info->listen_fd,
+               SOL_SOCKET,
+               SO_RCVBUF,
+               &kReceiveBuffer,
+               sizeof(kReceiveBuffer));
+  }
+}
+
 std::uint16_t
 BoundPort(MHD_Daemon* aDaemon)
 {
@@ -271,6 +298,8 @@
   sockaddr_in mAddress{};
   std::uint16_t mPort = 0;
   std::atomic<std::size_t> mRunning{ 0 };
+  /** Bounds the memory of requests; null if nothing does. */
+  std::unique_ptr<UploadMonitor> mUploads;
   bool mStopped = false;
 
   static void* OnRequestLine(void* aState,
@@ -301,6 +330,9 @@
   sConnection.mDescriptor = info == nullptr ? -1 : info->connect_fd;
   sConnection.mIdleTimeout = state->mOptions.mIdleTimeout;
   sConnection.mTarget = TextOrEmpty(aUri);
+  if (state->mUploads) {
+    state->mUploads->Begin(sConnection.mDescriptor, sConnection.mEarlierBytes);
+  }
   return ulfius_uri_logger(nullptr, aUri);
 }
 
@@ -311,7 +343,11 @@
                                MHD_RequestTerminationCode aCode)
 {
   mhd_request_completed(nullptr, aConnection, aContext, aCode);
-  --static_cast<State*>(aState)->mRunning;
+  auto* state = static_cast<State*>(aState);
+  if (state->mUploads) {
+    sConnection.mEarlierBytes = state->mUploads->End(sConnection.mDescriptor);
+  }
+  --state->mRunning;
 }
 
 int
@@ -320,6 +356,11 @@
                              void* aState)
 {
   const auto* state = static_cast<const State*>(aState);
+  if (state->mUploads) {
+    // The server's copy of the body, and the handler's.
+    state->mUploads->SetRunning(sConnection.mDescriptor,
+                                2 * aRequest->binary_body_length);
+  }
   ConvertResponse(state->Answer(*aRequest), *aResponse);
   return U_CALLBACK_COMPLETE;
 }
@@ -375,6 +416,10 @@
     { MHD_OPTION_SOCK_ADDR, 0, &mAddress },
     { MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog, nullptr },
     { MHD_OPTION_CONNECTION_LIMIT, mOptions.mConnectionLimit, nullptr },
+    { MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+      static_cast<std::intptr_t>(
+        static_cast<double>(mOptions.mConnectionLimit) * kAddressShare),
+      nullptr },
     { MHD_OPTION_CONNECTION_TIMEOUT, mOptions.mIdleTimeout, nullptr },
     { MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       static_cast<std::intptr_t>(mOptions.mHeaderLimit +
@@ -395,6 +440,15 @@
   auto state = std::make_unique<State>();
   state->mOptions = aOptions;
   state->mHandler = std::move(aHandler);
+  if (aOptions.mMemoryBound > 0) {
+    CallerMemorySettings memory;
+    memory.mBoundBytes = aOptions.mMemoryBound;
+    memory.mConnectionBytes = kThreadBytes;
+    state->mUploads = std::make_unique<UploadMonitor>(memory,
+                                                      aOptions.mBodyLimit +
+                                                        aOptions.mHeaderLimit,
+                                                      aOptions.mOnUploadsCut);
+  }
   state->mAddress.sin_family = AF_INET;
   state->mAddress.sin_port = htons(aOptions.mPort);
   const std::string place =
@@ -409,6 +463,9 @@
     return NetError{ NetErrorKind::BindFailed, "can't listen on " + place };
   }
   state->mPort = BoundPort(state->mInstance.mhd_daemon);
+  if (aOptions.mMemoryBound > 0) {
+    LimitReceiveBuffers(state->mInstance.mhd_daemon);
+  }
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
 
@@ -434,6 +491,12 @@
   return mState->mRunning;
 }
 
+UploadState
+HttpServer::Uploads() const
+{
+  return mState->mUploads ? mState->mUploads->State() : UploadState();
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/src/libmedlarkeelnet/httpserver.h
+++ b/src/libmedlarkeelnet/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "httpmessage.h"
 #include "neterror.h"
+#include "uploadmonitor.h"
 
 #include <cstdint>
 #include <functional>
@@ -18,6 +19,10 @@
   std::size_t mHeaderLimit = 32U << 10U; // bytes, all headers of a request
   unsigned mConnectionLimit = 2048;
   unsigned mIdleTimeout = 30; // seconds
+  /** Most bytes of all requests together; 0 bounds nothing. */
+  std::size_t mMemoryBound = 0;
+  /** Called after connections were closed for memory; may be empty. */
+  UploadMonitor::Handler mOnUploadsCut;
 };
 
 /**
@@ -53,6 +58,9 @@
   /** @return The number of requests whose response isn't wholly sent yet. */
   std::size_t RunningRequests() const;
 
+  /** @return What the requests hold; zeros if nothing bounds it. */
+  UploadState Uploads() const;
+
   /** Closes the listening socket; open connections go on. */
   void StopAccepting();
 
--- a/src/libmedlarkeelnet/metrics.cpp
+++ b/src/libmedlarkeelnet/metrics.cpp
@@ -146,6 +146,13 @@
   Gauge& mQueued = SingleGauge(mRegistry,
                                "medlarkeel_requests_queued",
                                "Requests that wait now.");
+  Gauge& mHeldBytes = SingleGauge(mRegistry,
+                                  "medlarkeel_held_bytes",
+                                  "Bytes held for arriving requests.");
+  Gauge& mUploadsCut = SingleGauge(mRegistry,
+                                   "medlarkeel_uploads_cut",
+                                   "Requests ended for their memory before "
+                                   "they had arrived, since the start.");
   Gauge& mDocumentVersion =
     SingleGauge(mRegistry,
                 "medlarkeel_document_version",
@@ -254,6 +261,13 @@
   mState->mDroppedFrames.Increment();
 }
 
+void
+Metrics::SetUploads(std::size_t aHeldBytes, std::size_t aCut)
+{
+  mState->mHeldBytes.Set(static_cast<double>(aHeldBytes));
+  mState->mUploadsCut.Set(static_cast<double>(aCut));
+}
+
 void
 Metrics::CountBrokenAnswer(AnswerFault aFault)
 {
--- a/src/libmedlarkeelnet/metrics.h
+++ b/src/libmedlarkeelnet/metrics.h
@@ -62,6 +62,9 @@
   void CountBrokenAnswer(AnswerFault aFault);
   void SetRunning(std::size_t aCount);
   void SetQueued(std::size_t aCount);
+  /** Sets what arriving requests hold, and how many of them were ended for
+   * their memory since the start. */
+  void SetUploads(std::size_t aHeldBytes, std::size_t aCut);
   void SetDocumentVersion(std::uint64_t aVersion);
 
   /** @return The text that GET /metrics answers with. */
--- a/src/medlarkeeld/main.cpp
+++ b/src/medlarkeeld/main.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iterator>
+#include <malloc.h>
 #include <memory>
 #include <string>
 
@@ -48,6 +49,17 @@
   return std::make_unique<AgentNode>(aSettings);
 }
 
+/** Lets memory of large bodies return to the machine as soon as it is freed.
+ * By default the allocator keeps blocks of up to 32 MB once some were freed. */
+void
+ReturnLargeBlocks()
+{
+#ifdef __GLIBC__
+  constexpr int kLargeBlock = 131'072;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlock);
+#endif
+}
+
 int
 RunDaemon()
 {
@@ -65,6 +77,7 @@
   if (FLAGS_check) {
     return 0;
   }
+  ReturnLargeBlocks();
   BlockEndSignals();
   return MakeNode(settings.value())->Run();
 }
--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -137,6 +137,13 @@
   options.mBodyLimit = mSettings.mLimits.mBodyLimitBytes;
   options.mConnectionLimit =
     static_cast<unsigned>(mSettings.mLimits.mConnectionLimit);
+  constexpr std::size_t kMegabyte = 1U << 20U;
+  options.mMemoryBound =
+    CallerMemoryBound(mSettings.mLimits.mMemoryMb * kMegabyte,
+                      mSettings.mLimits.mCallerMemoryShare);
+  options.mOnUploadsCut = [this](const UploadState& aState) {
+    LogUploadsCut(aState);
+  };
   auto server = HttpServer::Start(
     options, [this](const HttpRequest& aRequest) { return Serve(aRequest); });
   if (!server) {
@@ -150,12 +157,31 @@
   return true;
 }
 
+void
+Node::LogUploadsCut(const UploadState& aState)
+{
+  constexpr auto kPause = std::chrono::seconds(1);
+  const Timestamp now = BootNow();
+  if (mUploadsLoggedAt && now - *mUploadsLoggedAt < kPause) {
+    return;
+  }
+  mUploadsLoggedAt = now;
+  mLog.Write(Event::CallerMemoryShort,
+             { { "heldBytes", aState.mHeldBytes },
+               { "boundBytes", aState.mBoundBytes },
+               { "cutInAll", aState.mCut } });
+}
+
 HttpResponse
 Node::Serve(const HttpRequest& aRequest)
 {
   NodePages pages;
   pages.mReasonNotReady = [this] { return ReasonNotReady(); };
-  pages.mMetrics = [this] { return mCounters.Prometheus().Render(); };
+  pages.mMetrics = [this] {
+    const UploadState uploads = mHttp ? mHttp->Uploads() : UploadState();
+    mCounters.Prometheus().SetUploads(uploads.mHeldBytes, uploads.mCut);
+    return mCounters.Prometheus().Render();
+  };
   pages.mDecisions = [this](const std::string& aRequest) {
     return DecisionsText(mDecisions.Find(aRequest));
   };
--- a/src/medlarkeeld/node.h
+++ b/src/medlarkeeld/node.h
@@ -71,6 +71,9 @@
   void Loop();
   int Shutdown();
   HttpResponse Serve(const HttpRequest& aRequest);
+  /** Logs that requests were ended for their memory, at most once a second;
+   * called on the monitor's thread only. */
+  void LogUploadsCut(const UploadState& aState);
   NodeStatus Status();
   void LogList(const InstanceList& aList);
   void LogStaleness();
@@ -91,6 +94,7 @@
   std::unique_ptr<PeerService> mPeerService;
   std::unique_ptr<grpc::Server> mGrpc;
   std::unique_ptr<PlatformWatcher> mWatcher;
+  std::optional<Timestamp> mUploadsLoggedAt;
 };
 
 /** Blocks the signals that end the process; call before any thread starts. */
