--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -96,6 +96,7 @@
   if (mIsDone || mAttempt != aAttempt) {
     return;
   }
+  mCaller->UpdateMemory();
   if (!aAttempt->mIsPaused) {
     ReadAnswer(aAttempt);
   }
@@ -383,6 +384,9 @@
   std::string text;
   if (!mHasAnswered && (!aEvents.empty() || isComplete)) {
     mHasAnswered = true;
+    if (!mRoute->mIsResumable) {
+      mBody.reset(); // No other server can go on with the stream.
+    }
     mIsChunked = mHead.mVersion >= 11;
     mKeepOpen = mKeepOpen && mIsChunked && !mForwarder.IsStopping();
     if (!mIsChunked) {
