--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -151,9 +151,10 @@
       ParseWholeNumber(aQuery["wait-ms"]).value_or(0))));
     mTimer.async_wait([self = shared_from_this()](const Error& aError) {
       if (!aError && self->mStore.mWaiting.erase(self) > 0) {
-        self->Answer({ kOk,
-                       { { "events", Json::array() },
-                         { "current-rev", self->mStore.mRevision } } });
+        self->Answer(
+          { kOk,
+            { { "events", Json::array() },
+              { "current-rev", self->mStore.mContent.mRevision } } });
       }
     });
   }
@@ -169,6 +170,9 @@
     mResponse.version(11);
     mResponse.result(static_cast<unsigned>(aReply.mStatus));
     mResponse.set(http::field::content_type, "application/json");
+    if (mStore.mEra > 0) {
+      mResponse.set("Store-Era", std::to_string(mStore.mEra));
+    }
     mResponse.body() = aReply.mBody.dump();
     mResponse.prepare_payload();
     const bool isSlow = mStore.mTrouble == StoreTrouble::Slow;
@@ -242,12 +246,12 @@
 FakeStore::PutBytes(const std::string& aKey, const std::string& aBytes)
 {
   Run([&]() {
-    Item item{ aBytes, mRevision + 1, mRevision + 1 };
-    const auto found = mItems.find(aKey);
-    if (found != mItems.end()) {
+    Item item{ aBytes, mContent.mRevision + 1, mContent.mRevision + 1 };
+    const auto found = mContent.mItems.find(aKey);
+    if (found != mContent.mItems.end()) {
       item.mCreated = found->second.mCreated;
     }
-    mItems[aKey] = item;
+    mContent.mItems[aKey] = item;
     Record(aKey, item);
   });
 }
@@ -256,7 +260,7 @@
 FakeStore::Remove(const std::string& aKey)
 {
   Run([&]() {
-    if (mItems.erase(aKey) > 0) {
+    if (mContent.mItems.erase(aKey) > 0) {
       Record(aKey, std::nullopt);
     }
   });
@@ -265,8 +269,14 @@
 void
 FakeStore::Record(const std::string& aKey, std::optional<Item> aItem)
 {
-  mRevision += 1;
-  mHistory.push_back({ aKey, mRevision, std::move(aItem) });
+  mContent.mRevision += 1;
+  mContent.mHistory.push_back({ aKey, mContent.mRevision, std::move(aItem) });
+  RecheckWaiting();
+}
+
+void
+FakeStore::RecheckWaiting()
+{
   const auto waiting = mWaiting;
   for (const auto& session : waiting) {
     session->Recheck();
@@ -277,8 +287,8 @@
 FakeStore::ForgetHistory()
 {
   Run([&]() {
-    mHistory.clear();
-    mForgotten = mRevision;
+    mContent.mHistory.clear();
+    mContent.mForgotten = mContent.mRevision;
   });
 }
 
@@ -288,6 +298,28 @@
   Run([&]() { mTrouble = aTrouble; });
 }
 
+void
+FakeStore::SetEra(std::uint64_t aEra)
+{
+  Run([&]() { mEra = aEra; });
+}
+
+void
+FakeStore::TakeCopy()
+{
+  Run([&]() { mCopy = mContent; });
+}
+
+void
+FakeStore::Restore()
+{
+  Run([&]() {
+    mContent = mCopy;
+    mEra += 1;
+    RecheckWaiting();
+  });
+}
+
 Json
 StoreItem(const std::string& aKey,
           const std::string& aBytes,
@@ -304,13 +336,13 @@
 FakeStore::Reply
 FakeStore::ReadKey(const std::string& aKey) const
 {
-  const auto found = mItems.find(aKey);
-  if (found == mItems.end()) {
-    return { kNotFound, { { "current-rev", mRevision } } };
+  const auto found = mContent.mItems.find(aKey);
+  if (found == mContent.mItems.end()) {
+    return { kNotFound, { { "current-rev", mContent.mRevision } } };
   }
   const Item& item = found->second;
   Json body = StoreItem(aKey, item.mBytes, item.mRevision, item.mCreated);
-  body["current-rev"] = mRevision;
+  body["current-rev"] = mContent.mRevision;
   return { kOk, body };
 }
 
@@ -320,7 +352,7 @@
 {
   Json items = Json::array();
   bool hasMore = false;
-  for (const auto& [key, item] : mItems) {
+  for (const auto& [key, item] : mContent.mItems) {
     if (!StartsWith(key, aPrefix) || (!aAfter.empty() && key <= aAfter)) {
       continue;
     }
@@ -333,18 +365,18 @@
   return { kOk,
            { { "items", items },
              { "has-more", hasMore },
-             { "current-rev", mRevision } } };
+             { "current-rev", mContent.mRevision } } };
 }
 
 std::optional<FakeStore::Reply>
 FakeStore::ReadChanges(const std::string& aPrefix, std::uint64_t aAfter) const
 {
-  if (aAfter < mForgotten) {
+  if (aAfter < mContent.mForgotten || aAfter > mContent.mRevision) {
     mLostHistory += 1;
-    return Reply{ kGone, { { "current-rev", mRevision } } };
+    return Reply{ kGone, { { "current-rev", mContent.mRevision } } };
   }
   Json events = Json::array();
-  for (const Change& change : mHistory) {
+  for (const Change& change : mContent.mHistory) {
     if (change.mRevision <= aAfter || !StartsWith(change.mKey, aPrefix)) {
       continue;
     }
@@ -361,7 +393,9 @@
   if (events.empty()) {
     return std::nullopt;
   }
-  return Reply{ kOk, { { "events", events }, { "current-rev", mRevision } } };
+  return Reply{
+    kOk, { { "events", events }, { "current-rev", mContent.mRevision } }
+  };
 }
 
 } // namespace medlarkeel
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -62,6 +62,16 @@
   void ForgetHistory();
   void SetTrouble(StoreTrouble aTrouble);
 
+  /** Sets the era that answers state; with 0 they state none. */
+  void SetEra(std::uint64_t aEra);
+
+  /** Keeps a copy of items, history and revision for Restore(). */
+  void TakeCopy();
+
+  /** Replaces everything by the copy and begins the next era. Revisions are
+   * issued again from that of the copy; watches from later ones get 410. */
+  void Restore();
+
   /** @return Calls so far, and how many of them were answered with 410. */
   std::size_t Calls() const { return mCalls; }
   std::size_t CallsForLostHistory() const { return mLostHistory; }
@@ -85,6 +95,16 @@
     std::optional<Item> mItem;
   };
 
+  /** What Restore() replaces. */
+  struct Content
+  {
+    std::map<std::string, Item> mItems;
+    std::deque<Change> mHistory;
+    std::uint64_t mRevision = 100;
+    /** Changes up to this revision can't be read any more. */
+    std::uint64_t mForgotten = 100;
+  };
+
   struct Reply
   {
     int mStatus = 0;
@@ -94,6 +114,7 @@
   void Accept();
   void Run(const std::function<void()>& aTask);
   void Record(const std::string& aKey, std::optional<Item> aItem);
+  void RecheckWaiting();
   Reply ReadKey(const std::string& aKey) const;
   Reply ReadRange(const std::string& aPrefix, const std::string& aAfter) const;
   /** @return The answer, or nothing while there is no change. */
@@ -103,11 +124,9 @@
   boost::asio::io_context mContext;
   boost::asio::ip::tcp::acceptor mAcceptor;
   Endpoint mAddress;
-  std::map<std::string, Item> mItems;
-  std::deque<Change> mHistory;
-  std::uint64_t mRevision = 100;
-  /** Changes up to this revision can't be read any more. */
-  std::uint64_t mForgotten = 100;
+  Content mContent;
+  Content mCopy;
+  std::uint64_t mEra = 0;
   StoreTrouble mTrouble = StoreTrouble::None;
   std::set<std::shared_ptr<Session>> mWaiting;
   /** Open connections that give nothing any more. */
