--- a/src/libmedlarkeel/eventcatalogue.cpp
+++ b/src/libmedlarkeel/eventcatalogue.cpp
@@ -86,6 +86,11 @@
     Level::Warning,
     "A backend server stated a limit on the requests of all entries, changed "
     "or ended it, or stated a value that can't be used and changes nothing." },
+  { Event::DirectoryRestored,
+    "directory-restored",
+    Level::Warning,
+    "The directory was restored from an older copy; what was withdrawn before "
+    "and is in the copy is withheld for a time." },
   { Event::RequestRouted,
     "request-routed",
     Level::Info,
--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -33,6 +33,7 @@
   BackendLeaving = 306,
   BackendPaused = 307,
   BackendLimit = 308,
+  DirectoryRestored = 309,
 
   RequestRouted = 400,
   RequestRefused = 401,
--- a/src/libmedlarkeel/forwarding/backendlist.cpp
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** Maximum number of removed ids whose revisions are stored, to ignore older
+/** Maximum number of removed ids whose positions are stored, to ignore older
  * entries that arrive late. */
 constexpr std::size_t kMaximumRemovedIds = 1024;
 
@@ -38,13 +38,14 @@
   constexpr Milliseconds kReadDelays{ 1000 };
   const Milliseconds before = aKnown.mEntry.mColdRemaining;
   const Milliseconds after = aEntry.mColdRemaining;
-  const bool isNewer = aEntry.mRevision > aKnown.mEntry.mRevision;
+  const bool isNewer = aEntry.mPosition.IsAfter(aKnown.mEntry.mPosition);
   return isNewer && before.count() > 0 && after.count() > 0 &&
          (after > before || aNow + after > aKnown.mColdUntil + kReadDelays);
 }
 
 std::uint64_t
-EntryDigest(const BackendEntry& aEntry, std::uint64_t aColdExtendedAt)
+EntryDigest(const BackendEntry& aEntry,
+            const DirectoryPosition& aColdExtendedAt)
 {
   const auto start = static_cast<std::uint64_t>(
     aEntry.mStartedAt.value_or(Milliseconds(0)).count());
@@ -52,8 +53,9 @@
                               (aEntry.mColdRemaining.count() > 0 ? 2U : 0U);
   const std::string name = aEntry.mId.Text() + EndpointText(aEntry.mEndpoint);
   const std::uint64_t digest = HashText(name, start + state);
-  return aColdExtendedAt == 0 ? digest
-                              : HashText(name, digest + aColdExtendedAt);
+  return aColdExtendedAt.IsKnown()
+           ? HashText(name, digest + aColdExtendedAt.mRevision)
+           : digest;
 }
 
 } // namespace
@@ -70,38 +72,57 @@
 BackendChange
 BackendList::Put(const BackendEntry& aEntry, Timestamp aNow)
 {
-  const auto removed = mRemovedRevisions.find(aEntry.mId);
-  if (removed != mRemovedRevisions.end() &&
-      aEntry.mRevision <= removed->second) {
+  const auto removed = mRemovedAt.find(aEntry.mId);
+  if (removed != mRemovedAt.end() &&
+      aEntry.mPosition.IsAtMost(removed->second)) {
     return BackendChange::None;
   }
   const auto found = mBackends.find(aEntry.mId);
   if (found != mBackends.end() &&
-      aEntry.mRevision < found->second.mEntry.mRevision) {
+      found->second.mEntry.mPosition.IsAfter(aEntry.mPosition)) {
     return BackendChange::None;
   }
   const bool isKnown = found != mBackends.end();
   const bool isRestart = isKnown && IsRestart(found->second.mEntry, aEntry);
+  const ProcessHash process = ProcessHashOf(aEntry);
+  const bool mayBeFromCopy = mGuard.MayBeFromCopy(aEntry.mPosition, aNow);
+  if (isRestart && mayBeFromCopy && mGuard.IsWithdrawn(process)) {
+    // The copy has the process that the known one has replaced.
+    return BackendChange::None;
+  }
   const bool wasDraining = isKnown && found->second.mEntry.mIsDraining;
+  const bool wasWithheld =
+    isKnown && mGuard.IsWithheld(found->second.mProcessHash, aNow);
   const bool isExtended =
     isKnown && !isRestart && ExtendsColdTime(found->second, aEntry, aNow);
   if (isRestart) {
     mMisdirected.erase(aEntry.mId);
+    mGuard.RecordWithdrawn(found->second.mProcessHash);
   }
+  RecordState(aEntry, process, aNow);
   ListedBackend& backend = mBackends[aEntry.mId];
   backend.mEntry = aEntry;
-  backend.mProcessHash = ProcessHashOf(aEntry);
+  backend.mProcessHash = process;
   if (isExtended) {
-    backend.mColdExtendedAt = aEntry.mRevision;
-  } else if (isRestart || aEntry.mColdRemaining.count() <= 0) {
-    backend.mColdExtendedAt = 0;
+    backend.mColdExtendedAt = aEntry.mPosition;
+  } else if (isRestart || aEntry.mColdRemaining.count() <= 0 ||
+             backend.mColdExtendedAt.mEra != aEntry.mPosition.mEra) {
+    backend.mColdExtendedAt = {};
   }
   backend.mDigest = EntryDigest(aEntry, backend.mColdExtendedAt);
-  backend.mColdUntil = aNow + aEntry.mColdRemaining;
+  const Timestamp coldUntil = aNow + aEntry.mColdRemaining;
+  // A copy may be from before the cold time was extended.
+  backend.mColdUntil = isKnown && !isRestart && mayBeFromCopy
+                         ? std::max(backend.mColdUntil, coldUntil)
+                         : coldUntil;
   backend.mRemoveAt.reset();
   if (aEntry.mIsDraining) {
     return wasDraining ? BackendChange::Refreshed : BackendChange::Draining;
   }
+  if (mGuard.IsWithheld(process, aNow)) {
+    return wasWithheld && !wasDraining ? BackendChange::Refreshed
+                                       : BackendChange::Withheld;
+  }
   if (!isKnown) {
     return BackendChange::Added;
   }
@@ -111,40 +132,55 @@
   return isExtended ? BackendChange::ColdExtended : BackendChange::Refreshed;
 }
 
+void
+BackendList::RecordState(const BackendEntry& aEntry,
+                         ProcessHash aProcess,
+                         Timestamp aNow)
+{
+  if (aEntry.mIsDraining) {
+    mGuard.RecordWithdrawn(aProcess);
+  } else if (!mGuard.MayBeFromCopy(aEntry.mPosition, aNow)) {
+    mGuard.RecordReady(aProcess);
+  }
+}
+
 BackendChange
 BackendList::Remove(const InstanceId& aId,
-                    std::uint64_t aRevision,
+                    const DirectoryPosition& aPosition,
                     Timestamp aNow)
 {
   const auto found = mBackends.find(aId);
   if (found == mBackends.end() ||
-      (aRevision != 0 && aRevision < found->second.mEntry.mRevision)) {
+      (aPosition.IsKnown() &&
+       found->second.mEntry.mPosition.IsAfter(aPosition))) {
     return BackendChange::None;
   }
   return RemoveOrSchedule(
     found,
-    aRevision,
+    aPosition,
     aNow,
     std::min(mGracePeriodEnd, aNow + mMaximumRemovalDelay));
 }
 
 BackendChange
 BackendList::RemoveOrSchedule(BackendMap::iterator aPlace,
-                              std::uint64_t aRevision,
+                              const DirectoryPosition& aPosition,
                               Timestamp aNow,
                               Timestamp aRemoveAt)
 {
   const InstanceId id = aPlace->first;
   ListedBackend& backend = aPlace->second;
-  if (aNow < aRemoveAt && !backend.mEntry.mIsDraining) {
+  if (aNow < aRemoveAt && !backend.mEntry.mIsDraining &&
+      !mGuard.IsWithheld(backend.mProcessHash, aNow)) {
     backend.mRemoveAt =
       std::min(backend.mRemoveAt.value_or(aRemoveAt), aRemoveAt);
     return BackendChange::RemovalDelayed;
   }
-  if (mRemovedRevisions.size() >= kMaximumRemovedIds) {
-    mRemovedRevisions.clear();
+  if (mRemovedAt.size() >= kMaximumRemovedIds) {
+    mRemovedAt.clear();
   }
-  mRemovedRevisions[id] = aRevision;
+  mRemovedAt[id] = aPosition;
+  mGuard.RecordWithdrawn(backend.mProcessHash);
   mMisdirected.erase(id);
   mBackends.erase(aPlace);
   return BackendChange::Removed;
@@ -152,7 +188,7 @@
 
 std::vector<std::pair<InstanceId, BackendChange>>
 BackendList::RemoveUnlisted(const std::set<InstanceId>& aListed,
-                            std::uint64_t aRevision,
+                            const DirectoryPosition& aPosition,
                             Timestamp aNow)
 {
   std::vector<InstanceId> missing;
@@ -164,7 +200,7 @@
   std::vector<std::pair<InstanceId, BackendChange>> changes;
   for (const InstanceId& id : missing) {
     const BackendChange change =
-      RemoveOrSchedule(mBackends.find(id), aRevision, aNow, mGracePeriodEnd);
+      RemoveOrSchedule(mBackends.find(id), aPosition, aNow, mGracePeriodEnd);
     if (change != BackendChange::None) {
       changes.emplace_back(id, change);
     }
@@ -191,6 +227,7 @@
     }
   }
   for (const InstanceId& id : expired) {
+    mGuard.RecordWithdrawn(mBackends.at(id).mProcessHash);
     mBackends.erase(id);
     mMisdirected.erase(id);
   }
@@ -198,15 +235,38 @@
 }
 
 void
-BackendList::SetEvacuated(const ZoneName& aZone, bool aIsEvacuated)
+BackendList::SetEvacuated(const ZoneName& aZone,
+                          bool aIsEvacuated,
+                          const DirectoryPosition& aPosition,
+                          Timestamp aNow)
 {
+  const bool wasEvacuated = IsEvacuated(aZone, aNow);
+  const auto listed = mEvacuated.find(aZone);
   if (aIsEvacuated) {
-    mEvacuated.insert(aZone);
+    mGuard.RecordEvacuation(aZone, aPosition, wasEvacuated, aNow);
+    mEvacuated[aZone] = aPosition;
   } else {
+    const DirectoryPosition listedAt =
+      listed == mEvacuated.end() ? aPosition : listed->second;
+    mGuard.RecordEvacuationEnd(aZone, listedAt, aPosition, wasEvacuated, aNow);
     mEvacuated.erase(aZone);
   }
 }
 
+bool
+BackendList::HasUndecidedServers(Timestamp aNow) const
+{
+  return mGuard.HasBegun() &&
+         std::any_of(
+           mBackends.begin(), mBackends.end(), [&](const auto& aBackend) {
+             const ListedBackend& backend = aBackend.second;
+             const bool isWithheld =
+               !backend.mEntry.mIsDraining &&
+               mGuard.IsWithheld(backend.mProcessHash, aNow);
+             return isWithheld || backend.mRemoveAt;
+           });
+}
+
 void
 BackendList::RecordMisdirected(const InstanceId& aId)
 {
@@ -262,7 +322,8 @@
   std::vector<const ListedBackend*> usable;
   for (const auto& [id, backend] : mBackends) {
     if (backend.mEntry.mPool == aPool && !backend.mEntry.mIsDraining &&
-        mEvacuated.count(backend.mEntry.mZone) == 0 &&
+        !mGuard.IsWithheld(backend.mProcessHash, aNow) &&
+        !IsEvacuated(backend.mEntry.mZone, aNow) &&
         mMisdirected.count(id) == 0 && !isShuttingDown(backend.mProcessHash) &&
         (!backend.mRemoveAt || aNow < *backend.mRemoveAt)) {
       usable.push_back(&backend);
@@ -279,7 +340,7 @@
   for (const auto& [id, backend] : mBackends) {
     digest += backend.mDigest;
   }
-  for (const ZoneName& zone : mEvacuated) {
+  for (const auto& [zone, position] : mEvacuated) {
     digest += HashText(zone.Text());
   }
   return digest;
--- a/src/libmedlarkeel/forwarding/backendlist.h
+++ b/src/libmedlarkeel/forwarding/backendlist.h
@@ -2,6 +2,7 @@
 
 #include "../settings.h"
 #include "../types.h"
+#include "restoreguard.h"
 
 #include <cstdint>
 #include <map>
@@ -14,10 +15,6 @@
 
 namespace medlarkeel {
 
-/** Identifies one process of a backend server. A later process with the same id
- * or address has another hash. */
-using ProcessHash = std::uint32_t;
-
 /** A backend server's own description in the platform's list. */
 struct BackendEntry
 {
@@ -33,8 +30,8 @@
   std::uint32_t mSlots = 0;
   /** Wall clock time at which the process started, if the entry has it. */
   std::optional<Milliseconds> mStartedAt;
-  /** Revision of the list in which the entry last changed. */
-  std::uint64_t mRevision = 0;
+  /** Position of the list in which the entry last changed. */
+  DirectoryPosition mPosition;
 };
 
 /** @return Hash of the process that the entry describes. */
@@ -51,9 +48,9 @@
   std::uint64_t mDigest = 0;
   /** The server is cold before this time. */
   Timestamp mColdUntil;
-  /** Revision of the last entry that extended the cold time; 0 when the server
-   * isn't cold. */
-  std::uint64_t mColdExtendedAt = 0;
+  /** Position of the last entry of the era that extended the cold time; not
+   * known when the server isn't cold. */
+  DirectoryPosition mColdExtendedAt;
   /** Time at which the server is removed from the list unless its entry
    * reappears. */
   std::optional<Timestamp> mRemoveAt;
@@ -69,6 +66,9 @@
   Draining,
   /** A cold server is cold for longer than its earlier entry said. */
   ColdExtended,
+  /** The server is listed as ready by a copy of the list, and was withdrawn
+   * before the list was restored from it. */
+  Withheld,
   Removed,
   RemovalDelayed
 };
@@ -88,10 +88,10 @@
   /**
    * Removes an entry, or schedules its removal during the grace period.
    *
-   * @param aRevision Revision of the removal; 0 when it isn't known.
+   * @param aPosition Position of the removal.
    */
   BackendChange Remove(const InstanceId& aId,
-                       std::uint64_t aRevision,
+                       const DirectoryPosition& aPosition,
                        Timestamp aNow);
 
   /** @return A digest of a server's entry; 0 when it isn't listed. */
@@ -101,14 +101,28 @@
    * Removes all servers that aren't listed, or schedules their removal during
    * the grace period.
    *
-   * @param aRevision Revision of the list that was read.
+   * @param aPosition Position of the list that was read.
    * @return The affected servers.
    */
   std::vector<std::pair<InstanceId, BackendChange>> RemoveUnlisted(
     const std::set<InstanceId>& aListed,
-    std::uint64_t aRevision,
+    const DirectoryPosition& aPosition,
     Timestamp aNow);
 
+  /**
+   * Begins a new era, in which the list was restored from an older copy; see
+   * RestoreGuard::Begin().
+   */
+  void BeginEra(const DirectoryPosition& aBase,
+                Timestamp aHoldUntil,
+                Timestamp aNow)
+  {
+    mGuard.Begin(aBase, aHoldUntil, aNow);
+  }
+
+  /** Ends the time earlier in which withdrawn items are withheld. */
+  void ShortenHold(Timestamp aHoldUntil) { mGuard.ShortenHold(aHoldUntil); }
+
   /**
    * Starts the grace period after an outage of the list.
    *
@@ -123,11 +137,35 @@
   /** Removes entries whose delayed removal is due. @return The removed ids. */
   std::vector<InstanceId> RemoveExpired(Timestamp aNow);
 
-  /** Sets whether an availability zone is evacuated; servers in evacuated zones
-   * get no requests. */
-  void SetEvacuated(const ZoneName& aZone, bool aIsEvacuated);
-
-  const std::set<ZoneName>& EvacuatedZones() const { return mEvacuated; }
+  /**
+   * Sets whether an availability zone is listed as evacuated; servers in
+   * evacuated zones get no requests.
+   *
+   * @param aPosition Position of the change; its revision is 0 when it isn't
+   * known.
+   */
+  void SetEvacuated(const ZoneName& aZone,
+                    bool aIsEvacuated,
+                    const DirectoryPosition& aPosition = {},
+                    Timestamp aNow = {});
+
+  /** @return The zones that are listed as evacuated, with the positions of
+   * their evacuations. */
+  const std::map<ZoneName, DirectoryPosition>& EvacuatedZones() const
+  {
+    return mEvacuated;
+  }
+
+  /** @return Whether an availability zone's evacuation is in force. */
+  bool IsEvacuated(const ZoneName& aZone, Timestamp aNow) const
+  {
+    return mGuard.IsEvacuated(aZone, mEvacuated.count(aZone) != 0, aNow);
+  }
+
+  /** @return Whether, since a restore, the list's next entries of a server
+   * decide whether it is used. Other entries don't relay them, since they
+   * change nothing there. */
+  bool HasUndecidedServers(Timestamp aNow) const;
 
   /** Records that another process responds at the server's address. */
   void RecordMisdirected(const InstanceId& aId);
@@ -172,13 +210,17 @@
   /** Removes a server, or schedules its removal if aRemoveAt is in the future
    * and the server isn't draining. */
   BackendChange RemoveOrSchedule(BackendMap::iterator aPlace,
-                                 std::uint64_t aRevision,
+                                 const DirectoryPosition& aPosition,
                                  Timestamp aNow,
                                  Timestamp aRemoveAt);
+  void RecordState(const BackendEntry& aEntry,
+                   ProcessHash aProcess,
+                   Timestamp aNow);
 
   BackendMap mBackends;
-  std::map<InstanceId, std::uint64_t> mRemovedRevisions;
-  std::set<ZoneName> mEvacuated;
+  RestoreGuard mGuard;
+  std::map<InstanceId, DirectoryPosition> mRemovedAt;
+  std::map<ZoneName, DirectoryPosition> mEvacuated;
   std::set<InstanceId> mMisdirected;
   std::unordered_set<ProcessHash> mShuttingDown;
   /** Expiry times of what other entries reported. */
--- a/src/libmedlarkeel/forwarding/directorydelta.cpp
+++ b/src/libmedlarkeel/forwarding/directorydelta.cpp
@@ -16,16 +16,16 @@
 } // namespace
 
 void
-DirectoryDeltaLog::Restart(std::uint64_t aRevision)
+DirectoryDeltaLog::Restart(const DirectoryPosition& aPosition)
 {
   mBatches.clear();
   mChangeCount = 0;
-  mBatches.push_back({ aRevision, aRevision, {}, Timestamp() });
+  mBatches.push_back({ aPosition, aPosition, {}, Timestamp() });
 }
 
 void
-DirectoryDeltaLog::Add(std::uint64_t aFrom,
-                       std::uint64_t aTo,
+DirectoryDeltaLog::Add(const DirectoryPosition& aFrom,
+                       const DirectoryPosition& aTo,
                        std::vector<RelayedChange> aChanges,
                        Timestamp aNow)
 {
@@ -46,10 +46,10 @@
 std::optional<DirectoryDelta>
 DirectoryDeltaLog::RecentDelta(Timestamp aNow) const
 {
-  const bool isAvailable = !mBatches.empty() &&
-                           mChangeCount <= kMaximumRelayedChanges &&
-                           mBatches.front().mFrom < mBatches.back().mTo &&
-                           aNow <= mBatches.back().mReceivedAt + kRelayPeriod;
+  const bool isAvailable =
+    !mBatches.empty() && mChangeCount <= kMaximumRelayedChanges &&
+    mBatches.back().mTo.IsAfter(mBatches.front().mFrom) &&
+    aNow <= mBatches.back().mReceivedAt + kRelayPeriod;
   if (!isAvailable) {
     return std::nullopt;
   }
--- a/src/libmedlarkeel/forwarding/directorydelta.h
+++ b/src/libmedlarkeel/forwarding/directorydelta.h
@@ -16,14 +16,15 @@
   std::variant<BackendEntry, BackendRemoval, ZoneEvacuation>;
 
 /**
- * The relayed changes of the directory after revision mFrom up to and including
- * revision mTo. All material changes of that range are contained, so an entry
- * that knows any revision from mFrom on is at mTo after applying them.
+ * The relayed changes of the directory after position mFrom up to and including
+ * position mTo of the same era. All material changes of that range are
+ * contained, so an entry that knows any position from mFrom on is at mTo after
+ * applying them.
  */
 struct DirectoryDelta
 {
-  std::uint64_t mFrom = 0;
-  std::uint64_t mTo = 0;
+  DirectoryPosition mFrom;
+  DirectoryPosition mTo;
   std::vector<RelayedChange> mChanges;
 };
 
@@ -34,27 +35,27 @@
 class DirectoryDeltaLog
 {
 public:
-  /** Clears the log and continues from a revision. Earlier changes can no
+  /** Clears the log and continues from a position. Earlier changes can no
    * longer be relayed. */
-  void Restart(std::uint64_t aRevision);
+  void Restart(const DirectoryPosition& aPosition);
 
   /**
    * Adds the changes of one answer of the directory. If it doesn't continue
-   * the last revision of the log, the log is cleared first.
+   * the last position of the log, the log is cleared first.
    *
-   * @param aFrom Revision that was known before the answer.
-   * @param aTo Revision that is known after it.
+   * @param aFrom Position that was known before the answer.
+   * @param aTo Position that is known after it.
    * @param aChanges Changes of the answer that are to be relayed.
    */
-  void Add(std::uint64_t aFrom,
-           std::uint64_t aTo,
+  void Add(const DirectoryPosition& aFrom,
+           const DirectoryPosition& aTo,
            std::vector<RelayedChange> aChanges,
            Timestamp aNow);
 
   /**
    * @return The changes of the last 3 seconds, or nothing if there was no
    * answer of the directory in this time or an answer had more than 40 changes.
-   * A result without changes still advances other entries to the last revision,
+   * A result without changes still advances other entries to the last position,
    * so that later changes continue what they know.
    */
   std::optional<DirectoryDelta> RecentDelta(Timestamp aNow) const;
@@ -62,8 +63,8 @@
 private:
   struct Batch
   {
-    std::uint64_t mFrom = 0;
-    std::uint64_t mTo = 0;
+    DirectoryPosition mFrom;
+    DirectoryPosition mTo;
     std::vector<RelayedChange> mChanges;
     Timestamp mReceivedAt;
   };
--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -1,5 +1,7 @@
 #include "directoryfollower.h"
 
+#include "../rendezvous.h"
+
 #include <algorithm>
 
 namespace medlarkeel {
@@ -14,6 +16,13 @@
 template<typename... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+/** @return A digest of an era; 0 for era 0. */
+std::uint64_t
+EraDigest(DirectoryEra aEra)
+{
+  return aEra.mValue == 0 ? 0 : HashText("era", aEra.mValue);
+}
+
 } // namespace
 
 const char*
@@ -28,6 +37,8 @@
       return "history-gone";
     case DirectoryError::Unreadable:
       return "unreadable";
+    case DirectoryError::EarlierEra:
+      return "earlier-era";
   }
   return "unknown";
 }
@@ -38,15 +49,20 @@
   /** Pauses per bound. This leaves time for a call that delivers no changes and
    * for the full read after it. */
   constexpr int kPausesPerBound = 4;
+  /** Time in which servers register again. */
+  constexpr Milliseconds kRegistrationTime{ 2000 };
   FollowerSettings settings;
   settings.mPause = aChangeBound / kPausesPerBound;
   settings.mOutageThreshold = aHeartbeat * 2;
   settings.mMaximumRemovalDelay = aChangeBound * 3 / kPausesPerBound;
+  settings.mRestoreHoldTime =
+    aHeartbeat * 2 + kRegistrationTime + settings.mPause;
   return settings;
 }
 
 DirectoryFollower::DirectoryFollower(const FollowerSettings& aSettings)
   : mSettings(aSettings)
+  , mEra(aSettings.mRestoreHoldTime)
   , mRetryDelay(aSettings.mFirstRetryDelay)
 {
 }
@@ -54,7 +70,8 @@
 std::uint64_t
 DirectoryFollower::Digest() const
 {
-  return mBackends.Digest() + (mDocument ? mDocument->mVersion : 0);
+  return mBackends.Digest() + (mDocument ? mDocument->mVersion : 0) +
+         EraDigest(mEra.LastRead());
 }
 
 FollowerUpdate
@@ -67,8 +84,14 @@
     RecordFailure(update, aResult.error(), aNow);
     return update;
   }
-  RecordContact(update, aNow);
   const DirectoryChanges& contents = aResult.value();
+  if (contents.mPosition.mEra < mEra.Current()) {
+    mHasReadEarlierEra = true;
+    RecordFailure(update, DirectoryError::EarlierEra, aNow);
+    return update;
+  }
+  RecordContact(update, aNow);
+  BeginRead(contents.mPosition, update, aNow);
   std::set<InstanceId> listed;
   std::set<ZoneName> evacuated;
   for (const DirectoryChange& change : contents.mChanges) {
@@ -82,20 +105,21 @@
     }
   }
   for (auto& change :
-       mBackends.RemoveUnlisted(listed, contents.mRevision, aNow)) {
+       mBackends.RemoveUnlisted(listed, contents.mPosition, aNow)) {
     update.mBackends.push_back(std::move(change));
   }
-  const std::set<ZoneName> before = mBackends.EvacuatedZones();
-  for (const ZoneName& zone : before) {
+  const std::map<ZoneName, DirectoryPosition> before =
+    mBackends.EvacuatedZones();
+  for (const auto& [zone, position] : before) {
     if (evacuated.count(zone) == 0) {
-      Apply(ZoneEvacuation{ zone, false }, aNow, update);
+      Apply(ZoneEvacuation{ zone, false, contents.mPosition }, aNow, update);
     }
   }
   mMayBeStale = aFreshness == ReadFreshness::MayBeStale;
   mHasRead = true;
   const Milliseconds pause = mMayBeStale ? Milliseconds(0) : mSettings.mPause;
-  mNext = { DirectoryCall::Kind::Watch, pause, contents.mRevision };
-  mDeltaLog.Restart(contents.mRevision);
+  mNext = { DirectoryCall::Kind::Watch, pause, contents.mPosition };
+  mDeltaLog.Restart(contents.mPosition);
   return update;
 }
 
@@ -108,18 +132,29 @@
     return update;
   }
   const DirectoryChanges& contents = aResult.value();
+  const DirectoryEra era = contents.mPosition.mEra;
+  EnterEra(era, aNow, update, aNow);
+  if (mEra.IsReadDue()) {
+    // The answer doesn't continue what is known.
+    return update;
+  }
+  if (era != mEra.Current()) {
+    RecordFailure(update, DirectoryError::EarlierEra, aNow);
+    return update;
+  }
   if (contents.mChanges.empty() && mBackends.size() > 0) {
-    mNext = { DirectoryCall::Kind::ReadAll, Milliseconds(0), 0 };
+    mNext = { DirectoryCall::Kind::ReadAll, Milliseconds(0), { era, 0 } };
     return update;
   }
   RecordContact(update, aNow);
   mMayBeStale = false;
   // Peers may have relayed later changes while the call was in progress.
-  const std::uint64_t known = mNext.mRevision;
+  const DirectoryPosition known = mNext.mPosition;
   std::vector<RelayedChange> relayedChanges;
   for (const DirectoryChange& change : contents.mChanges) {
     const auto* zone = std::get_if<ZoneEvacuation>(&change);
-    if (zone != nullptr && zone->mRevision != 0 && zone->mRevision <= known) {
+    if (zone != nullptr && zone->mPosition.IsKnown() &&
+        zone->mPosition.IsAtMost(known)) {
       continue;
     }
     if (auto relayable = ApplyForRelay(change, aNow, update)) {
@@ -130,14 +165,14 @@
     update.mBackends.begin(), update.mBackends.end(), [](const auto& aChange) {
       return aChange.second == BackendChange::RemovalDelayed;
     });
-  const std::uint64_t revision = std::max(known, contents.mRevision);
+  const DirectoryPosition position = LaterOf(known, contents.mPosition);
   if (update.mHasNewDocument || hasDelayed) {
     // Peers have to call the directory for a document or a delayed removal.
-    mDeltaLog.Restart(revision);
+    mDeltaLog.Restart(position);
   } else {
-    mDeltaLog.Add(known, revision, std::move(relayedChanges), aNow);
+    mDeltaLog.Add(known, position, std::move(relayedChanges), aNow);
   }
-  mNext = { DirectoryCall::Kind::Watch, mSettings.mPause, revision };
+  mNext = { DirectoryCall::Kind::Watch, mSettings.mPause, position };
   return update;
 }
 
@@ -167,42 +202,131 @@
 DirectoryFollower::RecordRelayedDelta(const DirectoryDelta& aDelta,
                                       Timestamp aNow)
 {
-  const std::uint64_t known = mNext.mRevision;
-  const bool follows =
-    mHasRead && known != 0 && aDelta.mFrom <= known && known < aDelta.mTo;
+  FollowerUpdate update;
+  EnterEra(aDelta.mTo.mEra, aNow, update, aNow);
+  if (mHasRead && mEra.IsReadDue() && aDelta.mTo.mEra == mEra.Current()) {
+    ApplyBeforeRead(aDelta, aNow, update);
+    return update;
+  }
+  const DirectoryPosition known = mNext.mPosition;
+  const bool follows = mHasRead && known.IsKnown() &&
+                       aDelta.mFrom.IsAtMost(known) &&
+                       aDelta.mTo.IsAfter(known);
   if (!follows) {
     return std::nullopt;
   }
-  FollowerUpdate update;
   for (const RelayedChange& change : aDelta.mChanges) {
-    const std::uint64_t revision = std::visit(
-      Overloaded{ [](const auto& aChange) { return aChange.mRevision; } },
+    const DirectoryPosition position = std::visit(
+      Overloaded{ [](const auto& aChange) { return aChange.mPosition; } },
       change);
-    if (revision > known) {
+    if (position.IsAfter(known)) {
       std::visit(Overloaded{ [&](const auto& aChange) {
                    Apply(DirectoryChange(aChange), aNow, update);
                  } },
                  change);
     }
   }
-  mNext.mRevision = aDelta.mTo;
+  mNext.mPosition = aDelta.mTo;
   mDeltaAppliedAt = aNow;
   return update;
 }
 
+void
+DirectoryFollower::ApplyBeforeRead(const DirectoryDelta& aDelta,
+                                   Timestamp aNow,
+                                   FollowerUpdate& aUpdate)
+{
+  for (const RelayedChange& change : aDelta.mChanges) {
+    if (const auto* zone = std::get_if<ZoneEvacuation>(&change)) {
+      DirectoryPosition& applied = mZonesBeforeRead[zone->mZone];
+      if (zone->mPosition.IsAtMost(applied)) {
+        continue;
+      }
+      applied = zone->mPosition;
+    }
+    std::visit(Overloaded{ [&](const auto& aChange) {
+                 Apply(DirectoryChange(aChange), aNow, aUpdate);
+               } },
+               change);
+  }
+}
+
+std::optional<FollowerUpdate>
+DirectoryFollower::RecordPeerEra(DirectoryEra aEra,
+                                 Milliseconds aAge,
+                                 Timestamp aNow)
+{
+  FollowerUpdate update;
+  if (EnterEra(aEra, aNow - aAge, update, aNow)) {
+    return update;
+  }
+  mBackends.ShortenHold(mEra.HoldUntil());
+  return std::nullopt;
+}
+
+bool
+DirectoryFollower::EnterEra(DirectoryEra aEra,
+                            Timestamp aBeganAt,
+                            FollowerUpdate& aUpdate,
+                            Timestamp aNow)
+{
+  if (!mEra.Record(aEra, aBeganAt)) {
+    return false;
+  }
+  const DirectoryPosition unread{ aEra, 0 };
+  mNext.mPosition = unread;
+  if (mHasRead) {
+    mNext = { DirectoryCall::Kind::ReadAll, Milliseconds(0), unread };
+    mDeltaLog.Restart(unread);
+    mBackends.BeginEra(unread, mEra.HoldUntil(), aNow);
+    mZonesBeforeRead.clear();
+    aUpdate.mNewEra = { aEra, false, HoldTime(aNow) };
+  }
+  return true;
+}
+
+void
+DirectoryFollower::BeginRead(const DirectoryPosition& aBase,
+                             FollowerUpdate& aUpdate,
+                             Timestamp aNow)
+{
+  EnterEra(aBase.mEra, aNow, aUpdate, aNow);
+  if (mEra.IsReadDue() && mHasRead) {
+    mBackends.BeginEra(aBase, mEra.HoldUntil(), aNow);
+    // Servers that registered after the copy was taken register again. A
+    // removal waits for half of the time after an outage: with 1,500 ms and
+    // answers that take 250 ms it was in force after more than 2,000 ms.
+    mBackends.StartGracePeriod(
+      aNow, mSettings.mGracePeriod, mSettings.mMaximumRemovalDelay / 2);
+    aUpdate.mNewEra = { aBase.mEra, true, HoldTime(aNow) };
+  }
+  mEra.RecordRead();
+}
+
+Milliseconds
+DirectoryFollower::HoldTime(Timestamp aNow) const
+{
+  return std::max(
+    Milliseconds(0),
+    std::chrono::duration_cast<Milliseconds>(mEra.HoldUntil() - aNow));
+}
+
 void
 DirectoryFollower::RecordFailure(FollowerUpdate& aUpdate,
                                  DirectoryError aError,
                                  Timestamp aNow)
 {
   if (aError == DirectoryError::HistoryCompacted) {
-    mNext = { DirectoryCall::Kind::ReadAll, Milliseconds(0), 0 };
+    mNext = { DirectoryCall::Kind::ReadAll,
+              Milliseconds(0),
+              { mEra.Current(), 0 } };
     return;
   }
+  aUpdate.mError = aError;
   aUpdate.mHasLostContact = !mHasFailed;
   mHasFailed = true;
   mFailedAt = aNow;
-  mNext = { DirectoryCall::Kind::ReadAll, mRetryDelay, mNext.mRevision };
+  mNext = { DirectoryCall::Kind::ReadAll, mRetryDelay, mNext.mPosition };
   mRetryDelay = std::min(mRetryDelay * 2, mSettings.mMaximumRetryDelay);
 }
 
@@ -223,12 +347,15 @@
 
 void
 DirectoryFollower::ApplyZone(const ZoneEvacuation& aZone,
+                             Timestamp aNow,
                              FollowerUpdate& aUpdate)
 {
-  const bool wasEvacuated = mBackends.EvacuatedZones().count(aZone.mZone) != 0;
-  mBackends.SetEvacuated(aZone.mZone, aZone.mIsEvacuated);
-  if (wasEvacuated != aZone.mIsEvacuated) {
-    aUpdate.mZones.push_back(aZone);
+  const bool wasEvacuated = mBackends.IsEvacuated(aZone.mZone, aNow);
+  mBackends.SetEvacuated(
+    aZone.mZone, aZone.mIsEvacuated, aZone.mPosition, aNow);
+  const bool isEvacuated = mBackends.IsEvacuated(aZone.mZone, aNow);
+  if (wasEvacuated != isEvacuated) {
+    aUpdate.mZones.push_back({ aZone.mZone, isEvacuated, aZone.mPosition });
   }
 }
 
@@ -242,25 +369,26 @@
       aUpdate.mBackends.emplace_back(aId, aKind);
     }
   };
-  std::visit(Overloaded{
-               [&](const ForwardingDocumentPointer& aDocument) {
-                 if (!mDocument || mDocument->mVersion < aDocument->mVersion) {
-                   mDocument = aDocument;
-                   aUpdate.mHasNewDocument = true;
-                 }
-               },
-               [&](const BackendEntry& aEntry) {
-                 note(aEntry.mId, mBackends.Put(aEntry, aNow));
-               },
-               [&](const BackendRemoval& aRemoval) {
-                 note(aRemoval.mId,
-                      mBackends.Remove(aRemoval.mId, aRemoval.mRevision, aNow));
-               },
-               [&](const ZoneEvacuation& aZone) { ApplyZone(aZone, aUpdate); },
-               [&](const UnreadableItem& aItem) {
-                 aUpdate.mUnreadable.push_back(aItem);
-               } },
-             aChange);
+  std::visit(
+    Overloaded{
+      [&](const ForwardingDocumentPointer& aDocument) {
+        if (!mDocument || mDocument->mVersion < aDocument->mVersion) {
+          mDocument = aDocument;
+          aUpdate.mHasNewDocument = true;
+        }
+      },
+      [&](const BackendEntry& aEntry) {
+        note(aEntry.mId, mBackends.Put(aEntry, aNow));
+      },
+      [&](const BackendRemoval& aRemoval) {
+        note(aRemoval.mId,
+             mBackends.Remove(aRemoval.mId, aRemoval.mPosition, aNow));
+      },
+      [&](const ZoneEvacuation& aZone) { ApplyZone(aZone, aNow, aUpdate); },
+      [&](const UnreadableItem& aItem) {
+        aUpdate.mUnreadable.push_back(aItem);
+      } },
+    aChange);
 }
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directorydelta.h"
+#include "eratracker.h"
 
 #include <algorithm>
 
@@ -38,6 +39,11 @@
   /** Maximum time for which a server is kept after its removal was published.
    */
   Milliseconds mMaximumRemovalDelay{ 1500 };
+  /** Time after the beginning of an era in which items that were withdrawn
+   * before aren't taken from the copy. It covers two heartbeats, after which
+   * entries of servers that have left expire, and the two seconds in which the
+   * others register again. */
+  Milliseconds mRestoreHoldTime{ 4700 };
 };
 
 /**
@@ -59,8 +65,19 @@
   Kind mKind = Kind::ReadAll;
   /** Delay before the call. */
   Milliseconds mDelay{ 0 };
-  /** Revision up to which all changes are known; 0 when that isn't certain. */
-  std::uint64_t mRevision = 0;
+  /** Position up to which all changes are known; its revision is 0 when that
+   * isn't certain. */
+  DirectoryPosition mPosition;
+};
+
+/** The directory was restored from an older copy. */
+struct EraChange
+{
+  DirectoryEra mEra;
+  /** Whether the era was read; otherwise another entry told of it. */
+  bool mIsRead = false;
+  /** Rest of the time in which withdrawn items are withheld. */
+  Milliseconds mHold{ 0 };
 };
 
 /** What an answer of the directory or a relayed delta changed, for the log. */
@@ -74,6 +91,9 @@
   std::vector<std::pair<InstanceId, BackendChange>> mBackends;
   std::vector<ZoneEvacuation> mZones;
   std::vector<UnreadableItem> mUnreadable;
+  /** Cause of the lost contact. */
+  DirectoryError mError = DirectoryError::Unreachable;
+  std::optional<EraChange> mNewEra;
 };
 
 /**
@@ -102,7 +122,8 @@
   {
     const Timestamp last =
       mHasFailed ? mFailedAt : std::max(mLastContact, mDeltaAppliedAt);
-    return HasRead() && mNext.mRevision != 0 &&
+    return HasRead() && mNext.mPosition.IsKnown() &&
+           !mBackends.HasUndecidedServers(aNow) &&
            aNow - last < mSettings.mMaximumQuietTime;
   }
 
@@ -129,14 +150,29 @@
 
   /**
    * Applies a delta that a directory reader relayed. A call of this process may
-   * be in progress.
+   * be in progress. Changes of an era that isn't read yet are applied one by
+   * one, and the directory is read.
    *
    * @return What has changed; nothing when the delta starts after the known
-   * revision or adds nothing to it.
+   * position or adds nothing to it, or is of an earlier era.
    */
   std::optional<FollowerUpdate> RecordRelayedDelta(const DirectoryDelta& aDelta,
                                                    Timestamp aNow);
 
+  /**
+   * Records the era that another entry knows. A later one than that of this
+   * entry makes it read the directory; until then it relays no changes.
+   *
+   * @param aAge Time since the era became known.
+   * @return The new era; nothing when it isn't new.
+   */
+  std::optional<FollowerUpdate> RecordPeerEra(DirectoryEra aEra,
+                                              Milliseconds aAge,
+                                              Timestamp aNow);
+
+  /** @return Time since the era of Position() became known to an entry. */
+  Milliseconds EraAge(Timestamp aNow) const { return mEra.Age(aNow); }
+
   /** @return Recent changes from this process's own calls, to be relayed to
    * other entries; nothing when there was no recent answer or too much has
    * changed. */
@@ -154,7 +190,8 @@
    * used. */
   ReadFreshness Freshness() const
   {
-    return mHasRead ? ReadFreshness::Newest : ReadFreshness::MayBeStale;
+    return mHasRead || mHasReadEarlierEra ? ReadFreshness::Newest
+                                          : ReadFreshness::MayBeStale;
   }
 
   /** @return The document in force; null until the first one is known to be
@@ -175,13 +212,13 @@
    * changes after it were read too. */
   bool HasRead() const { return mHasRead && !mMayBeStale; }
 
-  /** @return A digest of the document's version and the list of backend
-   * servers. */
+  /** @return A digest of the document's version, the list of backend servers
+   * and the era in which they were read. */
   std::uint64_t Digest() const;
 
-  /** @return Revision up to which the directory is known; 0 when a full read is
-   * needed first. */
-  std::uint64_t Revision() const { return mNext.mRevision; }
+  /** @return Position up to which the directory is known. Its revision is 0
+   * when a full read is needed first; its era is the latest known one. */
+  DirectoryPosition Position() const { return mNext.mPosition; }
 
   /** @return Time since the last answer that counts as contact: a full read,
    * changes, or no changes while no server is listed. */
@@ -192,16 +229,36 @@
                      DirectoryError aError,
                      Timestamp aNow);
   void RecordContact(FollowerUpdate& aUpdate, Timestamp aNow);
+  /** Makes a newer era the current one, and a full read the next call.
+   * @return Whether the era is newer. */
+  bool EnterEra(DirectoryEra aEra,
+                Timestamp aBeganAt,
+                FollowerUpdate& aUpdate,
+                Timestamp aNow);
+  /** Prepares for the first contents of the current era.
+   * @param aBase Position of the contents. */
+  void BeginRead(const DirectoryPosition& aBase,
+                 FollowerUpdate& aUpdate,
+                 Timestamp aNow);
+  /** @return Rest of the time in which withdrawn items are withheld. */
+  Milliseconds HoldTime(Timestamp aNow) const;
+  /** Applies changes of an era that isn't read yet. */
+  void ApplyBeforeRead(const DirectoryDelta& aDelta,
+                       Timestamp aNow,
+                       FollowerUpdate& aUpdate);
   void Apply(const DirectoryChange& aChange,
              Timestamp aNow,
              FollowerUpdate& aUpdate);
-  void ApplyZone(const ZoneEvacuation& aZone, FollowerUpdate& aUpdate);
+  void ApplyZone(const ZoneEvacuation& aZone,
+                 Timestamp aNow,
+                 FollowerUpdate& aUpdate);
   /** Applies a change. @return The change if it has to be relayed to peers. */
   std::optional<RelayedChange> ApplyForRelay(const DirectoryChange& aChange,
                                              Timestamp aNow,
                                              FollowerUpdate& aUpdate);
 
   FollowerSettings mSettings;
+  EraTracker mEra;
   DirectoryCall mNext;
   ForwardingDocumentPointer mDocument;
   BackendList mBackends;
@@ -211,6 +268,10 @@
    * yet. */
   bool mMayBeStale = false;
   bool mHasFailed = false;
+  /** A full read was answered from an earlier era than the current one. */
+  bool mHasReadEarlierEra = false;
+  /** Positions of zone changes of an era that isn't read yet. */
+  std::map<ZoneName, DirectoryPosition> mZonesBeforeRead;
   Milliseconds mRetryDelay;
   Timestamp mLastContact;
   Timestamp mPeerConfirmedAt;
--- a/src/libmedlarkeel/forwarding/directorysource.h
+++ b/src/libmedlarkeel/forwarding/directorysource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backendlist.h"
+#include "directoryposition.h"
 #include "forwardingdocument.h"
 
 #include <boost/outcome.hpp>
@@ -17,7 +18,7 @@
 struct BackendRemoval
 {
   InstanceId mId;
-  std::uint64_t mRevision = 0;
+  DirectoryPosition mPosition;
 };
 
 /** An availability zone that was evacuated or returned to service. */
@@ -25,8 +26,8 @@
 {
   ZoneName mZone;
   bool mIsEvacuated = false;
-  /** Revision of the change; 0 when it isn't known. */
-  std::uint64_t mRevision = 0;
+  /** Position of the change; its revision is 0 when it isn't known. */
+  DirectoryPosition mPosition;
 };
 
 /** An item that can't be parsed. Its last valid version stays in force. */
@@ -42,23 +43,26 @@
                                      ZoneEvacuation,
                                      UnreadableItem>;
 
-/** The contents of the directory, or the changes after a revision. */
+/** The contents of the directory, or the changes after a position. */
 struct DirectoryChanges
 {
   /** In the order in which they were made. */
   std::vector<DirectoryChange> mChanges;
-  /** Revision up to which the changes are included; the next call for changes
+  /** Position up to which the changes are included; the next call for changes
    * starts from it. */
-  std::uint64_t mRevision = 0;
+  DirectoryPosition mPosition;
 };
 
 enum class DirectoryError
 {
   Unreachable,
   Refused,
-  /** The directory no longer stores the changes after the revision. */
+  /** The directory doesn't store the changes after the position: they are too
+   * old, or it was restored from an older copy. */
   HistoryCompacted,
-  Unreadable
+  Unreadable,
+  /** The answer is of an earlier era than one that is known. */
+  EarlierEra
 };
 
 /** @return A name for logs. */
@@ -93,18 +97,20 @@
    * Reads the whole directory. At most one call may be in progress.
    *
    * @param aHandler Receives the contents, or the error. No change is missed
-   * when the changes after the revision of the result are read next.
+   * when the changes after the position of the result are read next.
    */
   virtual void ReadAll(ReadFreshness aFreshness, Handler aHandler) = 0;
 
   /**
    * Waits for changes.
    *
-   * @param aRevision Changes after this revision are returned.
+   * @param aPosition Changes after this position are returned. If the directory
+   * was restored meanwhile, the result may be of a later era and then doesn't
+   * continue the position.
    * @param aWait Time without a change after which the result is empty.
    * @param aHandler Receives the changes, or the error.
    */
-  virtual void Watch(std::uint64_t aRevision,
+  virtual void Watch(const DirectoryPosition& aPosition,
                      Milliseconds aWait,
                      Handler aHandler) = 0;
 };
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -106,7 +106,7 @@
   }
   QueueParts(aReport);
   peer.mDirectoryDigest = aReport.mDirectoryDigest;
-  peer.mDirectoryRevision = aReport.mDirectoryRevision;
+  peer.mDirectoryPosition = aReport.mDirectoryPosition;
   peer.mHasLostDirectoryContact = aReport.mHasLostDirectoryContact;
   peer.mDirectoryHeardAt = aNow - aReport.mDirectoryAge;
   for (const std::string& known : aReport.mKnownAddresses) {
@@ -366,7 +366,7 @@
 
 bool
 PeerView::CanSkipDirectoryCall(std::uint64_t aDigest,
-                               std::uint64_t aRevision,
+                               const DirectoryPosition& aPosition,
                                Timestamp aNow) const
 {
   if (IsReader(aNow)) {
@@ -380,7 +380,8 @@
       continue;
     }
     const bool isSame = peer.mDirectoryDigest == aDigest;
-    if (!isSame && peer.mDirectoryRevision > aRevision) {
+    const DirectoryPosition& known = peer.mDirectoryPosition;
+    if (!isSame && (known.IsAfter(aPosition) || aPosition.mEra < known.mEra)) {
       return false;
     }
     isConfirmed = isConfirmed || isSame;
@@ -586,6 +587,8 @@
   report.mAddress = aOwn.mAddress;
   report.mSequence = aOwn.mSequence;
   report.mZone = aOwn.mZone;
+  report.mDirectoryPosition.mEra = aOwn.mDirectoryPosition.mEra;
+  report.mEraAge = aOwn.mEraAge;
   report.mShuttingDownProcesses = aOwn.mShuttingDownProcesses;
   report.mLimits = aOwn.mLimits;
   report.mSum = SumOfPeers(aNow, true);
@@ -610,6 +613,8 @@
   report.mAddress = aOwn.mAddress;
   report.mSequence = aOwn.mSequence;
   report.mZone = aOwn.mZone;
+  report.mDirectoryPosition.mEra = aOwn.mDirectoryPosition.mEra;
+  report.mEraAge = aOwn.mEraAge;
   report.mLimits = aOwn.mLimits;
   for (const auto& [address, peer] : mPeers) {
     if (peer.mZone != 0 &&
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -63,8 +63,12 @@
   EntryLoad mLoad;
   /** Digest of the sender's copy of the directory. */
   std::uint64_t mDirectoryDigest = 0;
-  /** Directory revision of the sender's copy. */
-  std::uint64_t mDirectoryRevision = 0;
+  /** Position of the sender's copy; its era is the latest that the sender
+   * knows.
+   */
+  DirectoryPosition mDirectoryPosition;
+  /** Time since that era became known to an entry. */
+  Milliseconds mEraAge{ 0 };
   /** Whether the sender has lost contact with the directory. */
   bool mHasLostDirectoryContact = false;
   /** Time since the sender's last answer of the directory. */
@@ -251,13 +255,13 @@
    * other entries get their state from the readers.
    *
    * @param aDigest Digest of this entry's copy of the directory.
-   * @param aRevision Directory revision of this entry's copy.
+   * @param aPosition Position of this entry's copy.
    * @return Whether a reader with fresh state has the same digest and no reader
-   * with fresh state has another digest and a newer revision. Always false if
-   * this entry is a reader itself.
+   * with fresh state has another digest and a later position or era. Always
+   * false if this entry is a reader itself.
    */
   bool CanSkipDirectoryCall(std::uint64_t aDigest,
-                            std::uint64_t aRevision,
+                            const DirectoryPosition& aPosition,
                             Timestamp aNow) const;
 
   /** @param aIsLost Whether this entry has lost contact with the directory. */
@@ -354,7 +358,7 @@
     /** When the sum was received. */
     Timestamp mSumAt;
     std::uint64_t mDirectoryDigest = 0;
-    std::uint64_t mDirectoryRevision = 0;
+    DirectoryPosition mDirectoryPosition;
     bool mHasLostDirectoryContact = false;
     /** When the peer last received an answer of the directory. */
     Timestamp mDirectoryHeardAt;
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -57,6 +57,8 @@
       return "draining";
     case BackendChange::ColdExtended:
       return "cold-extended";
+    case BackendChange::Withheld:
+      return "withheld";
     case BackendChange::Removed:
       return "removed";
     case BackendChange::RemovalDelayed:
@@ -278,7 +280,10 @@
   aReport.mShuttingDownProcesses = mFollower.Backends().ShuttingDownProcesses();
   aReport.mHasLostDirectoryContact = mFollower.HasLostContact();
   aReport.mDirectoryDigest = mFollower.Digest();
-  aReport.mDirectoryRevision = mFollower.Revision();
+  aReport.mDirectoryPosition = mFollower.Position();
+  if (aReport.mDirectoryPosition.mEra.mValue != 0) {
+    aReport.mEraAge = mFollower.EraAge(now);
+  }
   aReport.mDirectoryAge = DirectoryAge();
   if (mPeers.IsReader(now)) {
     aReport.mRecentDelta = mFollower.RecentDelta(now);
@@ -297,6 +302,10 @@
   RecordPeerLimits(aReport);
   mFollower.Backends().RecordShuttingDownByPeer(aReport.mShuttingDownProcesses,
                                                 now);
+  if (const auto news = mFollower.RecordPeerEra(
+        aReport.mDirectoryPosition.mEra, aReport.mEraAge, now)) {
+    TakeNews(*news);
+  }
   if (!aReport.mRecentDelta) {
     return;
   }
@@ -338,7 +347,7 @@
     const Timestamp now = BootNow();
     const bool isQuiet = mFollower.CanSkipCall(now) &&
                          mPeers.CanSkipDirectoryCall(
-                           mFollower.Digest(), mFollower.Revision(), now);
+                           mFollower.Digest(), mFollower.Position(), now);
     if (isQuiet) {
       mFollower.RecordPeerConfirmation(now);
       CallDirectoryLater(kPeerCheck);
@@ -353,7 +362,7 @@
                           });
     } else {
       mDirectory->Watch(
-        step.mRevision,
+        step.mPosition,
         mFollower.Wait(now),
         [this](const DirectoryResult& aResult) { TakeChanges(aResult); });
     }
@@ -380,7 +389,7 @@
   mPeers.SetHasLostDirectoryContact(mFollower.HasLostContact());
   if (aNews.mHasLostContact) {
     mLog.Write(Event::DirectoryLost,
-               { { "error", DirectoryErrorText(aResult.error()) },
+               { { "error", DirectoryErrorText(aNews.mError) },
                  { "listAgeMs", DirectoryAge().count() } });
   }
   TakeNews(aNews);
@@ -401,6 +410,12 @@
       { { "outageMs",
           std::chrono::duration_cast<Milliseconds>(aNews.mOutage).count() } });
   }
+  if (aNews.mNewEra) {
+    mLog.Write(Event::DirectoryRestored,
+               { { "era", aNews.mNewEra->mEra.mValue },
+                 { "source", aNews.mNewEra->mIsRead ? "read" : "announced" },
+                 { "holdMs", aNews.mNewEra->mHold.count() } });
+  }
   if (aNews.mHasNewDocument) {
     const ForwardingDocumentPointer document = mFollower.NewestDocument();
     mLog.Write(Event::DocumentAccepted,
--- a/src/libmedlarkeelforward/httpcaller.cpp
+++ b/src/libmedlarkeelforward/httpcaller.cpp
@@ -97,7 +97,8 @@
         self->mStream.reset();
       }
       self->Finish(CallAnswer{ static_cast<int>(answer.result_int()),
-                               std::move(answer.body()) });
+                               std::move(answer.body()),
+                               std::move(answer.base()) });
     });
 }
 
--- a/src/libmedlarkeelforward/httpcaller.h
+++ b/src/libmedlarkeelforward/httpcaller.h
@@ -23,6 +23,7 @@
 {
   int mStatus = 0;
   std::string mBody;
+  boost::beast::http::fields mFields;
 };
 
 /**
--- a/src/libmedlarkeelforward/peerreportcodec.cpp
+++ b/src/libmedlarkeelforward/peerreportcodec.cpp
@@ -19,6 +19,23 @@
 constexpr int kRemoval = 1;
 constexpr int kZone = 2;
 
+/** Adds an era to a report or its delta. All positions of one of them are of
+ * that era. */
+void
+EncodeEra(DirectoryEra aEra, Json& aValues)
+{
+  if (aEra.mValue != 0) {
+    aValues["e"] = aEra.mValue;
+  }
+}
+
+/** @return The era; 0 in reports of versions of the program that send none. */
+DirectoryEra
+DecodeEra(const Json& aValues)
+{
+  return { aValues.value("e", std::uint64_t(0)) };
+}
+
 Json
 EncodeChange(const BackendEntry& aEntry)
 {
@@ -36,19 +53,21 @@
            aEntry.mColdRemaining.count(),
            aEntry.mSlots,
            started,
-           aEntry.mRevision };
+           aEntry.mPosition.mRevision };
 }
 
 Json
 EncodeChange(const BackendRemoval& aRemoval)
 {
-  return { kRemoval, aRemoval.mId.Text(), aRemoval.mRevision };
+  return { kRemoval, aRemoval.mId.Text(), aRemoval.mPosition.mRevision };
 }
 
 Json
 EncodeChange(const ZoneEvacuation& aZone)
 {
-  return { kZone, aZone.mZone.Text(), aZone.mIsEvacuated, aZone.mRevision };
+  return {
+    kZone, aZone.mZone.Text(), aZone.mIsEvacuated, aZone.mPosition.mRevision
+  };
 }
 
 /** Reads the values of an array one after the other. */
@@ -74,7 +93,7 @@
 };
 
 RelayedChange
-DecodeChange(const Json& aChange)
+DecodeChange(const Json& aChange, DirectoryEra aEra)
 {
   ArrayReader reader(aChange);
   switch (aChange.at(0).get<int>()) {
@@ -93,7 +112,7 @@
       } else {
         entry.mStartedAt = Milliseconds(reader.Next<std::int64_t>());
       }
-      entry.mRevision = reader.Next<std::uint64_t>();
+      entry.mPosition = { aEra, reader.Next<std::uint64_t>() };
       if (!IsIpNumber(entry.mEndpoint.mAddress)) {
         throw std::invalid_argument("invalid address");
       }
@@ -102,14 +121,14 @@
     case kRemoval: {
       BackendRemoval removal;
       removal.mId = InstanceId(reader.Next<std::string>());
-      removal.mRevision = reader.Next<std::uint64_t>();
+      removal.mPosition = { aEra, reader.Next<std::uint64_t>() };
       return removal;
     }
     case kZone: {
       ZoneEvacuation zone;
       zone.mZone = ZoneName(reader.Next<std::string>());
       zone.mIsEvacuated = reader.Next<bool>();
-      zone.mRevision = reader.Next<std::uint64_t>();
+      zone.mPosition = { aEra, reader.Next<std::uint64_t>() };
       return zone;
     }
     default:
@@ -125,19 +144,22 @@
     changes.push_back(std::visit(
       [](const auto& aChange) { return EncodeChange(aChange); }, change));
   }
-  return { { "f", aNews.mFrom },
-           { "t", aNews.mTo },
-           { "c", std::move(changes) } };
+  Json news{ { "f", aNews.mFrom.mRevision },
+             { "t", aNews.mTo.mRevision },
+             { "c", std::move(changes) } };
+  EncodeEra(aNews.mTo.mEra, news);
+  return news;
 }
 
 DirectoryDelta
 DecodeNews(const Json& aNews)
 {
   DirectoryDelta news;
-  news.mFrom = aNews.at("f").get<std::uint64_t>();
-  news.mTo = aNews.at("t").get<std::uint64_t>();
+  const DirectoryEra era = DecodeEra(aNews);
+  news.mFrom = { era, aNews.at("f").get<std::uint64_t>() };
+  news.mTo = { era, aNews.at("t").get<std::uint64_t>() };
   for (const Json& change : aNews.at("c")) {
-    news.mChanges.push_back(DecodeChange(change));
+    news.mChanges.push_back(DecodeChange(change, era));
   }
   return news;
 }
@@ -216,9 +238,13 @@
   Json report{ { "a", aReport.mAddress },
                { "s", aReport.mSequence },
                { "d", aReport.mDirectoryDigest },
-               { "r", aReport.mDirectoryRevision },
+               { "r", aReport.mDirectoryPosition.mRevision },
                { "g", aReport.mDirectoryAge.count() } };
   EncodeEntryLoad(aReport.mLoad, report);
+  EncodeEra(aReport.mDirectoryPosition.mEra, report);
+  if (aReport.mEraAge.count() != 0) {
+    report["h"] = aReport.mEraAge.count();
+  }
   if (aReport.mZone != 0) {
     report["z"] = aReport.mZone;
   }
@@ -267,7 +293,9 @@
     }
     decoded.mLoad = DecodeEntryLoad(report);
     decoded.mDirectoryDigest = report.at("d").get<std::uint64_t>();
-    decoded.mDirectoryRevision = report.at("r").get<std::uint64_t>();
+    decoded.mDirectoryPosition = { DecodeEra(report),
+                                   report.at("r").get<std::uint64_t>() };
+    decoded.mEraAge = Milliseconds(report.value("h", std::int64_t(0)));
     decoded.mDirectoryAge = Milliseconds(report.at("g").get<std::int64_t>());
     decoded.mZone = report.value("z", 0U);
     decoded.mIsBroadcast = report.value("w", false);
--- a/tests/core/restoredfleet.cpp
+++ b/tests/core/restoredfleet.cpp
@@ -20,25 +20,25 @@
 std::string
 ServerKey(const std::string& aId)
 {
-  return "servers/" + aId;
+  return "server." + aId;
 }
 
 std::string
 ZoneKey(const std::string& aZone)
 {
-  return "evacuated/" + aZone;
+  return "evacuated." + aZone;
 }
 
 /** @return The change as the directory hands it out. */
 DirectoryChange
-WithRevision(DirectoryChange aChange, std::uint64_t aRevision)
+At(DirectoryChange aChange, const DirectoryPosition& aPosition)
 {
   if (auto* entry = std::get_if<BackendEntry>(&aChange)) {
-    entry->mRevision = aRevision;
+    entry->mPosition = aPosition;
   } else if (auto* removal = std::get_if<BackendRemoval>(&aChange)) {
-    removal->mRevision = aRevision;
+    removal->mPosition = aPosition;
   } else if (auto* zone = std::get_if<ZoneEvacuation>(&aChange)) {
-    zone->mRevision = aRevision;
+    zone->mPosition = aPosition;
   }
   return aChange;
 }
@@ -66,9 +66,9 @@
 DirectoryModel::Contents() const
 {
   DirectoryChanges contents;
-  contents.mRevision = mRevision;
+  contents.mPosition = { mEra, mRevision };
   for (const auto& [key, item] : mItems) {
-    contents.mChanges.push_back(WithRevision(item.mChange, item.mRevision));
+    contents.mChanges.push_back(At(item.mChange, { mEra, item.mRevision }));
   }
   return contents;
 }
@@ -80,10 +80,10 @@
     return DirectoryError::HistoryCompacted;
   }
   DirectoryChanges contents;
-  contents.mRevision = mRevision;
+  contents.mPosition = { mEra, mRevision };
   for (const Event& event : mHistory) {
     if (event.mRevision > aRevision) {
-      contents.mChanges.push_back(WithRevision(event.mChange, event.mRevision));
+      contents.mChanges.push_back(At(event.mChange, { mEra, event.mRevision }));
     }
   }
   return contents;
@@ -94,7 +94,7 @@
   , mRandom(aSettings.mSeed)
   , mNow(kStart)
 {
-  mDirectory.mEra = 1;
+  mDirectory.mEra = DirectoryEra{ 1 };
   for (std::size_t i = 0; i < aSettings.mEntries; ++i) {
     mAddresses.push_back("10.0.1." + std::to_string(i + 1));
   }
@@ -232,10 +232,10 @@
   const ZoneName zone(aZone);
   if (aIsEvacuated) {
     mEvacuated.insert(aZone);
-    mDirectory.Put(ZoneKey(aZone), ZoneEvacuation{ zone, true, 0 });
+    mDirectory.Put(ZoneKey(aZone), ZoneEvacuation{ zone, true, {} });
   } else {
     mEvacuated.erase(aZone);
-    mDirectory.Remove(ZoneKey(aZone), ZoneEvacuation{ zone, false, 0 });
+    mDirectory.Remove(ZoneKey(aZone), ZoneEvacuation{ zone, false, {} });
   }
 }
 
@@ -251,7 +251,7 @@
 void
 RestoredFleet::Restore(bool aIsHistoryLost)
 {
-  const std::uint64_t era = mDirectory.mEra + 1;
+  const DirectoryEra era{ mDirectory.mEra.mValue + 1 };
   mDirectory = mCopy;
   mDirectory.mEra = era;
   if (aIsHistoryLost) {
@@ -294,7 +294,7 @@
   const bool skipsCall =
     node.mFollower.CanSkipCall(mNow) &&
     node.mPeers.CanSkipDirectoryCall(
-      node.mFollower.Digest(), node.mFollower.Revision(), mNow);
+      node.mFollower.Digest(), node.mFollower.Position(), mNow);
   if (skipsCall) {
     node.mFollower.RecordPeerConfirmation(mNow);
     Schedule(mNow + kPeerCheckInterval,
@@ -334,7 +334,8 @@
     });
     return;
   }
-  const DirectoryResult result = mDirectory.ChangesAfter(aCall.mRevision);
+  const DirectoryResult result =
+    mDirectory.ChangesAfter(aCall.mPosition.mRevision);
   if (result && result.value().mChanges.empty() && mNow < aUntil) {
     Schedule(mNow + kWatchCheckInterval,
              [this, aNode, aCall, aUntil]() { Watch(aNode, aCall, aUntil); });
@@ -402,7 +403,8 @@
   report.mSequence = ++node.mSequence;
   report.mHasLostDirectoryContact = node.mFollower.HasLostContact();
   report.mDirectoryDigest = node.mFollower.Digest();
-  report.mDirectoryRevision = node.mFollower.Revision();
+  report.mDirectoryPosition = node.mFollower.Position();
+  report.mEraAge = node.mFollower.EraAge(mNow);
   report.mDirectoryAge =
     std::chrono::duration_cast<Milliseconds>(node.mFollower.Age(mNow));
   if (node.mPeers.IsReader(mNow)) {
@@ -414,7 +416,12 @@
 void
 RestoredFleet::ReceiveReport(Node& aNode, const PeerReport& aReport) const
 {
-  if (aNode.mPeers.Record(aReport, mNow) && aReport.mRecentDelta) {
+  if (!aNode.mPeers.Record(aReport, mNow)) {
+    return;
+  }
+  aNode.mFollower.RecordPeerEra(
+    aReport.mDirectoryPosition.mEra, aReport.mEraAge, mNow);
+  if (aReport.mRecentDelta) {
     aNode.mFollower.RecordRelayedDelta(*aReport.mRecentDelta, mNow);
   }
 }
@@ -431,10 +438,12 @@
 }
 
 std::size_t
-RestoredFleet::UserCount(const std::string& aId, std::size_t aEntries) const
+RestoredFleet::UserCount(const std::string& aId,
+                         std::size_t aFirst,
+                         std::size_t aEnd) const
 {
   std::size_t count = 0;
-  for (std::size_t i = 0; i < aEntries; ++i) {
+  for (std::size_t i = aFirst; i < aEnd; ++i) {
     count += !IsCut(i) && UsableAt(i).count(aId) != 0 ? 1 : 0;
   }
   return count;
--- a/tests/core/restoredfleet.h
+++ b/tests/core/restoredfleet.h
@@ -22,7 +22,7 @@
     DirectoryChange mChange;
   };
 
-  std::uint64_t mEra = 0;
+  DirectoryEra mEra;
   std::uint64_t mRevision = 100;
   /** Changes up to this revision can't be read any more. */
   std::uint64_t mForgotten = 0;
@@ -113,13 +113,15 @@
   /** @return Ids of the servers that an entry uses. */
   std::set<std::string> UsableAt(std::size_t aEntry) const;
 
-  /** @return Number of entries among the first aEntries that use a server;
+  /** @return Number of entries from aFirst up to aEnd that use a server;
    * entries that are cut off don't count while they are. */
-  std::size_t UserCount(const std::string& aId, std::size_t aEntries) const;
+  std::size_t UserCount(const std::string& aId,
+                        std::size_t aFirst,
+                        std::size_t aEnd) const;
 
   std::size_t UserCount(const std::string& aId) const
   {
-    return UserCount(aId, mNodes.size());
+    return UserCount(aId, 0, mNodes.size());
   }
 
   /** @return Whether all entries use the same servers and the same document and
--- a/tests/core/test_backendlist.cpp
+++ b/tests/core/test_backendlist.cpp
@@ -17,7 +17,7 @@
   entry.mPool = kPool;
   entry.mEndpoint = { "10.0.0.1", 80 };
   entry.mZone = ZoneName("a");
-  entry.mRevision = aRevision;
+  entry.mPosition = { {}, aRevision };
   return entry;
 }
 
@@ -53,7 +53,7 @@
 {
   BackendList list;
   list.Put(Entry("one", 1), kStart);
-  list.Remove(InstanceId("one"), 3, kStart);
+  list.Remove(InstanceId("one"), { {}, 3 }, kStart);
   BOOST_CHECK(list.Put(Entry("one", 2), kStart) == BackendChange::None);
   BOOST_CHECK(list.Put(Entry("one", 4), kStart) == BackendChange::Added);
 }
@@ -63,7 +63,7 @@
   BackendList list;
   list.Put(Entry("one", 1), kStart);
   list.StartGracePeriod(kStart, Seconds(2), Seconds(2));
-  BOOST_CHECK(list.Remove(InstanceId("one"), 2, kStart) ==
+  BOOST_CHECK(list.Remove(InstanceId("one"), { {}, 2 }, kStart) ==
               BackendChange::RemovalDelayed);
   BOOST_TEST(list.Usable(kPool, kStart).size() == 1U);
   BOOST_TEST(list.RemoveExpired(kStart + Seconds(1)).empty());
@@ -80,7 +80,7 @@
   list.Put(Entry("one", 1), kStart);
   list.StartGracePeriod(kStart, Milliseconds(2300), Milliseconds(1500));
   const Timestamp removed = kStart + Milliseconds(540);
-  BOOST_CHECK(list.Remove(InstanceId("one"), 2, removed) ==
+  BOOST_CHECK(list.Remove(InstanceId("one"), { {}, 2 }, removed) ==
               BackendChange::RemovalDelayed);
   BOOST_TEST(list.Usable(kPool, removed + Milliseconds(1400)).size() == 1U);
   BOOST_TEST(list.Usable(kPool, removed + Milliseconds(1500)).empty());
@@ -93,7 +93,7 @@
   BackendList list;
   list.Put(Entry("one", 1), kStart);
   list.StartGracePeriod(kStart, Seconds(2), Seconds(2));
-  list.Remove(InstanceId("one"), 2, kStart);
+  list.Remove(InstanceId("one"), { {}, 2 }, kStart);
   BOOST_TEST(list.Usable(kPool, kStart + Seconds(2)).empty());
 }
 
@@ -102,7 +102,7 @@
   BackendList list;
   list.Put(Entry("one", 1), kStart);
   list.StartGracePeriod(kStart, Seconds(2), Seconds(2));
-  list.Remove(InstanceId("one"), 2, kStart);
+  list.Remove(InstanceId("one"), { {}, 2 }, kStart);
   list.Put(Entry("one", 3), kStart + Seconds(1));
   BOOST_TEST(list.RemoveExpired(kStart + Seconds(3)).empty());
   BOOST_TEST(list.Usable(kPool, kStart).size() == 1U);
@@ -130,7 +130,7 @@
   BOOST_TEST(list.Usable(kPool, kStart).empty());
   BOOST_TEST(list.ShuttingDownProcesses().size() == 1U);
   // The entry expires and reappears, still without showing the shutdown.
-  list.Remove(InstanceId("one"), 2, kStart);
+  list.Remove(InstanceId("one"), { {}, 2 }, kStart);
   list.Put(Entry("one", 3), kStart);
   BOOST_TEST(list.Usable(kPool, kStart + Seconds(60)).empty());
   BackendEntry restarted = Entry("one", 4);
--- a/tests/core/test_directorydelta.cpp
+++ b/tests/core/test_directorydelta.cpp
@@ -19,6 +19,13 @@
 const InstanceId kLeaving("leaving");
 const InstanceId kStaying("staying");
 
+/** @return A position of a directory that states no era. */
+DirectoryPosition
+At(std::uint64_t aRevision)
+{
+  return { {}, aRevision };
+}
+
 BackendEntry
 MakeBackendEntry(const InstanceId& aId, std::uint64_t aRevision)
 {
@@ -27,7 +34,7 @@
   entry.mPool = kPool;
   entry.mEndpoint = { "10.0.0.1", 80 };
   entry.mZone = ZoneName("a");
-  entry.mRevision = aRevision;
+  entry.mPosition = At(aRevision);
   return entry;
 }
 
@@ -37,7 +44,7 @@
   DirectoryFollower follower{ FollowerSettings() };
   follower.RecordRead(DirectoryChanges{ { MakeBackendEntry(kLeaving, 1),
                                           MakeBackendEntry(kStaying, 2) },
-                                        aRevision },
+                                        At(aRevision) },
                       kStart);
   return follower;
 }
@@ -188,8 +195,9 @@
     const bool isDrained = mNow >= mDrainAt;
     // The drain is a change in addition to the renewals.
     const std::uint64_t drainRevision = RevisionAt(mDrainAt) + 1;
-    content.mRevision = RevisionAt(mNow) + (isDrained ? 1 : 0);
-    content.mChanges = { MakeBackendEntry(kStaying, content.mRevision) };
+    content.mPosition = At(RevisionAt(mNow) + (isDrained ? 1 : 0));
+    content.mChanges = { MakeBackendEntry(kStaying,
+                                          content.mPosition.mRevision) };
     if (aSinceRevision == 0 || (isDrained && aSinceRevision < drainRevision)) {
       BackendEntry leaving =
         MakeBackendEntry(kLeaving, isDrained ? drainRevision : 1);
@@ -205,7 +213,7 @@
     const bool skipsCall =
       node.mFollower.CanSkipCall(mNow) &&
       node.mPeers.CanSkipDirectoryCall(
-        node.mFollower.Digest(), node.mFollower.Revision(), mNow);
+        node.mFollower.Digest(), node.mFollower.Position(), mNow);
     if (skipsCall) {
       node.mFollower.RecordPeerConfirmation(mNow);
       Schedule(mNow + kPeerCheckInterval,
@@ -229,7 +237,8 @@
     }
     Schedule(mNow + kAnswerTime, [this, aNode, step]() {
       const bool isRead = step.mKind == DirectoryCall::Kind::ReadAll;
-      HandleAnswer(aNode, step, ChangesSince(isRead ? 0 : step.mRevision));
+      HandleAnswer(
+        aNode, step, ChangesSince(isRead ? 0 : step.mPosition.mRevision));
     });
   }
 
@@ -284,7 +293,7 @@
     report.mSequence = ++node.mSequence;
     report.mHasLostDirectoryContact = node.mFollower.HasLostContact();
     report.mDirectoryDigest = node.mFollower.Digest();
-    report.mDirectoryRevision = node.mFollower.Revision();
+    report.mDirectoryPosition = node.mFollower.Position();
     report.mDirectoryAge =
       std::chrono::duration_cast<Milliseconds>(node.mFollower.Age(mNow));
     if (node.mPeers.IsReader(mNow)) {
@@ -320,22 +329,28 @@
 BOOST_AUTO_TEST_CASE(AppliesDeltaThatContinuesKnownRevision)
 {
   DirectoryFollower follower = MakeFollowerAtRevision(10);
-  const DirectoryDelta delta{ 8, 20, { BackendRemoval{ kLeaving, 15 } } };
+  const DirectoryDelta delta{ At(8),
+                              At(20),
+                              { BackendRemoval{ kLeaving, At(15) } } };
   BOOST_TEST(follower.RecordRelayedDelta(delta, kStart).has_value());
   BOOST_TEST(!IsUsable(follower, kLeaving, kStart));
   BOOST_TEST(IsUsable(follower, kStaying, kStart));
-  BOOST_TEST(follower.Next().mRevision == 20U);
+  BOOST_TEST(follower.Next().mPosition.mRevision == 20U);
 }
 
 BOOST_AUTO_TEST_CASE(IgnoresDeltaWithGapOrWithOnlyKnownRevisions)
 {
   DirectoryFollower follower = MakeFollowerAtRevision(10);
-  const DirectoryDelta later{ 12, 20, { BackendRemoval{ kLeaving, 15 } } };
+  const DirectoryDelta later{ At(12),
+                              At(20),
+                              { BackendRemoval{ kLeaving, At(15) } } };
   BOOST_TEST(!follower.RecordRelayedDelta(later, kStart).has_value());
-  const DirectoryDelta older{ 4, 10, { BackendRemoval{ kLeaving, 9 } } };
+  const DirectoryDelta older{ At(4),
+                              At(10),
+                              { BackendRemoval{ kLeaving, At(9) } } };
   BOOST_TEST(!follower.RecordRelayedDelta(older, kStart).has_value());
   BOOST_TEST(IsUsable(follower, kLeaving, kStart));
-  BOOST_TEST(follower.Next().mRevision == 10U);
+  BOOST_TEST(follower.Next().mPosition.mRevision == 10U);
 }
 
 /** Applying changes again that are already known would revert later changes.
@@ -345,9 +360,10 @@
 {
   DirectoryFollower follower = MakeFollowerAtRevision(10);
   const ZoneName zone("b");
-  const DirectoryDelta delta{
-    4, 20, { ZoneEvacuation{ zone, true, 6 }, BackendRemoval{ kLeaving, 15 } }
-  };
+  const DirectoryDelta delta{ At(4),
+                              At(20),
+                              { ZoneEvacuation{ zone, true, At(6) },
+                                BackendRemoval{ kLeaving, At(15) } } };
   BOOST_TEST(follower.RecordRelayedDelta(delta, kStart).has_value());
   BOOST_TEST(follower.Backends().EvacuatedZones().empty());
 }
@@ -356,15 +372,15 @@
 {
   DirectoryFollower follower = MakeFollowerAtRevision(10);
   follower.RecordWatch(
-    DirectoryChanges{ { MakeBackendEntry(kStaying, 11) }, 11 }, kStart);
+    DirectoryChanges{ { MakeBackendEntry(kStaying, 11) }, At(11) }, kStart);
   BOOST_TEST(follower.RecentDelta(kStart)->mChanges.empty());
   BackendEntry draining = MakeBackendEntry(kLeaving, 12);
   draining.mIsDraining = true;
-  follower.RecordWatch(DirectoryChanges{ { draining }, 12 }, kStart);
+  follower.RecordWatch(DirectoryChanges{ { draining }, At(12) }, kStart);
   const auto delta = follower.RecentDelta(kStart);
   BOOST_REQUIRE(delta.has_value());
-  BOOST_TEST(delta->mFrom == 10U);
-  BOOST_TEST(delta->mTo == 12U);
+  BOOST_TEST(delta->mFrom.mRevision == 10U);
+  BOOST_TEST(delta->mTo.mRevision == 12U);
   BOOST_TEST(delta->mChanges.size() == 1U);
   DirectoryFollower other = MakeFollowerAtRevision(10);
   BOOST_TEST(other.RecordRelayedDelta(*delta, kStart).has_value());
@@ -385,7 +401,8 @@
   const auto relay = [&](std::uint64_t aRevision, int aRemaining, int aAt) {
     const Timestamp now = kStart + Milliseconds(aAt);
     const FollowerUpdate update = reader.RecordWatch(
-      DirectoryChanges{ { coldEntry(aRevision, aRemaining) }, aRevision }, now);
+      DirectoryChanges{ { coldEntry(aRevision, aRemaining) }, At(aRevision) },
+      now);
     if (const auto delta = reader.RecentDelta(now)) {
       other.RecordRelayedDelta(*delta, now);
     }
@@ -407,19 +424,19 @@
 {
   DirectoryFollower follower = MakeFollowerAtRevision(10);
   const ZoneName zone("b");
-  const DirectoryDelta delta{ 10,
-                              20,
-                              { ZoneEvacuation{ zone, true, 12 },
-                                ZoneEvacuation{ zone, false, 18 },
-                                BackendRemoval{ kLeaving, 19 } } };
+  const DirectoryDelta delta{ At(10),
+                              At(20),
+                              { ZoneEvacuation{ zone, true, At(12) },
+                                ZoneEvacuation{ zone, false, At(18) },
+                                BackendRemoval{ kLeaving, At(19) } } };
   follower.RecordRelayedDelta(delta, kStart);
-  follower.RecordWatch(DirectoryChanges{ { ZoneEvacuation{ zone, true, 12 },
+  follower.RecordWatch(DirectoryChanges{ { ZoneEvacuation{ zone, true, At(12) },
                                            MakeBackendEntry(kLeaving, 13) },
-                                         14 },
+                                         At(14) },
                        kStart);
   BOOST_TEST(follower.Backends().EvacuatedZones().empty());
   BOOST_TEST(!IsUsable(follower, kLeaving, kStart));
-  BOOST_TEST(follower.Next().mRevision == 20U);
+  BOOST_TEST(follower.Next().mPosition.mRevision == 20U);
 }
 
 BOOST_AUTO_TEST_CASE(DocumentsAreNotRelayed)
@@ -428,8 +445,8 @@
   auto document = std::make_shared<ForwardingDocument>();
   document->mVersion = 3;
   follower.RecordWatch(DirectoryChanges{ { ForwardingDocumentPointer(document),
-                                           BackendRemoval{ kLeaving, 12 } },
-                                         12 },
+                                           BackendRemoval{ kLeaving, At(12) } },
+                                         At(12) },
                        kStart);
   BOOST_TEST(!follower.RecentDelta(kStart).has_value());
 }
@@ -437,13 +454,15 @@
 BOOST_AUTO_TEST_CASE(DeltaExpiresAndIsBounded)
 {
   DirectoryDeltaLog log;
-  log.Restart(1);
+  log.Restart(At(1));
   for (std::uint64_t i = 1; i < 500; ++i) {
-    log.Add(i, i + 1, { BackendRemoval{ kLeaving, i + 1 } }, kStart);
+    log.Add(
+      At(i), At(i + 1), { BackendRemoval{ kLeaving, At(i + 1) } }, kStart);
     const auto delta = log.RecentDelta(kStart);
     BOOST_REQUIRE(delta.has_value());
-    BOOST_TEST(delta->mTo == i + 1);
-    BOOST_TEST(delta->mChanges.size() == delta->mTo - delta->mFrom);
+    BOOST_TEST(delta->mTo.mRevision == i + 1);
+    BOOST_TEST(delta->mChanges.size() ==
+               delta->mTo.mRevision - delta->mFrom.mRevision);
     BOOST_TEST(delta->mChanges.size() <= 40U);
   }
   BOOST_TEST(!log.RecentDelta(kStart + Seconds(60)).has_value());
--- a/tests/core/test_directoryfollower.cpp
+++ b/tests/core/test_directoryfollower.cpp
@@ -17,7 +17,7 @@
   BackendEntry entry;
   entry.mId = InstanceId(aId);
   entry.mPool = kPool;
-  entry.mRevision = aRevision;
+  entry.mPosition = { {}, aRevision };
   return entry;
 }
 
@@ -32,7 +32,23 @@
 DirectoryChanges
 Changes(std::uint64_t aRevision, std::vector<DirectoryChange> aChanges)
 {
-  return { std::move(aChanges), aRevision };
+  return { std::move(aChanges), { {}, aRevision } };
+}
+
+DirectoryChanges
+InEra(std::uint64_t aEra,
+      std::uint64_t aRevision,
+      std::vector<DirectoryChange> aChanges)
+{
+  return { std::move(aChanges), { { aEra }, aRevision } };
+}
+
+BackendEntry
+EntryInEra(const char* aId, std::uint64_t aEra, std::uint64_t aRevision)
+{
+  BackendEntry entry = Entry(aId, aRevision);
+  entry.mPosition.mEra = DirectoryEra{ aEra };
+  return entry;
 }
 
 } // namespace
@@ -45,7 +61,7 @@
   BOOST_CHECK(follower.Next().mKind == Kind::ReadAll);
   follower.RecordRead(Changes(9, { Document(3), Entry("one", 5) }), kStart);
   BOOST_CHECK(follower.Next().mKind == Kind::Watch);
-  BOOST_TEST(follower.Next().mRevision == 9U);
+  BOOST_TEST(follower.Next().mPosition.mRevision == 9U);
   BOOST_TEST(follower.HasRead());
   BOOST_TEST(follower.Document()->mVersion == 3U);
 }
@@ -101,11 +117,11 @@
   BOOST_TEST(follower.HasLostContact());
   BOOST_CHECK(follower.Next().mDelay == settings.mFirstRetryDelay);
   BOOST_TEST(follower.CanSkipCall(failedAt + Seconds(1)));
-  const DirectoryDelta delta{ 8,
-                              20,
-                              { BackendRemoval{ InstanceId("one"), 15 } } };
+  const DirectoryDelta delta{
+    { {}, 8 }, { {}, 20 }, { BackendRemoval{ InstanceId("one"), { {}, 15 } } }
+  };
   BOOST_TEST(follower.RecordRelayedDelta(delta, failedAt).has_value());
-  BOOST_TEST(follower.Revision() == 20U);
+  BOOST_TEST(follower.Position().mRevision == 20U);
   BOOST_TEST(!follower.CanSkipCall(failedAt + settings.mMaximumQuietTime));
   follower.RecordRead(DirectoryError::HistoryCompacted, failedAt);
   BOOST_TEST(!follower.CanSkipCall(failedAt));
@@ -189,8 +205,8 @@
   follower.RecordRead(Changes(9, { Entry("one", 5) }), kStart);
   const Timestamp later = kStart + settings.mOutageThreshold * 3;
   follower.RecordPeerConfirmation(later - Milliseconds(200));
-  follower.RecordWatch(Changes(20, { BackendRemoval{ InstanceId("one"), 20 } }),
-                       later);
+  follower.RecordWatch(
+    Changes(20, { BackendRemoval{ InstanceId("one"), { {}, 20 } } }), later);
   BOOST_TEST(follower.Backends().Usable(kPool, kStart).empty());
 }
 
@@ -198,12 +214,127 @@
 {
   DirectoryFollower follower{ FollowerSettings() };
   const ZoneName zone("a");
-  follower.RecordRead(Changes(9, { ZoneEvacuation{ zone, true } }), kStart);
+  follower.RecordRead(Changes(9, { ZoneEvacuation{ zone, true, {} } }), kStart);
   BOOST_TEST(follower.Backends().EvacuatedZones().count(zone) == 1U);
   follower.RecordRead(Changes(10, {}), kStart);
   BOOST_TEST(follower.Backends().EvacuatedZones().empty());
 }
 
+/** Guards against taking the answer to a call for changes in a later era for a
+ * continuation of what is known. */
+BOOST_AUTO_TEST_CASE(ChangesOfALaterEraAreFollowedByAFullRead)
+{
+  DirectoryFollower follower{ FollowerSettings() };
+  follower.RecordRead(Changes(9, { Entry("one", 5) }), kStart);
+  const FollowerUpdate update =
+    follower.RecordWatch(InEra(1, 12, { EntryInEra("two", 1, 11) }), kStart);
+  BOOST_REQUIRE(update.mNewEra.has_value());
+  BOOST_TEST(!update.mNewEra->mIsRead);
+  BOOST_CHECK(follower.Next().mKind == Kind::ReadAll);
+  BOOST_TEST(follower.Next().mDelay.count() == 0);
+  BOOST_TEST(!follower.CanSkipCall(kStart));
+  BOOST_TEST(!follower.RecentDelta(kStart).has_value());
+  BOOST_TEST(
+    follower.RecordRead(InEra(1, 12, { EntryInEra("one", 1, 5) }), kStart)
+      .mNewEra->mIsRead);
+  BOOST_CHECK(follower.Next().mKind == Kind::Watch);
+  BOOST_CHECK((follower.Position() == DirectoryPosition{ { 1 }, 12 }));
+}
+
+/** Guards against going back with an answer of an earlier era that arrives
+ * late, and against taking it for contact. */
+BOOST_AUTO_TEST_CASE(AnswerOfAnEarlierEraIsNotApplied)
+{
+  DirectoryFollower follower{ FollowerSettings() };
+  follower.RecordRead(InEra(2, 9, { EntryInEra("one", 2, 5) }), kStart);
+  const FollowerUpdate update = follower.RecordRead(
+    InEra(1, 90, { EntryInEra("two", 1, 80) }), kStart + Seconds(1));
+  BOOST_TEST(update.mHasLostContact);
+  BOOST_CHECK(update.mError == DirectoryError::EarlierEra);
+  follower.RecordWatch(InEra(1, 90, { EntryInEra("two", 1, 80) }),
+                       kStart + Seconds(1));
+  const auto usable = follower.Backends().Usable(kPool, kStart);
+  BOOST_REQUIRE(usable.size() == 1U);
+  BOOST_TEST(usable.front()->mEntry.mId.Text() == "one");
+  BOOST_CHECK(follower.Next().mKind == Kind::ReadAll);
+}
+
+/** Guards against an entry that drops what its peers relay of the new era, or
+ * relays changes of the old one, until it has read the directory itself. */
+BOOST_AUTO_TEST_CASE(EraToldByAPeerIsRelayedAndItsChangesApply)
+{
+  DirectoryFollower follower{ FollowerSettings() };
+  const ZoneName zone("a");
+  follower.RecordRead(InEra(1, 900, { EntryInEra("one", 1, 890) }), kStart);
+  follower.RecordWatch(
+    InEra(1, 901, { ZoneEvacuation{ zone, true, { { 1 }, 901 } } }), kStart);
+  const DirectoryEra era{ 2 };
+  BOOST_TEST(follower.RecordPeerEra(era, Seconds(1), kStart).has_value());
+  BOOST_TEST(!follower.RecordPeerEra(era, Seconds(1), kStart).has_value());
+  BOOST_TEST(!follower.RecentDelta(kStart).has_value());
+  BOOST_CHECK((follower.Position() == DirectoryPosition{ era, 0 }));
+  follower.RecordWatch(DirectoryError::Unreachable, kStart);
+  BackendEntry draining = EntryInEra("one", 2, 402);
+  draining.mIsDraining = true;
+  const DirectoryDelta delta{ { era, 400 },
+                              { era, 404 },
+                              { draining,
+                                ZoneEvacuation{ zone, false, { era, 403 } } } };
+  BOOST_TEST(follower.RecordRelayedDelta(delta, kStart).has_value());
+  BOOST_TEST(follower.Backends().Usable(kPool, kStart).empty());
+  BOOST_TEST(!follower.Backends().IsEvacuated(zone, kStart));
+  // What is relayed again, or of the earlier era, changes nothing.
+  const DirectoryDelta earlier{ { { 1 }, 900 },
+                                { { 1 }, 910 },
+                                { EntryInEra("one", 1, 905) } };
+  BOOST_TEST(!follower.RecordRelayedDelta(earlier, kStart).has_value());
+  BOOST_TEST(follower.RecordRelayedDelta(delta, kStart)->mZones.empty());
+  BOOST_TEST(follower.Backends().Usable(kPool, kStart).empty());
+  BOOST_CHECK((follower.Position() == DirectoryPosition{ era, 0 }));
+  BOOST_TEST(!follower.CanSkipCall(kStart));
+}
+
+/** Guards against requests to a server whose process was replaced: the copy has
+ * the earlier process under the same id. */
+BOOST_AUTO_TEST_CASE(ReplacedProcessDoesNotComeBackWithTheCopy)
+{
+  DirectoryFollower follower{ FollowerSettings() };
+  BackendEntry first = EntryInEra("one", 1, 5);
+  first.mStartedAt = Milliseconds(10);
+  BackendEntry second = EntryInEra("one", 1, 50);
+  second.mStartedAt = Milliseconds(20);
+  follower.RecordRead(InEra(1, 9, { first }), kStart);
+  follower.RecordWatch(InEra(1, 50, { second }), kStart);
+  first.mPosition.mEra = DirectoryEra{ 2 };
+  follower.RecordRead(InEra(2, 9, { first }), kStart + Seconds(1));
+  const ListedBackend* listed = follower.Backends().Find(InstanceId("one"));
+  BOOST_REQUIRE(listed != nullptr);
+  BOOST_CHECK(listed->mEntry.mStartedAt == Milliseconds(20));
+}
+
+/** Guards against requests to a server that was draining and is ready in the
+ * copy, and against withholding it for longer than necessary. */
+BOOST_AUTO_TEST_CASE(DrainingServerIsWithheldUntilItIsWrittenAgain)
+{
+  const FollowerSettings settings;
+  for (const bool isWritten : { true, false }) {
+    DirectoryFollower follower{ settings };
+    BackendEntry draining = EntryInEra("one", 1, 50);
+    draining.mIsDraining = true;
+    follower.RecordRead(InEra(1, 60, { draining }), kStart);
+    follower.RecordRead(InEra(2, 40, { EntryInEra("one", 2, 30) }), kStart);
+    const BackendList& list = follower.Backends();
+    BOOST_TEST(list.Usable(kPool, kStart).empty());
+    const Timestamp end = kStart + settings.mRestoreHoldTime;
+    BOOST_TEST(list.Usable(kPool, end - Milliseconds(1)).empty());
+    BOOST_TEST(list.Usable(kPool, end).size() == 1U);
+    if (isWritten) {
+      follower.RecordWatch(InEra(2, 41, { EntryInEra("one", 2, 41) }), kStart);
+      BOOST_TEST(list.Usable(kPool, kStart).size() == 1U);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(UnreadableItemDoesNotAffectOthers)
 {
   DirectoryFollower follower{ FollowerSettings() };
--- a/tests/core/test_peerview.cpp
+++ b/tests/core/test_peerview.cpp
@@ -15,8 +15,10 @@
 /** Start time of entries whose discovery of other entries is complete. */
 const Timestamp kDiscoveredStart{ Seconds(900) };
 
-/** Directory revision of all entries. */
-constexpr std::uint64_t kRevision = 40;
+/** Directory position of all entries. */
+constexpr DirectoryPosition kPosition{ {}, 40 };
+/** An earlier position. */
+constexpr DirectoryPosition kEarlier{ {}, 39 };
 
 PeerReport
 Report(const std::string& aAddress, std::uint64_t aSequence)
@@ -25,7 +27,7 @@
   report.mAddress = aAddress;
   report.mSequence = aSequence;
   report.mLoad.mServers[7] = { 2, 300 };
-  report.mDirectoryRevision = kRevision;
+  report.mDirectoryPosition = kPosition;
   return report;
 }
 
@@ -98,26 +100,73 @@
   BOOST_TEST(readers.size() == settings.mDirectoryReaders);
   for (const std::string& own : addresses) {
     PeerView view(settings, own, addresses, kDiscoveredStart);
-    BOOST_TEST(!view.CanSkipDirectoryCall(5, kRevision, kStart));
+    BOOST_TEST(!view.CanSkipDirectoryCall(5, kPosition, kStart));
     view = ViewOf(own, addresses, 5);
     if (readers.count(own) != 0) {
-      BOOST_TEST(!view.CanSkipDirectoryCall(5, kRevision, kStart));
+      BOOST_TEST(!view.CanSkipDirectoryCall(5, kPosition, kStart));
       continue;
     }
-    BOOST_TEST(view.CanSkipDirectoryCall(5, kRevision, kStart));
-    BOOST_TEST(!view.CanSkipDirectoryCall(6, kRevision, kStart));
+    BOOST_TEST(view.CanSkipDirectoryCall(5, kPosition, kStart));
+    BOOST_TEST(!view.CanSkipDirectoryCall(6, kPosition, kStart));
     BOOST_TEST(!view.CanSkipDirectoryCall(
-      5, kRevision, kStart + settings.mMaximumDirectoryAge));
+      5, kPosition, kStart + settings.mMaximumDirectoryAge));
     PeerReport other = Report(*readers.begin(), 2);
     other.mDirectoryDigest = 7;
     view.Record(other, kStart);
     // A reader with another digest and an older revision causes no call.
-    BOOST_TEST(view.CanSkipDirectoryCall(5, kRevision, kStart));
-    BOOST_TEST(!view.CanSkipDirectoryCall(5, kRevision - 1, kStart));
+    BOOST_TEST(view.CanSkipDirectoryCall(5, kPosition, kStart));
+    BOOST_TEST(!view.CanSkipDirectoryCall(5, kEarlier, kStart));
     other.mSequence = 3;
     other.mDirectoryAge = settings.mMaximumDirectoryAge + Milliseconds(1);
     view.Record(other, kStart);
-    BOOST_TEST(view.CanSkipDirectoryCall(5, kRevision - 1, kStart));
+    BOOST_TEST(view.CanSkipDirectoryCall(5, kEarlier, kStart));
+  }
+}
+
+/** Guards against entries that rely on their own copy because a reader's copy
+ * of a later era has a lower revision, and against calls because of readers
+ * that are still in an earlier era. */
+BOOST_AUTO_TEST_CASE(CallIsNotSkippedWhenAReaderIsInALaterEra)
+{
+  std::vector<std::string> addresses;
+  for (int i = 1; i <= 30; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i));
+  }
+  std::string reader;
+  std::string other;
+  for (const std::string& own : addresses) {
+    (ViewOf(own, addresses, 5).IsReader(kStart) ? reader : other) = own;
+  }
+  PeerView view = ViewOf(other, addresses, 5);
+  PeerReport report = Report(reader, 2);
+  report.mDirectoryDigest = 7;
+  report.mDirectoryPosition = { { 1 }, kEarlier.mRevision };
+  view.Record(report, kStart);
+  BOOST_TEST(!view.CanSkipDirectoryCall(5, kPosition, kStart));
+  const DirectoryPosition later{ { 2 }, 1 };
+  BOOST_TEST(view.CanSkipDirectoryCall(5, later, kStart));
+}
+
+/** Guards against an era that only the entries of one zone learn of: reports to
+ * other zones have no other state of the directory. */
+BOOST_AUTO_TEST_CASE(ReportsToOtherZonesCarryTheEra)
+{
+  PeerSettings settings;
+  settings.mMaximumMeshEntries = 2;
+  PeerView view(settings, "10.0.0.1", {}, kDiscoveredStart, 1);
+  for (int i = 2; i <= 5; ++i) {
+    PeerReport report = Report("10.0.0." + std::to_string(i), 1);
+    report.mZone = 2;
+    view.Record(report, kStart);
+  }
+  PeerReport own = Report("10.0.0.1", 1);
+  own.mDirectoryPosition = { { 4 }, 9 };
+  own.mEraAge = Milliseconds(30);
+  const std::vector<AddressedReport> reports = view.Reports(own, kStart);
+  BOOST_TEST(reports.size() > 1U);
+  for (const AddressedReport& report : reports) {
+    BOOST_TEST(report.mReport.mDirectoryPosition.mEra.mValue == 4U);
+    BOOST_TEST(report.mReport.mEraAge.count() == 30);
   }
 }
 
@@ -140,7 +189,7 @@
   PeerReport report = Report(others[1], 2);
   report.mDirectoryDigest = 7;
   view.Record(report, kStart);
-  BOOST_TEST(view.CanSkipDirectoryCall(5, kRevision, kStart));
+  BOOST_TEST(view.CanSkipDirectoryCall(5, kPosition, kStart));
 }
 
 BOOST_AUTO_TEST_CASE(SilentReaderIsReplaced)
@@ -203,7 +252,7 @@
         view.Record(report, kStart);
       }
       const Timestamp beforeNext = kStart + view.Interval(kStart);
-      relying += view.CanSkipDirectoryCall(5, kRevision, beforeNext) ? 1 : 0;
+      relying += view.CanSkipDirectoryCall(5, kPosition, beforeNext) ? 1 : 0;
     }
     BOOST_TEST(relying == kEntries - PeerSettings().mDirectoryReaders);
   }
--- a/tests/forward/forwardfixture.cpp
+++ b/tests/forward/forwardfixture.cpp
@@ -79,16 +79,18 @@
 FakeDirectory::ReadAll(ReadFreshness, Handler aHandler)
 {
   boost::asio::post(mContext, [this, aHandler = std::move(aHandler)]() {
-    aHandler(DirectoryChanges{ mContent, mRevision });
+    aHandler(DirectoryChanges{ mContent, mPosition });
   });
 }
 
 void
-FakeDirectory::Watch(std::uint64_t, Milliseconds aWait, Handler aHandler)
+FakeDirectory::Watch(const DirectoryPosition&,
+                     Milliseconds aWait,
+                     Handler aHandler)
 {
   mTimer.expires_after(aWait);
   mTimer.async_wait([this, aHandler = std::move(aHandler)](const Error&) {
-    aHandler(DirectoryChanges{ {}, mRevision });
+    aHandler(DirectoryChanges{ {}, mPosition });
   });
 }
 
@@ -96,7 +98,7 @@
 FakeDirectory::Set(std::vector<DirectoryChange> aContent)
 {
   mContent = std::move(aContent);
-  mRevision += 1;
+  mPosition.mRevision += 1;
 }
 
 ForwardFixture::ForwardFixture(Milliseconds aShutdownBound)
@@ -137,7 +139,7 @@
   entry.mPool = PoolName("pool");
   entry.mZone = ZoneName("zone-0");
   entry.mEndpoint = aAddress;
-  entry.mRevision = 1;
+  entry.mPosition.mRevision = 1;
   mContent.emplace_back(entry);
 }
 
--- a/tests/forward/forwardfixture.h
+++ b/tests/forward/forwardfixture.h
@@ -20,7 +20,7 @@
   explicit FakeDirectory(boost::asio::io_context& aContext);
 
   void ReadAll(ReadFreshness aFreshness, Handler aHandler) override;
-  void Watch(std::uint64_t aRevision,
+  void Watch(const DirectoryPosition& aPosition,
              Milliseconds aWait,
              Handler aHandler) override;
 
@@ -31,7 +31,7 @@
   boost::asio::io_context& mContext;
   boost::asio::steady_timer mTimer;
   std::vector<DirectoryChange> mContent;
-  std::uint64_t mRevision = 1;
+  DirectoryPosition mPosition{ {}, 1 };
 };
 
 /**
--- a/tests/platform/test_storeitems.cpp
+++ b/tests/platform/test_storeitems.cpp
@@ -26,7 +26,7 @@
   const Json body{ { "items", aItems },
                    { "has-more", false },
                    { "current-rev", 9 } };
-  StorePageResult page = ParseStorePage(body.dump(), "items");
+  StorePageResult page = ParseStorePage(body.dump(), "items", {});
   BOOST_REQUIRE(page.has_value());
   return page.value();
 }
@@ -43,14 +43,14 @@
 BOOST_AUTO_TEST_CASE(BackendServerIsDecoded)
 {
   const StorePage page = Page(Json::array({ Item("servers/i-1", kServer, 5) }));
-  BOOST_TEST(page.mContent.mRevision == 9U);
+  BOOST_TEST(page.mContent.mPosition.mRevision == 9U);
   const auto& entry = std::get<BackendEntry>(page.mContent.mChanges.at(0));
   BOOST_TEST(entry.mId.Text() == "i-1");
   BOOST_TEST(entry.mPool.Text() == "s");
   BOOST_TEST(entry.mEndpoint.mPort == 8080);
   BOOST_TEST(entry.mColdRemaining.count() == 250);
   BOOST_TEST(entry.mStartedAt->count() == 1700000000000);
-  BOOST_TEST(entry.mRevision == 5U);
+  BOOST_TEST(entry.mPosition.mRevision == 5U);
   BOOST_TEST(!entry.mIsDraining);
 }
 
@@ -103,11 +103,11 @@
           { "tombstone", true } } } },
     { "current-rev", 10 }
   };
-  StorePageResult page = ParseStorePage(body.dump(), "events");
+  StorePageResult page = ParseStorePage(body.dump(), "events", {});
   BOOST_REQUIRE(page.has_value());
   const auto& changes = page.value().mContent.mChanges;
   BOOST_REQUIRE(changes.size() == 3U);
-  BOOST_TEST(std::get<BackendRemoval>(changes[0]).mRevision == 8U);
+  BOOST_TEST(std::get<BackendRemoval>(changes[0]).mPosition.mRevision == 8U);
   BOOST_TEST(std::get<ZoneEvacuation>(changes[1]).mIsEvacuated);
   BOOST_TEST(!std::get<ZoneEvacuation>(changes[2]).mIsEvacuated);
 }
@@ -152,10 +152,34 @@
                             "[]",
                             R"({"items":[]})",
                             R"({"current-rev":"x","items":[]})" }) {
-    BOOST_TEST(!ParseStorePage(body, "items").has_value());
+    BOOST_TEST(!ParseStorePage(body, "items", {}).has_value());
   }
 }
 
+/** Guards against taking a field that can't be read for era 0, which would make
+ * a restored store look like one that states no era. */
+BOOST_AUTO_TEST_CASE(EraIsAWholeNumber)
+{
+  BOOST_TEST(ParseStoreEra("")->mValue == 0U);
+  BOOST_TEST(ParseStoreEra("17")->mValue == 17U);
+  for (const char* const text : { "x", "-1", "1.5", "1 2" }) {
+    BOOST_TEST(!ParseStoreEra(text).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PositionsHaveTheEraOfTheAnswer)
+{
+  const Json body{ { "items", { Item("servers/i-1", kServer, 5) } },
+                   { "current-rev", 9 } };
+  const StorePageResult page =
+    ParseStorePage(body.dump(), "items", DirectoryEra{ 3 });
+  BOOST_REQUIRE(page.has_value());
+  const DirectoryChanges& content = page.value().mContent;
+  BOOST_TEST(content.mPosition.mEra.mValue == 3U);
+  BOOST_TEST(
+    std::get<BackendEntry>(content.mChanges.at(0)).mPosition.mEra.mValue == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(StartTimeIsReadFromAServersReport)
 {
   BOOST_CHECK(ParseStartTime("{\"stage\":\"both\",\"born\":17}") ==
