Give the era of reports a field of its own

Cause: the era of a report was encoded in the field "e", which holds the prefill samples of the loads. A report with both couldn't be read by any entry.

Change: the era is in the field "y"; the test of the era's encoding has prefill samples too.

Measured: forwardsettings/PeerReportsSurviveTheirEncoding failed before (1 failure in test_libmedlarkeelforward), now test_libmedlarkeelforward and test_libmedlarkeel pass.

--- a/src/libmedlarkeelforward/peerreportcodec.cpp
+++ b/src/libmedlarkeelforward/peerreportcodec.cpp
@@ -25,7 +25,7 @@
 EncodeEra(DirectoryEra aEra, Json& aValues)
 {
   if (aEra.mValue != 0) {
-    aValues["e"] = aEra.mValue;
+    aValues["y"] = aEra.mValue;
   }
 }
 
@@ -33,7 +33,7 @@
 DirectoryEra
 DecodeEra(const Json& aValues)
 {
-  return { aValues.value("e", std::uint64_t(0)) };
+  return { aValues.value("y", std::uint64_t(0)) };
 }
 
 Json
--- a/tests/core/restoredfleet.cpp
+++ b/tests/core/restoredfleet.cpp
@@ -211,7 +211,7 @@
 {
   mServers.at(aId).mIsRunning = false;
   if (!mIsStopped) {
-    mDirectory.Remove(ServerKey(aId), BackendRemoval{ InstanceId(aId), 0 });
+    mDirectory.Remove(ServerKey(aId), BackendRemoval{ InstanceId(aId), {} });
   }
 }
 
@@ -277,7 +277,7 @@
   for (const auto& [id, server] : mServers) {
     // The lease of a server that has left runs out.
     if (!server.mIsRunning) {
-      mDirectory.Remove(ServerKey(id), BackendRemoval{ InstanceId(id), 0 });
+      mDirectory.Remove(ServerKey(id), BackendRemoval{ InstanceId(id), {} });
     }
     const std::string zone = server.mEntry.mZone.Text();
     const bool isEvacuated = mEvacuated.count(zone) != 0;
--- a/tests/forward/test_peerreportcodec.cpp
+++ b/tests/forward/test_peerreportcodec.cpp
@@ -17,6 +17,8 @@
   report.mSequence = 1;
   report.mDirectoryPosition = { aEra, 90 };
   report.mEraAge = Milliseconds(700);
+  // Its field must not be that of the era.
+  report.mLoad.mPrefill[3] = { 1'000.0, 20.0 };
   BackendEntry entry;
   entry.mId = InstanceId("one");
   entry.mEndpoint = { "10.0.0.2", 80 };
@@ -56,6 +58,7 @@
   BOOST_REQUIRE(decoded.has_value());
   CheckEra(*decoded, kEra);
   BOOST_TEST(decoded->mEraAge.count() == 700);
+  BOOST_TEST(decoded->mLoad.mPrefill.at(3).mTokens == 1'000.0);
 }
 
 /** Guards against refusing reports of versions of the program that know no
@@ -63,9 +66,9 @@
 BOOST_AUTO_TEST_CASE(ReportWithoutEraIsOfEraZero)
 {
   auto report = nlohmann::json::from_cbor(EncodePeerReport(ReportOf(kEra)));
-  report.erase("e");
+  report.erase("y");
   report.erase("h");
-  report["n"].erase("e");
+  report["n"].erase("y");
   std::string bytes;
   nlohmann::json::to_cbor(report, bytes);
   const auto decoded = DecodePeerReport(bytes);
@@ -81,9 +84,9 @@
   PeerReport report = ReportOf(DirectoryEra{});
   report.mEraAge = Milliseconds(0);
   const auto fields = nlohmann::json::from_cbor(EncodePeerReport(report));
-  BOOST_TEST(!fields.contains("e"));
+  BOOST_TEST(!fields.contains("y"));
   BOOST_TEST(!fields.contains("h"));
-  BOOST_TEST(!fields.at("n").contains("e"));
+  BOOST_TEST(!fields.at("n").contains("y"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
