Remove an unused constant from the daemon's crowd tests

Cause: the linter reports it; the compiler doesn't.

Change: the constant is gone; no check changes.

--- a/tests/processes/test_callercrowds.cpp
+++ b/tests/processes/test_callercrowds.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr int kOk = 200;
 constexpr std::size_t kMegabyte = 1U << 20U;
 constexpr std::size_t kTokens = 3;
 
