--- a/src/libmedlarkeel/forwarding/cachedparts.cpp
+++ b/src/libmedlarkeel/forwarding/cachedparts.cpp
@@ -10,9 +10,9 @@
  * dropped. */
 constexpr std::size_t kMaximumParts = 4096;
 
-/** Bounds of an estimated lifetime. The lower one spans a few reports between
- * entries. The upper one is for servers that hardly read anything, whose parts
- * other entries may evict unnoticed. */
+/** Bounds of an estimated lifetime. The lower one keeps a full server from
+ * losing all its parts at once. The upper one is for servers that hardly read
+ * anything, whose parts other entries may evict unnoticed. */
 constexpr double kShortestLifetimeSeconds = 2.0;
 constexpr double kLongestLifetimeSeconds = 60.0;
 
