Compare forecasts of first events with the actual times

Cause: the error of the forecasts that refuse requests was neither logged nor measured.

Change: the forecast of the attempt that admission was decided for is compared with the time from sending to the first byte of its event stream. A wait that ends without an event (time limit, caller gone) counts if it was longer than expected; otherwise a server that hangs would leave no error. The lines at the end of requests have expectedMs and forecastErrorMs; four gauges show the errors by pool and prompt size. Refusals are as before.

--- a/src/libmedlarkeel/forwarding/admissioncontrol.h
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backendchooser.h"
+#include "forecasterror.h"
 #include "forwardingdocument.h"
 #include "prefillrate.h"
 
@@ -144,6 +145,25 @@
     mPrefillRate.Record(aTokensAhead, aElapsed);
   }
 
+  /**
+   * Records the time to the first event of a request that was admitted.
+   *
+   * @param aChoice The backend server that the forecast was made for.
+   * @param aForecast The expected time, from the decision on admission.
+   * @param aActual Time from sending the request to its first event.
+   * @param aNow Time of the event.
+   */
+  void RecordForecast(const BackendChoice& aChoice,
+                      Milliseconds aForecast,
+                      Microseconds aActual,
+                      Timestamp aNow)
+  {
+    mForecastError.Record(aChoice.mIsShortPrompt, aForecast, aActual, aNow);
+  }
+
+  /** @return The errors of recent forecasts. */
+  const ForecastError& ForecastErrors() const { return mForecastError; }
+
   /** Adds this entry's measurements to a report. */
   void FillReport(EntryLoad& aLoad) const;
 
@@ -196,6 +216,7 @@
   AdmissionSettings mSettings;
   std::uint32_t mPool;
   PrefillRate mPrefillRate;
+  ForecastError mForecastError;
   /** Moving averages of the duration of streams after their first event; 0 at
    * the start. */
   Milliseconds mShortPromptStreamTime{ 0 };
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -237,6 +237,7 @@
     mHistory.Record(AttemptOutcome::TimedOut);
     mForwarder.Chooser().RecordFailure(attempt->mChoice.mId, BootNow());
     mForwarder.RecordDuration(*mRoute, Elapsed());
+    RecordLateForecast(*attempt);
     ReleaseAttempt(attempt, false);
   }
   mAttempt.reset();
@@ -291,6 +292,7 @@
   }
   const AttemptPointer attempt = mAttempt;
   if (attempt && attempt->mConnection) {
+    RecordLateForecast(*attempt);
     ReleaseAttempt(attempt, false);
   }
   mAttempt.reset();
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -78,6 +78,9 @@
     std::optional<AttemptOutcome> mFailure;
     /** Why the answer is broken, for AttemptOutcome::Broken. */
     std::optional<AnswerFault> mFault;
+    /** Expected time to the first event; only of the attempt that admission was
+     * decided for. */
+    std::optional<Milliseconds> mForecast;
     /** When the server's process started, if its entry has it. */
     std::optional<Milliseconds> mProcessStartedAt;
     /** Observes the process while it sends an answer that ends with its
@@ -131,6 +134,15 @@
   void RecordRequestLimit(const Attempt& aAttempt, const MessageHead& aHead);
   void TakeBody(const AttemptPointer& aAttempt, ParseState aState);
   void RecordFirstByte(Attempt& aAttempt);
+  /** Records the error of an attempt's forecast.
+   *
+   * @param aActual Time from sending the request to its first event. */
+  void RecordForecastError(const Attempt& aAttempt,
+                           Microseconds aActual,
+                           Timestamp aNow);
+  /** Records the error of the forecast if an attempt that ends without a first
+   * event has taken longer than expected. */
+  void RecordLateForecast(const Attempt& aAttempt);
   /** @return Whether the answer's events are passed on as they arrive. */
   bool PassesEvents(const Attempt& aAttempt) const;
   /** Passes complete events on.
@@ -211,6 +223,11 @@
   std::optional<double> mRefusalSample;
   /** The last decision on admission; nothing if none was needed. */
   std::optional<AdmissionDecision> mAdmission;
+  /** Forecast for the attempt that is sent next; nothing if admission wasn't
+   * decided for it. */
+  std::optional<Milliseconds> mNextForecast;
+  /** Forecast minus actual time, once the first event has arrived. */
+  std::optional<Milliseconds> mForecastError;
   /** When a refused caller should come back, if that is known. */
   std::optional<Milliseconds> mRetryDelay;
   /** Whether the head of the answer has been passed on. */
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -341,11 +341,43 @@
       .RecordFirstEvent(aAttempt.mChoice.TokensBeforeFirstEvent(),
                         aAttempt.mFirstByteAt - aAttempt.mBegunAt);
   }
+  if (PassesEvents(aAttempt)) {
+    RecordForecastError(aAttempt,
+                        aAttempt.mFirstByteAt - aAttempt.mBegunAt,
+                        aAttempt.mFirstByteAt);
+  }
   if (mFirstByteAfter.count() == 0) {
     mFirstByteAfter = aAttempt.mFirstByteAt - mArrived;
   }
 }
 
+void
+Exchange::RecordForecastError(const Attempt& aAttempt,
+                              Microseconds aActual,
+                              Timestamp aNow)
+{
+  if (!aAttempt.mForecast) {
+    return;
+  }
+  mForecastError = std::chrono::duration_cast<Milliseconds>(
+    Microseconds(*aAttempt.mForecast) - aActual);
+  mForwarder.Admission(mPool->mName)
+    .RecordForecast(aAttempt.mChoice, *aAttempt.mForecast, aActual, aNow);
+}
+
+void
+Exchange::RecordLateForecast(const Attempt& aAttempt)
+{
+  // Without these, a server that hangs would leave no error at all. A wait that
+  // ends before the expected time says nothing about the forecast.
+  const Timestamp now = BootNow();
+  const Microseconds waited = now - aAttempt.mBegunAt;
+  const bool isLate = aAttempt.mForecast && waited > *aAttempt.mForecast;
+  if (isLate && mRoute->mIsStream && !aAttempt.mHasFirstByte) {
+    RecordForecastError(aAttempt, waited, now);
+  }
+}
+
 void
 Exchange::EndHeldAnswer(const AttemptPointer& aAttempt,
                         std::optional<AnswerFault> aFault)
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cmath>
+#include <utility>
 
 namespace medlarkeel {
 
@@ -159,6 +160,10 @@
   }
   aFields["loadPercent"] = Percent(mAdmission->mLoad);
   aFields["prefillTokensPerMs"] = std::llround(mAdmission->mTokensPerMs);
+  aFields["expectedMs"] = mAdmission->mExpectedFirstEventTime.count();
+  if (mForecastError) {
+    aFields["forecastErrorMs"] = mForecastError->count();
+  }
 }
 
 bool
@@ -189,6 +194,7 @@
     decision.mLoad, decision.mTokensPerMs
   };
   if (decision.mVerdict == AdmissionVerdict::Admitted) {
+    mNextForecast = decision.mExpectedFirstEventTime;
     return true;
   }
   mForwarder.Counters().mRefusedOverloaded += 1;
@@ -199,8 +205,6 @@
                       { "shortPrompt", aChoice.mIsShortPrompt },
                       { "slotLoadPercent", Percent(decision.mSlotLoad) },
                       { "backlogLoadPercent", Percent(decision.mBacklogLoad) },
-                      { "expectedMs",
-                        decision.mExpectedFirstEventTime.count() },
                       { "patienceMs", request.mFirstEventTimeout.count() },
                       { "returnAfterMs", decision.mRetryDelay.count() } };
   AddAdmissionFields(fields);
@@ -215,6 +219,7 @@
 {
   auto attempt = std::make_shared<Attempt>();
   attempt->mChoice = aChoice;
+  attempt->mForecast = std::exchange(mNextForecast, std::nullopt);
   attempt->mBegunAt = BootNow();
   if (const ListedBackend* listed = mForwarder.Backends().Find(aChoice.mId)) {
     attempt->mProcessStartedAt = listed->mEntry.mStartedAt;
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -53,6 +53,23 @@
   aText += "medlarkeel_forward_" + aName + " " + std::to_string(aValue) + "\n";
 }
 
+void
+AppendForecastErrors(std::string& aText,
+                     const std::string& aPool,
+                     const char* aSize,
+                     const ForecastErrorSummary& aErrors)
+{
+  const std::string label = "{pool=\"" + aPool + "\",prompt=\"" + aSize + "\"}";
+  AppendLine(
+    aText, "recent_forecasts" + label, static_cast<double>(aErrors.mForecasts));
+  AppendLine(
+    aText, "forecast_mean_difference_ms" + label, aErrors.mMeanDifferenceMs);
+  AppendLine(aText, "forecast_median_error_ms" + label, aErrors.mMedianErrorMs);
+  AppendLine(aText,
+             "forecast_p90_error_ms" + label,
+             aErrors.mNinetiethPercentileErrorMs);
+}
+
 } // namespace
 
 void
@@ -109,6 +126,10 @@
     AppendLine(text, "admission_load" + label, gauge.mLoad);
     AppendLine(text, "prefill_tokens_per_ms" + label, gauge.mTokensPerMs);
   }
+  for (const auto& [pool, errors] : aCounters.mForecastErrors) {
+    AppendForecastErrors(text, pool, "short", errors.mShortPrompts);
+    AppendForecastErrors(text, pool, "long", errors.mLongPrompts);
+  }
   aCounters.mFirstByte.Append(text, "first_byte_ms");
   aCounters.mWhole.Append(text, "whole_answer_ms");
   return text;
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../libmedlarkeel/forwarding/answerend.h"
+#include "../libmedlarkeel/forwarding/forecasterror.h"
 
 #include <array>
 #include <cstdint>
@@ -37,6 +38,13 @@
   double mTokensPerMs = 0.0;
 };
 
+/** Errors of a pool's recent forecasts of first events. */
+struct PoolForecastErrors
+{
+  ForecastErrorSummary mShortPrompts;
+  ForecastErrorSummary mLongPrompts;
+};
+
 /** What an entry has counted since its start. */
 struct ForwardCounters
 {
@@ -99,6 +107,8 @@
   std::size_t mHeldBytesBound = 0;
   /** At the last decision on admission, by the name of the pool. */
   std::map<std::string, PoolLoadGauge> mPoolLoads;
+  /** By the name of the pool. */
+  std::map<std::string, PoolForecastErrors> mForecastErrors;
 
   void RecordBrokenAnswer(AnswerFault aFault)
   {
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -249,6 +249,12 @@
 {
   mCounters.mHeldBytes = mMemory.TotalBytes();
   mCounters.mHeldBytesBound = mMemory.BoundBytes();
+  const Timestamp now = BootNow();
+  for (const auto& [pool, admission] : mAdmissions) {
+    const ForecastError& errors = admission.ForecastErrors();
+    mCounters.mForecastErrors[pool.Text()] = { errors.Summary(true, now),
+                                               errors.Summary(false, now) };
+  }
 }
 
 void
--- a/tests/forward/forwardfixture.cpp
+++ b/tests/forward/forwardfixture.cpp
@@ -46,7 +46,7 @@
 }
 
 ForwardingDocumentPointer
-TestDocument()
+TestDocument(bool aHasModelServers)
 {
   auto document = std::make_shared<ForwardingDocument>();
   document->mVersion = 1;
@@ -60,6 +60,7 @@
   document->mRoutes[3].mIsResumable = true;
   document->mRoutes[4].mIsPublic = true;
   document->mPools[PoolName("pool")].mName = PoolName("pool");
+  document->mPools[PoolName("pool")].mIsModel = aHasModelServers;
   document->mTeams = { { TeamName("team-1"), std::nullopt } };
   document->mKeys = { { "secret", 0 } };
   document->mRequiresKeys = true;
@@ -155,7 +156,7 @@
 ForwardFixture::Start(bool aHasDocument)
 {
   if (aHasDocument) {
-    mContent.emplace_back(TestDocument());
+    mContent.emplace_back(TestDocument(mHasModelServers));
   }
   mDirectory->Set(mContent);
   mForwarder = std::make_unique<Forwarder>(
--- a/tests/forward/forwardfixture.h
+++ b/tests/forward/forwardfixture.h
@@ -59,6 +59,9 @@
   /** Lists a server at an address that nobody serves; before Start. */
   void AddUnreachable();
 
+  /** Makes the servers model servers; before Start. */
+  void UseModelServers() { mHasModelServers = true; }
+
   /** Publishes what was added, and runs until it has been read. */
   void Start(bool aHasDocument = true);
 
@@ -89,6 +92,7 @@
   std::unique_ptr<Forwarder> mForwarder;
   std::vector<std::unique_ptr<FakeBackend>> mBackends;
   std::vector<DirectoryChange> mContent;
+  bool mHasModelServers = false;
   std::thread mThread;
 };
 
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <future>
+#include <thread>
 
 namespace medlarkeel {
 
@@ -954,6 +955,48 @@
   BOOST_TEST(full.Requests().size() == 1U);
 }
 
+/** Guards against forecasts that are compared with nothing, or with what isn't
+ * a first event: the whole answers of /once/. */
+BOOST_AUTO_TEST_CASE(ForecastsAreComparedWithTheFirstEventsOfStreams)
+{
+  constexpr Milliseconds kDelay{ 200 };
+  ForwardFixture fixture;
+  fixture.UseModelServers();
+  fixture.AddBackend([&](Socket& aSocket, const std::string& aRequest) {
+    std::this_thread::sleep_for(kDelay);
+    AnsweringInFraming(Framing::Chunks, kTwoEvents)(aSocket, aRequest);
+  });
+  fixture.Start();
+  BOOST_TEST(fixture.Call("/stream/x").Status() == 200);
+  BOOST_TEST(fixture.Call("/once/x").Status() == 200);
+  fixture.Run([&](Forwarder& aForwarder) {
+    aForwarder.UpdateGauges();
+    const PoolForecastErrors& errors =
+      aForwarder.Counters().mForecastErrors["pool"];
+    BOOST_TEST(errors.mShortPrompts.mForecasts == 1U);
+    BOOST_TEST(errors.mShortPrompts.mMeanDifferenceMs <= -180.0);
+    BOOST_TEST(errors.mLongPrompts.mForecasts == 0U);
+  });
+}
+
+/** Guards against errors that only count the servers that answer: one that
+ * hangs until the time limit is an error of at least that wait. */
+BOOST_AUTO_TEST_CASE(ServerThatHangsLeavesOneLargeForecastError)
+{
+  ForwardFixture fixture;
+  fixture.UseModelServers();
+  fixture.AddBackend([](Socket&, const std::string&) {});
+  fixture.Start();
+  BOOST_TEST(fixture.Call("/stream/x").Status() == 504);
+  fixture.Run([](Forwarder& aForwarder) {
+    aForwarder.UpdateGauges();
+    const ForecastErrorSummary& errors =
+      aForwarder.Counters().mForecastErrors["pool"].mShortPrompts;
+    BOOST_TEST(errors.mForecasts == 1U);
+    BOOST_TEST(errors.mMedianErrorMs > 800.0);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -72,7 +72,10 @@
   counters.mRequests = 3;
   counters.mFirstByte.Record(7.0);
   counters.mPoolLoads["pool"] = { 0.5, 64.0 };
+  counters.mForecastErrors["pool"].mLongPrompts = { 3, -20.0, 40.0, 900.0 };
   const std::string text = RenderForwardCounters(counters, 2);
+  BOOST_TEST(text.find("medlarkeel_forward_forecast_p90_error_ms{pool=\"pool\","
+                       "prompt=\"long\"} 900") != std::string::npos);
   BOOST_TEST(text.find("medlarkeel_forward_requests_total 3") !=
              std::string::npos);
   BOOST_TEST(text.find("medlarkeel_forward_log_lines_dropped_total 2") !=
