Record forecasts of first events in the emulator

Cause: a correction of the forecasts has to be judged by pairs of forecast and actual time.

Change: FleetOutcome has, for each first event of an admitted request, its entry, prompt size, tokens ahead, expected time, and when it was sent and arrived.

--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -323,10 +323,12 @@
   request.mRefusalSample = chance(mRandom);
   request.mJitterSample = chance(mRandom);
   const AdmissionDecision decision = entry.mAdmission->Decide(*mPool, request);
+  Progress& progress = mProgress[aNumber];
   if (decision.mVerdict == AdmissionVerdict::Admitted) {
+    progress.mExpectedMs =
+      static_cast<double>(decision.mExpectedFirstEventTime.count());
     return true;
   }
-  Progress& progress = mProgress[aNumber];
   const double backMs =
     mNowMs + static_cast<double>(decision.mRetryDelay.count());
   const double limitMs =
@@ -413,13 +415,7 @@
   const double seenMs = mNowMs + kLinkMs;
   if (progress.mFirstMs < 0.0) {
     progress.mFirstMs = seenMs - planned.mAtMs;
-    Entry& entry = mEntries[planned.mEntry];
-    entry.mChooser->RecordFirstByte(progress.mChoice);
-    if (entry.mAdmission) {
-      entry.mAdmission->RecordFirstEvent(
-        progress.mChoice.TokensBeforeFirstEvent(),
-        TimeOf(seenMs - progress.mSentMs));
-    }
+    RecordFirstEvent(aToken.mNumber, seenMs);
   } else {
     progress.mLongestPauseMs =
       std::max(progress.mLongestPauseMs, seenMs - progress.mLastEventMs);
@@ -430,6 +426,27 @@
   }
 }
 
+void
+EmulatedFleet::RecordFirstEvent(std::size_t aNumber, double aSeenMs)
+{
+  const std::size_t number = mArrivals[aNumber].mEntry;
+  const Progress& progress = mProgress[aNumber];
+  Entry& entry = mEntries[number];
+  entry.mChooser->RecordFirstByte(progress.mChoice);
+  if (!entry.mAdmission) {
+    return;
+  }
+  const double tokens = progress.mChoice.TokensBeforeFirstEvent();
+  entry.mAdmission->RecordFirstEvent(tokens,
+                                     TimeOf(aSeenMs - progress.mSentMs));
+  mOutcome.mForecasts.push_back({ number,
+                                  progress.mChoice.mIsShortPrompt,
+                                  tokens,
+                                  progress.mExpectedMs,
+                                  progress.mSentMs,
+                                  aSeenMs });
+}
+
 void
 EmulatedFleet::GiveUp(std::size_t aNumber)
 {
--- a/src/libmedlarkeelemulator/emulatedfleet.h
+++ b/src/libmedlarkeelemulator/emulatedfleet.h
@@ -44,11 +44,29 @@
   bool mIsExcused = false;
 };
 
+/** The forecast of a first event, and when the event came. */
+struct ForecastOutcome
+{
+  std::size_t mEntry = 0;
+  bool mIsShortPrompt = false;
+  /** Prompt tokens whose prefill was expected to precede the event. */
+  double mTokens = 0.0;
+  /** Expected time from sending the request to the event. */
+  double mExpectedMs = 0.0;
+  double mSentMs = 0.0;
+  double mFirstEventMs = 0.0;
+
+  /** @return Time from sending the request to the event. */
+  double ActualMs() const { return mFirstEventMs - mSentMs; }
+};
+
 struct FleetOutcome
 {
   std::vector<ClassOutcome> mClasses;
   /** In order of arrival. */
   std::vector<RequestOutcome> mRequests;
+  /** In order of the first events. */
+  std::vector<ForecastOutcome> mForecasts;
   /** Tokens of prompts that were read for callers who had left before their
    * first event. */
   std::uint64_t mReadInVain = 0;
@@ -114,6 +132,8 @@
     double mLastEventMs = 0.0;
     /** Negative until the request is sent. */
     double mSentMs = -1.0;
+    /** Expected time to the first event; negative without a forecast. */
+    double mExpectedMs = -1.0;
     bool mIsRetry = false;
     double mLongestPauseMs = 0.0;
     bool mIsOver = false;
@@ -149,6 +169,7 @@
   double PatienceMs(std::size_t aClass) const;
   void Work(std::size_t aServer);
   void TakeToken(const EngineToken& aToken);
+  void RecordFirstEvent(std::size_t aNumber, double aSeenMs);
   void GiveUp(std::size_t aNumber);
   void RecordEnd(std::size_t aNumber, bool aIsComplete);
 
