Correct forecasts of short prompts with the cost by expected delay

Cause: short prompts go to servers with short queues, so the rate of the pool, measured with long prompts and their waiting, is wrong for them: the tenth with the most tokens was expected after 160 ms and came after 59 ms in the mean.

Admission uses it for short prompts of pools with the cost by expected delay only. Forecasts for long prompts aren't corrected, as this doesn't reduce their error.

--- a/src/libmedlarkeel/forwarding/admissioncontrol.cpp
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.cpp
@@ -18,6 +18,16 @@
   return aPool.mPriorities.empty() || !(aPriority < aPool.mPriorities.back());
 }
 
+/** @return Whether forecasts for a choice are corrected. For long prompts, the
+ * correction doesn't reduce the error: their forecasts are right in the median,
+ * and the rest depends on requests that arrive later. */
+bool
+IsForecastCorrected(const BackendChoice& aChoice)
+{
+  return aChoice.mIsShortPrompt &&
+         aChoice.mCostKind == ServerCostKind::ExpectedDelay;
+}
+
 } // namespace
 
 const char*
@@ -39,6 +49,7 @@
   : mSettings(aSettings)
   , mPool(aPool)
   , mPrefillRate(aSettings.mPrefillRateSettings)
+  , mShortPromptCorrection(aSettings.mForecastCorrectionSettings)
 {
 }
 
@@ -106,6 +117,16 @@
            : sizeGroup;
 }
 
+Milliseconds
+AdmissionControl::ExpectedFirstEventTime(const AdmissionRequest& aRequest) const
+{
+  const double tokens = aRequest.mChoice.TokensBeforeFirstEvent();
+  const Milliseconds forecast = mPrefillRate.PrefillTime(tokens);
+  return IsForecastCorrected(aRequest.mChoice)
+           ? mShortPromptCorrection.Corrected(tokens, forecast, aRequest.mNow)
+           : forecast;
+}
+
 Milliseconds
 AdmissionControl::RetryDelay(const ForwardPool& aPool,
                              const AdmissionRequest& aRequest,
@@ -141,8 +162,7 @@
   decision.mSlotLoad = loads.mSlotLoad;
   decision.mBacklogLoad = loads.mBacklogLoad;
   decision.mTokensPerMs = mPrefillRate.TokensPerMs();
-  decision.mExpectedFirstEventTime =
-    mPrefillRate.PrefillTime(aRequest.mChoice.TokensBeforeFirstEvent());
+  decision.mExpectedFirstEventTime = ExpectedFirstEventTime(aRequest);
   const RefusalRamp ramp = RefusalRampFor(aPool, aRequest.mPriority);
   const double refusedShare =
     RefusedShare(decision.mLoad, ramp, aRequest.mUsedTimeShare);
@@ -157,6 +177,19 @@
   return decision;
 }
 
+void
+AdmissionControl::RecordForecast(const BackendChoice& aChoice,
+                                 Milliseconds aForecast,
+                                 Microseconds aActual,
+                                 Timestamp aNow)
+{
+  mForecastError.Record(aChoice.mIsShortPrompt, aForecast, aActual, aNow);
+  if (IsForecastCorrected(aChoice)) {
+    mShortPromptCorrection.Record(
+      aChoice.TokensBeforeFirstEvent(), aActual, aNow);
+  }
+}
+
 void
 AdmissionControl::FillReport(EntryLoad& aLoad) const
 {
--- a/src/libmedlarkeel/forwarding/admissioncontrol.h
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backendchooser.h"
+#include "forecastcorrection.h"
 #include "forecasterror.h"
 #include "forwardingdocument.h"
 #include "prefillrate.h"
@@ -37,6 +38,7 @@
   /** Minimum retry delay before jitter is added. */
   Milliseconds mMinimumRetryDelay{ 100 };
   PrefillRateSettings mPrefillRateSettings;
+  ForecastCorrectionSettings mForecastCorrectionSettings;
 };
 
 /** A request for which admission is decided. */
@@ -48,6 +50,8 @@
   /** Share of the route's time limit for which the caller no longer waits, from
    * 0 to 1. It is higher for retries. */
   double mUsedTimeShare = 0.0;
+  /** Time of the decision. */
+  Timestamp mNow;
   /** Time that the caller still waits for the first event. */
   Milliseconds mFirstEventTimeout{ 0 };
   /** Random number from 0 to 1. The request is refused if it is below the share
@@ -156,10 +160,7 @@
   void RecordForecast(const BackendChoice& aChoice,
                       Milliseconds aForecast,
                       Microseconds aActual,
-                      Timestamp aNow)
-  {
-    mForecastError.Record(aChoice.mIsShortPrompt, aForecast, aActual, aNow);
-  }
+                      Timestamp aNow);
 
   /** @return The errors of recent forecasts. */
   const ForecastError& ForecastErrors() const { return mForecastError; }
@@ -206,6 +207,8 @@
    * the lower load. */
   RelativeLoads RelativeLoadsFor(const BackendChoice& aChoice,
                                  Milliseconds aBacklogTarget) const;
+  /** @return Expected time from sending a request to its first event. */
+  Milliseconds ExpectedFirstEventTime(const AdmissionRequest& aRequest) const;
   /** @return The estimated time, with jitter, until the load has fallen to the
    * start of the ramp, at least mMinimumRetryDelay. */
   Milliseconds RetryDelay(const ForwardPool& aPool,
@@ -217,6 +220,7 @@
   std::uint32_t mPool;
   PrefillRate mPrefillRate;
   ForecastError mForecastError;
+  ForecastCorrection mShortPromptCorrection;
   /** Moving averages of the duration of streams after their first event; 0 at
    * the start. */
   Milliseconds mShortPromptStreamTime{ 0 };
--- a/src/libmedlarkeelemulator/emulatedfleet.cpp
+++ b/src/libmedlarkeelemulator/emulatedfleet.cpp
@@ -315,6 +315,7 @@
   std::uniform_real_distribution<double> chance(0.0, 1.0);
   AdmissionRequest request;
   request.mPriority = PriorityOfRequest(planned);
+  request.mNow = Now();
   request.mFirstEventTimeout =
     Milliseconds(static_cast<std::int64_t>(PatienceMs(planned.mClass)));
   request.mChoice = aChoice;
@@ -439,6 +440,10 @@
   const double tokens = progress.mChoice.TokensBeforeFirstEvent();
   entry.mAdmission->RecordFirstEvent(tokens,
                                      TimeOf(aSeenMs - progress.mSentMs));
+  entry.mAdmission->RecordForecast(progress.mChoice,
+                                   MillisecondsOf(progress.mExpectedMs),
+                                   TimeOf(aSeenMs - progress.mSentMs),
+                                   Now());
   mOutcome.mForecasts.push_back({ number,
                                   progress.mChoice.mIsShortPrompt,
                                   tokens,
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -177,6 +177,7 @@
   const Timestamp now = BootNow();
   AdmissionRequest request;
   request.mPriority = PriorityOf(mTeam, *mRoute);
+  request.mNow = now;
   request.mFirstEventTimeout =
     std::min(mRoute->FirstEventTimeout(),
              std::chrono::duration_cast<Milliseconds>(mGiveUpAt - now));
--- a/tests/core/test_admissioncontrol.cpp
+++ b/tests/core/test_admissioncontrol.cpp
@@ -193,6 +193,36 @@
     });
 }
 
+/** Guards against corrected forecasts, and so other refusals, in pools with
+ * fixed weights and for long prompts: first events came a tenth as late as
+ * expected. */
+BOOST_AUTO_TEST_CASE(CorrectsForecastsOfShortPromptsWithExpectedDelayOnly)
+{
+  for (const ServerCostKind cost :
+       { ServerCostKind::FixedWeights, ServerCostKind::ExpectedDelay }) {
+    for (const bool isShort : { true, false }) {
+      AdmissionRequest request = MakeRequest(kUrgentTier, 0.1);
+      request.mChoice.mCostKind = cost;
+      request.mChoice.mIsShortPrompt = isShort;
+      request.mChoice.mQueuedTokens = 64'000;
+      request.mFirstEventTimeout = Milliseconds(500);
+      AdmissionControl control{ AdmissionSettings(), kPool };
+      for (int i = 0; i < 100; ++i) {
+        control.RecordForecast(
+          request.mChoice, Milliseconds(1000), Milliseconds(100), request.mNow);
+      }
+      const AdmissionDecision decision =
+        control.Decide(MakePoolWithThreeTiers(), request);
+      const bool isCorrected = isShort && cost == ServerCostKind::ExpectedDelay;
+      BOOST_CHECK(decision.mExpectedFirstEventTime ==
+                  Milliseconds(isCorrected ? 100 : 1000));
+      BOOST_CHECK(decision.mVerdict == (isCorrected
+                                          ? AdmissionVerdict::Admitted
+                                          : AdmissionVerdict::WouldTimeOut));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(prefillrate)
