Evaluate candidates in one function without side effects

Explanations of placements must use the code of the choice, but BackendChooser::Choose evaluated servers while it created states and dropped old times.

CandidateEvaluator now gives the estimates, the costs by their terms and the server with the lowest cost, from what the chooser knows of each server. BackendChooser::Evaluate is const; Choose prepares its records, calls it and takes the result. BackendList::InPool gives all servers of a pool with the reasons why some get no requests. BackendChoice has a file of its own.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -18,34 +18,6 @@
 /** Prompts over which the mean size of a prompt is averaged. */
 constexpr double kAveragedPrompts = 64.0;
 
-/** @return The aCount servers with the highest rendezvous scores for a key, in
- * descending order. */
-std::vector<const ListedBackend*>
-PreferredServers(const std::vector<const ListedBackend*>& aServers,
-                 std::uint64_t aKey,
-                 std::size_t aCount)
-{
-  std::vector<std::pair<std::uint64_t, const ListedBackend*>> order;
-  order.reserve(aServers.size());
-  for (const ListedBackend* server : aServers) {
-    order.emplace_back(
-      RendezvousScore(aKey, HashText(server->mEntry.mId.Text())), server);
-  }
-  const auto count =
-    static_cast<std::ptrdiff_t>(std::min(aCount, order.size()));
-  std::partial_sort(order.begin(),
-                    order.begin() + count,
-                    order.end(),
-                    [](const auto& aLeft, const auto& aRight) {
-                      return aLeft.first > aRight.first;
-                    });
-  std::vector<const ListedBackend*> first;
-  for (std::ptrdiff_t i = 0; i < count; ++i) {
-    first.push_back(order[static_cast<std::size_t>(i)].second);
-  }
-  return first;
-}
-
 /** Limits a mean load to what a part of the requests causes. */
 void
 LimitLoad(const ServerLoad& aPart, MeanLoad& aLoad)
@@ -68,9 +40,7 @@
                                ZoneName aZone,
                                std::uint64_t aSeed)
   : mSettings(aSettings)
-  , mFixedWeightCost(MakeServerCost(ServerCostKind::FixedWeights, aSettings))
-  , mExpectedDelayCost(MakeServerCost(ServerCostKind::ExpectedDelay, aSettings))
-  , mZone(std::move(aZone))
+  , mEvaluator(aSettings, std::move(aZone))
   , mRandom(aSeed)
 {
 }
@@ -83,57 +53,140 @@
                        Timestamp aNow,
                        const PoolPlacement& aPlacement)
 {
-  const std::vector<const ListedBackend*> candidates =
-    Candidates(aUsable, aExcluded, aColdLimit, aNow);
-  if (candidates.empty()) {
+  PrepareStates(aUsable, aExcluded, aNow);
+  std::vector<PoolServer> servers;
+  servers.reserve(aUsable.size());
+  for (const ListedBackend* server : aUsable) {
+    servers.push_back({ server, std::nullopt });
+  }
+  const CandidateEvaluation evaluation =
+    Evaluate(servers, aPrompt, aExcluded, aColdLimit, aNow, aPlacement);
+  if (evaluation.mCandidates == 0) {
     return std::nullopt;
   }
-  BackendChoice choice =
-    aPrompt ? ChooseForPrompt(aUsable, candidates, *aPrompt, aPlacement, aNow)
-            : ChooseWithoutPrompt(candidates);
-  choice.mCandidates = candidates.size();
-  for (const ListedBackend* server : candidates) {
-    if (server->mEntry.mId == choice.mId) {
-      choice.mEndpoint = server->mEntry.mEndpoint;
-      choice.mProcessHash = server->mProcessHash;
-      choice.mQueuedTokens = QueuedTokens(choice.mId);
-      choice.mIsCold = aNow < server->mColdUntil;
-      choice.mIsOtherZone = server->mEntry.mZone != mZone;
-    }
+  if (!aPrompt) {
+    return ChooseWithoutPrompt(evaluation);
   }
-  return choice;
+  mMeanBacklog = evaluation.mMeanBacklog;
+  return ChoiceOf(evaluation, *evaluation.Chosen());
 }
 
-std::vector<const ListedBackend*>
-BackendChooser::Candidates(const std::vector<const ListedBackend*>& aUsable,
-                           const std::set<InstanceId>& aExcluded,
-                           const ColdLimit& aColdLimit,
-                           Timestamp aNow)
+void
+BackendChooser::PrepareStates(const std::vector<const ListedBackend*>& aUsable,
+                              const std::set<InstanceId>& aExcluded,
+                              Timestamp aNow)
 {
-  std::vector<const ListedBackend*> healthy;
-  std::vector<const ListedBackend*> avoided;
   for (const ListedBackend* server : aUsable) {
     if (aExcluded.count(server->mEntry.mId) != 0 ||
         NotBefore(server->mProcessHash, aNow)) {
       continue;
     }
-    ServerState& state = mServers[server->mEntry.mId];
-    if (aNow < server->mColdUntil) {
-      std::deque<Timestamp>& sent = state.mColdRequests;
-      while (!sent.empty() &&
-             sent.front() + mSettings.mColdLimitWindow <= aNow) {
-        sent.pop_front();
-      }
-      if (sent.size() < aColdLimit(server->mEntry.mId)) {
-        healthy.push_back(server);
-      }
-    } else if (state.mHealth.IsAvoided(aNow)) {
-      avoided.push_back(server);
-    } else {
-      healthy.push_back(server);
+    std::deque<Timestamp>& sent = mServers[server->mEntry.mId].mColdRequests;
+    while (aNow < server->mColdUntil && !sent.empty() &&
+           sent.front() + mSettings.mColdLimitWindow <= aNow) {
+      sent.pop_front();
     }
   }
-  return healthy.empty() ? avoided : healthy;
+}
+
+CandidateEvaluation
+BackendChooser::Evaluate(const std::vector<PoolServer>& aServers,
+                         const std::optional<PromptDescription>& aPrompt,
+                         const std::set<InstanceId>& aExcluded,
+                         const ColdLimit& aColdLimit,
+                         Timestamp aNow,
+                         const PoolPlacement& aPlacement) const
+{
+  std::vector<CandidateServer> servers;
+  servers.reserve(aServers.size());
+  std::vector<const ListedBackend*> usable;
+  for (const PoolServer& server : aServers) {
+    servers.push_back(Describe(server, aExcluded, aColdLimit, aNow));
+    if (!server.mExclusion) {
+      usable.push_back(server.mServer);
+    }
+  }
+  if (!aPrompt) {
+    return mEvaluator.EvaluateWithoutPrompt(std::move(servers));
+  }
+  const std::set<InstanceId> reservedForShort = ServersForShortPrompts(usable);
+  for (CandidateServer& server : servers) {
+    server.mIsReservedForShort =
+      reservedForShort.count(server.mListed->mEntry.mId) != 0;
+  }
+  const double demand = mDemand.mShortPromptDemand + mDemand.mLongPromptDemand +
+                        mPeerLoad.mDemand.mShortPromptDemand +
+                        mPeerLoad.mDemand.mLongPromptDemand;
+  return mEvaluator.EvaluateForPrompt(
+    std::move(servers),
+    { *aPrompt, aPlacement, demand, mMeanPromptTokens, aNow });
+}
+
+CandidateServer
+BackendChooser::Describe(const PoolServer& aServer,
+                         const std::set<InstanceId>& aExcluded,
+                         const ColdLimit& aColdLimit,
+                         Timestamp aNow) const
+{
+  static const ServerState sUnknown{};
+  const ListedBackend& listed = *aServer.mServer;
+  const InstanceId& id = listed.mEntry.mId;
+  const auto found = mServers.find(id);
+  const ServerState& state = found == mServers.end() ? sUnknown : found->second;
+  const ServerLoad peerLoad = PeerLoad(id);
+  CandidateServer server;
+  server.mListed = &listed;
+  server.mIsUsable = !aServer.mExclusion;
+  server.mExclusion =
+    aServer.mExclusion
+      ? aServer.mExclusion
+      : ExclusionOf(listed, state, aExcluded, aColdLimit, aNow);
+  server.mIsAvoided = state.mHealth.IsAvoided(aNow);
+  server.mIsCold = aNow < listed.mColdUntil;
+  server.mRunningRequests = state.mRequests + peerLoad.mRequests;
+  server.mQueuedTokens = state.mPrefillTokens + peerLoad.mPrefillTokens;
+  server.mCachedParts = &state.mCachedParts;
+  return server;
+}
+
+std::optional<ServerExclusion>
+BackendChooser::ExclusionOf(const ListedBackend& aServer,
+                            const ServerState& aState,
+                            const std::set<InstanceId>& aTried,
+                            const ColdLimit& aColdLimit,
+                            Timestamp aNow) const
+{
+  const InstanceId& id = aServer.mEntry.mId;
+  if (aTried.count(id) != 0) {
+    return ServerExclusion::AlreadyTried;
+  }
+  if (NotBefore(aServer.mProcessHash, aNow)) {
+    const auto asked = mNotBefore.find(aServer.mProcessHash);
+    return asked != mNotBefore.end() && aNow < asked->second
+             ? ServerExclusion::NoRequestsAsked
+             : ServerExclusion::PermitDenied;
+  }
+  if (aNow < aServer.mColdUntil) {
+    return IsBelowColdLimit(aState, aColdLimit(id), aNow)
+             ? std::nullopt
+             : std::optional(ServerExclusion::ColdLimitReached);
+  }
+  return aState.mHealth.IsAvoided(aNow)
+           ? std::optional(ServerExclusion::Avoided)
+           : std::nullopt;
+}
+
+bool
+BackendChooser::IsBelowColdLimit(const ServerState& aState,
+                                 std::size_t aLimit,
+                                 Timestamp aNow) const
+{
+  const std::deque<Timestamp>& sent = aState.mColdRequests;
+  const auto counted =
+    std::find_if(sent.begin(), sent.end(), [&](Timestamp aSentAt) {
+      return aSentAt + mSettings.mColdLimitWindow > aNow;
+    });
+  return static_cast<std::size_t>(std::distance(counted, sent.end())) < aLimit;
 }
 
 std::set<InstanceId>
@@ -166,138 +219,30 @@
   return servers;
 }
 
-std::uint32_t
-BackendChooser::EstimatePrefillTokens(const InstanceId& aServer,
-                                      const PromptDescription& aPrompt,
-                                      bool aIsMostPreferred,
-                                      const PartLifetime& aLifetime,
-                                      Timestamp aNow) const
-{
-  const auto found = mServers.find(aServer);
-  double cached =
-    found == mServers.end()
-      ? 0.0
-      : found->second.mCachedParts.CachedTokens(aPrompt, aLifetime, aNow);
-  if (aIsMostPreferred) {
-    cached =
-      std::max(cached, aPrompt.SharedTokens() * mSettings.mAssumedCachedShare);
-  }
-  const double prefillTokens = std::max(0.0, aPrompt.mPromptTokens - cached);
-  return static_cast<std::uint32_t>(prefillTokens);
-}
-
-EngineMemoryUse
-BackendChooser::MemoryUse(std::size_t aRunningRequests,
-                          const PoolPlacement& aPlacement,
-                          std::size_t aServers) const
-{
-  const double demand = mDemand.mShortPromptDemand + mDemand.mLongPromptDemand +
-                        mPeerLoad.mDemand.mShortPromptDemand +
-                        mPeerLoad.mDemand.mLongPromptDemand;
-  const double seconds =
-    std::chrono::duration<double>(mSettings.mDemandTimeConstant).count();
-  EngineMemoryUse use;
-  use.mMemoryTokens = static_cast<double>(aPlacement.mEngineMemoryTokens);
-  use.mRunningTokens =
-    mMeanPromptTokens * static_cast<double>(aRunningRequests);
-  use.mPrefillTokensPerSecond =
-    demand / seconds / static_cast<double>(std::max<std::size_t>(1, aServers));
-  return use;
-}
-
-double
-BackendChooser::MeanBacklog(
-  const std::vector<const ListedBackend*>& aUsable) const
-{
-  double tokens = 0.0;
-  for (const ListedBackend* server : aUsable) {
-    tokens += QueuedTokens(server->mEntry.mId);
-  }
-  return aUsable.empty() ? 0.0 : tokens / static_cast<double>(aUsable.size());
-}
-
 BackendChoice
-BackendChooser::ChooseForPrompt(
-  const std::vector<const ListedBackend*>& aUsable,
-  const std::vector<const ListedBackend*>& aCandidates,
-  const PromptDescription& aPrompt,
-  const PoolPlacement& aPlacement,
-  Timestamp aNow)
+BackendChooser::ChooseWithoutPrompt(const CandidateEvaluation& aEvaluation)
 {
-  mMeanBacklog = MeanBacklog(aUsable);
-  const std::set<InstanceId> reservedForShort = ServersForShortPrompts(aUsable);
-  const bool isShort = aPrompt.mPromptTokens < mSettings.mShortPromptLimit;
-  std::vector<const ListedBackend*> sizeGroup;
-  for (const ListedBackend* server : aCandidates) {
-    if ((reservedForShort.count(server->mEntry.mId) != 0) == isShort) {
-      sizeGroup.push_back(server);
-    }
-  }
-  const std::uint64_t key = aPrompt.AffinityKey();
-  const std::vector<const ListedBackend*> first = PreferredServers(
-    sizeGroup, key, key == 0 ? 0 : mSettings.mPreferredServers);
-  const ServerCost& cost = CostOf(aPlacement.mCost);
-  const PlacementContext context{ isShort, mMeanBacklog };
-  BackendChoice choice;
-  choice.mCostKind = aPlacement.mCost;
-  bool isFirst = true;
-  for (const ListedBackend* server : aCandidates) {
-    const InstanceId& id = server->mEntry.mId;
-    const auto position = std::find(first.begin(), first.end(), server);
-    const bool isMostPreferred = !first.empty() && position == first.begin();
-    ServerEstimate estimate;
-    estimate.mRunningRequests = RunningRequests(id);
-    const PartLifetime lifetime = cost.LifetimeOfParts(
-      MemoryUse(estimate.mRunningRequests, aPlacement, aUsable.size()));
-    estimate.mPrefillTokens =
-      EstimatePrefillTokens(id, aPrompt, isMostPreferred, lifetime, aNow);
-    estimate.mQueuedTokens = QueuedTokens(id);
-    estimate.mSlots = server->mEntry.mSlots;
-    estimate.mIsCold = aNow < server->mColdUntil;
-    estimate.mIsOtherZone = server->mEntry.mZone != mZone;
-    estimate.mIsReservedForShort = reservedForShort.count(id) != 0;
-    estimate.mIsPreferred = first.empty() || position != first.end();
-    const double serverCost = cost.Of(estimate, context);
-    if (isFirst || serverCost < choice.mCost) {
-      choice.mId = id;
-      choice.mCost = serverCost;
-      choice.mPrefillTokens = estimate.mPrefillTokens;
-      isFirst = false;
-    }
-  }
-  choice.mIsShortPrompt = isShort;
-  choice.mPoolLoad = MeanLoadOf(aUsable, aNow);
-  choice.mSizeGroupLoad =
-    MeanLoadOf(sizeGroup.empty() ? aCandidates : sizeGroup, aNow);
-  return choice;
-}
-
-BackendChoice
-BackendChooser::ChooseWithoutPrompt(
-  const std::vector<const ListedBackend*>& aCandidates)
-{
-  /** Cost of a server outside this entry's zone, in requests. */
-  constexpr double kOtherZonePenalty = 0.5;
   constexpr std::size_t kSampleSize = 2;
-  std::vector<const ListedBackend*> sampled;
-  std::sample(aCandidates.begin(),
-              aCandidates.end(),
+  const std::vector<const EvaluatedServer*> candidates =
+    aEvaluation.Candidates();
+  std::vector<const EvaluatedServer*> sampled;
+  std::sample(candidates.begin(),
+              candidates.end(),
               std::back_inserter(sampled),
               kSampleSize,
               mRandom);
-  BackendChoice choice;
-  bool isFirst = true;
+  const EvaluatedServer* chosen = nullptr;
+  double lowest = 0.0;
   std::uniform_real_distribution<double> tie(0.0, 0.25);
-  for (const ListedBackend* server : sampled) {
-    double cost = static_cast<double>(RunningRequests(server->mEntry.mId));
-    cost += server->mEntry.mZone != mZone ? kOtherZonePenalty : 0.0;
-    cost += tie(mRandom);
-    if (isFirst || cost < choice.mCost) {
-      choice.mId = server->mEntry.mId;
-      choice.mCost = cost;
-      isFirst = false;
+  for (const EvaluatedServer* server : sampled) {
+    const double cost = server->mCost.Sum() + tie(mRandom);
+    if (chosen == nullptr || cost < lowest) {
+      chosen = server;
+      lowest = cost;
     }
   }
+  BackendChoice choice = ChoiceOf(aEvaluation, *chosen);
+  choice.mCost = lowest;
   return choice;
 }
 
@@ -435,37 +380,6 @@
   }
 }
 
-MeanLoad
-BackendChooser::MeanLoadOf(const std::vector<const ListedBackend*>& aServers,
-                           Timestamp aNow) const
-{
-  MeanLoad load;
-  std::size_t running = 0;
-  for (const ListedBackend* server : aServers) {
-    const InstanceId& id = server->mEntry.mId;
-    const auto known = mServers.find(id);
-    const bool isAvoided =
-      known != mServers.end() && known->second.mHealth.IsAvoided(aNow);
-    if (isAvoided || aNow < server->mColdUntil) {
-      continue;
-    }
-    load.mServers += 1;
-    load.mPrefillTokens += QueuedTokens(id);
-    if (server->mEntry.mSlots > 0) {
-      load.mSlots += server->mEntry.mSlots;
-      running += RunningRequests(id);
-    }
-  }
-  if (load.mServers > 0) {
-    load.mPrefillTokens /= static_cast<double>(load.mServers);
-  }
-  if (load.mSlots > 0) {
-    load.mSlotShare =
-      static_cast<double>(running) / static_cast<double>(load.mSlots);
-  }
-  return load;
-}
-
 std::optional<Timestamp>
 BackendChooser::NotBefore(ProcessHash aBoot, Timestamp aNow) const
 {
@@ -557,15 +471,6 @@
   return own + PeerLoad(aId).mRequests;
 }
 
-double
-BackendChooser::QueuedTokens(const InstanceId& aId) const
-{
-  const auto found = mServers.find(aId);
-  const double own =
-    found == mServers.end() ? 0.0 : found->second.mPrefillTokens;
-  return own + PeerLoad(aId).mPrefillTokens;
-}
-
 ServerLoad
 BackendChooser::PeerLoad(const InstanceId& aId) const
 {
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -1,96 +1,33 @@
 #pragma once
 
+#include "backendchoice.h"
 #include "backendhealth.h"
-#include "backendlist.h"
 #include "peerview.h"
-#include "promptdescription.h"
-#include "servercost.h"
 
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace medlarkeel {
 
 /** Parameters of the choice of a server; the inherited ones are those of the
- * cost functions. */
-struct BackendChooserSettings : ServerCostSettings
+ * evaluation of servers. */
+struct BackendChooserSettings : CandidateSettings
 {
-  /** Prompts with fewer tokens are short: four chunks of a usual chunked
-   * prefill. */
-  std::uint32_t mShortPromptLimit = 4096;
   /** Window of the rate limit for cold servers: one second, plus the variation
    * of network delays. */
   Microseconds mColdLimitWindow = std::chrono::milliseconds(1150);
-  /** Number of preferred servers of a prompt, by rendezvous hash. They differ
-   * by prompt, so entries that act on the same outdated loads move from a busy
-   * server to different ones. */
-  std::size_t mPreferredServers = 3;
-  /** Share of a prompt's shared tokens that its most preferred server is
-   * assumed to have cached, although this entry didn't send them there. */
-  double mAssumedCachedShare = 0.7;
   /** Time since a part was last sent to a server, within which it isn't
    * reported to peers again. */
   Microseconds mPartReportInterval = std::chrono::seconds(5);
-  /** Time constant of the exponential decay of the demand. */
-  Microseconds mDemandTimeConstant = std::chrono::seconds(4);
   BackendHealthSettings mHealth;
 };
 
-/** Mean load of a set of servers. */
-struct MeanLoad
-{
-  /** Requests in progress as a share of the slots; 0 if no server reports its
-   * number of slots. */
-  double mSlotShare = 0.0;
-  /** Queued prefill tokens per server. */
-  double mPrefillTokens = 0.0;
-  std::size_t mServers = 0;
-  /** Slots of the servers that report their number. */
-  std::size_t mSlots = 0;
-};
-
-/** A chosen backend server, and the estimates that led to the choice. */
-struct BackendChoice
-{
-  InstanceId mId;
-  Endpoint mEndpoint;
-  /** Value of the cost function: in prefill tokens with a prompt, in requests
-   * without one. */
-  double mCost = 0.0;
-  /** Estimated prompt tokens that aren't cached on the server. */
-  std::uint32_t mPrefillTokens = 0;
-  /** Estimated prefill tokens of other requests that are queued ahead. */
-  double mQueuedTokens = 0.0;
-  /** The cost function that led to the choice. */
-  ServerCostKind mCostKind = ServerCostKind::FixedWeights;
-  ProcessHash mProcessHash = 0;
-  /** Set by AssignPriority(). */
-  LoadGroup mLoadGroup;
-  /** Load of all servers of the pool. */
-  MeanLoad mPoolLoad;
-  /** Load of the size group: the servers for prompts of this size, short or
-   * long. */
-  MeanLoad mSizeGroupLoad;
-  bool mIsShortPrompt = false;
-
-  /** @return Prefill tokens that the server processes before the first event of
-   * the answer. */
-  double TokensBeforeFirstEvent() const
-  {
-    return mQueuedTokens + mPrefillTokens;
-  }
-  /** Number of servers that could have been chosen. */
-  std::size_t mCandidates = 0;
-  bool mIsCold = false;
-  bool mIsOtherZone = false;
-};
-
 /**
  * Chooses backend servers for requests.
  *
@@ -132,6 +69,19 @@
     Timestamp aNow,
     const PoolPlacement& aPlacement = PoolPlacement());
 
+  /**
+   * Evaluates the servers of a pool as Choose() does, without side effects.
+   *
+   * @param aServers Servers of the pool; those that the list excludes are
+   * evaluated, but have no effect on the others.
+   */
+  CandidateEvaluation Evaluate(const std::vector<PoolServer>& aServers,
+                               const std::optional<PromptDescription>& aPrompt,
+                               const std::set<InstanceId>& aExcluded,
+                               const ColdLimit& aColdLimit,
+                               Timestamp aNow,
+                               const PoolPlacement& aPlacement) const;
+
   /**
    * Assigns a choice to the group of requests that its request belongs to, and
    * limits its loads to those of requests that are at least as urgent. Servers
@@ -146,6 +96,12 @@
   /** Replaces the load of the peers. */
   void SetPeerLoad(EntryLoad aLoad) { mPeerLoad = std::move(aLoad); }
 
+  /** Replaces the load of the peers. @return The previous load. */
+  EntryLoad ExchangePeerLoad(EntryLoad aLoad)
+  {
+    return std::exchange(mPeerLoad, std::move(aLoad));
+  }
+
   /** Fills in this entry's loads and demand, and the parts that it sent since
    * the last report. */
   void FillReport(PeerReport& aReport, Timestamp aNow);
@@ -223,39 +179,36 @@
     std::deque<Timestamp> mColdRequests;
   };
 
-  std::vector<const ListedBackend*> Candidates(
-    const std::vector<const ListedBackend*>& aUsable,
-    const std::set<InstanceId>& aExcluded,
-    const ColdLimit& aColdLimit,
-    Timestamp aNow);
+  /** Creates the states of the servers that can be chosen, and drops the times
+   * of requests to cold servers that no longer count. */
+  void PrepareStates(const std::vector<const ListedBackend*>& aUsable,
+                     const std::set<InstanceId>& aExcluded,
+                     Timestamp aNow);
+  /** @return What is known of a server, without its reservation. */
+  CandidateServer Describe(const PoolServer& aServer,
+                           const std::set<InstanceId>& aExcluded,
+                           const ColdLimit& aColdLimit,
+                           Timestamp aNow) const;
+  /** @return Why a server can't be chosen that the list doesn't exclude. */
+  std::optional<ServerExclusion> ExclusionOf(const ListedBackend& aServer,
+                                             const ServerState& aState,
+                                             const std::set<InstanceId>& aTried,
+                                             const ColdLimit& aColdLimit,
+                                             Timestamp aNow) const;
+  /** @return Whether the server may get another request while it is cold. */
+  bool IsBelowColdLimit(const ServerState& aState,
+                        std::size_t aLimit,
+                        Timestamp aNow) const;
   std::set<InstanceId> ServersForShortPrompts(
     const std::vector<const ListedBackend*>& aUsable) const;
-  /** @param aLifetime How long the server keeps parts. */
-  std::uint32_t EstimatePrefillTokens(const InstanceId& aServer,
-                                      const PromptDescription& aPrompt,
-                                      bool aIsMostPreferred,
-                                      const PartLifetime& aLifetime,
-                                      Timestamp aNow) const;
-  /** @return The memory use of a server in a pool of aServers servers. */
-  EngineMemoryUse MemoryUse(std::size_t aRunningRequests,
-                            const PoolPlacement& aPlacement,
-                            std::size_t aServers) const;
   const ServerCost& CostOf(ServerCostKind aKind) const
   {
-    return aKind == ServerCostKind::ExpectedDelay ? *mExpectedDelayCost
-                                                  : *mFixedWeightCost;
+    return mEvaluator.CostOf(aKind);
   }
-  /** @return Mean load of the servers that are neither avoided nor cold. */
-  MeanLoad MeanLoadOf(const std::vector<const ListedBackend*>& aServers,
-                      Timestamp aNow) const;
-  /** @return Mean queued prefill tokens per server. */
-  double MeanBacklog(const std::vector<const ListedBackend*>& aUsable) const;
   /** @return Time before which a server gets no requests: it asked for none, or
    * this entry was denied a permit. */
   std::optional<Timestamp> NotBefore(ProcessHash aBoot, Timestamp aNow) const;
   ServerLoad PeerLoad(const InstanceId& aId) const;
-  /** @return Queued prefill tokens on a server, of all entries. */
-  double QueuedTokens(const InstanceId& aId) const;
   void RecordDemand(const BackendChoice& aChoice,
                     const PromptDescription& aPrompt,
                     Timestamp aNow);
@@ -266,19 +219,10 @@
    * entry learns of the others' requests late. If all entries chose the least
    * busy server, or one in their zone, it would be full while others are idle.
    */
-  BackendChoice ChooseWithoutPrompt(
-    const std::vector<const ListedBackend*>& aCandidates);
-  BackendChoice ChooseForPrompt(
-    const std::vector<const ListedBackend*>& aUsable,
-    const std::vector<const ListedBackend*>& aCandidates,
-    const PromptDescription& aPrompt,
-    const PoolPlacement& aPlacement,
-    Timestamp aNow);
+  BackendChoice ChooseWithoutPrompt(const CandidateEvaluation& aEvaluation);
 
   BackendChooserSettings mSettings;
-  std::unique_ptr<ServerCost> mFixedWeightCost;
-  std::unique_ptr<ServerCost> mExpectedDelayCost;
-  ZoneName mZone;
+  CandidateEvaluator mEvaluator;
   std::mt19937_64 mRandom;
   std::unordered_map<InstanceId, ServerState> mServers;
   /** Time before which a server asked for no requests. */
--- a/src/libmedlarkeel/forwarding/backendlist.cpp
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -310,28 +310,64 @@
   return shuttingDown;
 }
 
+bool
+BackendList::IsShuttingDown(ProcessHash aProcess, Timestamp aNow) const
+{
+  const auto reportedUntil = mShuttingDownByPeer.find(aProcess);
+  return mShuttingDown.count(aProcess) != 0 ||
+         (reportedUntil != mShuttingDownByPeer.end() &&
+          aNow < reportedUntil->second);
+}
+
+std::optional<ServerExclusion>
+BackendList::ExclusionOf(const ListedBackend& aBackend, Timestamp aNow) const
+{
+  const BackendEntry& entry = aBackend.mEntry;
+  if (entry.mIsDraining) {
+    return ServerExclusion::Draining;
+  }
+  if (mGuard.IsWithheld(aBackend.mProcessHash, aNow)) {
+    return ServerExclusion::Withheld;
+  }
+  if (IsEvacuated(entry.mZone, aNow)) {
+    return ServerExclusion::ZoneOut;
+  }
+  if (mMisdirected.count(entry.mId) != 0) {
+    return ServerExclusion::Misdirected;
+  }
+  if (IsShuttingDown(aBackend.mProcessHash, aNow)) {
+    return ServerExclusion::Leaving;
+  }
+  if (aBackend.mRemoveAt && aNow >= *aBackend.mRemoveAt) {
+    return ServerExclusion::Removed;
+  }
+  return std::nullopt;
+}
+
 std::vector<const ListedBackend*>
 BackendList::Usable(const PoolName& aPool, Timestamp aNow) const
 {
-  const auto isShuttingDown = [&](ProcessHash aProcess) {
-    const auto reportedUntil = mShuttingDownByPeer.find(aProcess);
-    return mShuttingDown.count(aProcess) != 0 ||
-           (reportedUntil != mShuttingDownByPeer.end() &&
-            aNow < reportedUntil->second);
-  };
   std::vector<const ListedBackend*> usable;
   for (const auto& [id, backend] : mBackends) {
-    if (backend.mEntry.mPool == aPool && !backend.mEntry.mIsDraining &&
-        !mGuard.IsWithheld(backend.mProcessHash, aNow) &&
-        !IsEvacuated(backend.mEntry.mZone, aNow) &&
-        mMisdirected.count(id) == 0 && !isShuttingDown(backend.mProcessHash) &&
-        (!backend.mRemoveAt || aNow < *backend.mRemoveAt)) {
+    if (backend.mEntry.mPool == aPool && !ExclusionOf(backend, aNow)) {
       usable.push_back(&backend);
     }
   }
   return usable;
 }
 
+std::vector<PoolServer>
+BackendList::InPool(const PoolName& aPool, Timestamp aNow) const
+{
+  std::vector<PoolServer> servers;
+  for (const auto& [id, backend] : mBackends) {
+    if (backend.mEntry.mPool == aPool) {
+      servers.push_back({ &backend, ExclusionOf(backend, aNow) });
+    }
+  }
+  return servers;
+}
+
 std::uint64_t
 BackendList::Digest() const
 {
--- a/src/libmedlarkeel/forwarding/backendlist.h
+++ b/src/libmedlarkeel/forwarding/backendlist.h
@@ -3,6 +3,7 @@
 #include "../settings.h"
 #include "../types.h"
 #include "restoreguard.h"
+#include "serverexclusion.h"
 
 #include <cstdint>
 #include <map>
@@ -56,6 +57,13 @@
   std::optional<Timestamp> mRemoveAt;
 };
 
+/** A server of a pool, and why it gets no new requests if it gets none. */
+struct PoolServer
+{
+  const ListedBackend* mServer = nullptr;
+  std::optional<ServerExclusion> mExclusion;
+};
+
 /** Effect of a change of the list on one backend server. */
 enum class BackendChange
 {
@@ -191,6 +199,9 @@
   std::vector<const ListedBackend*> Usable(const PoolName& aPool,
                                            Timestamp aNow) const;
 
+  /** @return All servers of a pool, in the order of Usable(). */
+  std::vector<PoolServer> InPool(const PoolName& aPool, Timestamp aNow) const;
+
   /** @return A digest of the servers' digests and the evacuated zones. It is
    * independent of revisions and thus equal in all processes that know the same
    * state. */
@@ -213,6 +224,10 @@
                                  const DirectoryPosition& aPosition,
                                  Timestamp aNow,
                                  Timestamp aRemoveAt);
+  /** @return Why a listed server gets no new requests; nothing if it may. */
+  std::optional<ServerExclusion> ExclusionOf(const ListedBackend& aBackend,
+                                             Timestamp aNow) const;
+  bool IsShuttingDown(ProcessHash aProcess, Timestamp aNow) const;
   void RecordState(const BackendEntry& aEntry,
                    ProcessHash aProcess,
                    Timestamp aNow);
--- a/src/libmedlarkeel/forwarding/servercost.cpp
+++ b/src/libmedlarkeel/forwarding/servercost.cpp
@@ -85,33 +85,37 @@
            : ServerCostKind::FixedWeights;
 }
 
-double
-ServerCost::Of(const ServerEstimate& aServer,
-               const PlacementContext& aContext) const
+CostTerms
+ServerCost::TermsOf(const ServerEstimate& aServer,
+                    const PlacementContext& aContext) const
 {
   const auto running = static_cast<double>(aServer.mRunningRequests);
   const double longQueueTokens = std::max(
     0.0,
     aServer.mQueuedTokens - aContext.mMeanBacklog - mSettings.mLongQueueTokens);
-  double cost = PrefillWeight(aContext.mMeanBacklog) * aServer.mPrefillTokens +
-                aServer.mQueuedTokens;
-  cost += mSettings.mLongQueueWeight * longQueueTokens;
-  cost += mSettings.mRunningRequestPenalty * running;
+  CostTerms terms;
+  terms.mPrefill =
+    PrefillWeight(aContext.mMeanBacklog) * aServer.mPrefillTokens;
+  terms.mQueued = aServer.mQueuedTokens;
+  terms.mLongQueue = mSettings.mLongQueueWeight * longQueueTokens;
+  terms.mRunning = mSettings.mRunningRequestPenalty * running;
   if (aContext.mIsShortPrompt && aServer.mSlots > 0) {
     const double beyondSlots =
       running - mSettings.mFreeSlotShare * aServer.mSlots;
-    cost += mSettings.mBeyondSlotsPenalty * std::max(0.0, beyondSlots);
+    terms.mBeyondSlots =
+      mSettings.mBeyondSlotsPenalty * std::max(0.0, beyondSlots);
   }
-  cost += aServer.mIsCold ? mSettings.mColdPenalty : 0.0;
+  terms.mCold = aServer.mIsCold ? mSettings.mColdPenalty : 0.0;
   if (aContext.mIsShortPrompt && !aServer.mIsReservedForShort) {
-    cost += mSettings.mShortOnLongPenalty;
+    terms.mReservation = mSettings.mShortOnLongPenalty;
   }
   if (!aContext.mIsShortPrompt && aServer.mIsReservedForShort) {
-    cost += mSettings.mLongOnShortPenalty;
+    terms.mReservation = mSettings.mLongOnShortPenalty;
   }
-  cost += aServer.mIsOtherZone ? mSettings.mOtherZonePenalty : 0.0;
-  cost += aServer.mIsPreferred ? 0.0 : mSettings.mNonPreferredPenalty;
-  return cost;
+  terms.mOtherZone = aServer.mIsOtherZone ? mSettings.mOtherZonePenalty : 0.0;
+  terms.mNonPreferred =
+    aServer.mIsPreferred ? 0.0 : mSettings.mNonPreferredPenalty;
+  return terms;
 }
 
 double
--- a/src/libmedlarkeel/forwarding/servercost.h
+++ b/src/libmedlarkeel/forwarding/servercost.h
@@ -128,6 +128,29 @@
   double mMeanBacklog = 0.0;
 };
 
+/** The cost of a server by its terms, in prompt tokens to prefill. */
+struct CostTerms
+{
+  /** The prompt's own prefill, weighted by the requests that it delays. */
+  double mPrefill = 0.0;
+  double mQueued = 0.0;
+  double mLongQueue = 0.0;
+  double mRunning = 0.0;
+  double mBeyondSlots = 0.0;
+  double mCold = 0.0;
+  /** A short prompt on a server that isn't reserved for short ones, or a long
+   * one on a server that is. */
+  double mReservation = 0.0;
+  double mOtherZone = 0.0;
+  double mNonPreferred = 0.0;
+
+  double Sum() const
+  {
+    return mPrefill + mQueued + mLongQueue + mRunning + mBeyondSlots + mCold +
+           mReservation + mOtherZone + mNonPreferred;
+  }
+};
+
 /** Gives the cost of sending a prompt to a server. */
 class ServerCost
 {
@@ -140,9 +163,16 @@
   ServerCost& operator=(const ServerCost&) = delete;
   virtual ~ServerCost() = default;
 
+  /** @return The cost by its terms. */
+  CostTerms TermsOf(const ServerEstimate& aServer,
+                    const PlacementContext& aContext) const;
+
   /** @return The cost, in prompt tokens to prefill. */
   double Of(const ServerEstimate& aServer,
-            const PlacementContext& aContext) const;
+            const PlacementContext& aContext) const
+  {
+    return TermsOf(aServer, aContext).Sum();
+  }
 
   /** @return Prompt tokens that a server could prefill in the time in which it
    * generates a usual answer.
