Report parts in constant use to peers each second

An entry reported a part only if it hadn't used it for 5 s, so a part that it sent all the time was reported once. With the short lifetimes of the cost by expected delay the other entries took it for evicted. In pools with that cost the interval now counts from the last report of any entry and is 1 s. An answer counts as 1,500 prompt tokens there instead of 500, which reserved too few servers for short prompts.

Suites cachedparts, servercost and backendchooser pass.

--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -322,7 +322,15 @@
   const std::uint64_t key = aPrompt->AffinityKey();
   for (const PromptPart& part : aPrompt->mParts) {
     const Timestamp previous = state.mCachedParts.RecordUse(part.mId, aNow);
-    if (part.mId == key && aNow - previous >= mSettings.mPartReportInterval) {
+    if (part.mId != key) {
+      continue;
+    }
+    const bool isDue =
+      aChoice.mCostKind == ServerCostKind::ExpectedDelay
+        ? state.mCachedParts.TakeDueReport(
+            key, mSettings.mExpectedDelayReportInterval, aNow)
+        : aNow - previous >= mSettings.mPartReportInterval;
+    if (isDue) {
       mUnreportedParts.push_back(
         { ServerHash(aChoice.mId), static_cast<std::uint32_t>(part.mId) });
     }
@@ -340,7 +348,7 @@
   for (const SentPart& part : aSent) {
     const auto found = byHash.find(part.mServer);
     if (found != byHash.end()) {
-      found->second->mCachedParts.RecordUse(part.mPart, aNow);
+      found->second->mCachedParts.RecordReportedUse(part.mPart, aNow);
     }
   }
 }
--- a/src/libmedlarkeel/forwarding/backendchooser.h
+++ b/src/libmedlarkeel/forwarding/backendchooser.h
@@ -23,8 +23,12 @@
    * of network delays. */
   Microseconds mColdLimitWindow = std::chrono::milliseconds(1150);
   /** Time since a part was last sent to a server, within which it isn't
-   * reported to peers again. */
+   * reported to peers again; for pools whose cost has fixed weights. */
   Microseconds mPartReportInterval = std::chrono::seconds(5);
+  /** Time since a part was last reported, within which it isn't reported to
+   * peers again; for pools whose cost is the expected delay. It is the time for
+   * which a part counts as cached for certain at the shortest lifetime. */
+  Microseconds mExpectedDelayReportInterval = std::chrono::seconds(1);
   BackendHealthSettings mHealth;
 };
 
--- a/src/libmedlarkeel/forwarding/cachedparts.cpp
+++ b/src/libmedlarkeel/forwarding/cachedparts.cpp
@@ -55,17 +55,36 @@
 Timestamp
 CachedParts::RecordUse(std::uint64_t aPart, Timestamp aNow)
 {
-  Timestamp& lastUse = mLastUse[static_cast<std::uint32_t>(aPart)];
+  Timestamp& lastUse = mParts[static_cast<std::uint32_t>(aPart)].mLastUse;
   const Timestamp previous = lastUse;
   lastUse = aNow;
   return previous;
 }
 
+void
+CachedParts::RecordReportedUse(std::uint64_t aPart, Timestamp aNow)
+{
+  mParts[static_cast<std::uint32_t>(aPart)] = { aNow, aNow };
+}
+
+bool
+CachedParts::TakeDueReport(std::uint64_t aPart,
+                           Microseconds aInterval,
+                           Timestamp aNow)
+{
+  Timestamp& lastReport = mParts[static_cast<std::uint32_t>(aPart)].mLastReport;
+  if (aNow - lastReport < aInterval) {
+    return false;
+  }
+  lastReport = aNow;
+  return true;
+}
+
 void
 CachedParts::LimitSize()
 {
-  if (mLastUse.size() > kMaximumParts) {
-    mLastUse.clear();
+  if (mParts.size() > kMaximumParts) {
+    mParts.clear();
   }
 }
 
@@ -81,10 +100,10 @@
   for (std::size_t i = 0; i < sharedParts; ++i) {
     shared += aPrompt.mParts[i].mTokens;
     const auto found =
-      mLastUse.find(static_cast<std::uint32_t>(aPrompt.mParts[i].mId));
-    if (found != mLastUse.end()) {
+      mParts.find(static_cast<std::uint32_t>(aPrompt.mParts[i].mId));
+    if (found != mParts.end()) {
       // Caches are by prefix: a cached part implies all parts before it.
-      const double probability = aLifetime.ProbabilityAt(aNow - found->second);
+      const double probability = aLifetime.ProbabilityAt(aNow - found->second.mLastUse);
       cached = std::max(cached, probability * shared);
     }
   }
--- a/src/libmedlarkeel/forwarding/cachedparts.h
+++ b/src/libmedlarkeel/forwarding/cachedparts.h
@@ -49,6 +49,21 @@
    * if it isn't known. */
   Timestamp RecordUse(std::uint64_t aPart, Timestamp aNow);
 
+  /** Records a use that a peer has reported. */
+  void RecordReportedUse(std::uint64_t aPart, Timestamp aNow);
+
+  /**
+   * Decides whether a use has to be reported to the peers. A part in constant
+   * use is reported again and again; otherwise peers would take it for evicted.
+   * Reports of peers count as well: all entries know them.
+   *
+   * @param aInterval Time after a report in which the part isn't reported again.
+   * @return Whether a report is due; it then counts as made.
+   */
+  bool TakeDueReport(std::uint64_t aPart,
+                     Microseconds aInterval,
+                     Timestamp aNow);
+
   /** Drops all records if there are too many of them. */
   void LimitSize();
 
@@ -59,8 +74,14 @@
                       Timestamp aNow) const;
 
 private:
-  /** Time of the last use of each part, by the lower half of its id. */
-  std::unordered_map<std::uint32_t, Timestamp> mLastUse;
+  struct Part
+  {
+    Timestamp mLastUse;
+    Timestamp mLastReport;
+  };
+
+  /** Parts by the lower half of their ids. */
+  std::unordered_map<std::uint32_t, Part> mParts;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/servercost.h
+++ b/src/libmedlarkeel/forwarding/servercost.h
@@ -40,7 +40,7 @@
   /** The same where the pool's cost is the expected delay. Short prompts meet
    * their target behind a long one there, so they need fewer servers of their
    * own. */
-  double mExpectedDelayAnswerTokens = 500.0;
+  double mExpectedDelayAnswerTokens = 1500.0;
   /** Cost of a short prompt on a server that isn't reserved for short ones. */
   double mShortOnLongPenalty = 6000.0;
   /** Cost of a long prompt on a server that is reserved for short ones. */
--- a/tests/core/test_cachedparts.cpp
+++ b/tests/core/test_cachedparts.cpp
@@ -71,6 +71,30 @@
   BOOST_TEST((parts.RecordUse(1, kStart + Seconds(1)) == kStart));
 }
 
+// Guards against parts in constant use that are reported once only, so that
+// peers take them for evicted.
+BOOST_AUTO_TEST_CASE(PartInConstantUseIsReportedInEachInterval)
+{
+  CachedParts parts;
+  int reports = 0;
+  for (int use = 0; use < 40; ++use) {
+    const Timestamp now = kStart + Milliseconds(250) * use;
+    parts.RecordUse(1, now);
+    reports += parts.TakeDueReport(1, Seconds(1), now) ? 1 : 0;
+  }
+  BOOST_TEST(reports == 10);
+}
+
+// Guards against entries that all report what one of them has reported.
+BOOST_AUTO_TEST_CASE(ReportOfAPeerCounts)
+{
+  CachedParts parts;
+  parts.RecordReportedUse(1, kStart);
+  const Timestamp soon = kStart + Milliseconds(900);
+  BOOST_TEST(!parts.TakeDueReport(1, Seconds(1), soon));
+  BOOST_TEST(parts.TakeDueReport(1, Seconds(1), kStart + Seconds(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
