Explain placements at the status address of an entry

Operators want to know where a request would go, and why, without sending it.

GET /placement at the address of the metrics answers with the evaluation of all servers of the pool, the chosen one, the decision of the admission control and how current the entry's state is. The peers' load is refreshed as for a request and restored afterwards, so that later choices don't change. LoadSum counts the reports in it. The status server accepts heads up to 20 KB, since a query may have 16 KB.

--- a/src/libmedlarkeel/forwarding/admissioncontrol.cpp
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.cpp
@@ -146,6 +146,7 @@
   const RefusalRamp ramp = RefusalRampFor(aPool, aRequest.mPriority);
   const double refusedShare =
     RefusedShare(decision.mLoad, ramp, aRequest.mUsedTimeShare);
+  decision.mRefusedShare = std::clamp(refusedShare, 0.0, 1.0);
   if (decision.mExpectedFirstEventTime > aRequest.mFirstEventTimeout) {
     decision.mVerdict = AdmissionVerdict::WouldTimeOut;
   } else if (aRequest.mRefusalSample < refusedShare) {
--- a/src/libmedlarkeel/forwarding/admissioncontrol.h
+++ b/src/libmedlarkeel/forwarding/admissioncontrol.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "backendchooser.h"
+#include "backendchoice.h"
 #include "forwardingdocument.h"
 #include "prefillrate.h"
 
@@ -77,6 +77,9 @@
   /** Prefill time of the backlog, as a multiple of the time that it may take.
    */
   double mBacklogLoad = 0.0;
+  /** Share of the requests with this priority and used time that is refused at
+   * the load, from 0 to 1. */
+  double mRefusedShare = 0.0;
   /** Prefill rate that the backlog's time is estimated with, in prompt tokens
    * per millisecond. */
   double mTokensPerMs = 0.0;
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -44,6 +44,7 @@
 {
   aTotal.mAge = std::max(aTotal.mAge, aSum.mAge);
   aTotal.mLoad += aSum.mLoad;
+  aTotal.mReports += aSum.mReports;
 }
 
 } // namespace
@@ -428,7 +429,7 @@
   for (const auto& [address, peer] : mPeers) {
     const bool counts = !aOwnZoneOnly || peer.mZone == mZone;
     if (counts && aNow - peer.mHeardAt <= maximumAge) {
-      AddSum({ AgeOf(peer.mHeardAt, aNow), peer.mLoad, {} }, sum);
+      AddSum({ AgeOf(peer.mHeardAt, aNow), peer.mLoad, {}, 1 }, sum);
     }
   }
   return sum;
@@ -445,6 +446,7 @@
     }
     LoadSum sum = *peer.mSum;
     sum.mAge += AgeOf(peer.mSumAt, aNow);
+    sum.mReports = 1;
     // A sum from the aggregator of this entry's own zone covers all other
     // zones.
     const std::uint32_t zone = peer.mZone;
@@ -592,7 +594,7 @@
   report.mShuttingDownProcesses = aOwn.mShuttingDownProcesses;
   report.mLimits = aOwn.mLimits;
   report.mSum = SumOfPeers(aNow, true);
-  AddSum({ Milliseconds(0), aOwn.mLoad, {} }, *report.mSum);
+  AddSum({ Milliseconds(0), aOwn.mLoad, {}, 0 }, *report.mSum);
   report.mSum->mSent = std::exchange(mOwnZoneParts, {});
   report.mSum->mSent.insert(
     report.mSum->mSent.end(), aOwn.mSent.begin(), aOwn.mSent.end());
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -51,6 +51,9 @@
   EntryLoad mLoad;
   /** Shared parts of prompts that these entries sent recently. */
   std::vector<SentPart> mSent;
+  /** Received reports in the sum; a report on another zone counts once. Not
+   * sent to other entries. */
+  std::size_t mReports = 0;
 };
 
 /** The state that one entry sends to its peers, the other entries. */
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -106,6 +106,24 @@
   return settings;
 }
 
+/** Replaces the peers' load at the chooser until the end of a scope. */
+class PeerLoadScope
+{
+public:
+  PeerLoadScope(BackendChooser& aChooser, EntryLoad aLoad)
+    : mChooser(aChooser)
+    , mPrevious(aChooser.ExchangePeerLoad(std::move(aLoad)))
+  {
+  }
+  PeerLoadScope(const PeerLoadScope&) = delete;
+  PeerLoadScope& operator=(const PeerLoadScope&) = delete;
+  ~PeerLoadScope() { mChooser.SetPeerLoad(std::move(mPrevious)); }
+
+private:
+  BackendChooser& mChooser;
+  EntryLoad mPrevious;
+};
+
 /** Pause between two looks at what the others know. */
 constexpr Milliseconds kPeerCheck{ 150 };
 
@@ -398,6 +416,43 @@
   }
 }
 
+PlacementExplanation
+Forwarder::ExplainPlacement(const PlacementTarget& aTarget,
+                            const std::optional<PromptDescription>& aPrompt)
+{
+  const Timestamp now = BootNow();
+  LoadSum peers = mPeers.TotalPeerLoad(now);
+  const PoolName& pool = aTarget.mPool->mName;
+  const auto known = mAdmissions.find(pool);
+  AdmissionControl admission =
+    known == mAdmissions.end()
+      ? AdmissionControl(AdmissionSettings(), PoolHash(pool))
+      : known->second;
+  // A request would refresh the peers' load. The explanation uses the same
+  // load, and restores the previous one so that later choices don't change.
+  std::optional<PeerLoadScope> refreshed;
+  if (now - mRefreshedAt >= kRefreshPause) {
+    admission.SetPeerLoad(peers.mLoad);
+    refreshed.emplace(mChooser, std::move(peers.mLoad));
+  }
+  PlacementExplanation explanation =
+    medlarkeel::ExplainPlacement(aTarget,
+                                 aPrompt,
+                                 { mFollower.Backends(),
+                                   mChooser,
+                                   admission,
+                                   mLimits,
+                                   [&](const InstanceId& aServer) {
+                                     return ColdLimit(*aTarget.mPool, aServer);
+                                   } },
+                                 now);
+  explanation.mFreshness.mDirectoryAge = DirectoryAge();
+  explanation.mFreshness.mDirectoryPosition = mFollower.Position();
+  explanation.mFreshness.mPeerReports = peers.mReports;
+  explanation.mFreshness.mOldestPeerReport = peers.mAge;
+  return explanation;
+}
+
 double
 Forwarder::Random()
 {
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -5,6 +5,7 @@
 #include "../libmedlarkeel/forwarding/callerdescriptors.h"
 #include "../libmedlarkeel/forwarding/callermemory.h"
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
+#include "../libmedlarkeel/forwarding/placementexplanation.h"
 #include "../libmedlarkeel/forwarding/recentmaximum.h"
 #include "../libmedlarkeel/forwarding/retryschedule.h"
 #include "../libmedlarkeel/forwarding/serverlimits.h"
@@ -89,6 +90,13 @@
 
   /** Tells the chooser what the other entries said last; before a choice. */
   void RefreshChooser();
+
+  /** Explains where a request would go now. No state changes, and no other
+   * process is called. */
+  PlacementExplanation ExplainPlacement(
+    const PlacementTarget& aTarget,
+    const std::optional<PromptDescription>& aPrompt);
+
   BackendConnections& Connections() { return mConnections; }
   ForwardCounters& Counters() { return mCounters; }
   EventLog& Log() { return mLog; }
--- a/src/libmedlarkeelforward/statusserver.cpp
+++ b/src/libmedlarkeelforward/statusserver.cpp
@@ -3,11 +3,13 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace medlarkeel {
 
@@ -20,6 +22,9 @@
 /** Longest time without a call: the balancer asks each second. */
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
 
+/** Maximum size of a request's head: a query of 16,384 bytes and the rest. */
+constexpr std::uint32_t kMaximumHeadBytes = 16'384 + 4096;
+
 /** One connection, kept open between calls. */
 struct StatusConnection : std::enable_shared_from_this<StatusConnection>
 {
@@ -31,12 +36,13 @@
 
   void Read()
   {
-    mRequest = {};
+    mParser.emplace();
+    mParser->header_limit(kMaximumHeadBytes);
     mStream.expires_after(kIdleTimeout);
     http::async_read(
       mStream,
       mBuffer,
-      mRequest,
+      *mParser,
       [self = shared_from_this()](const Error& aError, std::size_t) {
         if (!aError) {
           self->Answer();
@@ -46,10 +52,14 @@
 
   void Answer()
   {
-    const auto target = mRequest.target();
+    const auto& request = mParser->get();
+    const auto target = request.target();
     StatusPage page = mPages({ target.data(), target.size() });
-    mAnswer = { static_cast<http::status>(page.mStatus), mRequest.version() };
-    mAnswer.keep_alive(mRequest.keep_alive());
+    mAnswer = { static_cast<http::status>(page.mStatus), request.version() };
+    mAnswer.keep_alive(request.keep_alive());
+    if (!page.mContentType.empty()) {
+      mAnswer.set(http::field::content_type, page.mContentType);
+    }
     mAnswer.body() = std::move(page.mBody);
     mAnswer.prepare_payload();
     http::async_write(
@@ -65,7 +75,7 @@
   boost::beast::tcp_stream mStream;
   StatusServer::Pages mPages;
   boost::beast::flat_buffer mBuffer;
-  http::request<http::empty_body> mRequest;
+  std::optional<http::request_parser<http::empty_body>> mParser;
   http::response<http::string_body> mAnswer;
 };
 
--- a/src/libmedlarkeelforward/statusserver.h
+++ b/src/libmedlarkeelforward/statusserver.h
@@ -15,6 +15,8 @@
 {
   int mStatus = 200;
   std::string mBody;
+  /** Media type of the body; not stated when empty. */
+  std::string mContentType = {};
 };
 
 /** Answers GET calls of balancers and monitoring at one address. */
--- a/src/medlarkeelforward/main.cpp
+++ b/src/medlarkeelforward/main.cpp
@@ -1,7 +1,7 @@
 #include "../../platform/storeclient.h"
 #include "../../platform/wireprotocol.h"
 #include "../libmedlarkeelforward/forwarder.h"
-#include "../libmedlarkeelforward/statusserver.h"
+#include "../libmedlarkeelforward/placementpage.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
@@ -52,9 +52,13 @@
                               : StatusPage{ kUnavailable, "not ready\n" };
 }
 
+/** Answers monitoring and operators. */
 StatusPage
 MetricsPage(Forwarder& aForwarder, const std::string& aPath)
 {
+  if (IsPlacementTarget(aPath)) {
+    return PlacementPage(aForwarder, aPath);
+  }
   if (aPath != "/metrics") {
     return { kNotFound, "no such page\n" };
   }
