--- a/src/medlarkeelctl/commands.h
+++ b/src/medlarkeelctl/commands.h
@@ -31,6 +31,10 @@
 int
 RunExplain(const Arguments& aArguments);
 
+/** Prints where a request would go now according to each node. */
+int
+RunPlacement(const Arguments& aArguments);
+
 /** Prints the owner's page. */
 int
 RunReport(const Arguments& aArguments);
--- a/src/medlarkeelctl/main.cpp
+++ b/src/medlarkeelctl/main.cpp
@@ -28,6 +28,12 @@
     "explain REQUEST_ID --nodes IP:PORT,... | --log FILE\n"
     "                                 decisions on one request",
     RunExplain },
+  { "placement",
+    "placement PATH --nodes IP:PORT,... [--host NAME] [--team NAME]\n"
+    "    [--prompt ID:TOKENS,...] [--usage PROMPT,OUTPUT] [--format "
+    "text|json]\n"
+    "                                 where a request would go, and why",
+    RunPlacement },
   { "report",
     "report --nodes IP:PORT,... [--format text|json|html]\n"
     "                                 whether it went well",
--- a/src/medlarkeelctl/nodes.cpp
+++ b/src/medlarkeelctl/nodes.cpp
@@ -55,10 +55,12 @@
   NetResult<HttpReply> reply = SendHttp(call);
   if (reply.has_error()) {
     answer.mError = "no answer: " + reply.error().mDetail;
-  } else if (reply.value().mStatus != 200) {
-    answer.mError = "HTTP status " + std::to_string(reply.value().mStatus);
-  } else {
-    answer.mBody = std::move(reply.value().mBody);
+    return answer;
+  }
+  answer.mStatus = reply.value().mStatus;
+  answer.mBody = std::move(reply.value().mBody);
+  if (answer.mStatus != 200) {
+    answer.mError = "HTTP status " + std::to_string(answer.mStatus);
   }
   return answer;
 }
--- a/src/medlarkeelctl/nodes.h
+++ b/src/medlarkeelctl/nodes.h
@@ -18,7 +18,10 @@
 struct NodeAnswer
 {
   Endpoint mNode;
+  /** HTTP status; 0 without an answer. */
+  int mStatus = 0;
   std::string mBody;
+  /** Empty if the status is 200. */
   std::string mError;
 };
 
--- a/src/medlarkeelctl/reportcommand.cpp
+++ b/src/medlarkeelctl/reportcommand.cpp
@@ -7,7 +7,9 @@
 #include <iostream>
 #include <string_view>
 
-DEFINE_string(format, "text", "format of the report: text, json or html");
+DEFINE_string(format,
+              "text",
+              "format of the output: text, json or, for reports, html");
 
 namespace medlarkeel {
 
--- a/tests/platform/loopbackplatform.cpp
+++ b/tests/platform/loopbackplatform.cpp
@@ -217,6 +217,7 @@
   entry->mAddress = EntryAddress(mEntries.size());
   entry->mCallers = kCallers;
   entry->mReadiness = kReadiness;
+  entry->mStatus = kInternal;
   std::ofstream(mFolder / (entry->mName + ".json")) << SettingsText(*entry);
   Restart(*entry);
   mEntries.push_back(std::move(entry));
--- a/tests/platform/loopbackplatform.h
+++ b/tests/platform/loopbackplatform.h
@@ -21,6 +21,8 @@
   std::string mAddress;
   std::uint16_t mCallers = 0;
   std::uint16_t mReadiness = 0;
+  /** Port of metrics and explanations of placements. */
+  std::uint16_t mStatus = 0;
   std::unique_ptr<ChildProcess> mProcess;
 };
 
