--- a/tests/core/test_placementexplanation.cpp
+++ b/tests/core/test_placementexplanation.cpp
@@ -48,7 +48,7 @@
     return std::nullopt;
   }
   PromptDescription prompt;
-  const auto part = static_cast<std::uint64_t>(1 + Draw(5));
+  const std::uint64_t part = static_cast<std::uint64_t>(Draw(5)) + 1;
   const auto shared = static_cast<std::uint32_t>(Draw(20'000));
   const auto own = static_cast<std::uint32_t>(Draw(3000));
   prompt.mParts = { { part, shared }, { 1000 + part, own } };
@@ -108,7 +108,11 @@
       load.mDemand = { 9000.0, 40'000.0 };
       aEntry.mChooser.SetPeerLoad(load);
     } else if (kind == 4) {
-      aEntry.mChooser.RecordPeerSentParts({ { ServerHash(aServer), 2 } }, aNow);
+      std::vector<SentPart> sent;
+      for (std::uint32_t part = 1; part <= 5; ++part) {
+        sent.push_back({ ServerHash(aServer), part });
+      }
+      aEntry.mChooser.RecordPeerSentParts(sent, aNow);
     }
   };
 }
@@ -157,6 +161,9 @@
     const auto prompt = AnyPrompt();
     const CandidateEvaluation evaluation =
       asked.Evaluate(prompt, placement, now);
+    if (Draw(3) == 0) {
+      continue; // The next request finds what the explanation has left.
+    }
     const auto choice = asked.Choose(prompt, placement, now);
     const auto otherChoice = other.Choose(prompt, placement, now);
     RC_ASSERT(choice.has_value() == otherChoice.has_value());
@@ -181,6 +188,37 @@
   }
 }
 
+// Guards against explanations that create records of servers: parts that peers
+// report are recorded only for servers that this entry has a record of.
+BOOST_AUTO_TEST_CASE(ExplanationCreatesNoRecords)
+{
+  constexpr int kServers = 8;
+  PromptDescription prompt;
+  prompt.mParts = { { 2, 20'000 }, { 99, 100 } };
+  prompt.mPromptTokens = 20'100;
+  for (int reported = 0; reported < kServers; ++reported) {
+    Entry asked;
+    for (int i = 0; i < kServers; ++i) {
+      BackendEntry listed;
+      listed.mId = InstanceId("server-" + std::to_string(i));
+      listed.mPool = kPool;
+      asked.mList.Put(listed, kStart);
+    }
+    Entry other;
+    other.mList = asked.mList;
+    asked.Evaluate(prompt, PoolPlacement(), kStart);
+    const SentPart part{
+      ServerHash(InstanceId("server-" + std::to_string(reported))), 2
+    };
+    std::vector<double> costs;
+    for (Entry* entry : { &asked, &other }) {
+      entry->mChooser.RecordPeerSentParts({ part }, kStart);
+      costs.push_back(entry->Choose(prompt, PoolPlacement(), kStart)->mCost);
+    }
+    BOOST_TEST(costs[0] == costs[1]);
+  }
+}
+
 // Guards against servers that can't be chosen without a reason, and against
 // such servers having an effect on the others.
 BOOST_AUTO_TEST_CASE(ReasonsOfServersThatCannotBeChosen)
