--- a/src/libmedlarkeel/forwarding/backendchooser.cpp
+++ b/src/libmedlarkeel/forwarding/backendchooser.cpp
@@ -325,11 +325,10 @@
     if (part.mId != key) {
       continue;
     }
-    const bool isDue =
-      aChoice.mCostKind == ServerCostKind::ExpectedDelay
-        ? state.mCachedParts.TakeDueReport(
-            key, mSettings.mExpectedDelayReportInterval, aNow)
-        : aNow - previous >= mSettings.mPartReportInterval;
+    const bool isDue = aChoice.mCostKind == ServerCostKind::ExpectedDelay
+                         ? state.mCachedParts.TakeDueReport(
+                             key, mSettings.mExpectedDelayReportInterval, aNow)
+                         : aNow - previous >= mSettings.mPartReportInterval;
     if (isDue) {
       mUnreportedParts.push_back(
         { ServerHash(aChoice.mId), static_cast<std::uint32_t>(part.mId) });
--- a/src/libmedlarkeel/forwarding/cachedparts.cpp
+++ b/src/libmedlarkeel/forwarding/cachedparts.cpp
@@ -103,7 +103,8 @@
       mParts.find(static_cast<std::uint32_t>(aPrompt.mParts[i].mId));
     if (found != mParts.end()) {
       // Caches are by prefix: a cached part implies all parts before it.
-      const double probability = aLifetime.ProbabilityAt(aNow - found->second.mLastUse);
+      const double probability =
+        aLifetime.ProbabilityAt(aNow - found->second.mLastUse);
       cached = std::max(cached, probability * shared);
     }
   }
--- a/src/libmedlarkeel/forwarding/cachedparts.h
+++ b/src/libmedlarkeel/forwarding/cachedparts.h
@@ -57,7 +57,8 @@
    * use is reported again and again; otherwise peers would take it for evicted.
    * Reports of peers count as well: all entries know them.
    *
-   * @param aInterval Time after a report in which the part isn't reported again.
+   * @param aInterval Time after a report in which the part isn't reported
+   * again.
    * @return Whether a report is due; it then counts as made.
    */
   bool TakeDueReport(std::uint64_t aPart,
--- a/src/libmedlarkeelemulator/emulatedfleet.h
+++ b/src/libmedlarkeelemulator/emulatedfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../libmedlarkeel/forwarding/admissioncontrol.h"
+#include "../libmedlarkeel/forwarding/backendchooser.h"
 #include "loadplan.h"
 
 #include <functional>
