Let requests of the loopback daemon ask for memory before their bodies grow

Cause: the upload monitor looked at the connections every 10 ms, when what had arrived was already in memory. A request that it had ended was counted as receiving again at the next look, so that others were ended for it; SetRunning didn't notice that a request was ended, so that it could still run; a body over the limit lacked 0 bytes and was ended last. At looks during crowds (smaps, /proc/net/tcp) bodies in large blocks held up to 215 MB, the arenas of the threads up to 131 MB, stacks up to 8 MB, and the kernel had up to 6 MB unread.

Change: ulfius grows bodies with a function that the program may set. It asks the monitor, which blocks the connection's thread or ends requests as CallerMemory decides. What ended requests hold counts until it is freed. A request asks again for its handler's copy before it runs, and otherwise gets 503. Bodies above 16 KB have blocks that return to the machine when they are freed. Values of form fields aren't kept a second time.

--- a/src/libmedlarkeelnet/httpserver.cpp
+++ b/src/libmedlarkeelnet/httpserver.cpp
@@ -2,11 +2,14 @@
 
 #include "refusal.h"
 
+#include <orcania.h>
 #include <ulfius.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <cerrno>
+#include <cstdlib>
 #include <cstring>
 #include <exception>
 #include <poll.h>
@@ -36,8 +39,19 @@
 constexpr int kHeadersTooLarge = 431;
 constexpr int kInternalError = 500;
 constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
 constexpr int kVersionNotSupported = 505;
 
+/** Steps in which the block of a body grows. A body that advances by one of
+ * them isn't stalled. */
+constexpr std::size_t kBodyStep = 4096;
+
+/** Bodies above the first size get a block of at least the second one, of which
+ * only the used part takes memory: blocks of this size return to the machine as
+ * soon as they are freed, smaller ones stay with their thread's allocator. */
+constexpr std::size_t kSmallBody = 16'384;
+constexpr std::size_t kLargeBlock = 131'072;
+
 /** The connection that a thread serves. */
 struct ServedConnection
 {
@@ -45,8 +59,16 @@
   int mDescriptor = -1;
   unsigned mIdleTimeout = 0; // seconds
   std::string mTarget;
-  /** Bytes that the connection received with earlier requests. */
-  std::uint64_t mEarlierBytes = 0;
+  /** Bounds the memory of requests; null if nothing does. */
+  UploadMonitor* mUploads = nullptr;
+  CallerId mRequest;
+  std::size_t mBodyLimit = 0;
+  /** Whether the request isn't complete and its body is counted. */
+  bool mIsReceiving = false;
+  /** The block in which ulfius collects the body, and the size that is counted
+   * for it. */
+  void* mBody = nullptr;
+  std::size_t mBodyCapacity = 0;
 };
 
 thread_local ServedConnection sConnection;
@@ -72,6 +94,70 @@
   }
 };
 
+/** @return Size of a block for a body of this size. It shows a body over the
+ * limit as such. */
+std::size_t
+BodyCapacity(std::size_t aSize)
+{
+  const std::size_t rounded = (aSize + kBodyStep - 1) / kBodyStep * kBodyStep;
+  return std::min(rounded, std::max(aSize, sConnection.mBodyLimit));
+}
+
+std::size_t
+BlockSize(std::size_t aCapacity)
+{
+  return aCapacity <= kSmallBody ? aCapacity : std::max(aCapacity, kLargeBlock);
+}
+
+/** @return Whether the body may grow; may block. Otherwise the request was
+ * ended. */
+bool
+MayGrow(std::size_t aCapacity)
+{
+  if (aCapacity <= sConnection.mBodyCapacity) {
+    return true;
+  }
+  const BlockingSection section;
+  return sConnection.mUploads->Reserve(sConnection.mRequest, aCapacity);
+}
+
+/**
+ * What ulfius calls to grow its blocks. The only one that it makes this way
+ * while a request arrives is that of the body.
+ */
+void*
+Reallocate(void* aBlock, std::size_t aSize)
+{
+  const bool isBody = sConnection.mIsReceiving && aBlock == sConnection.mBody;
+  if (!isBody) {
+    return std::realloc(aBlock, aSize);
+  }
+  const std::size_t capacity =
+    std::max(BodyCapacity(aSize), sConnection.mBodyCapacity);
+  void* grown = nullptr;
+  if (MayGrow(capacity)) {
+    grown = std::realloc(aBlock, BlockSize(capacity));
+  }
+  if (grown == nullptr) {
+    // ulfius forgets the old block and ends the connection.
+    std::free(aBlock);
+  }
+  sConnection.mBody = grown;
+  sConnection.mBodyCapacity = grown == nullptr ? 0 : capacity;
+  return grown;
+}
+
+/** Lets the bodies that ulfius collects ask for their memory. */
+void
+CountBodies()
+{
+  static const bool sIsSet = [] {
+    o_set_alloc_funcs(std::malloc, Reallocate, std::free);
+    return true;
+  }();
+  static_cast<void>(sIsSet);
+}
+
 /** A streamed body on its way to the caller. */
 struct OutgoingStream
 {
@@ -255,6 +341,16 @@
   }
 }
 
+/** The answer to a complete request that must not run, as memory is short. */
+HttpResponse
+MemoryShortResponse()
+{
+  HttpResponse result =
+    ProblemResponse(kUnavailable, "memory-short", "Too many requests at once");
+  result.mHeaders["Retry-After"] = "1";
+  return result;
+}
+
 /** Sets how much the kernel receives for connections to come that aren't read.
  * Without the option it holds more, and nothing else changes. */
 void
@@ -313,6 +409,9 @@
                        _u_response* aResponse,
                        void* aState);
 
+  void BeginUpload() const;
+  /** @return Whether the request may run. */
+  bool StartRequest(const _u_request& aRequest) const;
   HttpResponse Answer(const _u_request& aRequest) const;
   bool StartInstance();
 };
@@ -330,12 +429,23 @@
   sConnection.mDescriptor = info == nullptr ? -1 : info->connect_fd;
   sConnection.mIdleTimeout = state->mOptions.mIdleTimeout;
   sConnection.mTarget = TextOrEmpty(aUri);
-  if (state->mUploads) {
-    state->mUploads->Begin(sConnection.mDescriptor, sConnection.mEarlierBytes);
-  }
+  state->BeginUpload();
   return ulfius_uri_logger(nullptr, aUri);
 }
 
+void
+HttpServer::State::BeginUpload() const
+{
+  sConnection.mUploads = mUploads.get();
+  sConnection.mBodyLimit = mOptions.mBodyLimit;
+  sConnection.mBody = nullptr;
+  sConnection.mBodyCapacity = 0;
+  sConnection.mIsReceiving = mUploads != nullptr;
+  if (mUploads) {
+    sConnection.mRequest = mUploads->Begin(sConnection.mDescriptor);
+  }
+}
+
 void
 HttpServer::State::OnCompleted(void* aState,
                                MHD_Connection* aConnection,
@@ -344,8 +454,9 @@
 {
   mhd_request_completed(nullptr, aConnection, aContext, aCode);
   auto* state = static_cast<State*>(aState);
+  sConnection.mIsReceiving = false;
   if (state->mUploads) {
-    sConnection.mEarlierBytes = state->mUploads->End(sConnection.mDescriptor);
+    state->mUploads->End(sConnection.mRequest);
   }
   --state->mRunning;
 }
@@ -356,15 +467,26 @@
                              void* aState)
 {
   const auto* state = static_cast<const State*>(aState);
-  if (state->mUploads) {
-    // The server's copy of the body, and the handler's.
-    state->mUploads->SetRunning(sConnection.mDescriptor,
-                                2 * aRequest->binary_body_length);
-  }
-  ConvertResponse(state->Answer(*aRequest), *aResponse);
+  ConvertResponse(state->StartRequest(*aRequest) ? state->Answer(*aRequest)
+                                                 : MemoryShortResponse(),
+                  *aResponse);
   return U_CALLBACK_COMPLETE;
 }
 
+bool
+HttpServer::State::StartRequest(const _u_request& aRequest) const
+{
+  sConnection.mIsReceiving = false;
+  if (!mUploads) {
+    return true;
+  }
+  const std::size_t size = aRequest.binary_body_length;
+  // The server's copy of the body, and the handler's.
+  const std::size_t held = size > mOptions.mBodyLimit ? size : 2 * size;
+  const BlockingSection section;
+  return mUploads->Start(sConnection.mRequest, held);
+}
+
 HttpResponse
 HttpServer::State::Answer(const _u_request& aRequest) const
 {
@@ -403,7 +525,8 @@
     return false;
   }
   mInstance.max_post_body_size = mOptions.mBodyLimit + 1;
-  mInstance.max_post_param_size = mOptions.mBodyLimit;
+  // The fields of forms aren't used; 0 would keep all of a second copy.
+  mInstance.max_post_param_size = 1;
   mInstance.check_utf8 = 0;
   ulfius_set_default_endpoint(&mInstance, &State::OnRequest, this);
   std::vector<MHD_OptionItem> options{
@@ -444,10 +567,9 @@
     CallerMemorySettings memory;
     memory.mBoundBytes = aOptions.mMemoryBound;
     memory.mConnectionBytes = kThreadBytes;
-    state->mUploads = std::make_unique<UploadMonitor>(memory,
-                                                      aOptions.mBodyLimit +
-                                                        aOptions.mHeaderLimit,
-                                                      aOptions.mOnUploadsCut);
+    state->mUploads = std::make_unique<UploadMonitor>(
+      memory, aOptions.mBodyLimit, aOptions.mOnUploadsCut);
+    CountBodies();
   }
   state->mAddress.sin_family = AF_INET;
   state->mAddress.sin_port = htons(aOptions.mPort);
@@ -516,6 +638,9 @@
     return;
   }
   mState->mStopped = true;
+  if (mState->mUploads) {
+    mState->mUploads->Stop();
+  }
   ulfius_stop_framework(&mState->mInstance);
   ulfius_clean_instance(&mState->mInstance);
 }
--- a/src/libmedlarkeelnet/uploadmonitor.cpp
+++ b/src/libmedlarkeelnet/uploadmonitor.cpp
@@ -3,10 +3,8 @@
 #include "bootclock.h"
 
 #include <algorithm>
-#include <linux/tcp.h>
+#include <limits>
 #include <malloc.h>
-#include <netinet/in.h>
-#include <optional>
 #include <sys/socket.h>
 #include <utility>
 
@@ -14,18 +12,19 @@
 
 namespace {
 
-/** A server on the loopback interface receives some ten megabytes in it. */
+/** Interval while requests wait for memory; short against the time after which
+ * a body counts as stalled. */
 constexpr std::chrono::milliseconds kInterval{ 10 };
 
-/** Interval while all requests together can't exceed the bound. */
+/** Interval while none does. */
 constexpr std::chrono::milliseconds kQuietInterval{ 100 };
 
-/** Released bytes above which freed memory is returned to the machine; the
- * server's threads would keep it. */
+/** Freed bytes above which they are returned to the machine; the allocators of
+ * the server's threads would keep what wasn't in large blocks. */
 constexpr std::size_t kLeastTrim = 4U << 20U;
 
-/** Time from their release to the return. A connection's thread frees most of
- * its memory after the request has ended. */
+/** Time from then to the return. A connection's thread frees a part of its
+ * memory after the request has ended. */
 constexpr std::chrono::seconds kTrimDelay{ 1 };
 
 void
@@ -36,26 +35,13 @@
 #endif
 }
 
-/** @return Bytes that a connection has received, read or not; 0 if that isn't
- * known. */
-std::uint64_t
-ReceivedBytes(int aDescriptor)
-{
-  tcp_info info{};
-  socklen_t size = sizeof(info);
-  if (getsockopt(aDescriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
-    return 0;
-  }
-  return info.tcpi_bytes_received;
-}
-
 } // namespace
 
 UploadMonitor::UploadMonitor(const CallerMemorySettings& aSettings,
-                             std::size_t aMostOfRequest,
+                             std::size_t aBodyLimit,
                              Handler aOnCut)
   : mSettings(aSettings)
-  , mMostOfRequest(aMostOfRequest)
+  , mBodyLimit(aBodyLimit)
   , mOnCut(std::move(aOnCut))
   , mMemory(aSettings)
   , mThread([this]() { Run(); })
@@ -64,124 +50,238 @@
 
 UploadMonitor::~UploadMonitor()
 {
-  {
-    const std::lock_guard lock(mMutex);
-    mIsStopped = true;
-  }
-  mWake.notify_all();
+  Stop();
   mThread.join();
 }
 
-void
-UploadMonitor::Begin(int aDescriptor, std::uint64_t aEarlierBytes)
+CallerId
+UploadMonitor::Begin(int aDescriptor)
 {
   const Timestamp now = BootNow();
-  const std::lock_guard lock(mMutex);
+  const Lock lock(mMutex);
   const CallerId id = mMemory.Add(now);
-  mUploads[aDescriptor] = Upload{ id, aEarlierBytes, false };
+  Upload& upload = mUploads[id];
+  upload.mDescriptor = aDescriptor;
+  Count(id, upload, now);
+  // The connection itself takes memory without a decision.
+  Cut(mMemory.ReleaseExcess(now));
+  return id;
+}
+
+bool
+UploadMonitor::Reserve(CallerId aRequest, std::size_t aBytes)
+{
+  Lock lock(mMutex);
+  const auto place = mUploads.find(aRequest);
+  return place != mUploads.end() &&
+         TakeRoom(lock, aRequest, place->second, aBytes);
+}
+
+bool
+UploadMonitor::Start(CallerId aRequest, std::size_t aBytes)
+{
+  Lock lock(mMutex);
+  const auto place = mUploads.find(aRequest);
+  if (place == mUploads.end()) {
+    return false;
+  }
+  Upload& upload = place->second;
+  upload.mIsComplete = true;
+  Count(aRequest, upload, BootNow());
+  if (!TakeRoom(lock, aRequest, upload, aBytes)) {
+    return false;
+  }
   CallerUsage usage;
-  usage.mPhase = CallerPhase::Receiving;
-  mMemory.Update(id, usage, now);
+  usage.mPhase = CallerPhase::Running;
+  usage.mHeldBytes = upload.mHeldBytes;
+  mMemory.Update(aRequest, usage, BootNow());
+  return true;
 }
 
 void
-UploadMonitor::SetRunning(int aDescriptor, std::size_t aHeldBytes)
+UploadMonitor::End(CallerId aRequest)
 {
-  const std::lock_guard lock(mMutex);
-  const auto place = mUploads.find(aDescriptor);
+  const Lock lock(mMutex);
+  const auto place = mUploads.find(aRequest);
   if (place == mUploads.end()) {
     return;
   }
-  place->second.mIsRunning = true;
-  CallerUsage usage;
-  usage.mPhase = CallerPhase::Running;
-  usage.mHeldBytes = aHeldBytes;
-  mMemory.Update(place->second.mId, usage, BootNow());
+  if (place->second.mIsCut) {
+    mReleasingBytes -= place->second.mHeldBytes;
+  }
+  mFreedBytes += place->second.mHeldBytes + mSettings.mConnectionBytes;
+  mMemory.Remove(aRequest);
+  mUploads.erase(place);
+  if (mMemory.HasPaused()) {
+    mWake.notify_all();
+  }
 }
 
-std::uint64_t
-UploadMonitor::End(int aDescriptor)
+void
+UploadMonitor::Stop()
 {
-  const std::lock_guard lock(mMutex);
-  const auto place = mUploads.find(aDescriptor);
-  if (place != mUploads.end()) {
-    mMemory.Remove(place->second.mId);
-    mUploads.erase(place);
+  const Lock lock(mMutex);
+  mIsStopped = true;
+  for (auto& [id, upload] : mUploads) {
+    upload.mWake.notify_all();
   }
-  return ReceivedBytes(aDescriptor);
+  mWake.notify_all();
 }
 
 UploadState
 UploadMonitor::State() const
 {
-  const std::lock_guard lock(mMutex);
+  const Lock lock(mMutex);
   return { mMemory.TotalBytes(), mMemory.BoundBytes(), mCut };
 }
 
+bool
+UploadMonitor::TakeRoom(Lock& aLock,
+                        CallerId aRequest,
+                        Upload& aUpload,
+                        std::size_t aBytes)
+{
+  while (!aUpload.mIsCut && !mIsStopped &&
+         !IsAdmitted(aRequest, aUpload, aBytes)) {
+    aUpload.mWake.wait_for(aLock, kInterval);
+  }
+  // What ended requests held isn't counted any more, but still there.
+  while (!aUpload.mIsCut && !mIsStopped && mReleasingBytes > 0 &&
+         mMemory.TotalBytes() + mReleasingBytes > mSettings.mBoundBytes) {
+    aUpload.mWake.wait_for(aLock, kInterval);
+  }
+  return !aUpload.mIsCut && !mIsStopped;
+}
+
+bool
+UploadMonitor::IsAdmitted(CallerId aRequest,
+                          Upload& aUpload,
+                          std::size_t aBytes)
+{
+  if (mMemory.IsPaused(aRequest)) {
+    return false;
+  }
+  const Timestamp now = BootNow();
+  const std::size_t more = aBytes - std::min(aBytes, aUpload.mHeldBytes);
+  const ReadDecision decision = mMemory.Decide(aRequest, more, now);
+  Cut(decision.mEvicted);
+  if (decision.mVerdict == ReadVerdict::Refuse) {
+    Cut(aRequest);
+  }
+  if (decision.mVerdict != ReadVerdict::Read) {
+    return false;
+  }
+  aUpload.mHeldBytes = aBytes;
+  Count(aRequest, aUpload, now);
+  return true;
+}
+
+void
+UploadMonitor::Count(CallerId aRequest, const Upload& aUpload, Timestamp aNow)
+{
+  CallerUsage usage;
+  usage.mPhase = CallerPhase::Receiving;
+  usage.mHeldBytes = aUpload.mHeldBytes;
+  usage.mMovedBytes = aUpload.mHeldBytes;
+  usage.mMissingBytes = MissingBytes(aUpload);
+  usage.mIsLengthKnown = false;
+  mMemory.Update(aRequest, usage, aNow);
+}
+
+std::size_t
+UploadMonitor::MissingBytes(const Upload& aUpload) const
+{
+  if (aUpload.mIsComplete) {
+    return 0;
+  }
+  // A body over the limit is refused anyway: it is read last, ended first.
+  return aUpload.mHeldBytes > mBodyLimit
+           ? std::numeric_limits<std::size_t>::max()
+           : mBodyLimit - aUpload.mHeldBytes;
+}
+
+void
+UploadMonitor::Cut(CallerId aRequest)
+{
+  const auto place = mUploads.find(aRequest);
+  if (place == mUploads.end() || place->second.mIsCut) {
+    return;
+  }
+  Upload& upload = place->second;
+  upload.mIsCut = true;
+  mCut += 1;
+  mReleasingBytes += upload.mHeldBytes;
+  mMemory.Update(aRequest, CallerUsage(), BootNow());
+  if (!upload.mIsComplete) {
+    // The connection's thread may be waiting for more of the body.
+    shutdown(upload.mDescriptor, SHUT_RDWR);
+  }
+  upload.mWake.notify_all();
+  mWake.notify_all();
+}
+
+void
+UploadMonitor::Cut(const std::vector<CallerId>& aRequests)
+{
+  for (const CallerId id : aRequests) {
+    Cut(id);
+  }
+}
+
 void
 UploadMonitor::Run()
 {
-  std::unique_lock lock(mMutex);
-  std::size_t mostHeld = 0;
-  std::optional<Timestamp> trimAt;
+  Lock lock(mMutex);
   while (!mIsStopped) {
-    const Timestamp now = BootNow();
-    mostHeld = std::max(mostHeld, mMemory.TotalBytes());
-    if (!trimAt && mostHeld >= mMemory.TotalBytes() + kLeastTrim) {
-      trimAt = now + kTrimDelay;
-    }
-    if (trimAt && now >= *trimAt) {
-      trimAt.reset();
-      mostHeld = mMemory.TotalBytes();
-      lock.unlock();
-      ReturnFreedMemory();
-      lock.lock();
-      continue;
-    }
-    const bool isQuiet =
-      mUploads.size() * (mMostOfRequest + mSettings.mConnectionBytes) <=
-      mSettings.mBoundBytes / 2;
-    mWake.wait_for(lock, isQuiet ? kQuietInterval : kInterval);
-    if (isQuiet || mIsStopped) {
-      continue;
-    }
-    const std::size_t before = mCut;
-    Check(BootNow());
-    if (mCut > before && mOnCut) {
-      const UploadState state{ mMemory.TotalBytes(),
-                               mMemory.BoundBytes(),
-                               mCut };
-      lock.unlock();
-      mOnCut(state);
-      lock.lock();
+    TrimWhenDue(lock, BootNow());
+    ResumePaused();
+    ReportCuts(lock);
+    if (!mIsStopped) {
+      mWake.wait_for(lock, mMemory.HasPaused() ? kInterval : kQuietInterval);
     }
   }
 }
 
 void
-UploadMonitor::Check(Timestamp aNow)
+UploadMonitor::ResumePaused()
 {
-  for (const auto& [descriptor, upload] : mUploads) {
-    if (upload.mIsRunning) {
-      continue;
-    }
-    CallerUsage usage;
-    usage.mPhase = CallerPhase::Receiving;
-    usage.mMovedBytes = ReceivedBytes(descriptor) - upload.mEarlierBytes;
-    usage.mHeldBytes = std::min<std::size_t>(mMostOfRequest, usage.mMovedBytes);
-    usage.mMissingBytes = mMostOfRequest - usage.mHeldBytes;
-    usage.mIsLengthKnown = false;
-    mMemory.Update(upload.mId, usage, aNow);
-  }
-  const std::vector<CallerId> evicted = mMemory.ReleaseExcess(aNow);
-  mCut += evicted.size();
-  for (const auto& [descriptor, upload] : mUploads) {
-    if (std::find(evicted.begin(), evicted.end(), upload.mId) !=
-        evicted.end()) {
-      // The connection's own thread ends the request and closes it.
-      shutdown(descriptor, SHUT_RDWR);
+  const ResumeDecision decision = mMemory.TakeResumable(BootNow());
+  Cut(decision.mEvicted);
+  for (const CallerId id : decision.mResumed) {
+    const auto place = mUploads.find(id);
+    if (place != mUploads.end()) {
+      place->second.mWake.notify_all();
     }
   }
 }
 
+void
+UploadMonitor::ReportCuts(Lock& aLock)
+{
+  if (mCut == mReportedCut || !mOnCut) {
+    return;
+  }
+  mReportedCut = mCut;
+  const UploadState state{ mMemory.TotalBytes(), mMemory.BoundBytes(), mCut };
+  aLock.unlock();
+  mOnCut(state);
+  aLock.lock();
+}
+
+void
+UploadMonitor::TrimWhenDue(Lock& aLock, Timestamp aNow)
+{
+  if (!mTrimAt && mFreedBytes >= kLeastTrim) {
+    mTrimAt = aNow + kTrimDelay;
+  }
+  if (!mTrimAt || aNow < *mTrimAt) {
+    return;
+  }
+  mTrimAt.reset();
+  mFreedBytes = 0;
+  aLock.unlock();
+  ReturnFreedMemory();
+  aLock.lock();
+}
+
 } // namespace medlarkeel
