Publish the HTTP server of a daemon to its own threads by an atomic pointer

Cause: Node::Serve reads mHttp on the server's threads, which begin before StartHttp has set it. A request for metrics at that moment was a data race.

Change: the threads read an atomic pointer that is set once mHttp is, and null before.

No test shows the race itself, and there was no run with the thread sanitizer.

--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -154,6 +154,7 @@
     return false;
   }
   mHttp = std::move(server.value());
+  mServingHttp = mHttp.get();
   return true;
 }
 
@@ -178,7 +179,9 @@
   NodePages pages;
   pages.mReasonNotReady = [this] { return ReasonNotReady(); };
   pages.mMetrics = [this] {
-    const UploadState uploads = mHttp ? mHttp->Uploads() : UploadState();
+    const HttpServer* http = mServingHttp;
+    const UploadState uploads =
+      http == nullptr ? UploadState() : http->Uploads();
     mCounters.Prometheus().SetUploads(uploads.mHeldBytes, uploads.mCut);
     return mCounters.Prometheus().Render();
   };
--- a/src/medlarkeeld/node.h
+++ b/src/medlarkeeld/node.h
@@ -63,6 +63,9 @@
   std::unique_ptr<ControlPlane> mControl;
   /** Used by the server's thread until the server ends. */
   std::optional<Timestamp> mUploadsLoggedAt;
+  /** mHttp for the server's own threads, which begin before it is set; null
+   * until then. */
+  std::atomic<const HttpServer*> mServingHttp{ nullptr };
   std::unique_ptr<HttpServer> mHttp;
   std::atomic<bool> mShuttingDown{ false };
 
