Take the end of an idle connection without a decision on memory

Cause: a connection that becomes readable is put to the decision on memory before it is known whether bytes or its end have come. When memory was short, the end of an idle connection was answered with 503 and counted as a refusal.

Change: a readable connection without bytes is at its end. It is read without a decision, as this takes no memory.

Measured: callerlimits/EndsOfIdleConnectionsAreNoRefusals of test_libmedlarkeelforward counted one refusal and one rejection before, none with the change.

--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -89,7 +89,7 @@
     TakeBytes(aError, {});
     return;
   }
-  if (!HasMemory()) {
+  if (!HasEnded() && !HasMemory()) {
     return;
   }
   std::array<char, kReadSize> buffer; // NOLINT: filled by the read
@@ -104,6 +104,13 @@
   TakeBytes(error, std::string_view(buffer.data(), size));
 }
 
+bool
+CallerConnection::HasEnded() const
+{
+  Error error;
+  return mSocket.available(error) == 0;
+}
+
 bool
 CallerConnection::HasMemory()
 {
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -86,6 +86,9 @@
   void Read();
   /** Reads what has arrived, if there is memory for it. */
   void TakeReadable(const Error& aError);
+  /** @return Whether a readable connection has no bytes but its end, which
+   * takes no memory and is never refused. */
+  bool HasEnded() const;
   /** @return Whether the connection may be read. */
   bool HasMemory();
   void TakeBytes(const Error& aError, std::string_view aBytes);
