Bound what running requests hold for their callers in sum

Cause: up to 80 KB behind each running request and 256 KB of each stream that its caller doesn't read were held whatever the sum was, and the kernel's receive buffers of connections to servers grew without a bound of the entry.

Change: bytes behind running requests are read only below three quarters of the bound. From half of the bound on less of a stream may wait for its caller, and from three quarters on reading from the server pauses until the caller has taken all of it. No running request is ended. Connections to servers have a receive buffer of 32 KB, so that 1,900 paused streams fit into the smallest machine; 16 MB/s still arrive over 2 ms of latency.

The new cases of callermemory don't compile without the change. StreamsGoOnWhenMemoryIsShort guards against pauses that end a stream; it was run with the change only.

--- a/src/libmedlarkeel/forwarding/callermemory.cpp
+++ b/src/libmedlarkeel/forwarding/callermemory.cpp
@@ -8,6 +8,7 @@
 
 /** Parts of the bound, in eighths. */
 constexpr std::size_t kEighths = 8;
+constexpr std::size_t kAnswerEighths = 4;
 constexpr std::size_t kPressureEighths = 6;
 constexpr std::size_t kLargeEighths = 7;
 
@@ -27,6 +28,7 @@
 
 CallerMemory::CallerMemory(const CallerMemorySettings& aSettings)
   : mSettings(aSettings)
+  , mAnswerMark(aSettings.mBoundBytes / kEighths * kAnswerEighths)
   , mPressureMark(aSettings.mBoundBytes / kEighths * kPressureEighths)
   , mLargeMark(aSettings.mBoundBytes / kEighths * kLargeEighths)
 {
@@ -50,7 +52,7 @@
   if (place == mAccounts.end()) {
     return;
   }
-  Unsort(place->second);
+  Unsort(aCaller, place->second);
   mPausedCount -= place->second.mIsPaused ? 1 : 0;
   mAccounts.erase(place);
 }
@@ -72,8 +74,10 @@
     account.mAdvancedAt = aNow;
     account.mAdvancedBytes = aUsage.mMovedBytes;
   }
+  const bool endsPause =
+    account.mIsPaused && aUsage.mPhase != account.mUsage.mPhase;
   account.mUsage = aUsage;
-  if (aUsage.mPhase != CallerPhase::Receiving && account.mIsPaused) {
+  if (endsPause) {
     account.mIsPaused = false;
     mPausedCount -= 1;
   }
@@ -100,7 +104,7 @@
 void
 CallerMemory::Sort(CallerId aCaller, Account& aAccount)
 {
-  Unsort(aAccount);
+  Unsort(aCaller, aAccount);
   const CallerUsage& usage = aAccount.mUsage;
   aAccount.mCounted = mSettings.mConnectionBytes + usage.mHeldBytes +
                       (aAccount.mIsPaused ? mSettings.mUnreadBytes : 0);
@@ -110,6 +114,9 @@
       ReadOrder(usage.mPriority, usage.mMissingBytes, aCaller);
     mReadOrders.insert(*aAccount.mReadOrder);
   }
+  if (aAccount.mIsPaused && usage.mPhase == CallerPhase::Running) {
+    mPausedAhead.insert(aCaller);
+  }
   const bool isAnswer = usage.mPhase == CallerPhase::Answering;
   const bool mayStall = isAnswer || usage.mPhase == CallerPhase::Receiving;
   if (mayStall && !aAccount.mIsPaused) {
@@ -122,8 +129,9 @@
 }
 
 void
-CallerMemory::Unsort(Account& aAccount)
+CallerMemory::Unsort(CallerId aCaller, Account& aAccount)
 {
+  mPausedAhead.erase(aCaller);
   mTotal -= aAccount.mCounted;
   aAccount.mCounted = 0;
   if (aAccount.mReadOrder) {
@@ -228,6 +236,26 @@
            : ReadVerdict::Refuse;
 }
 
+ReadVerdict
+CallerMemory::DecideAhead(std::size_t aBytes) const
+{
+  return mTotal + aBytes <= mPressureMark ? ReadVerdict::Read
+                                          : ReadVerdict::Pause;
+}
+
+std::size_t
+CallerMemory::AnswerAllowance() const
+{
+  if (mTotal <= mAnswerMark) {
+    return mSettings.mAnswerBytes;
+  }
+  const std::size_t room = mPressureMark - std::min(mPressureMark, mTotal);
+  const double share = static_cast<double>(room) /
+                       static_cast<double>(mPressureMark - mAnswerMark);
+  return static_cast<std::size_t>(share *
+                                  static_cast<double>(mSettings.mAnswerBytes));
+}
+
 ReadDecision
 CallerMemory::Decide(CallerId aCaller, std::size_t aBytes, Timestamp aNow)
 {
@@ -237,6 +265,11 @@
     return decision;
   }
   Account& account = place->second;
+  if (account.mUsage.mPhase == CallerPhase::Running) {
+    decision.mVerdict = DecideAhead(aBytes);
+    SetPaused(aCaller, account, decision.mVerdict == ReadVerdict::Pause);
+    return decision;
+  }
   const bool isLarge = IsLarge(account);
   const std::size_t limit = isLarge ? mPressureMark : mSettings.mBoundBytes;
   if (MakeRoom(aBytes, limit, aCaller, aNow, decision.mEvicted)) {
@@ -262,6 +295,19 @@
   return evicted;
 }
 
+void
+CallerMemory::AddResumableAhead(std::vector<CallerId>& aResumed) const
+{
+  std::size_t room = mPressureMark - std::min(mPressureMark, mTotal);
+  for (const CallerId id : mPausedAhead) {
+    if (room < kLeastRead) {
+      return;
+    }
+    room -= kLeastRead;
+    aResumed.push_back(id);
+  }
+}
+
 ResumeDecision
 CallerMemory::TakeResumable(Timestamp aNow)
 {
@@ -288,6 +334,7 @@
       resumed.push_back(id);
     }
   }
+  AddResumableAhead(resumed);
   for (const CallerId id : resumed) {
     Account& account = mAccounts.at(id);
     // The pause was this side's: the caller gets the whole time again.
--- a/src/libmedlarkeel/forwarding/callermemory.h
+++ b/src/libmedlarkeel/forwarding/callermemory.h
@@ -53,6 +53,8 @@
   Milliseconds mAnswerStallTime{ 2000 };
   /** Bytes by which a connection must advance to count as advancing. */
   std::uint64_t mProgressBytes = 4096;
+  /** Bytes of an answer that may wait for its caller while there is memory. */
+  std::size_t mAnswerBytes = 262'144;
 };
 
 /** What a connection is doing. */
@@ -88,7 +90,8 @@
 enum class ReadVerdict : std::uint8_t
 {
   Read,
-  /** The connection isn't read until TakeResumable names it. */
+  /** The connection isn't read until TakeResumable names it, or until the
+   * request that runs on it has ended. */
   Pause,
   /** The request is refused, as nothing of it has run. */
   Refuse
@@ -118,7 +121,9 @@
  * most urgent first and of these the one that lacks least; the rest is for
  * small requests. Memory is taken from connections without progress, the one
  * that has been stalled longest first, then from the large request that would
- * be read last. A request whose body is complete loses nothing.
+ * be read last. A request whose body is complete loses nothing; what arrives
+ * behind it is read only up to three quarters of the bound, and the bytes of
+ * its answer that may wait for the caller decrease from half of the bound on.
  */
 class CallerMemory
 {
@@ -140,6 +145,13 @@
    */
   ReadDecision Decide(CallerId aCaller, std::size_t aBytes, Timestamp aNow);
 
+  /**
+   * @return Bytes of an answer that may wait for its caller before reading from
+   * the server pauses. With 0 it pauses until the caller has taken all of them,
+   * so that an answer whose caller reads always goes on.
+   */
+  std::size_t AnswerAllowance() const;
+
   /** @return Which paused connections are read again; call it while HasPaused,
    * after memory was released and in intervals shorter than the stall time. */
   ResumeDecision TakeResumable(Timestamp aNow);
@@ -182,7 +194,7 @@
   bool IsLarge(const Account& aAccount) const;
   /** Counts an account anew and sorts it into the orders. */
   void Sort(CallerId aCaller, Account& aAccount);
-  void Unsort(Account& aAccount);
+  void Unsort(CallerId aCaller, Account& aAccount);
   void SetPaused(CallerId aCaller, Account& aAccount, bool aIsPaused);
   void Evict(CallerId aCaller, std::vector<CallerId>& aEvicted);
   /** Evicts stalled connections until the bytes fit or none is left. */
@@ -200,11 +212,18 @@
   /** @return Whether the large request can be completed, counting those that
    * come before it. */
   bool IsAmongFirst(CallerId aCaller) const;
+  /** Decides on bytes behind a request that runs. */
+  ReadVerdict DecideAhead(std::size_t aBytes) const;
+  /** Adds the paused connections with running requests for whose next bytes
+   * there is room. */
+  void AddResumableAhead(std::vector<CallerId>& aResumed) const;
   ReadVerdict DecideLarge(CallerId aCaller,
                           std::size_t aBytes,
                           std::vector<CallerId>& aEvicted);
 
   CallerMemorySettings mSettings;
+  /** From here on less of answers may wait for callers. */
+  std::size_t mAnswerMark;
   /** Up to here everything is read. */
   std::size_t mPressureMark;
   /** Up to here large requests are read that come first. */
@@ -215,6 +234,8 @@
   std::map<CallerId, Account> mAccounts;
   /** Large requests that arrive, in the order in which they are read. */
   std::set<ReadOrder> mReadOrders;
+  /** Paused connections whose requests run. */
+  std::set<CallerId> mPausedAhead;
   /** Connections that may become stalled, by the time at which they do. */
   std::set<StallOrder> mStallOrders;
 };
--- a/src/libmedlarkeelforward/backendconnections.cpp
+++ b/src/libmedlarkeelforward/backendconnections.cpp
@@ -25,6 +25,11 @@
 /** Part of the server's idle time after which a connection isn't reused. */
 constexpr double kIdleShare = 0.75;
 
+/** Bytes that the kernel holds of an answer that isn't read. 1,900 requests may
+ * run on the smallest machine, whose memory doesn't allow them more. 16 MB/s
+ * still arrive over 2 ms of latency. */
+constexpr int kReceiveBuffer = 32'768;
+
 /** Idle connections that are kept for one server. */
 constexpr std::size_t kMostIdle = 32;
 
@@ -109,6 +114,11 @@
   });
   const tcp::endpoint endpoint(
     boost::asio::ip::make_address(aEndpoint.mAddress), aEndpoint.mPort);
+  Error ignored; // The attempt to connect shows it.
+  connection->mSocket.open(endpoint.protocol(), ignored);
+  // Set later, it wouldn't bound the window.
+  connection->mSocket.set_option(
+    boost::asio::socket_base::receive_buffer_size(kReceiveBuffer), ignored);
   connection->mSocket.async_connect(
     endpoint, [connection, timer, isMade, aHandler](const Error& aError) {
       timer->cancel();
--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -117,9 +117,6 @@
   if (mIsLingering || mClosesAfterWrite) {
     return true; // What arrives is discarded.
   }
-  if (mExchange) {
-    return true; // It reads ahead up to a limit of its own.
-  }
   const ReadDecision decision =
     mForwarder.Memory().Decide(mId, kReadSize, BootNow());
   mForwarder.EvictCallers(decision.mEvicted);
@@ -139,7 +136,7 @@
 void
 CallerConnection::Resume()
 {
-  if (mHasBegun && !mExchange) {
+  if (mHasBegun || mExchange) {
     Read();
   }
 }
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -17,9 +17,6 @@
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 
-/** Bytes that wait for the caller before the answer isn't read further. */
-constexpr std::size_t kMostPending = 262'144;
-
 /** Answers up to this size are passed on only when they are whole. */
 constexpr std::size_t kMostHeldBody = 1U << 20U;
 
@@ -408,7 +405,8 @@
     CompleteAnswer(aAttempt);
     return;
   }
-  aAttempt->mIsPaused = mCaller->PendingBytes() >= kMostPending;
+  aAttempt->mIsPaused =
+    mCaller->PendingBytes() > mForwarder.Memory().AnswerAllowance();
 }
 
 void
--- a/tests/core/test_callermemory.cpp
+++ b/tests/core/test_callermemory.cpp
@@ -243,6 +243,48 @@
   BOOST_TEST(!crowd.mSenders[5].mIsRefused);
 }
 
+// Answers that weren't read held 256 KB each, however many there were.
+BOOST_AUTO_TEST_CASE(UnreadAnswersMayHoldLessTheMoreIsHeld)
+{
+  Crowd crowd;
+  const std::size_t whole = crowd.mMemory.AnswerAllowance();
+  BOOST_TEST(whole == 256 * kKilobyte);
+  std::size_t streams = 0;
+  for (; crowd.mMemory.AnswerAllowance() > 0 && streams < 1000; ++streams) {
+    CallerUsage usage;
+    usage.mPhase = CallerPhase::Running;
+    usage.mHeldBytes = crowd.mMemory.AnswerAllowance();
+    crowd.mMemory.Update(crowd.mMemory.Add(crowd.mNow), usage, crowd.mNow);
+  }
+  BOOST_TEST(streams > kBound / 2 / whole);
+  BOOST_TEST(crowd.mMemory.TotalBytes() <= kBound / 8 * 7);
+}
+
+// What arrived behind running requests was read whatever was held.
+BOOST_AUTO_TEST_CASE(BytesBehindRunningRequestsAreReadOnlyBelowTheMark)
+{
+  Crowd crowd;
+  crowd.mSenders.reserve(10);
+  Sender& running = crowd.Add(100);
+  crowd.SetPhase(running, CallerPhase::Running);
+  const auto decide = [&]() {
+    return crowd.mMemory.Decide(running.mId, kPiece, crowd.mNow).mVerdict;
+  };
+  BOOST_TEST((decide() == ReadVerdict::Read));
+  Sender& large = crowd.Add(13 * kMegabyte);
+  crowd.ReadUpTo(large, 0);
+  crowd.SetPhase(large, CallerPhase::Running);
+  BOOST_TEST((decide() == ReadVerdict::Pause));
+  crowd.SetPhase(running, CallerPhase::Running);
+  BOOST_TEST(crowd.mMemory.IsPaused(running.mId));
+  BOOST_TEST(crowd.mMemory.TakeResumable(crowd.mNow).mResumed.empty());
+  crowd.End(large);
+  const auto resumed = crowd.mMemory.TakeResumable(crowd.mNow).mResumed;
+  BOOST_TEST((resumed == std::vector<CallerId>{ running.mId }));
+  BOOST_TEST((decide() == ReadVerdict::Read));
+  BOOST_TEST(!running.mIsRefused);
+}
+
 // Pauses must neither exceed the bound nor leave requests waiting for each
 // other: in each round that gives time, some request arrives or is refused.
 RC_BOOST_PROP(CrowdsStayWithinTheBoundAndEnd, ())
--- a/tests/forward/test_callerlimits.cpp
+++ b/tests/forward/test_callerlimits.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <future>
+
 namespace medlarkeel {
 
 namespace {
@@ -12,6 +14,15 @@
 using Socket = boost::asio::ip::tcp::socket;
 
 constexpr std::chrono::seconds kWaitTime{ 5 };
+constexpr std::size_t kEventBytes = 10'000;
+
+std::string
+StreamHead(const std::string& aRequest)
+{
+  return "HTTP/1.1 200 OK\r\nRequest: " + FieldOf(aRequest, "Request") +
+         "\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
 
 void
 AnswerShortly(Socket& aSocket, const std::string& aRequest)
@@ -65,6 +76,36 @@
   });
 }
 
+// Pauses for lack of memory must end no stream whose caller reads.
+BOOST_AUTO_TEST_CASE(StreamsGoOnWhenMemoryIsShort)
+{
+  std::promise<void> filled;
+  const std::shared_future<void> isFilled = filled.get_future().share();
+  const std::string event = "data: " + std::string(kEventBytes, 'e') + "\n\n";
+  constexpr std::size_t kEvents = 100;
+  ForwardFixture fixture;
+  FakeBackend& backend =
+    fixture.AddBackend([&](Socket& aSocket, const std::string& aRequest) {
+      WriteBytes(aSocket, StreamHead(aRequest));
+      isFilled.wait();
+      for (std::size_t i = 0; i < kEvents; ++i) {
+        WriteBytes(aSocket, Chunk(event));
+      }
+      WriteBytes(aSocket, std::string(kLastChunk));
+    });
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send(ForwardFixture::RequestText("/stream/x"));
+  const bool hasArrived =
+    WaitUntil(kWaitTime, [&]() { return !backend.Requests().empty(); });
+  FillMemory(fixture);
+  filled.set_value();
+  BOOST_TEST(hasArrived);
+  const SeenAnswer answer = caller.Read();
+  BOOST_TEST(answer.mIsWhole);
+  BOOST_TEST(answer.mBody.size() == kEvents * event.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
