Count bodies and incomplete events as long as they are held

Cause: a body no longer counted once its stream had begun, though its write to the server could go on. A request that ended while a connection to a server was being made kept its body until then, after its caller's connection had been removed from the account. The part of an event that had arrived, up to 1 MB, wasn't counted at all.

Change: a body counts as long as anything holds it, and the account is updated when its write ends. All ends of a request release the body. Incomplete events count.

--- a/src/libmedlarkeel/forwarding/answerbody.h
+++ b/src/libmedlarkeel/forwarding/answerbody.h
@@ -141,6 +141,13 @@
   /** @return Id of the last event; empty if it has none. */
   const std::string& LastEventId() const { return mFramer.LastEventId(); }
 
+  /** @return Bytes that are held back, as an event isn't complete or the kind
+   * isn't known. */
+  std::size_t HeldBytes() const
+  {
+    return mHeld.size() + mFramer.BufferedBytes();
+  }
+
 private:
   std::string Accept(std::string_view aBytes);
 
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -39,6 +39,7 @@
   , mCaller(std::move(aCaller))
   , mHead(std::move(aHead))
   , mBody(std::make_shared<const std::string>(std::move(aBody)))
+  , mBodyInUse(mBody)
   , mKeepOpen(aKeepOpen)
   , mDocument(aForwarder.Document())
   , mArrived(BootNow())
@@ -89,11 +90,12 @@
 std::size_t
 Exchange::HeldBytes() const
 {
-  const std::size_t request = mBody ? mBody->size() : 0;
+  const std::shared_ptr<const std::string> body = mBodyInUse.lock();
+  const std::size_t request = body ? body->size() : 0;
   const std::size_t attempt =
-    mAttempt
-      ? sizeof(Attempt) + mAttempt->mInput.size() + mAttempt->mHeldBody.size()
-      : 0;
+    mAttempt ? sizeof(Attempt) + mAttempt->mInput.size() +
+                 mAttempt->mHeldBody.size() + mAttempt->mBody.HeldBytes()
+             : 0;
   return sizeof(Exchange) + mHeadBytes + request + attempt;
 }
 
@@ -296,8 +298,7 @@
   mAttempt.reset();
   mForwarder.Counters().mCallersGone += 1;
   LogEnd(Event::RequestCancelled, 0, "the caller left");
-  mIsDone = true;
-  mTimer.cancel();
+  End();
 }
 
 void
@@ -360,8 +361,7 @@
 {
   mForwarder.Counters().mStreamsCut += 1;
   LogEnd(Event::StreamFailed, 0, aReason);
-  mIsDone = true;
-  mTimer.cancel();
+  End();
   if (mIsChunked) {
     mCaller->Abort();
   } else {
@@ -370,10 +370,17 @@
 }
 
 void
-Exchange::Finish(bool aKeepOpen)
+Exchange::End()
 {
   mIsDone = true;
   mTimer.cancel();
+  mBody.reset();
+}
+
+void
+Exchange::Finish(bool aKeepOpen)
+{
+  End();
   mForwarder.Counters().mWhole.Record(static_cast<double>(Elapsed().count()));
   mCaller->FinishAnswer(aKeepOpen);
 }
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -170,6 +170,9 @@
   void CutStream(const std::string& aReason);
   void TimeOut();
   void Finish(bool aKeepOpen);
+  /** Marks the request as done and releases its body; handlers that are still
+   * to be called keep this object, but need nothing of it. */
+  void End();
   /** Adds how the answer ended and, for a stream, how far it came. */
   void AddAnswerFields(EventFields& aFields) const;
   /** Adds the type of an answer and how its end was judged. */
@@ -190,6 +193,8 @@
   MessageHead mHead;
   /** Shared by all attempts; null once it can't be sent again. */
   std::shared_ptr<const std::string> mBody;
+  /** The body as long as anything holds it, also a write that goes on. */
+  std::weak_ptr<const std::string> mBodyInUse;
   std::size_t mHeadBytes = 0;
   bool mKeepOpen;
   ForwardingDocumentPointer mDocument;
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -301,13 +301,18 @@
   const std::array<boost::asio::const_buffer, 2> request{
     boost::asio::buffer(aAttempt->mRequestHead), boost::asio::buffer(*mBody)
   };
-  boost::asio::async_write(
-    aAttempt->mConnection->mSocket,
-    request,
-    [aAttempt, body = mBody](const Error& aError, std::size_t) {
-      // A failed write shows as the end of the answer's reading.
-      aAttempt->mIsRequestWritten = !aError;
-    });
+  boost::asio::async_write(aAttempt->mConnection->mSocket,
+                           request,
+                           [self = shared_from_this(), aAttempt, body = mBody](
+                             const Error& aError, std::size_t) mutable {
+                             // A failed write shows as the end of the answer's
+                             // reading.
+                             aAttempt->mIsRequestWritten = !aError;
+                             body.reset();
+                             if (!self->mIsDone) {
+                               self->mCaller->UpdateMemory();
+                             }
+                           });
   ReadAnswer(aAttempt);
 }
 
--- a/tests/forward/test_callerlimits.cpp
+++ b/tests/forward/test_callerlimits.cpp
@@ -1,6 +1,8 @@
 #include "../../src/libmedlarkeelnet/bootclock.h"
 #include "../support/waituntil.h"
 #include "answertext.h"
+#include "callerconnection.h"
+#include "exchange.h"
 #include "forwardfixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -106,6 +108,76 @@
   BOOST_TEST(answer.mBody.size() == kEvents * event.size());
 }
 
+// A body whose stream had begun wasn't counted though it was still being sent.
+BOOST_AUTO_TEST_CASE(BodiesCountUntilTheyAreSent)
+{
+  constexpr std::size_t kBodySize = 4'000'000;
+  std::promise<void> ended;
+  const std::shared_future<void> hasEnded = ended.get_future().share();
+  ForwardFixture fixture;
+  fixture.AddBackend(
+    [&](Socket& aSocket, const std::string& aRequest) {
+      WriteBytes(aSocket, StreamHead(aRequest) + Chunk("data: a\n\n"));
+      hasEnded.wait();
+    },
+    1000);
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send(
+    ForwardFixture::RequestText("/stream/x", "", std::string(kBodySize, 'b')));
+  const std::string head = caller.ReadHead();
+  BOOST_TEST(head.find("200") != std::string::npos);
+  BOOST_TEST(HeldBytes(fixture) > kBodySize);
+  ended.set_value();
+}
+
+// The beginning of an event that isn't complete wasn't counted.
+BOOST_AUTO_TEST_CASE(IncompleteEventsCount)
+{
+  std::promise<void> ended;
+  const std::shared_future<void> hasEnded = ended.get_future().share();
+  ForwardFixture fixture;
+  fixture.AddBackend([&](Socket& aSocket, const std::string& aRequest) {
+    WriteBytes(aSocket,
+               StreamHead(aRequest) +
+                 Chunk("data: " + std::string(20 * kEventBytes, 'e')));
+    hasEnded.wait();
+  });
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send(ForwardFixture::RequestText("/stream/x"));
+  BOOST_TEST(WaitUntil(Milliseconds(800), [&]() {
+    return HeldBytes(fixture) > 20 * kEventBytes;
+  }));
+  ended.set_value();
+}
+
+// A request that ended while a connection was being made kept its body, which
+// no longer counted.
+BOOST_AUTO_TEST_CASE(EndedRequestsHoldNoBody)
+{
+  static constexpr std::size_t kBodySize = 1'000'000;
+  ForwardFixture fixture;
+  fixture.AddBackend(AnswerShortly);
+  fixture.Start();
+  fixture.Run([](Forwarder& aForwarder) {
+    const auto caller = std::make_shared<CallerConnection>(
+      aForwarder, Socket(aForwarder.Context()), "127.0.0.1");
+    MessageHead head;
+    head.mMethod = "POST";
+    head.mTarget = "/once/x";
+    head.mFields = { { "Host", "host" },
+                     { "Request", "r-1" },
+                     { "Authorization", "Key secret" } };
+    const auto exchange = std::make_shared<Exchange>(
+      aForwarder, caller, head, std::string(kBodySize, 'b'), true);
+    exchange->Start();
+    BOOST_TEST(exchange->HeldBytes() > kBodySize);
+    exchange->Cancel();
+    BOOST_TEST(exchange->HeldBytes() < kBodySize);
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
