Release buffers of events that were passed on

Cause: the buffer in which the events of a stream are joined kept the size of the largest one, up to twice its bytes, and the buffer of an answer's input kept 16 KB and more, to the end of the stream. Neither was counted.

Change: the rest behind the last event gets a buffer of its own size, and an input that has been used up releases its buffer.

Measured: 600 unread streams with events of 64 KB take 102, 109 and 101 MB (142 to 148 MB before).

--- a/src/libmedlarkeel/forwarding/eventframer.cpp
+++ b/src/libmedlarkeel/forwarding/eventframer.cpp
@@ -1,6 +1,7 @@
 #include "eventframer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarkeel {
 
@@ -70,8 +71,10 @@
   if (end == 0) {
     return {};
   }
-  std::string events = mBuffer.substr(0, end);
-  mBuffer.erase(0, end);
+  // The rest gets a buffer of its own size: one that has grown to that of the
+  // events would be kept to the end of the stream.
+  std::string events = std::exchange(mBuffer, mBuffer.substr(end));
+  events.resize(end);
   mSearched -= end;
   events.resize(ReadEvents(events));
   return events;
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -93,6 +93,9 @@
   if (mIsDone || mAttempt != aAttempt) {
     return;
   }
+  if (aAttempt->mInput.empty()) {
+    std::string().swap(aAttempt->mInput); // It might wait long for more.
+  }
   mCaller->UpdateMemory();
   if (!aAttempt->mIsPaused) {
     ReadAnswer(aAttempt);
