Test callers that don't read their streams

600 callers open streams with events of 64 KB that begin to flow at the same time, on a machine of 160 MB. Segments and receive buffers of the crowd are small: with those of loopback, the kernels took most of each answer.

Unread bytes of the entry's connections to servers now count as its memory in all cases, which makes them stricter.

--- a/tests/platform/fakeserver.cpp
+++ b/tests/platform/fakeserver.cpp
@@ -33,10 +33,11 @@
 constexpr int kUnavailable = 503;
 
 std::string
-EventText(const std::string& aRequestId, int aNumber)
+EventText(const std::string& aRequestId, int aNumber, std::size_t aPadding)
 {
   const std::string number = std::to_string(aNumber);
-  return "id: " + number + "\ndata: " + aRequestId + "-" + number + "\n\n";
+  return "id: " + number + "\ndata: " + aRequestId + "-" + number +
+         std::string(aPadding, '.') + "\n\n";
 }
 
 std::size_t
@@ -275,9 +276,14 @@
   /** @return The event at which a fault ends the stream. */
   int LastEventOfFault() const { return 1 + mServer.mSettings.mEvents / 2; }
 
+  std::string Event(int aNumber) const
+  {
+    return EventText(mId, aNumber, mServer.mSettings.mEventPadding);
+  }
+
   std::string HalfEvent() const
   {
-    const std::string event = EventText(mId, mNextEvent);
+    const std::string event = Event(mNextEvent);
     return event.substr(0, event.size() / 2);
   }
 
@@ -292,7 +298,7 @@
     }
     std::size_t size = 0;
     for (int i = mNextEvent; i <= mServer.mSettings.mEvents; ++i) {
-      const std::size_t event = EventText(mId, i).size();
+      const std::size_t event = Event(i).size();
       const bool isLast =
         mFault == ServerFault::EndInsideEvent && i == LastEventOfFault();
       size += isLast ? event / 2 : event;
@@ -341,7 +347,7 @@
       EndStream();
       return;
     }
-    mOutput += Framed(EventText(mId, mNextEvent));
+    mOutput += Framed(Event(mNextEvent));
     mNextEvent += 1;
     boost::asio::async_write(
       mSocket,
@@ -628,7 +634,7 @@
 {
   std::string body;
   for (int i = 1; i <= mSettings.mEvents; ++i) {
-    body += EventText(aRequestId, i);
+    body += EventText(aRequestId, i, mSettings.mEventPadding);
   }
   return body;
 }
--- a/tests/platform/fakeserver.h
+++ b/tests/platform/fakeserver.h
@@ -54,6 +54,8 @@
   /** Events of an answer of a stream. */
   int mEvents = 5;
   Milliseconds mEventPause{ 20 };
+  /** Bytes that are added to the data of each event. */
+  std::size_t mEventPadding = 0;
   StreamFraming mFraming = StreamFraming::Chunks;
   /** Time for which the server is cold after its start. */
   Milliseconds mCold{ 0 };
--- a/tests/platform/test_callercrowds.cpp
+++ b/tests/platform/test_callercrowds.cpp
@@ -75,9 +75,12 @@
   }
 
   /** Lets a crowd send and checks the entry's memory, and that an ordinary
-   * request is answered beside the crowd's open connections. */
+   * request is answered beside the crowd's open connections.
+   *
+   * @param aFillTime Time in which answers to the crowd fill buffers. */
   void CheckCrowd(const CrowdRequest& aRequest,
-                  std::size_t aCallers = kCallers) const
+                  std::size_t aCallers = kCallers,
+                  std::chrono::seconds aFillTime = {}) const
   {
     const std::size_t before = Usage().Memory();
     UsageMonitor monitor(
@@ -87,6 +90,7 @@
         mEntry->mAddress, mEntry->mCallers, aCallers, aRequest);
       BOOST_TEST(crowd.Connected() == aCallers);
       WaitUntil(kSettleTime, [&]() { return crowd.IsSettled(); });
+      std::this_thread::sleep_for(aFillTime);
       RequireAnswer("beside");
       BOOST_TEST_MESSAGE("ended by the entry: " << crowd.Ended());
     }
@@ -166,6 +170,37 @@
   CheckCrowd(request, kHeads);
 }
 
+// Callers that open streams and don't read them. All streams begin to flow at
+// the same time, as connections that aren't read are given up after 1.5 s.
+BOOST_FIXTURE_TEST_CASE(StreamsThatAreNotRead, CrowdedEntry)
+{
+  constexpr std::size_t kStreams = 600;
+  constexpr int kStreamTimeoutMs = 60'000;
+  constexpr auto kFillTime = std::chrono::seconds(4);
+  FakeServerSettings server;
+  server.mId = "flood-1";
+  server.mService = "flood";
+  server.mSlots = kStreams;
+  server.mWork = Milliseconds(3000);
+  server.mEvents = 200;
+  server.mEventPause = Milliseconds(0);
+  server.mEventPadding = kLargePiece / 4;
+  AddServer(server);
+  Document()["services"].push_back({ { "name", "flood" } });
+  Document()["routes"][2]["service"] = "flood";
+  Document()["routes"][2]["timeout-ms"] = kStreamTimeoutMs;
+  PublishDocument();
+  BOOST_TEST(WaitUntil(kSettleTime, [&]() {
+    return Call(*mEntry, "first", "/stream/a").Status() == kOk;
+  }));
+  CrowdRequest request;
+  request.mFirst = "POST /stream/crowd HTTP/1.1\r\nHost: host\r\n"
+                   "X-Request-Id: crowd\r\nAuthorization: Token secret\r\n"
+                   "Content-Length: 0\r\n\r\n";
+  request.mHasSmallBuffers = true;
+  CheckCrowd(request, kStreams, kFillTime);
+}
+
 // One address must neither use up the descriptors of the machine nor keep
 // callers of other addresses out.
 BOOST_FIXTURE_TEST_CASE(ConnectionsOfOneAddress, EntryWithFewDescriptors)
--- a/tests/support/callercrowd.cpp
+++ b/tests/support/callercrowd.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <netinet/tcp.h>
 #include <sstream>
 
 namespace medlarkeel {
@@ -14,6 +15,21 @@
 
 constexpr std::size_t kMostPieceBytes = 65'536;
 
+constexpr int kSegmentBytes = 1460;
+constexpr int kReceiveBuffer = 16'384;
+
+void
+SetSmallBuffers(tcp::socket& aSocket)
+{
+  setsockopt(aSocket.native_handle(),
+             IPPROTO_TCP,
+             TCP_MAXSEG,
+             &kSegmentBytes,
+             sizeof(kSegmentBytes));
+  aSocket.set_option(
+    boost::asio::socket_base::receive_buffer_size(kReceiveBuffer));
+}
+
 } // namespace
 
 CrowdRequest
@@ -69,6 +85,9 @@
     Member& member = *mMembers.back();
     Error error;
     member.mSocket.open(tcp::v4());
+    if (mRequest.mHasSmallBuffers) {
+      SetSmallBuffers(member.mSocket);
+    }
     member.mSocket.bind(source, error);
     member.mSocket.connect(target, error);
     if (error) {
--- a/tests/support/callercrowd.h
+++ b/tests/support/callercrowd.h
@@ -22,6 +22,9 @@
   std::string mPiece;
   std::size_t mPieces = 0;
   std::string mLast;
+  /** Whether segments and receive buffers are small, as on a network. With
+   * those of loopback, the kernels buffer more than 1 MB of each answer. */
+  bool mHasSmallBuffers = false;
 };
 
 /**
--- a/tests/support/processusage.cpp
+++ b/tests/support/processusage.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <unistd.h>
 
@@ -36,10 +37,30 @@
                    std::distance(begin, std::filesystem::directory_iterator()));
 }
 
-/** @return Received and unread bytes of all connections to the address. */
+/** @return The inodes of the process's sockets. */
+std::set<std::string>
+SocketInodes(pid_t aPid)
+{
+  const std::string begin = "socket:[";
+  std::set<std::string> inodes;
+  std::error_code error;
+  for (const auto& entry : std::filesystem::directory_iterator(
+         "/proc/" + std::to_string(aPid) + "/fd", error)) {
+    const std::string link =
+      std::filesystem::read_symlink(entry.path(), error).string();
+    if (link.rfind(begin, 0) == 0) {
+      inodes.insert(link.substr(begin.size(), link.size() - begin.size() - 1));
+    }
+  }
+  return inodes;
+}
+
+/** @return Received and unread bytes of all connections to the address, also of
+ * those that weren't accepted yet, and of the process's other connections. */
 std::size_t
-UnreadBytes(const std::string& aAddress, std::uint16_t aPort)
+UnreadBytes(pid_t aPid, const std::string& aAddress, std::uint16_t aPort)
 {
+  const std::set<std::string> inodes = SocketInodes(aPid);
   in_addr address{};
   inet_pton(AF_INET, aAddress.c_str(), &address);
   std::ostringstream wanted;
@@ -60,11 +81,14 @@
     std::string remote;
     std::string state;
     std::string queues;
+    std::string other;
+    std::string inode;
     fields >> number >> local >> remote >> state >> queues;
+    fields >> other >> other >> other >> other >> inode;
     const std::size_t colon = queues.find(':');
     // The receive queue of a listening socket counts connections.
-    const bool isCounted =
-      local == wanted.str() && state != "0A" && colon != std::string::npos;
+    const bool isCounted = (local == wanted.str() || inodes.count(inode) > 0) &&
+                           state != "0A" && colon != std::string::npos;
     if (isCounted) {
       unread += std::stoul(queues.substr(colon + 1), nullptr, kHexadecimal);
     }
@@ -78,7 +102,7 @@
 UsageOf(pid_t aPid, const std::string& aAddress, std::uint16_t aPort)
 {
   return { ResidentBytes(aPid),
-           UnreadBytes(aAddress, aPort),
+           UnreadBytes(aPid, aAddress, aPort),
            DescriptorCount(aPid) };
 }
 
