--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -89,7 +89,7 @@
     TakeBytes(aError, {});
     return;
   }
-  if (!HasMemory()) {
+  if (!HasEnded() && !HasMemory()) {
     return;
   }
   std::array<char, kReadSize> buffer; // NOLINT: filled by the read
@@ -104,15 +104,19 @@
   TakeBytes(error, std::string_view(buffer.data(), size));
 }
 
+bool
+CallerConnection::HasEnded() const
+{
+  Error error;
+  return mSocket.available(error) == 0;
+}
+
 bool
 CallerConnection::HasMemory()
 {
   if (mIsLingering || mClosesAfterWrite) {
     return true; // What arrives is discarded.
   }
-  if (mExchange) {
-    return true; // It reads ahead up to a limit of its own.
-  }
   const ReadDecision decision =
     mForwarder.Memory().Decide(mId, kReadSize, BootNow());
   mForwarder.EvictCallers(decision.mEvicted);
@@ -132,7 +136,7 @@
 void
 CallerConnection::Resume()
 {
-  if (mHasBegun && !mExchange) {
+  if (mHasBegun || mExchange) {
     Read();
   }
 }
