--- a/tests/forward/test_processcheck.cpp
+++ b/tests/forward/test_processcheck.cpp
@@ -171,9 +171,8 @@
 // A server that has too many connections counts as one that ended.
 BOOST_AUTO_TEST_CASE(ServerThatResetsConnectionsIsRunning)
 {
-  const FakeBackend full([](tcp::socket& aSocket, const std::string&) {
-    ShutDown(aSocket);
-  });
+  const FakeBackend full(
+    [](tcp::socket& aSocket, const std::string&) { ShutDown(aSocket); });
   BOOST_TEST(Check(full.Address()));
 }
 
