Let two streams at once show that an entry knows both agents

The precondition added to partition/QueueOfAZoneTakenOutRunsElsewhereWith... sent calls one after the other, which all go to the agent in the entry's own zone: it failed in one run of test_processes beside builds. Of two streams at once each agent with one slot gets one, once the entry knows both.

--- a/tests/processes/test_partition.cpp
+++ b/tests/processes/test_partition.cpp
@@ -389,9 +389,14 @@
   const EntryProcess& cut = fleet.AddEntry();
   const EntryProcess& other = fleet.AddEntry();
   fleet.RequireReady();
-  // A ready entry may not have the newest agent in its list yet.
-  BOOST_TEST(ReachesSoon(fleet, cut, inside));
-  BOOST_TEST(ReachesSoon(fleet, cut, outside));
+  // A ready entry may not know the newest agent yet. Once it does, one of two
+  // streams at once goes to each of them.
+  BOOST_TEST(WaitUntil(seconds(15), [&] {
+    auto one = BeginStream(fleet.Chat("one", 5));
+    auto two = BeginStream(fleet.Chat("two", 5));
+    return IsWhole(one.get(), "one", 5) && IsWhole(two.get(), "two", 5) &&
+           Statistic(outside, "started") > 0;
+  }));
   BOOST_TEST(WaitUntil(seconds(10), [&] {
     return Statistic(inside, "running") + Statistic(outside, "running") == 0;
   }));
