End the streams of two tests before the entry goes

callerlimits/IncompleteEventsCount and BodiesCountUntilTheyAreSent stopped the entry while a request was running. The tests now wait until the entry has released what the request held.

--- a/tests/forward/test_callerlimits.cpp
+++ b/tests/forward/test_callerlimits.cpp
@@ -129,6 +129,8 @@
   BOOST_TEST(head.find("200") != std::string::npos);
   BOOST_TEST(HeldBytes(fixture) > kBodySize);
   ended.set_value();
+  BOOST_TEST(
+    WaitUntil(kWaitTime, [&]() { return HeldBytes(fixture) < kBodySize; }));
 }
 
 // The beginning of an event that isn't complete wasn't counted.
@@ -150,6 +152,8 @@
     return HeldBytes(fixture) > 20 * kEventBytes;
   }));
   ended.set_value();
+  BOOST_TEST(WaitUntil(
+    kWaitTime, [&]() { return HeldBytes(fixture) < 20 * kEventBytes; }));
 }
 
 // A request that ended while a connection was being made kept its body, which
