--- a/tests/forward/fakebackend.cpp
+++ b/tests/forward/fakebackend.cpp
@@ -47,6 +47,12 @@
   }
 }
 
+void
+FakeBackend::LimitReceiveBuffer(int aBytes)
+{
+  mAcceptor.set_option(boost::asio::socket_base::receive_buffer_size(aBytes));
+}
+
 std::vector<std::string>
 FakeBackend::Requests() const
 {
--- a/tests/forward/fakebackend.h
+++ b/tests/forward/fakebackend.h
@@ -35,6 +35,10 @@
 
   const Endpoint& Address() const { return mAddress; }
 
+  /** Bounds what the kernel takes of requests that aren't read, on connections
+   * to come. */
+  void LimitReceiveBuffer(int aBytes);
+
   /** @return All requests so far, head and body. */
   std::vector<std::string> Requests() const;
 
--- a/tests/forward/test_callerlimits.cpp
+++ b/tests/forward/test_callerlimits.cpp
@@ -115,12 +115,14 @@
   std::promise<void> ended;
   const std::shared_future<void> hasEnded = ended.get_future().share();
   ForwardFixture fixture;
-  fixture.AddBackend(
+  FakeBackend& backend = fixture.AddBackend(
     [&](Socket& aSocket, const std::string& aRequest) {
       WriteBytes(aSocket, StreamHead(aRequest) + Chunk("data: a\n\n"));
       hasEnded.wait();
     },
     1000);
+  // Otherwise the kernel may take the whole body.
+  backend.LimitReceiveBuffer(8192);
   fixture.Start();
   Caller caller(fixture.Port());
   caller.Send(
