--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -74,7 +74,7 @@
 struct EraChange
 {
   DirectoryEra mEra;
-  /** Whether the era was read; otherwise another entry told of it. */
+  /** Whether the era was read; otherwise another entry reported it. */
   bool mIsRead = false;
   /** Rest of the time in which withdrawn items are withheld. */
   Milliseconds mHold{ 0 };
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -34,7 +34,7 @@
    * has changed. */
   void UpdateMemory();
 
-  /** Goes on reading after a pause for lack of memory. */
+  /** Resumes reading after a pause for lack of memory. */
   void Resume();
 
   /** Releases what the connection holds, as others need the memory: a request
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -72,11 +72,11 @@
  * of the shortest time between two reports. */
 constexpr Milliseconds kRefreshPause{ 20 };
 
-/** Pause between two looks for memory for paused connections: a tenth of the
+/** Interval of checks for memory for paused connections: a tenth of the
  * time after which a body counts as stalled. */
 constexpr Milliseconds kPauseCheck{ 50 };
 
-/** Pause between two looks whether freed memory is returned. */
+/** Interval of checks whether freed memory is to be returned. */
 constexpr Milliseconds kTrimCheck{ 500 };
 
 /** Released bytes above which freed memory is returned to the machine. */
--- a/src/libmedlarkeelforward/processcheck.h
+++ b/src/libmedlarkeelforward/processcheck.h
@@ -27,7 +27,7 @@
   bool mHasStatus = false;
 };
 
-/** @return The request for the state of a process; empty if it tells none. */
+/** @return The request for the state of a process; empty if it states none. */
 std::string
 StatusRequestText(const WireProtocol& aProtocol,
                   const CheckedProcess& aProcess);
--- a/src/libmedlarkeelforward/processwatch.h
+++ b/src/libmedlarkeelforward/processwatch.h
@@ -18,8 +18,8 @@
  * A connection to a backend server that is open while an answer arrives that
  * ends with its own connection. The end of the server's process closes both, a
  * server that ends the answer only one. A process that is ending may keep its
- * connections for a while, so one that tells its state is asked for it when the
- * answer has ended; nothing else is sent.
+ * connections for a while, so one that reports its state is asked for it when
+ * the answer has ended; nothing else is sent.
  *
  * It belongs to the process that answers if the answer's connection was still
  * open after it had been made.
--- a/tests/core/test_restoreguard.cpp
+++ b/tests/core/test_restoreguard.cpp
@@ -109,7 +109,7 @@
   BOOST_TEST(guard.IsEvacuated(kZone, true, kStart));
 }
 
-/** Guards against losing the knowledge with a second drill in the time of the
+/** Guards against losing the knowledge with a second restore in the time of the
  * first one. */
 BOOST_AUTO_TEST_CASE(SecondRestoreContinuesWhatIsWithheld)
 {
--- a/tests/core/test_storeeraproperties.cpp
+++ b/tests/core/test_storeeraproperties.cpp
@@ -15,14 +15,14 @@
 /** Time after the last restore after which all entries must know the same. */
 constexpr Milliseconds kSettled{ 12'000 };
 
-/** One random schedule of drills, faults and changes. */
+/** One random schedule of restores, faults and changes. */
 struct Schedule
 {
   RestoredFleetSettings mFleet;
   Milliseconds mCopyAge{ 0 };
   Milliseconds mUnavailable{ 0 };
-  bool mHasSecondDrill = false;
-  Milliseconds mSecondDrillAfter{ 0 };
+  bool mHasSecondRestore = false;
+  Milliseconds mSecondRestoreAfter{ 0 };
   bool mIsHistoryLost = false;
   bool mStartsEntry = false;
   /** Times of changes: before the first restore as parts of the copy's age,
@@ -58,8 +58,8 @@
   schedule.mCopyAge = Milliseconds(AnyOf(500, 20'000));
   schedule.mUnavailable =
     std::min(schedule.mCopyAge, Milliseconds(AnyOf(0, 2000)));
-  schedule.mHasSecondDrill = AnyOf(0, 2) == 0;
-  schedule.mSecondDrillAfter = Milliseconds(AnyOf(300, 8000));
+  schedule.mHasSecondRestore = AnyOf(0, 2) == 0;
+  schedule.mSecondRestoreAfter = Milliseconds(AnyOf(300, 8000));
   schedule.mIsHistoryLost = AnyOf(0, 2) == 0;
   schedule.mStartsEntry = AnyOf(0, 1) == 0;
   schedule.mDrainBefore = AnyOf(0, 100) / 100.0;
@@ -83,8 +83,8 @@
     : mSchedule(aSchedule)
     , mFleet(aSchedule.mFleet)
     , mRestoreAt(kCopyAt + aSchedule.mCopyAge)
-    , mLastRestoreAt(mRestoreAt + (aSchedule.mHasSecondDrill
-                                     ? aSchedule.mSecondDrillAfter
+    , mLastRestoreAt(mRestoreAt + (aSchedule.mHasSecondRestore
+                                     ? aSchedule.mSecondRestoreAfter
                                      : Milliseconds(0)))
     , mChangesAt(mLastRestoreAt + aSchedule.mChangesAfter)
   {
@@ -139,7 +139,7 @@
     });
     mFleet.At(mRestoreAt,
               [this]() { mFleet.Restore(mSchedule.mIsHistoryLost); });
-    if (mSchedule.mHasSecondDrill) {
+    if (mSchedule.mHasSecondRestore) {
       mFleet.At(mLastRestoreAt,
                 [this]() { mFleet.Restore(mSchedule.mIsHistoryLost); });
     }
@@ -252,9 +252,9 @@
 
 BOOST_AUTO_TEST_SUITE(storeeraproperties)
 
-/** Guards against schedules of drills and faults after which a withdrawn server
- * or zone is used again, a change after the drill is late, or entries keep
- * differing. */
+/** Guards against schedules of restores and faults after which a withdrawn
+ * server or zone is used again, a change after the restore is late, or entries
+ * keep differing. */
 BOOST_AUTO_TEST_CASE(RestoredDirectoryKeepsItsBounds)
 {
   BOOST_TEST(rc::check("restored directory", []() {
--- a/tests/core/test_storeeras.cpp
+++ b/tests/core/test_storeeras.cpp
@@ -34,7 +34,7 @@
    *
    * @param aCopyAge Age of the copy at the time of the restore.
    */
-  void RunDrill(Milliseconds aCopyAge)
+  void RunUntilRestored(Milliseconds aCopyAge)
   {
     At(kCopyAt, [this]() { TakeCopy(); });
     At(kCopyAt + aCopyAge - kUnavailable, [this]() { StopDirectory(); });
@@ -50,14 +50,14 @@
 BOOST_AUTO_TEST_SUITE(storeeras)
 
 /** Guards against entries that compare revisions of the restored directory with
- * those from before, and so ignore a server that drains after a drill. */
+ * those from before, and so ignore a server that drains after a restore. */
 BOOST_AUTO_TEST_CASE(DrainAfterARestoreReachesAllEntriesWithinTheBound)
 {
   for (const Milliseconds age : kCopyAges) {
     BOOST_TEST_CONTEXT("copy of " << age.count() << " ms")
     {
       SixEntries fleet;
-      fleet.RunDrill(age);
+      fleet.RunUntilRestored(age);
       fleet.Drain("one");
       fleet.RunUntil(fleet.Elapsed() + fleet.mBound);
       BOOST_TEST(fleet.UserCount("one") == 0U);
@@ -66,7 +66,7 @@
   }
 }
 
-/** Guards against requests to a server that was draining before the drill and
+/** Guards against requests to a server that was draining before the restore and
  * comes back as ready with the copy. */
 BOOST_AUTO_TEST_CASE(DrainThatTheCopyLacksStaysInForce)
 {
@@ -75,7 +75,7 @@
     {
       SixEntries fleet;
       fleet.At(kCopyAt + Milliseconds(1), [&]() { fleet.Drain("one"); });
-      fleet.RunDrill(age);
+      fleet.RunUntilRestored(age);
       fleet.RunUntil(std::max(fleet.Elapsed(), kCopyAt + fleet.mBound));
       while (fleet.Elapsed() < kCopyAt + age + Seconds(12)) {
         BOOST_TEST_REQUIRE(fleet.UserCount("one") == 0U);
@@ -94,7 +94,7 @@
     {
       SixEntries fleet;
       fleet.At(kCopyAt + Milliseconds(100), [&]() { fleet.Leave("one"); });
-      fleet.RunDrill(age);
+      fleet.RunUntilRestored(age);
       while (fleet.Elapsed() < kCopyAt + age + Seconds(12)) {
         BOOST_TEST_REQUIRE(fleet.UserCount("one") == 0U);
         fleet.RunUntil(fleet.Elapsed() + Milliseconds(50));
@@ -110,7 +110,7 @@
 {
   SixEntries fleet;
   fleet.At(kCopyAt + Milliseconds(100), [&]() { fleet.AddServer("new", "a"); });
-  fleet.RunDrill(Milliseconds(5000));
+  fleet.RunUntilRestored(Milliseconds(5000));
   while (fleet.Elapsed() < Seconds(22)) {
     BOOST_TEST_REQUIRE(fleet.UserCount("new") == fleet.EntryCount());
     fleet.RunUntil(fleet.Elapsed() + Milliseconds(50));
@@ -130,7 +130,7 @@
         fleet.SetEvacuated("a", true);
         fleet.SetEvacuated("b", false);
       });
-      fleet.RunDrill(age);
+      fleet.RunUntilRestored(age);
       while (fleet.Elapsed() < kCopyAt + age + Seconds(12)) {
         BOOST_TEST_REQUIRE(fleet.UserCount("one") == 0U);
         BOOST_TEST_REQUIRE(fleet.UserCount("other") == fleet.EntryCount());
@@ -149,7 +149,7 @@
     BOOST_TEST_CONTEXT("copy of " << age.count() << " ms")
     {
       SixEntries fleet;
-      fleet.RunDrill(age);
+      fleet.RunUntilRestored(age);
       fleet.SetEvacuated("b", true);
       fleet.PublishDocument(7);
       fleet.RunUntil(fleet.Elapsed() + fleet.mBound);
--- a/tests/net/test_uploadmonitor.cpp
+++ b/tests/net/test_uploadmonitor.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kBodyLimit = 100'000;
 constexpr std::size_t kBound = 200'000;
 
-/** Time in which the monitor looks at its requests more than once. */
+/** Time in which the monitor checks its requests more than once. */
 constexpr auto kPause = std::chrono::milliseconds(300);
 constexpr auto kLongest = std::chrono::seconds(10);
 
@@ -94,7 +94,7 @@
 
 BOOST_AUTO_TEST_SUITE(uploadmonitor)
 
-// Guards against a request that is ended and counted at each further look.
+// Guards against a request that is ended and counted at each further check.
 BOOST_FIXTURE_TEST_CASE(EvictedUploadIsCountedOnceUntilItIsFreed,
                         CrowdedMonitor)
 {
--- a/tests/platform/test_storerestore.cpp
+++ b/tests/platform/test_storerestore.cpp
@@ -99,9 +99,9 @@
 BOOST_AUTO_TEST_SUITE(storerestore)
 
 /** Guards against entries that compare revisions of the restored store with
- * those from before: they ignore a server that drains after the drill. A server
- * that was draining before the drill, and is ready in the copy, gets nothing
- * either. */
+ * those from before: they ignore a server that drains after the restore. A
+ * server that was draining before the restore, and is ready in the copy, gets
+ * nothing either. */
 BOOST_FIXTURE_TEST_CASE(DrainingServersGetNothingAfterARestore, SixEntries)
 {
   FakeServer& before = AddDesk("desk-2");
