--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -22,6 +22,7 @@
 #include <poll.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -96,20 +97,35 @@
          std::to_string(process % 250) + "." + std::to_string(aHost);
 }
 
-/** @return A port that is free for TCP and UDP at the address. */
+/** @return Whether a port can be bound at the address. */
+inline bool
+IsFree(const std::string& aIp, std::uint16_t aPort, int aType)
+{
+  const int socket = ::socket(AF_INET, aType | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = AddressOf(aIp, aPort);
+  const bool isFree = ::bind(socket,
+                             reinterpret_cast<const sockaddr*>(&address),
+                             sizeof(address)) == 0;
+  ::close(socket);
+  return isFree;
+}
+
+/** @return A port that is free for TCP and UDP at the address, another one for
+ * each call. It is below those that outgoing connections get. */
 inline std::uint16_t
 FreePort(const std::string& aIp)
 {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = AddressOf(aIp, 0);
-  socklen_t size = sizeof(address);
-  if (::bind(socket, reinterpret_cast<sockaddr*>(&address), size) != 0) {
-    std::perror("bind");
-    std::exit(2);
+  constexpr std::uint16_t kFirst = 18'000;
+  constexpr std::uint16_t kLast = 32'000;
+  static std::uint16_t next = kFirst;
+  while (next < kLast) {
+    const std::uint16_t port = next++;
+    if (IsFree(aIp, port, SOCK_STREAM) && IsFree(aIp, port, SOCK_DGRAM)) {
+      return port;
+    }
   }
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
-  return ntohs(address.sin_port);
+  std::cerr << "no free port at " << aIp << std::endl;
+  std::exit(2);
 }
 
 class Socket
@@ -708,6 +724,7 @@
   {
     mProcess = ::fork();
     if (mProcess == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL); // It ends with this process.
       const int log =
         ::open(mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(log, 1);
