Encode the names of store entries in calls and fields

The name was the last one of a page.

Cause: the key after which the next page begins went into the request target as it was. With a blank or a malformed escape the call is malformed: the store refuses it, the full read fails and begins again, and an entry without a full read is never ready. An escape that decodes to a later text skips entries. Class of fault: text from outside that becomes part of a protocol element without being encoded, and a loop that trusts each answer to make progress.

Change: the key is percent-encoded. A full read whose pages don't advance is an error instead of endless calls. An item without a readable key no longer makes its page unreadable. An id or the name of a tenant that no header field can carry unchanged is unreadable, as both are sent to servers. The decoder of the placement page moves to percentencoding.h, beside the encoder.

The stand-in store read queries in a way of its own; it now decodes them as web servers do and answers 400 to a malformed one.

--- a/src/libmedlarkeelforward/placementquery.cpp
+++ b/src/libmedlarkeelforward/placementquery.cpp
@@ -1,6 +1,7 @@
 #include "placementquery.h"
 
-#include <charconv>
+#include "percentencoding.h"
+
 #include <map>
 
 namespace medlarkeel {
@@ -76,34 +77,6 @@
 
 } // namespace
 
-std::optional<std::string>
-DecodePercent(std::string_view aText)
-{
-  constexpr std::size_t kEscapeSize = 3;
-  constexpr int kHexadecimal = 16;
-  std::string decoded;
-  decoded.reserve(aText.size());
-  for (std::size_t i = 0; i < aText.size(); ++i) {
-    if (aText[i] != '%') {
-      decoded += aText[i];
-      continue;
-    }
-    if (aText.size() - i < kEscapeSize) {
-      return std::nullopt;
-    }
-    const char* end = aText.data() + i + kEscapeSize;
-    unsigned char byte = 0;
-    const auto result =
-      std::from_chars(aText.data() + i + 1, end, byte, kHexadecimal);
-    if (result.ec != std::errc() || result.ptr != end) {
-      return std::nullopt;
-    }
-    decoded += static_cast<char>(byte);
-    i += kEscapeSize - 1;
-  }
-  return decoded;
-}
-
 PlacementResult<PlacementQuery>
 ParsePlacementQuery(std::string_view aQuery)
 {
--- a/src/libmedlarkeelforward/placementquery.h
+++ b/src/libmedlarkeelforward/placementquery.h
@@ -11,11 +11,6 @@
 /** Maximum length of a query in bytes: the limit for the heads of requests. */
 constexpr std::size_t kMaximumPlacementQuery = 16'384;
 
-/** @return The text without percent-encoding, or nothing if an escape is
- * malformed. */
-std::optional<std::string>
-DecodePercent(std::string_view aText);
-
 /**
  * Parses the query of a request to explain a placement.
  *
--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -1,6 +1,7 @@
 #include "fakestore.h"
 
 #include "../../src/libmedlarkeelforward/answertext.h"
+#include "../../src/libmedlarkeelforward/percentencoding.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <future>
 #include <vector>
 
@@ -24,13 +26,11 @@
 using Json = nlohmann::json;
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 
-/** Small, so that a few servers already need further pages. */
-constexpr std::size_t kItemsPerPage = 4;
-
 /** Time that an answer takes while the store is slow. */
 constexpr Milliseconds kSlowAnswer{ 250 };
 
@@ -49,19 +49,35 @@
   return aText.compare(0, aPrefix.size(), aPrefix) == 0;
 }
 
-/** Values in a query, by name. */
-std::map<std::string, std::string>
+/** @return A name or value of a query, decoded as web servers do; nothing if an
+ * escape is malformed. */
+std::optional<std::string>
+DecodeQueryText(std::string aText)
+{
+  std::replace(aText.begin(), aText.end(), '+', ' ');
+  return DecodePercent(aText);
+}
+
+/** @return Values in a query, by name, of which the first one counts; nothing
+ * if the query is malformed. */
+std::optional<std::map<std::string, std::string>>
 QueryOf(const std::string& aTarget)
 {
   std::map<std::string, std::string> values;
-  std::size_t begin = aTarget.find('?');
+  const std::string target = aTarget.substr(0, aTarget.find('#'));
+  std::size_t begin = target.find('?');
   while (begin != std::string::npos) {
-    const std::size_t end = aTarget.find('&', begin + 1);
-    const std::string part = aTarget.substr(
+    const std::size_t end = target.find('&', begin + 1);
+    const std::string part = target.substr(
       begin + 1, end == std::string::npos ? end : end - begin - 1);
     const std::size_t sign = part.find('=');
     if (sign != std::string::npos) {
-      values[part.substr(0, sign)] = part.substr(sign + 1);
+      const auto name = DecodeQueryText(part.substr(0, sign));
+      const auto value = DecodeQueryText(part.substr(sign + 1));
+      if (!name || !value) {
+        return std::nullopt;
+      }
+      values.emplace(*name, *value);
     }
     begin = end;
   }
@@ -111,6 +127,8 @@
     switch (mStore.mTrouble) {
       case StoreTrouble::None:
       case StoreTrouble::Slow:
+      case StoreTrouble::RepeatingPages:
+      case StoreTrouble::EmptyPages:
         break;
       case StoreTrouble::Refusing:
         Answer({ kUnavailable, Json::object() });
@@ -126,7 +144,12 @@
       }
     }
     const std::string target(mRequest.target());
-    auto query = QueryOf(target);
+    auto parsed = QueryOf(target);
+    if (!parsed) {
+      Answer({ kBadRequest, Json::object() });
+      return;
+    }
+    std::map<std::string, std::string>& query = *parsed;
     mPrefix = query["path-prefix"];
     if (StartsWith(target, "/kv-key?")) {
       Answer(mStore.ReadKey(query["key"]));
@@ -353,10 +376,12 @@
   Json items = Json::array();
   bool hasMore = false;
   for (const auto& [key, item] : mContent.mItems) {
-    if (!StartsWith(key, aPrefix) || (!aAfter.empty() && key <= aAfter)) {
+    const bool isBefore = !aAfter.empty() && key <= aAfter &&
+                          mTrouble != StoreTrouble::RepeatingPages;
+    if (!StartsWith(key, aPrefix) || isBefore) {
       continue;
     }
-    if (items.size() == kItemsPerPage) {
+    if (items.size() == kItemsPerPage || mTrouble == StoreTrouble::EmptyPages) {
       hasMore = true;
       break;
     }
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -36,7 +36,11 @@
   /** Connections are reset as soon as a call arrives. */
   Resetting,
   /** Answers come late. */
-  Slow
+  Slow,
+  /** Each page of a list is the first one. */
+  RepeatingPages,
+  /** Pages of a list are empty, and more are announced. */
+  EmptyPages
 };
 
 /**
@@ -47,6 +51,9 @@
 class FakeStore
 {
 public:
+  /** Small, so that a few servers already need further pages. */
+  static constexpr std::size_t kItemsPerPage = 4;
+
   FakeStore();
   ~FakeStore();
   FakeStore(const FakeStore&) = delete;
--- a/tests/platform/test_storeitems.cpp
+++ b/tests/platform/test_storeitems.cpp
@@ -92,6 +92,45 @@
   BOOST_TEST(unreadable == items.size() - 1);
 }
 
+/** Guards against a page that isn't used because of one item's key. */
+BOOST_AUTO_TEST_CASE(ItemsWithoutAReadableKeyLeaveTheOthers)
+{
+  for (const Json& odd : { Json::object(),
+                           Json(nullptr),
+                           Json("servers/i-2"),
+                           Json{ { "key", 7 }, { "revision", 6 } },
+                           Json{ { "key", nullptr }, { "value", "" } } }) {
+    const StorePage page =
+      Page(Json::array({ Item("servers/i-1", kServer, 5), odd }));
+    BOOST_TEST(page.mLastKey == "servers/i-1");
+    BOOST_REQUIRE(page.mContent.mChanges.size() == 2U);
+    BOOST_CHECK(
+      std::holds_alternative<BackendEntry>(page.mContent.mChanges[0]));
+    BOOST_CHECK(
+      std::holds_alternative<UnreadableItem>(page.mContent.mChanges[1]));
+  }
+}
+
+/** Guards against an id or a team name that ends a header field of a request,
+ * or that the server reads as another one. */
+BOOST_AUTO_TEST_CASE(NamesThatFitNoHeaderFieldAreUnreadable)
+{
+  for (const std::string name :
+       { "", "i\r\nX-Tenant: t", "i\n", "i\x01", "i\x7f", " i", "i ", "i\t" }) {
+    const std::string document =
+      R"({"version":7,"routes":[],"services":[],"tenants":[{"name":)" +
+      Json(name).dump() + R"(,"api-keys":["k"]}]})";
+    const StorePage page = Page(Json::array(
+      { Item("servers/" + name, kServer, 5), Item("op/config", document, 6) }));
+    for (const DirectoryChange& change : page.mContent.mChanges) {
+      BOOST_CHECK_MESSAGE(std::holds_alternative<UnreadableItem>(change), name);
+    }
+  }
+  const StorePage page =
+    Page(Json::array({ Item("servers/i +&%#\u00e9", kServer, 5) }));
+  BOOST_CHECK(std::holds_alternative<BackendEntry>(page.mContent.mChanges[0]));
+}
+
 BOOST_AUTO_TEST_CASE(RemovalsAndZonesAreDecoded)
 {
   const Json body{
--- /dev/null
+++ b/tests/platform/test_storepages.cpp
@@ -0,0 +1,139 @@
+#include "loopbackplatform.h"
+#include "storeclient.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace medlarkeel {
+
+namespace {
+
+using platform::StoreClient;
+
+constexpr int kOk = 200;
+
+/** Names of entries that other programs may write. Some are parts of the
+ * syntax of a request target or a query. */
+const std::vector<std::string> kForeignNames = {
+  "b&after=",  "b&c",  "b+c",    "b#c",     "b%c",        "b%20c", "b c",
+  " b",        "b ",   "b?c",    "b=c",     "b/../c",     "b\"c",  "b\\c",
+  "b\r\nc: d", "b\tc", "b\177c", "b\u00e9", "b HTTP/1.1", "b;c"
+};
+
+/** A store in which an entry of another writer ends a page. */
+struct StoreWithForeignEntry
+{
+  explicit StoreWithForeignEntry(const std::string& aName)
+  {
+    const std::string foreign = "servers/" + aName;
+    std::size_t before = 0;
+    for (const char* const id : { "a1", "a2", "a3", "a4", "a5", "a6" }) {
+      PutServer(id);
+      before += std::string("servers/") + id < foreign ? 1 : 0;
+    }
+    for (const char* const id : { "c1", "c2", "c3", "c4", "c5" }) {
+      PutServer(id);
+      before += std::string("servers/") + id < foreign ? 1 : 0;
+    }
+    // Keys that sort before those of servers.
+    for (; (before + 1) % FakeStore::kItemsPerPage != 0; ++before) {
+      mStore.Put("op/evacuate/" + std::to_string(before),
+                 nlohmann::json::object());
+    }
+    mStore.PutBytes(foreign, "not an entry");
+  }
+
+  void PutServer(const std::string& aId)
+  {
+    mStore.Put("servers/" + aId,
+               { { "service", "desk" },
+                 { "address", "127.0.0.1:1" },
+                 { "zone", "zone-0" },
+                 { "state", "ready" },
+                 { "cold-remaining-ms", 0 },
+                 { "sequence", 1 } });
+  }
+
+  /** @return The contents, or nothing if there is no answer in time. */
+  std::optional<DirectoryResult> Read()
+  {
+    constexpr std::chrono::seconds kLimit{ 5 };
+    std::optional<DirectoryResult> result;
+    const auto client =
+      std::make_shared<StoreClient>(mContext, mStore.Address());
+    client->ReadAll(ReadFreshness::Newest, [&](DirectoryResult aResult) {
+      result = std::move(aResult);
+      mContext.stop();
+    });
+    mContext.run_for(kLimit);
+    return result;
+  }
+
+  FakeStore mStore;
+  boost::asio::io_context mContext;
+};
+
+std::size_t
+ServerCount(const DirectoryChanges& aContents)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aContents.mChanges.begin(),
+                  aContents.mChanges.end(),
+                  [](const auto& aChange) {
+                    return std::holds_alternative<BackendEntry>(aChange);
+                  }));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(storepages)
+
+/** Guards against a list that is never read to its end, because the name of an
+ * entry was part of the next call without being encoded. */
+BOOST_AUTO_TEST_CASE(ForeignNameAtTheEndOfAPageLeavesTheOtherEntries)
+{
+  for (const std::string& name : kForeignNames) {
+    StoreWithForeignEntry store(name);
+    const auto result = store.Read();
+    BOOST_TEST_REQUIRE(result.has_value(), name);
+    BOOST_TEST_REQUIRE(result->has_value(), name);
+    BOOST_TEST(ServerCount(result->value()) == 11U, name);
+  }
+}
+
+/** Guards against entries that are never ready after a restart while an entry
+ * of another writer ends a page of the list. */
+BOOST_AUTO_TEST_CASE(EntriesStartWhileAForeignNameEndsAPage)
+{
+  for (const std::string name :
+       { "desk&2", "desk+2", "desk#2", "desk%2", "desk 2" }) {
+    LoopbackPlatform platform;
+    platform.AddDesk("a-1");
+    platform.AddDesk("a-2");
+    platform.Store().PutBytes("servers/" + name, "not an entry");
+    platform.AddDesk("z-1");
+    platform.AddDesk("z-2");
+    EntryProcess& entry = platform.StartEntry();
+    BOOST_TEST_REQUIRE(LoopbackPlatform::WaitReady(entry), name);
+    platform.Restart(entry);
+    BOOST_TEST(LoopbackPlatform::WaitReady(entry), name);
+    BOOST_TEST(LoopbackPlatform::Call(entry, "r-1", "/again/a").Status() == kOk,
+               name);
+  }
+}
+
+/** Guards against endless calls to a store whose pages don't advance. */
+BOOST_AUTO_TEST_CASE(PagesThatDoNotAdvanceAreAnError)
+{
+  for (const StoreTrouble trouble :
+       { StoreTrouble::RepeatingPages, StoreTrouble::EmptyPages }) {
+    StoreWithForeignEntry store("b");
+    store.mStore.SetTrouble(trouble);
+    const auto result = store.Read();
+    BOOST_REQUIRE(result.has_value());
+    BOOST_CHECK(!result->has_value());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace medlarkeel
