Escape the names of pools in the labels of metrics

A pool's name comes from the directory and went into a label as it was. A name with a quote, a backslash or a line break made the page unreadable for those who scrape it. The test failed before the change and passes with it (x86-64).

--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -53,13 +53,33 @@
   aText += "medlarkeel_forward_" + aName + " " + std::to_string(aValue) + "\n";
 }
 
+/** @return A label whose value may be any text, with the escapes of the
+ * Prometheus text format. */
+std::string
+LabelText(const char* aName, const std::string& aValue)
+{
+  std::string text = std::string(aName) + "=\"";
+  for (const char character : aValue) {
+    if (character == '\n') {
+      text += "\\n";
+      continue;
+    }
+    if (character == '\\' || character == '"') {
+      text += '\\';
+    }
+    text += character;
+  }
+  return text + '"';
+}
+
 void
 AppendForecastErrors(std::string& aText,
                      const std::string& aPool,
                      const char* aSize,
                      const ForecastErrorSummary& aErrors)
 {
-  const std::string label = "{pool=\"" + aPool + "\",prompt=\"" + aSize + "\"}";
+  const std::string label =
+    "{" + LabelText("pool", aPool) + "," + LabelText("prompt", aSize) + "}";
   AppendLine(
     aText, "recent_forecasts" + label, static_cast<double>(aErrors.mForecasts));
   AppendLine(
@@ -122,7 +142,7 @@
                static_cast<double>(aCounters.mBrokenAnswers[i]));
   }
   for (const auto& [pool, gauge] : aCounters.mPoolLoads) {
-    const std::string label = "{pool=\"" + pool + "\"}";
+    const std::string label = "{" + LabelText("pool", pool) + "}";
     AppendLine(text, "admission_load" + label, gauge.mLoad);
     AppendLine(text, "prefill_tokens_per_ms" + label, gauge.mTokensPerMs);
   }
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -88,6 +88,16 @@
     std::string::npos);
 }
 
+/** Guards against metrics that can't be read because of a pool's name. */
+BOOST_AUTO_TEST_CASE(NamesOfPoolsAreEscapedInLabels)
+{
+  ForwardCounters counters;
+  counters.mPoolLoads["a\"b\\c\nd"] = { 0.5, 64.0 };
+  const std::string text = RenderForwardCounters(counters, 0);
+  BOOST_TEST(text.find("admission_load{pool=\"a\\\"b\\\\c\\nd\"} 0.5") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(PeerReportsSurviveTheirEncoding)
 {
   PeerReport report;
