Time calls to the directory out by progress

What callers saw: in large fleets entries served late after all were killed, and changes were in force late (CONFIG, DENIED at 300 machines).

Cause: a call had one time-out for its whole answer, 700 ms for a page and 1.2 s for changes. On a link of 10 Mbit/s, or while many entries read at once, a sound answer takes longer; the call failed and the whole list was read again from its first page. Class of fault: a bound on the time of a transfer whose size grows with the fleet.

Change: the time-out counts until the answer begins and for each pause in it, and the whole answer has 8 s.

Evidence: httpcaller/AnswerThatArrivesSlowlyIsRead failed before the change and passes with it (x86-64).

--- a/src/libmedlarkeelforward/httpcaller.cpp
+++ b/src/libmedlarkeelforward/httpcaller.cpp
@@ -3,6 +3,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace medlarkeel {
 
 namespace http = boost::beast::http;
@@ -15,6 +17,9 @@
  * of encoded text. */
 constexpr std::uint64_t kMostBodyBytes = 16U << 20U;
 
+/** Longest time for an answer from its begin on. */
+constexpr std::chrono::seconds kMaximumReadTime{ 8 };
+
 } // namespace
 
 HttpCaller::HttpCaller(boost::asio::io_context& aContext, Endpoint aEndpoint)
@@ -83,7 +88,15 @@
 {
   mParser = std::make_unique<Parser>();
   mParser->body_limit(kMostBodyBytes);
-  http::async_read(
+  mParser->eager(true);
+  mReadUntil = std::chrono::steady_clock::now() + mTimeout + kMaximumReadTime;
+  ReadMore();
+}
+
+void
+HttpCaller::ReadMore()
+{
+  http::async_read_some(
     *mStream,
     mBuffer,
     *mParser,
@@ -92,6 +105,12 @@
         self->Fail(aError);
         return;
       }
+      if (!self->mParser->is_done()) {
+        self->mStream->expires_at(std::min(
+          self->mReadUntil, std::chrono::steady_clock::now() + self->mTimeout));
+        self->ReadMore();
+        return;
+      }
       http::response<http::string_body> answer = self->mParser->release();
       if (!answer.keep_alive()) {
         self->mStream.reset();
--- a/src/libmedlarkeelforward/httpcaller.h
+++ b/src/libmedlarkeelforward/httpcaller.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -40,7 +41,8 @@
 
   /**
    * @param aTarget Path and query.
-   * @param aTimeout Longest time for connection and answer together.
+   * @param aTimeout Longest time until the answer begins, and longest pause in
+   * it. A large answer may take longer on a slow link, but not without end.
    * @param aHandler Gets the answer, or nothing when there was none.
    */
   void Get(const std::string& aTarget, Milliseconds aTimeout, Handler aHandler);
@@ -53,6 +55,7 @@
   void Connect();
   void Send();
   void Read();
+  void ReadMore();
   void Fail(const Error& aError);
   void Finish(std::optional<CallAnswer> aAnswer);
 
@@ -63,6 +66,8 @@
   boost::beast::http::request<boost::beast::http::empty_body> mRequest;
   std::unique_ptr<Parser> mParser;
   Milliseconds mTimeout{ 0 };
+  /** End of the time for the whole answer. */
+  std::chrono::steady_clock::time_point mReadUntil;
   Handler mHandler;
   bool mIsReused = false;
 };
