Send a report that is asked for soon after the last one

A reader that learns of a change within 100 ms of its last report sent none for it; the others heard of it with the next regular one, up to 800 ms later in a zone of 100 entries (DRAIN). Such a report is now sent when the 100 ms are over. No test of its own: directorydelta/LeavingReachesALargeFleetWithinASecond models the schedule of reports, not the channel.

--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -101,7 +101,13 @@
     SendTo(addressed.mTargets, EncodePeerReport(addressed.mReport));
   }
   mSentAt = now;
-  mTimer.expires_after(mView.Interval(now));
+  SendAfter(mView.Interval(now));
+}
+
+void
+PeerChannel::SendAfter(Milliseconds aDelay)
+{
+  mTimer.expires_after(aDelay);
   mTimer.async_wait([this](const Error& aError) {
     if (!aError) {
       Send();
@@ -135,8 +141,12 @@
 {
   /** Bounds the reports that are sent besides the regular ones. */
   constexpr Milliseconds kLeastPause{ 100 };
-  if (BootNow() - mSentAt >= kLeastPause) {
+  const auto passed =
+    std::chrono::duration_cast<Milliseconds>(BootNow() - mSentAt);
+  if (passed >= kLeastPause) {
     Send();
+  } else {
+    SendAfter(kLeastPause - passed);
   }
 }
 
--- a/src/libmedlarkeelforward/peerchannel.h
+++ b/src/libmedlarkeelforward/peerchannel.h
@@ -44,7 +44,8 @@
 
   void Start();
 
-  /** Sends a report now, for news that the others wait for. */
+  /** Sends a report for news that the others wait for: now, or a short time
+   * after the last one. */
   void SendSoon();
 
   /** Sends bytes to the entries with these IP addresses. */
@@ -54,6 +55,7 @@
 private:
   void Receive();
   void Send();
+  void SendAfter(Milliseconds aDelay);
   void HandleDatagram(std::string_view aBytes, const std::string& aSender);
   void RecordUnreadable(const std::string& aSender);
   /** Logs the first lost report within a while. */
