Let entries with fast links read the directory

What callers saw: at 300 machines requests reached servers 3.3 to 3.6 s after they had said that they leave (DRAIN).

Cause: readers were chosen by a hash. All renewals of all servers pass a reader's link: 3,000 servers send 0.99 MB/s, and most machines have 10 Mbit/s. Such a reader falls behind. In a large fleet its reports, each 800 ms, are also too rare for the 1.8 s for which others rely on its answer, so that they call the directory themselves. Class of fault: a duty whose cost grows with the fleet is given to machines without regard to their capacity.

Change: reports state the bandwidth of the sender's link (setting linkMbps); the fastest links read, and the hash decides among equals. A reader whose reports are rarer than 500 ms sends one after each answer.

Evidence: peerview/EntriesWithTheFastestLinksReadTheDirectory, new.

--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -78,12 +78,14 @@
                    std::string aOwn,
                    std::vector<std::string> aSeeds,
                    Timestamp aStartedAt,
-                   std::uint32_t aZone)
+                   std::uint32_t aZone,
+                   std::uint32_t aLinkMbps)
   : mSettings(aSettings)
   , mOwn(std::move(aOwn))
   , mSeeds(std::move(aSeeds))
   , mStartedAt(aStartedAt)
   , mZone(aZone)
+  , mLinkMbps(aLinkMbps)
 {
 }
 
@@ -101,6 +103,7 @@
   peer.mSequence = aReport.mSequence;
   peer.mLoad = aReport.mLoad;
   peer.mZone = aReport.mZone;
+  peer.mLinkMbps = aReport.mLinkMbps;
   if (aReport.mSum) {
     peer.mSum = aReport.mSum;
     peer.mSumAt = aNow;
@@ -313,17 +316,23 @@
                       : mSettings.mDirectoryReadersPerZone;
 }
 
+PeerView::ReaderRank
+PeerView::ReaderRankOf(const std::string& aAddress, std::uint32_t aLinkMbps)
+{
+  return { aLinkMbps,
+           RendezvousScore(HashText(kReaderKey), HashText(aAddress)) };
+}
+
 std::set<std::string>
 PeerView::PeerReaders(Timestamp aNow) const
 {
-  const std::uint64_t key = HashText(kReaderKey);
-  std::vector<std::pair<std::uint64_t, std::string>> order;
+  std::vector<std::pair<ReaderRank, std::string>> order;
   for (const std::string& peer : ReaderCandidates(aNow)) {
-    order.emplace_back(RendezvousScore(key, HashText(peer)), peer);
+    order.emplace_back(ReaderRankOf(peer, mPeers.at(peer).mLinkMbps), peer);
   }
   std::sort(order.rbegin(), order.rend());
   std::set<std::string> readers;
-  for (const auto& [score, address] : order) {
+  for (const auto& [rank, address] : order) {
     if (readers.size() < ReaderCount(aNow)) {
       readers.insert(address);
     }
@@ -338,7 +347,12 @@
   if (mHasLostDirectoryContact && !others.empty()) {
     return false;
   }
-  return CountRankedBefore(HashText(kReaderKey), others) < ReaderCount(aNow);
+  const ReaderRank own = ReaderRankOf(mOwn, mLinkMbps);
+  const auto before =
+    std::count_if(others.begin(), others.end(), [&](const std::string& aOther) {
+      return ReaderRankOf(aOther, mPeers.at(aOther).mLinkMbps) > own;
+    });
+  return static_cast<std::size_t>(before) < ReaderCount(aNow);
 }
 
 std::vector<std::string>
@@ -633,6 +647,7 @@
 {
   PeerReport own = aOwn;
   own.mZone = mZone;
+  own.mLinkMbps = mLinkMbps;
   std::vector<AddressedReport> reports;
   if (IsMesh(aNow)) {
     std::vector<std::string> targets = Targets(aNow);
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace medlarkeel {
@@ -64,8 +65,10 @@
   /** Increases with each report, also across restarts of the process. */
   std::uint64_t mSequence = 0;
   EntryLoad mLoad;
-  /** Digest of the sender's copy of the directory. */
+  /** Digest of the sender's copy of the directory, without the document. */
   std::uint64_t mDirectoryDigest = 0;
+  /** Version of the newest document that the sender has read; 0 without one. */
+  std::uint64_t mDocumentVersion = 0;
   /** Position of the sender's copy; its era is the latest that the sender
    * knows.
    */
@@ -80,6 +83,8 @@
   std::vector<SentPart> mSent;
   /** Hash of the sender's availability zone. */
   std::uint32_t mZone = 0;
+  /** Bandwidth of the sender's own link, in Mbit/s; 0 when it isn't known. */
+  std::uint32_t mLinkMbps = 0;
   /** Set by the zone aggregators of a large fleet. A report to another zone has
    * the sum over the sender's zone; a report within the sender's zone has the
    * sum over the other zones. */
@@ -175,12 +180,15 @@
    * @param aStartedAt When this entry started.
    * @param aZone Hash of this entry's availability zone. With 0 the entry
    * reports to all others at any fleet size.
+   * @param aLinkMbps Bandwidth of this entry's own link, in Mbit/s; 0 when it
+   * isn't known.
    */
   PeerView(const PeerSettings& aSettings,
            std::string aOwn,
            std::vector<std::string> aSeeds,
            Timestamp aStartedAt,
-           std::uint32_t aZone = 0);
+           std::uint32_t aZone = 0,
+           std::uint32_t aLinkMbps = 0);
 
   /** Stores a report, unless it is this entry's own or older than the stored
    * one.
@@ -300,6 +308,13 @@
    */
   std::vector<std::string> ReaderCandidates(Timestamp aNow) const;
 
+  /** Order in which entries become directory readers, the greatest first. All
+   * renewals of all backend servers pass a reader's link, so the fastest links
+   * come first. */
+  using ReaderRank = std::pair<std::uint32_t, std::uint64_t>;
+  static ReaderRank ReaderRankOf(const std::string& aAddress,
+                                 std::uint32_t aLinkMbps);
+
   /** @return The directory readers among the peers. */
   std::set<std::string> PeerReaders(Timestamp aNow) const;
 
@@ -357,6 +372,7 @@
     std::uint64_t mSequence = 0;
     EntryLoad mLoad;
     std::uint32_t mZone = 0;
+    std::uint32_t mLinkMbps = 0;
     std::optional<LoadSum> mSum;
     /** When the sum was received. */
     Timestamp mSumAt;
@@ -372,6 +388,7 @@
   std::vector<std::string> mSeeds;
   Timestamp mStartedAt;
   std::uint32_t mZone;
+  std::uint32_t mLinkMbps;
   /** Prompt parts sent in this entry's zone, to forward to other zones. */
   std::vector<SentPart> mOwnZoneParts;
   /** Prompt parts sent in other zones, to forward within this entry's zone. */
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -68,6 +68,10 @@
   return "unknown";
 }
 
+/** Interval of reports above which a directory reader sends one more after each
+ * answer of the directory. */
+constexpr Milliseconds kMaximumReaderInterval{ 500 };
+
 /** Shortest time between two sums of what the others have in progress: a tenth
  * of the shortest time between two reports. */
 constexpr Milliseconds kRefreshPause{ 20 };
@@ -145,7 +149,8 @@
            aSettings.mPeers.mAddress,
            aSettings.mSeeds,
            BootNow(),
-           ZoneHash(aSettings.mZone))
+           ZoneHash(aSettings.mZone),
+           aSettings.mLinkMbps.value_or(0))
   , mPeerChannel(
       aContext,
       aSettings.mPeers,
@@ -615,7 +620,10 @@
   TakeNews(aNews);
   const bool isForOthers =
     aNews.mHasNewDocument || !aNews.mBackends.empty() || !aNews.mZones.empty();
-  if (isForOthers && mPeers.IsReader(BootNow())) {
+  const Timestamp now = BootNow();
+  // The other entries rely on a reader only while they know its answer is new.
+  const bool isReportLate = mPeers.Interval(now) > kMaximumReaderInterval;
+  if ((isForOthers || isReportLate) && mPeers.IsReader(now)) {
     mPeerChannel.SendSoon();
   }
   CallDirectory();
--- a/src/libmedlarkeelforward/forwardsettings.cpp
+++ b/src/libmedlarkeelforward/forwardsettings.cpp
@@ -18,6 +18,7 @@
 
 constexpr const char* kMemoryKey = "memoryMb";
 constexpr const char* kDescriptorsKey = "maximumDescriptors";
+constexpr const char* kLinkKey = "linkMbps";
 
 bool
 IsEndpoint(std::string_view aText)
@@ -38,7 +39,7 @@
 void
 RemoveUnknownLimits(nlohmann::json& aSettings)
 {
-  for (const char* key : { kMemoryKey, kDescriptorsKey }) {
+  for (const char* key : { kMemoryKey, kDescriptorsKey, kLinkKey }) {
     const auto place = aSettings.find(key);
     if (place != aSettings.end() && place->is_null()) {
       aSettings.erase(place);
@@ -51,6 +52,7 @@
 {
   constexpr std::int64_t kMostMegabytes = 1 << 24;
   constexpr std::int64_t kMostDescriptors = 1 << 24;
+  constexpr double kMostMegabits = 1e9;
   std::int64_t memory = 0;
   aReader.Number(kMemoryKey,
                  Presence::Optional,
@@ -61,6 +63,11 @@
                  Presence::Optional,
                  IntegerRange{ 1, kMostDescriptors, "descriptors" },
                  descriptors);
+  double link = 0.0;
+  aReader.Number(kLinkKey,
+                 Presence::Optional,
+                 NumberRange{ 0.0, kMostMegabits, "Mbit/s" },
+                 link);
   aReader.Number("callerMemoryShare",
                  Presence::Optional,
                  NumberRange{ 0.0, 1.0, "", true },
@@ -71,6 +78,9 @@
   if (descriptors > 0) {
     aOut.mMostDescriptors = descriptors;
   }
+  if (link >= 1.0) {
+    aOut.mLinkMbps = static_cast<std::uint32_t>(link);
+  }
 }
 
 /** Reads an endpoint of which only the IP number is used. */
--- a/src/libmedlarkeelforward/forwardsettings.h
+++ b/src/libmedlarkeelforward/forwardsettings.h
@@ -16,6 +16,9 @@
   double mCallerMemoryShare = 0.4;
   /** File descriptors of the machine; nothing if it isn't known. */
   std::optional<std::int64_t> mMostDescriptors;
+  /** Bandwidth of the machine's own link, in Mbit/s; nothing if it isn't known.
+   * Entries with fast links read the directory for the others. */
+  std::optional<std::uint32_t> mLinkMbps;
   /** Where callers connect. */
   Endpoint mCallers;
   /** Where the balancer asks whether the entry takes new connections. */
--- a/src/libmedlarkeelforward/peerreportcodec.cpp
+++ b/src/libmedlarkeelforward/peerreportcodec.cpp
@@ -245,6 +245,12 @@
   if (aReport.mEraAge.count() != 0) {
     report["h"] = aReport.mEraAge.count();
   }
+  if (aReport.mDocumentVersion != 0) {
+    report["c"] = aReport.mDocumentVersion;
+  }
+  if (aReport.mLinkMbps != 0) {
+    report["j"] = aReport.mLinkMbps;
+  }
   if (aReport.mZone != 0) {
     report["z"] = aReport.mZone;
   }
@@ -297,6 +303,8 @@
                                    report.at("r").get<std::uint64_t>() };
     decoded.mEraAge = Milliseconds(report.value("h", std::int64_t(0)));
     decoded.mDirectoryAge = Milliseconds(report.at("g").get<std::int64_t>());
+    decoded.mDocumentVersion = report.value("c", std::uint64_t(0));
+    decoded.mLinkMbps = report.value("j", 0U);
     decoded.mZone = report.value("z", 0U);
     decoded.mIsBroadcast = report.value("w", false);
     decoded.mHasLostDirectoryContact = report.value("o", false);
--- a/tests/core/test_peerview.cpp
+++ b/tests/core/test_peerview.cpp
@@ -123,6 +123,30 @@
   }
 }
 
+/** Guards against directory readers whose links are too slow for the renewals
+ * of all servers. */
+BOOST_AUTO_TEST_CASE(EntriesWithTheFastestLinksReadTheDirectory)
+{
+  const PeerSettings settings;
+  constexpr int kEntries = 30;
+  const auto linkOf = [](int aEntry) { return aEntry % 5 == 0 ? 200U : 10U; };
+  std::size_t readers = 0;
+  for (int own = 0; own < kEntries; ++own) {
+    const auto address = [](int aEntry) {
+      return "10.0.0." + std::to_string(aEntry + 1);
+    };
+    PeerView view(settings, address(own), {}, kDiscoveredStart, 0, linkOf(own));
+    for (int other = 0; other < kEntries; ++other) {
+      PeerReport report = Report(address(other), 1);
+      report.mLinkMbps = linkOf(other);
+      view.Record(report, kStart);
+    }
+    readers += view.IsReader(kStart) ? 1 : 0;
+    BOOST_TEST((!view.IsReader(kStart) || linkOf(own) == 200U));
+  }
+  BOOST_TEST(readers == settings.mDirectoryReaders);
+}
+
 /** Guards against entries that rely on their own copy because a reader's copy
  * of a later era has a lower revision, and against calls because of readers
  * that are still in an earlier era. */
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -109,10 +109,14 @@
   report.mLoad.mPrefill[3'000'000'000U] = { 1'000'000.0, 20'000.0 };
   report.mKnownAddresses = { "10.0.0.2" };
   report.mSent = { { 4'000'000'000U, 7 } };
+  report.mDocumentVersion = 5'000'000'000U;
+  report.mLinkMbps = 200;
   const auto decoded = DecodePeerReport(EncodePeerReport(report));
   BOOST_REQUIRE(decoded.has_value());
   BOOST_TEST(decoded->mAddress == report.mAddress);
   BOOST_TEST(decoded->mSequence == 7U);
+  BOOST_TEST(decoded->mDocumentVersion == 5'000'000'000U);
+  BOOST_TEST(decoded->mLinkMbps == 200U);
   BOOST_TEST(decoded->mLoad.mServers.at(4'000'000'000U).mPrefillTokens ==
              40'000U);
   BOOST_TEST(decoded->mLoad.mPriorities.at(group).mRequests == 5U);
