Read documents and evacuations by a call of their own

Cause: one call delivered all changes of the directory. A document of some kilobytes waited behind the renewals of all servers, at each entry and from the position of its last call, up to 14 s ago: up to 35,000 changes and 14 MB. Class of fault: urgent news shares a queue with bulk data that grows with the fleet.

Change: each entry follows documents and evacuations by a waiting call for their keys only. Reports state the version of the sender's document; an entry that lacks it for 300 ms reads the documents at once, so that a dead connection of the waiting call costs no more. The digest of the list leaves the document out, so that a document causes no calls for the list, and deltas continue across it. Changes of zones that arrive late by the other call are skipped by their position. Where a position is older than a heartbeat and the list is long, a full read replaces the replay of the changes. Readers pause 500 ms at most between two calls.

Evidence, x86-64: wholepath/NewDocumentIsInForceWhileTheListIsSilent and EvacuationIsInForceWhileTheListIsSilent, new.

--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -49,10 +49,13 @@
   /** Pauses per bound. This leaves time for a call that delivers no changes and
    * for the full read after it. */
   constexpr int kPausesPerBound = 4;
+  /** Leaves a second for a server's leaving to reach all entries. */
+  constexpr Milliseconds kMaximumPause{ 500 };
   /** Time in which servers register again. */
   constexpr Milliseconds kRegistrationTime{ 2000 };
   FollowerSettings settings;
-  settings.mPause = aChangeBound / kPausesPerBound;
+  settings.mPause = std::min(aChangeBound / kPausesPerBound, kMaximumPause);
+  settings.mHeartbeat = aHeartbeat;
   settings.mOutageThreshold = aHeartbeat * 2;
   settings.mMaximumRemovalDelay = aChangeBound * 3 / kPausesPerBound;
   settings.mRestoreHoldTime =
@@ -70,8 +73,20 @@
 std::uint64_t
 DirectoryFollower::Digest() const
 {
-  return mBackends.Digest() + (mDocument ? mDocument->mVersion : 0) +
-         EraDigest(mEra.LastRead());
+  return mBackends.Digest() + EraDigest(mEra.LastRead());
+}
+
+DirectoryCall
+DirectoryFollower::CallAt(Timestamp aNow) const
+{
+  const bool isReadSmaller =
+    mNext.mKind == DirectoryCall::Kind::Watch && !mMayBeStale &&
+    mBackends.size() > mSettings.mMaximumReplayedServers &&
+    aNow - mPositionAt > mSettings.mHeartbeat;
+  return isReadSmaller ? DirectoryCall{ DirectoryCall::Kind::ReadAll,
+                                        Milliseconds(0),
+                                        mNext.mPosition }
+                       : mNext;
 }
 
 FollowerUpdate
@@ -119,6 +134,7 @@
   mHasRead = true;
   const Milliseconds pause = mMayBeStale ? Milliseconds(0) : mSettings.mPause;
   mNext = { DirectoryCall::Kind::Watch, pause, contents.mPosition };
+  mPositionAt = aNow;
   mDeltaLog.Restart(contents.mPosition);
   return update;
 }
@@ -166,13 +182,34 @@
       return aChange.second == BackendChange::RemovalDelayed;
     });
   const DirectoryPosition position = LaterOf(known, contents.mPosition);
-  if (update.mHasNewDocument || hasDelayed) {
-    // Peers have to call the directory for a document or a delayed removal.
+  if (hasDelayed) {
+    // Peers have to call the directory for a delayed removal.
     mDeltaLog.Restart(position);
   } else {
     mDeltaLog.Add(known, position, std::move(relayedChanges), aNow);
   }
   mNext = { DirectoryCall::Kind::Watch, mSettings.mPause, position };
+  mPositionAt = aNow;
+  return update;
+}
+
+FollowerUpdate
+DirectoryFollower::RecordDocuments(const DirectoryChanges& aChanges,
+                                   Timestamp aNow)
+{
+  FollowerUpdate update;
+  const DirectoryEra era = aChanges.mPosition.mEra;
+  EnterEra(era, aNow, update, aNow);
+  if (era != mEra.Current()) {
+    return update;
+  }
+  for (const DirectoryChange& change : aChanges.mChanges) {
+    const bool isZone = std::holds_alternative<ZoneEvacuation>(change);
+    // The full read that is due decides which evacuations are in the list.
+    if (!isZone || !mEra.IsReadDue()) {
+      Apply(change, aNow, update);
+    }
+  }
   return update;
 }
 
@@ -227,6 +264,7 @@
     }
   }
   mNext.mPosition = aDelta.mTo;
+  mPositionAt = aNow;
   mDeltaAppliedAt = aNow;
   return update;
 }
@@ -350,6 +388,14 @@
                              Timestamp aNow,
                              FollowerUpdate& aUpdate)
 {
+  // Calls of different kinds overtake each other.
+  if (aZone.mPosition.IsKnown()) {
+    DirectoryPosition& last = mZoneChanges[aZone.mZone];
+    if (last.IsAfter(aZone.mPosition)) {
+      return;
+    }
+    last = aZone.mPosition;
+  }
   const bool wasEvacuated = mBackends.IsEvacuated(aZone.mZone, aNow);
   mBackends.SetEvacuated(
     aZone.mZone, aZone.mIsEvacuated, aZone.mPosition, aNow);
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -18,6 +18,11 @@
    * heartbeats at least that often, so an empty answer shows that changes
    * aren't delivered. */
   Milliseconds mWait{ 800 };
+  /** Interval in which backend servers renew their entries. */
+  Milliseconds mHeartbeat{ 1200 };
+  /** Number of servers above which changes that are older than a heartbeat are
+   * replaced by a full read: it delivers each entry once. */
+  std::size_t mMaximumReplayedServers = 500;
   /** Maximum wait of a process that had no answer for longer than mWait.
    * Changes have accumulated by then, so a call that delivers none is detected
    * sooner. It also applies to the call after a stale full read. */
@@ -106,9 +111,13 @@
 public:
   explicit DirectoryFollower(const FollowerSettings& aSettings);
 
-  /** @return The next call. */
+  /** @return The next call that continues what is known. */
   DirectoryCall Next() const { return mNext; }
 
+  /** @return The call to make now: Next(), or a full read if that delivers less
+   * than the changes since the known position. */
+  DirectoryCall CallAt(Timestamp aNow) const;
+
   /** @return Maximum time that a call waits for changes. */
   Milliseconds Wait(Timestamp aNow) const
   {
@@ -148,6 +157,16 @@
    */
   FollowerUpdate RecordWatch(const DirectoryResult& aResult, Timestamp aNow);
 
+  /**
+   * Applies documents and evacuations that were read by a separate call, which
+   * doesn't cover the backend servers. Neither the position nor the time of the
+   * last contact changes.
+   *
+   * @return What has changed.
+   */
+  FollowerUpdate RecordDocuments(const DirectoryChanges& aChanges,
+                                 Timestamp aNow);
+
   /**
    * Applies a delta that a directory reader relayed. A call of this process may
    * be in progress. Changes of an era that isn't read yet are applied one by
@@ -212,8 +231,8 @@
    * changes after it were read too. */
   bool HasRead() const { return mHasRead && !mMayBeStale; }
 
-  /** @return A digest of the document's version, the list of backend servers
-   * and the era in which they were read. */
+  /** @return A digest of the list of backend servers, the evacuated zones and
+   * the era in which they were read. */
   std::uint64_t Digest() const;
 
   /** @return Position up to which the directory is known. Its revision is 0
@@ -270,12 +289,16 @@
   bool mHasFailed = false;
   /** A full read was answered from an earlier era than the current one. */
   bool mHasReadEarlierEra = false;
+  /** Positions of the last change of each zone. */
+  std::map<ZoneName, DirectoryPosition> mZoneChanges;
   /** Positions of zone changes of an era that isn't read yet. */
   std::map<ZoneName, DirectoryPosition> mZonesBeforeRead;
   Milliseconds mRetryDelay;
   Timestamp mLastContact;
   Timestamp mPeerConfirmedAt;
   Timestamp mFailedAt;
+  /** When the position was last known to be that of the directory. */
+  Timestamp mPositionAt;
   /** When a delta was last applied. */
   Timestamp mDeltaAppliedAt;
 };
--- a/src/libmedlarkeel/forwarding/directorysource.h
+++ b/src/libmedlarkeel/forwarding/directorysource.h
@@ -85,7 +85,7 @@
 };
 
 /** Gives access to the directory in which documents and backend servers are
- * published. */
+ * published, or to a part of it. One call of each kind may be in progress. */
 class DirectorySource
 {
 public:
@@ -94,7 +94,7 @@
   virtual ~DirectorySource() = default;
 
   /**
-   * Reads the whole directory. At most one call may be in progress.
+   * Reads all contents.
    *
    * @param aHandler Receives the contents, or the error. No change is missed
    * when the changes after the position of the result are read next.
@@ -115,4 +115,13 @@
                      Handler aHandler) = 0;
 };
 
+/** The directory as an entry reads it. */
+struct DirectorySources
+{
+  /** All contents. */
+  std::shared_ptr<DirectorySource> mAll;
+  /** Documents and evacuations only. */
+  std::shared_ptr<DirectorySource> mDocuments;
+};
+
 } // namespace medlarkeel
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -136,14 +136,15 @@
 Forwarder::Forwarder(boost::asio::io_context& aContext,
                      const ForwardSettings& aSettings,
                      WireProtocol aProtocol,
-                     std::shared_ptr<DirectorySource> aDirectory,
+                     DirectorySources aDirectories,
                      EventLog& aLog)
   : mContext(aContext)
   , mSettings(aSettings)
   , mProtocol(std::move(aProtocol))
-  , mDirectory(std::move(aDirectory))
+  , mDirectories(std::move(aDirectories))
   , mLog(aLog)
   , mFollower(FollowerSettingsFor(aSettings.mChangeBound, aSettings.mHeartbeat))
+  , mDocumentFollower(DocumentFollowerSettings())
   , mChooser(BackendChooserSettings(), aSettings.mZone, NewIncarnation().mValue)
   , mPeers(PeerSettingsFor(aSettings.mChangeBound),
            aSettings.mPeers.mAddress,
@@ -177,6 +178,7 @@
   , mTrimTimer(aContext)
   , mAcceptor(aContext)
   , mDirectoryTimer(aContext)
+  , mDocumentTimer(aContext)
   , mStopTimer(aContext)
   , mRandom(NewIncarnation().mValue)
 {
@@ -191,6 +193,7 @@
   TrimMemory();
   mPeerChannel.Start();
   CallDirectory();
+  FollowDocuments();
 }
 
 void
@@ -505,6 +508,9 @@
   aReport.mShuttingDownProcesses = mFollower.Backends().ShuttingDownProcesses();
   aReport.mHasLostDirectoryContact = mFollower.HasLostContact();
   aReport.mDirectoryDigest = mFollower.Digest();
+  if (const ForwardingDocumentPointer& document = mFollower.NewestDocument()) {
+    aReport.mDocumentVersion = document->mVersion;
+  }
   aReport.mDirectoryPosition = mFollower.Position();
   if (aReport.mDirectoryPosition.mEra.mValue != 0) {
     aReport.mEraAge = mFollower.EraAge(now);
@@ -531,6 +537,8 @@
         aReport.mDirectoryPosition.mEra, aReport.mEraAge, now)) {
     TakeNews(*news);
   }
+  mDocumentFollower.RecordPeerVersion(aReport.mDocumentVersion, now);
+  ReadMissingDocument();
   if (!aReport.mRecentDelta) {
     return;
   }
@@ -568,8 +576,8 @@
     if (aError) {
       return;
     }
-    const DirectoryCall step = mFollower.Next();
     const Timestamp now = BootNow();
+    const DirectoryCall step = mFollower.CallAt(now);
     const bool isQuiet = mFollower.CanSkipCall(now) &&
                          mPeers.CanSkipDirectoryCall(
                            mFollower.Digest(), mFollower.Position(), now);
@@ -581,12 +589,12 @@
     mCounters.mDirectoryCalls += 1;
     if (step.mKind == DirectoryCall::Kind::ReadAll) {
       const ReadFreshness freshness = mFollower.Freshness();
-      mDirectory->ReadAll(freshness,
-                          [this, freshness](const DirectoryResult& aResult) {
-                            TakeReading(aResult, freshness);
-                          });
+      mDirectories.mAll->ReadAll(
+        freshness, [this, freshness](const DirectoryResult& aResult) {
+          TakeReading(aResult, freshness);
+        });
     } else {
-      mDirectory->Watch(
+      mDirectories.mAll->Watch(
         step.mPosition,
         mFollower.Wait(now),
         [this](const DirectoryResult& aResult) { TakeChanges(aResult); });
@@ -594,6 +602,73 @@
   });
 }
 
+void
+Forwarder::FollowDocuments()
+{
+  mDocumentTimer.expires_after(mDocumentFollower.Next().mDelay);
+  mDocumentTimer.async_wait([this](const Error& aError) {
+    if (!aError) {
+      CallForDocuments();
+    }
+  });
+}
+
+void
+Forwarder::CallForDocuments()
+{
+  const auto takeAnswer = [this](const DirectoryResult& aResult) {
+    mDocumentFollower.RecordAnswer(aResult);
+    TakeDocuments(aResult);
+    FollowDocuments();
+  };
+  const DirectoryCall step = mDocumentFollower.Next();
+  if (step.mKind == DirectoryCall::Kind::ReadAll) {
+    ReadDocuments(takeAnswer);
+  } else {
+    mCounters.mDirectoryCalls += 1;
+    mDirectories.mDocuments->Watch(
+      step.mPosition, mDocumentFollower.Wait(), takeAnswer);
+  }
+}
+
+void
+Forwarder::TakeDocuments(const DirectoryResult& aResult)
+{
+  if (!aResult) {
+    mCounters.mDirectoryFailures += 1;
+    return;
+  }
+  TakeNews(mFollower.RecordDocuments(aResult.value(), BootNow()));
+}
+
+void
+Forwarder::ReadMissingDocument()
+{
+  const ForwardingDocumentPointer& newest = mFollower.NewestDocument();
+  if (mIsReadingDocuments || !mDocumentFollower.TakeReadDue(
+                               newest ? newest->mVersion : 0, BootNow())) {
+    return;
+  }
+  ReadDocuments(
+    [this](const DirectoryResult& aResult) { TakeDocuments(aResult); });
+}
+
+void
+Forwarder::ReadDocuments(const DirectorySource::Handler& aHandler)
+{
+  if (mIsReadingDocuments) {
+    aHandler(DirectoryError::Refused);
+    return;
+  }
+  mIsReadingDocuments = true;
+  mCounters.mDirectoryCalls += 1;
+  mDirectories.mDocuments->ReadAll(
+    ReadFreshness::Newest, [this, aHandler](const DirectoryResult& aResult) {
+      mIsReadingDocuments = false;
+      aHandler(aResult);
+    });
+}
+
 void
 Forwarder::TakeReading(const DirectoryResult& aResult, ReadFreshness aFreshness)
 {
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -5,6 +5,7 @@
 #include "../libmedlarkeel/forwarding/callerdescriptors.h"
 #include "../libmedlarkeel/forwarding/callermemory.h"
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
+#include "../libmedlarkeel/forwarding/documentfollower.h"
 #include "../libmedlarkeel/forwarding/placementexplanation.h"
 #include "../libmedlarkeel/forwarding/recentmaximum.h"
 #include "../libmedlarkeel/forwarding/retryschedule.h"
@@ -39,11 +40,11 @@
 class Forwarder
 {
 public:
-  /** @param aDirectory Where documents and backend servers are published. */
+  /** @param aDirectories Where documents and backend servers are published. */
   Forwarder(boost::asio::io_context& aContext,
             const ForwardSettings& aSettings,
             WireProtocol aProtocol,
-            std::shared_ptr<DirectorySource> aDirectory,
+            DirectorySources aDirectories,
             EventLog& aLog);
 
   /** Listens and begins to follow the directory. */
@@ -151,6 +152,14 @@
   void TrimMemory();
   void CallDirectory();
   void CallDirectoryLater(Milliseconds aDelay);
+  /** Follows the documents and evacuations. */
+  void FollowDocuments();
+  void CallForDocuments();
+  void TakeDocuments(const DirectoryResult& aResult);
+  /** Reads the documents; refused while they are being read. */
+  void ReadDocuments(const DirectorySource::Handler& aHandler);
+  /** Reads the documents if another entry has one that is missing here. */
+  void ReadMissingDocument();
   void TakeReading(const DirectoryResult& aResult, ReadFreshness aFreshness);
   void TakeChanges(const DirectoryResult& aResult);
   void TakeAnswer(const DirectoryResult& aResult, const FollowerUpdate& aNews);
@@ -167,9 +176,10 @@
   boost::asio::io_context& mContext;
   ForwardSettings mSettings;
   WireProtocol mProtocol;
-  std::shared_ptr<DirectorySource> mDirectory;
+  DirectorySources mDirectories;
   EventLog& mLog;
   DirectoryFollower mFollower;
+  DocumentFollower mDocumentFollower;
   BackendChooser mChooser;
   ServerLimits mLimits;
   PeerView mPeers;
@@ -195,12 +205,15 @@
   boost::asio::steady_timer mTrimTimer;
   boost::asio::ip::tcp::acceptor mAcceptor;
   boost::asio::steady_timer mDirectoryTimer;
+  boost::asio::steady_timer mDocumentTimer;
   boost::asio::steady_timer mStopTimer;
   std::mt19937_64 mRandom;
   /** When the chooser was last told what the others do. */
   Timestamp mRefreshedAt;
   /** Durations of requests, by the name of their route. */
   std::unordered_map<std::string, RecentMaximum> mDurations;
+  /** Whether the documents are being read. */
+  bool mIsReadingDocuments = false;
   bool mIsStopping = false;
   bool mHasEndedRequests = false;
   Timestamp mStopAt;
--- a/src/medlarkeelforward/main.cpp
+++ b/src/medlarkeelforward/main.cpp
@@ -111,10 +111,13 @@
   EventLog log(aSettings.mNode.Text(),
                std::make_shared<spdlog::sinks::stdout_sink_mt>());
   boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-  auto directory =
-    std::make_shared<platform::StoreClient>(context, aSettings.mDirectory);
+  const DirectorySources directories{
+    std::make_shared<platform::StoreClient>(context, aSettings.mDirectory),
+    std::make_shared<platform::StoreClient>(
+      context, aSettings.mDirectory, platform::kDocumentKeys)
+  };
   Forwarder forwarder(
-    context, aSettings, platform::PlatformProtocol(), directory, log);
+    context, aSettings, platform::PlatformProtocol(), directories, log);
   const StatusServer readiness(
     context, aSettings.mReadiness, [&](const std::string&) {
       return ReadinessPage(forwarder);
--- a/tests/core/test_directoryfollower.cpp
+++ b/tests/core/test_directoryfollower.cpp
@@ -139,6 +139,66 @@
   BOOST_TEST(follower.Document()->mVersion == 7U);
 }
 
+/** Guards against changes that the call for all changes reverts, because it
+ * delivers them later than the call for documents. */
+BOOST_AUTO_TEST_CASE(DocumentsAndZonesOvertakeOtherChanges)
+{
+  const ZoneName zone("b");
+  DirectoryFollower follower{ FollowerSettings() };
+  follower.RecordRead(Changes(9, { Document(3), Entry("one", 5) }), kStart);
+  const FollowerUpdate update = follower.RecordDocuments(
+    Changes(14,
+            { Document(4),
+              ZoneEvacuation{ zone, true, { {}, 10 } },
+              ZoneEvacuation{ zone, false, { {}, 12 } } }),
+    kStart);
+  BOOST_TEST(update.mHasNewDocument);
+  BOOST_TEST(follower.Position().mRevision == 9U);
+  follower.RecordWatch(
+    Changes(10, { ZoneEvacuation{ zone, true, { {}, 10 } } }), kStart);
+  BOOST_TEST(follower.Document()->mVersion == 4U);
+  BOOST_TEST(!follower.Backends().IsEvacuated(zone, kStart));
+  follower.RecordDocuments(
+    Changes(20, { ZoneEvacuation{ zone, true, { {}, 20 } } }), kStart);
+  follower.RecordRead(Changes(18, { Entry("one", 17) }), kStart);
+  BOOST_TEST(follower.Backends().IsEvacuated(zone, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(DocumentsOfALaterEraCauseAFullRead)
+{
+  const ZoneName zone("b");
+  DirectoryFollower follower{ FollowerSettings() };
+  follower.RecordRead(InEra(1, 9, { EntryInEra("one", 1, 5) }), kStart);
+  follower.RecordDocuments(
+    InEra(2, 4, { Document(4), ZoneEvacuation{ zone, true, { { 2 }, 3 } } }),
+    kStart);
+  BOOST_CHECK(follower.Next().mKind == Kind::ReadAll);
+  BOOST_TEST(follower.Document()->mVersion == 4U);
+  BOOST_TEST(!follower.Backends().IsEvacuated(zone, kStart));
+  follower.RecordDocuments(InEra(1, 12, { Document(5) }), kStart);
+  BOOST_TEST(follower.Document()->mVersion == 4U);
+}
+
+/** Guards against entries that replay the renewals of thousands of servers from
+ * an old position, which takes many times as long as a full read. */
+BOOST_AUTO_TEST_CASE(OldPositionOfALongListIsReadInFull)
+{
+  FollowerSettings settings;
+  const auto kindAfter = [&](std::size_t aServers, Milliseconds aAge) {
+    DirectoryFollower follower(settings);
+    std::vector<DirectoryChange> entries;
+    for (std::size_t i = 0; i < aServers; ++i) {
+      entries.emplace_back(Entry(std::to_string(i).c_str(), 5));
+    }
+    follower.RecordRead(Changes(9, std::move(entries)), kStart);
+    return follower.CallAt(kStart + aAge).mKind;
+  };
+  const Milliseconds old = settings.mHeartbeat + Milliseconds(1);
+  BOOST_CHECK(kindAfter(3000, old) == Kind::ReadAll);
+  BOOST_CHECK(kindAfter(3000, settings.mHeartbeat) == Kind::Watch);
+  BOOST_CHECK(kindAfter(50, old) == Kind::Watch);
+}
+
 BOOST_AUTO_TEST_CASE(EmptyWatchIsFollowedByFullRead)
 {
   DirectoryFollower follower{ FollowerSettings() };
--- a/tests/forward/forwardfixture.h
+++ b/tests/forward/forwardfixture.h
@@ -88,6 +88,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mWork;
   std::shared_ptr<FakeDirectory> mDirectory;
+  std::shared_ptr<FakeDirectory> mDocuments;
   EventLog mLog;
   std::unique_ptr<Forwarder> mForwarder;
   std::vector<std::unique_ptr<FakeBackend>> mBackends;
--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -127,6 +127,7 @@
     switch (mStore.mTrouble) {
       case StoreTrouble::None:
       case StoreTrouble::Slow:
+      case StoreTrouble::SilentList:
       case StoreTrouble::RepeatingPages:
       case StoreTrouble::EmptyPages:
         break;
@@ -151,6 +152,10 @@
     }
     std::map<std::string, std::string>& query = *parsed;
     mPrefix = query["path-prefix"];
+    if (mStore.mTrouble == StoreTrouble::SilentList && mPrefix.empty()) {
+      mStore.mSilent.insert(shared_from_this());
+      return;
+    }
     if (StartsWith(target, "/kv-key?")) {
       Answer(mStore.ReadKey(query["key"]));
     } else if (StartsWith(target, "/kv-range?")) {
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -37,6 +37,8 @@
   Resetting,
   /** Answers come late. */
   Slow,
+  /** Calls for all items are read and get no answer; those for a prefix do. */
+  SilentList,
   /** Each page of a list is the first one. */
   RepeatingPages,
   /** Pages of a list are empty, and more are announced. */
--- a/tests/platform/test_wholepath.cpp
+++ b/tests/platform/test_wholepath.cpp
@@ -144,6 +144,29 @@
   BOOST_TEST(!answer.Field("Retry-After").empty());
 }
 
+/** Guards against documents that wait behind the renewals of many servers. */
+BOOST_FIXTURE_TEST_CASE(NewDocumentIsInForceWhileTheListIsSilent, OneEntry)
+{
+  Store().SetTrouble(StoreTrouble::SilentList);
+  Document()["routes"][0]["path-prefix"] = "/changed/";
+  PublishDocument();
+  std::this_thread::sleep_for(kChangeBound);
+  BOOST_TEST(Ask("r-1", "/changed/a").Status() == kOk);
+}
+
+/** Guards against an evacuation that waits behind the renewals of servers. */
+BOOST_FIXTURE_TEST_CASE(EvacuationIsInForceWhileTheListIsSilent, OneEntry)
+{
+  constexpr int kUnavailable = 503;
+  Store().SetTrouble(StoreTrouble::SilentList);
+  Store().Put("op/evacuate/zone-0", Json::object());
+  std::this_thread::sleep_for(kChangeBound);
+  BOOST_TEST(Ask("r-1", "/once/a").Status() == kUnavailable);
+  Store().Remove("op/evacuate/zone-0");
+  std::this_thread::sleep_for(kChangeBound);
+  BOOST_TEST(Ask("r-2", "/once/a").Status() == kOk);
+}
+
 BOOST_FIXTURE_TEST_CASE(NewDocumentIsInForceWithinItsBound, OneEntry)
 {
   Document()["tenants"][0]["api-keys"] = Json::array({ "third" });
