Apply relayed changes after a gap, and take a reader's position

Cause: an entry that had missed a delta ignored all later ones, though each of their changes is newer than what it replaces, and noticed by the digest that it had missed something; reading 3,000 servers takes a second and more on a small machine. Deltas without changes were enough for such a gap.

Change: the changes of a delta apply also after a gap, without moving the position. An entry whose digest equals that of a reader's report is at the reader's position. A full read no longer drops servers that were relayed while it was under way.

--- a/src/libmedlarkeel/forwarding/backendlist.cpp
+++ b/src/libmedlarkeel/forwarding/backendlist.cpp
@@ -193,7 +193,8 @@
 {
   std::vector<InstanceId> missing;
   for (const auto& [id, backend] : mBackends) {
-    if (aListed.count(id) == 0) {
+    const bool isLater = backend.mEntry.mPosition.IsAfter(aPosition);
+    if (aListed.count(id) == 0 && !isLater) {
       missing.push_back(id);
     }
   }
--- a/src/libmedlarkeel/forwarding/backendlist.h
+++ b/src/libmedlarkeel/forwarding/backendlist.h
@@ -107,7 +107,7 @@
 
   /**
    * Removes all servers that aren't listed, or schedules their removal during
-   * the grace period.
+   * the grace period. Entries that are later than the list stay.
    *
    * @param aPosition Position of the list that was read.
    * @return The affected servers.
--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -246,10 +246,7 @@
     return update;
   }
   const DirectoryPosition known = mNext.mPosition;
-  const bool follows = mHasRead && known.IsKnown() &&
-                       aDelta.mFrom.IsAtMost(known) &&
-                       aDelta.mTo.IsAfter(known);
-  if (!follows) {
+  if (!mHasRead || !known.IsKnown() || !aDelta.mTo.IsAfter(known)) {
     return std::nullopt;
   }
   for (const RelayedChange& change : aDelta.mChanges) {
@@ -263,12 +260,29 @@
                  change);
     }
   }
-  mNext.mPosition = aDelta.mTo;
-  mPositionAt = aNow;
-  mDeltaAppliedAt = aNow;
+  // Each change is newer than what it replaces, so it applies in any case.
+  // After a gap the position stays, since earlier changes may be missing.
+  if (aDelta.mFrom.IsAtMost(known)) {
+    mNext.mPosition = aDelta.mTo;
+    mPositionAt = aNow;
+    mDeltaAppliedAt = aNow;
+  }
   return update;
 }
 
+void
+DirectoryFollower::RecordPeerState(const DirectoryPosition& aPosition,
+                                   std::uint64_t aDigest,
+                                   Timestamp aNow)
+{
+  if (mHasRead && mNext.mPosition.IsKnown() &&
+      aPosition.IsAfter(mNext.mPosition) && aDigest == Digest()) {
+    mNext.mPosition = aPosition;
+    mPositionAt = aNow;
+    mDeltaAppliedAt = aNow;
+  }
+}
+
 void
 DirectoryFollower::ApplyBeforeRead(const DirectoryDelta& aDelta,
                                    Timestamp aNow,
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -172,12 +172,24 @@
    * be in progress. Changes of an era that isn't read yet are applied one by
    * one, and the directory is read.
    *
-   * @return What has changed; nothing when the delta starts after the known
-   * position or adds nothing to it, or is of an earlier era.
+   * @return What has changed; nothing when the delta adds nothing to the known
+   * position or is of an earlier era. The changes of a delta that starts after
+   * the known position apply, but the position stays.
    */
   std::optional<FollowerUpdate> RecordRelayedDelta(const DirectoryDelta& aDelta,
                                                    Timestamp aNow);
 
+  /**
+   * Records the state of a directory reader. An entry with the same list is at
+   * the reader's position, also if it missed deltas that changed nothing.
+   *
+   * @param aPosition The reader's position.
+   * @param aDigest Digest of the reader's copy at that position.
+   */
+  void RecordPeerState(const DirectoryPosition& aPosition,
+                       std::uint64_t aDigest,
+                       Timestamp aNow);
+
   /**
    * Records the era that another entry knows. A later one than that of this
    * entry makes it read the directory; until then it relays no changes.
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -547,6 +547,8 @@
     mCounters.mDirectoryNewsTold += 1;
     TakeNews(*news);
   }
+  mFollower.RecordPeerState(
+    aReport.mDirectoryPosition, aReport.mDirectoryDigest, now);
 }
 
 void
--- a/tests/core/restoredfleet.cpp
+++ b/tests/core/restoredfleet.cpp
@@ -528,6 +528,8 @@
   ReadMissingDocument(aNode);
   if (aReport.mRecentDelta) {
     node.mFollower.RecordRelayedDelta(*aReport.mRecentDelta, mNow);
+    node.mFollower.RecordPeerState(
+      aReport.mDirectoryPosition, aReport.mDirectoryDigest, mNow);
   }
 }
 
