End the grace period by the last call that failed

Cause: the grace period of 2.3 s, for servers that register again after an outage, began with the first answer. That answer comes up to 1.2 s after the outage has ended: the last call that fails takes 700 ms, and the pause after it 500 ms. Class of fault: a bound that counts from the news instead of the last sure contact.

Change: the period ends 2.9 s after the start of the last call that failed, if that is sooner; the outage may have ended right after it.

--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -378,6 +378,7 @@
   aUpdate.mHasLostContact = !mHasFailed;
   mHasFailed = true;
   mFailedAt = aNow;
+  mFailedCallStartedAt = mCallStartedAt;
   mNext = { DirectoryCall::Kind::ReadAll, mRetryDelay, mNext.mPosition };
   mRetryDelay = std::min(mRetryDelay * 2, mSettings.mMaximumRetryDelay);
 }
@@ -388,7 +389,7 @@
   const Timestamp known = std::max(mLastContact, mPeerConfirmedAt);
   if (mHasRead && aNow - known > mSettings.mOutageThreshold) {
     mBackends.StartGracePeriod(
-      aNow, mSettings.mGracePeriod, mSettings.mMaximumRemovalDelay);
+      aNow, GracePeriod(aNow), mSettings.mMaximumRemovalDelay);
   }
   aUpdate.mHasRestoredContact = mHasFailed;
   aUpdate.mOutage = mHasRead ? aNow - known : Microseconds(0);
@@ -397,6 +398,18 @@
   mLastContact = aNow;
 }
 
+Microseconds
+DirectoryFollower::GracePeriod(Timestamp aNow) const
+{
+  if (!mHasFailed || !mFailedCallStartedAt) {
+    return mSettings.mGracePeriod;
+  }
+  const Timestamp latest =
+    *mFailedCallStartedAt + mSettings.mMaximumGraceAfterFailure;
+  return std::clamp<Microseconds>(
+    latest - aNow, Microseconds(0), mSettings.mGracePeriod);
+}
+
 void
 DirectoryFollower::ApplyZone(const ZoneEvacuation& aZone,
                              Timestamp aNow,
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -41,6 +41,10 @@
   /** Time for which servers that are missing after an outage are kept; they
    * re-register within two seconds. */
   Milliseconds mGracePeriod{ 2300 };
+  /** Maximum time for which such servers are kept after the start of the last
+   * call that failed. The outage may have ended right after it, and a removal
+   * must be in force within the time in which entries count as connected. */
+  Milliseconds mMaximumGraceAfterFailure{ 2900 };
   /** Maximum time for which a server is kept after its removal was published.
    */
   Milliseconds mMaximumRemovalDelay{ 1500 };
@@ -140,6 +144,9 @@
    * the directory instead of this one. */
   bool HasLostContact() const { return mHasFailed; }
 
+  /** Records that a call starts; its answer is recorded next. */
+  void RecordCallStarted(Timestamp aNow) { mCallStartedAt = aNow; }
+
   /**
    * Applies the answer to a full read.
    *
@@ -280,6 +287,9 @@
   void Apply(const DirectoryChange& aChange,
              Timestamp aNow,
              FollowerUpdate& aUpdate);
+  /** @return Time for which servers that are missing after an outage are kept.
+   */
+  Microseconds GracePeriod(Timestamp aNow) const;
   void ApplyZone(const ZoneEvacuation& aZone,
                  Timestamp aNow,
                  FollowerUpdate& aUpdate);
@@ -309,6 +319,10 @@
   Timestamp mLastContact;
   Timestamp mPeerConfirmedAt;
   Timestamp mFailedAt;
+  /** Start of the last call; unknown before the first one. */
+  std::optional<Timestamp> mCallStartedAt;
+  /** Start of the last call that failed. */
+  std::optional<Timestamp> mFailedCallStartedAt;
   /** When the position was last known to be that of the directory. */
   Timestamp mPositionAt;
   /** When a delta was last applied. */
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -589,6 +589,7 @@
       return;
     }
     mCounters.mDirectoryCalls += 1;
+    mFollower.RecordCallStarted(now);
     if (step.mKind == DirectoryCall::Kind::ReadAll) {
       const ReadFreshness freshness = mFollower.Freshness();
       mDirectories.mAll->ReadAll(
--- a/tests/core/test_directoryfollower.cpp
+++ b/tests/core/test_directoryfollower.cpp
@@ -247,6 +247,26 @@
   BOOST_TEST(follower.Backends().Usable(kPool, kStart).empty());
 }
 
+/** Guards against a server that is kept for the whole grace period after the
+ * first answer, though the outage had ended up to 1.2 s before. */
+BOOST_AUTO_TEST_CASE(GracePeriodCountsFromTheLastFailedCall)
+{
+  const FollowerSettings settings;
+  DirectoryFollower follower(settings);
+  follower.RecordRead(Changes(9, { Entry("one", 5), Entry("two", 6) }), kStart);
+  const Timestamp failing = kStart + Seconds(5);
+  follower.RecordCallStarted(failing);
+  follower.RecordRead(DirectoryError::Unreachable, failing + Milliseconds(700));
+  const Timestamp answered = failing + Milliseconds(1200);
+  follower.RecordCallStarted(answered);
+  follower.RecordRead(Changes(20, { Entry("one", 5) }), answered);
+  const auto usableAt = [&](Timestamp aTime) {
+    return follower.Backends().Usable(kPool, aTime).size();
+  };
+  BOOST_TEST(usableAt(answered + Milliseconds(1500)) == 2U);
+  BOOST_TEST(usableAt(failing + Milliseconds(3000)) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ServerMissingWithoutOutageIsRemovedAtOnce)
 {
   DirectoryFollower follower{ FollowerSettings() };
