Refuse peer reports with addresses that are no IP numbers

Cause: the address was parsed when the next report was sent to it, and the parser throws. Class of fault: text from outside that is checked where it is used, not where it is read.

Change: such a report is unreadable, and sending to an address that can't be parsed is an error of that report only.

--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -122,10 +122,11 @@
   const std::uint16_t port = mSocket.local_endpoint().port();
   for (const std::string& target : aTargets) {
     Error error;
-    mSocket.send_to(boost::asio::buffer(aBytes),
-                    udp::endpoint(boost::asio::ip::make_address(target), port),
-                    0,
-                    error);
+    const auto address = boost::asio::ip::make_address(target, error);
+    if (!error) {
+      mSocket.send_to(
+        boost::asio::buffer(aBytes), udp::endpoint(address, port), 0, error);
+    }
     if (error) {
       mCounters.mPeerReportsNotSent += 1;
       RecordLost(error.message().c_str(), target);
--- a/src/libmedlarkeelforward/peerreportcodec.cpp
+++ b/src/libmedlarkeelforward/peerreportcodec.cpp
@@ -331,6 +331,11 @@
     }
     if (report.contains("k")) {
       decoded.mKnownAddresses = report.at("k").get<std::vector<std::string>>();
+      for (const std::string& address : decoded.mKnownAddresses) {
+        if (!IsIpNumber(address)) {
+          return std::nullopt;
+        }
+      }
     }
     return decoded;
   } catch (const std::exception&) {
--- a/tests/forward/test_forwardsettings.cpp
+++ b/tests/forward/test_forwardsettings.cpp
@@ -98,6 +98,20 @@
              std::string::npos);
 }
 
+/** Guards against a process that ends when it reports to an address that is no
+ * IP number. */
+BOOST_AUTO_TEST_CASE(ReportWithAnAddressThatIsNoIpNumberIsUnreadable)
+{
+  PeerReport report;
+  report.mAddress = "10.0.0.1";
+  for (const char* const known : { "10.0.0.2:80", "", "host", "10.0.0" }) {
+    report.mKnownAddresses = { "10.0.0.3", known };
+    BOOST_TEST(!DecodePeerReport(EncodePeerReport(report)).has_value(), known);
+  }
+  report.mKnownAddresses = { "10.0.0.3" };
+  BOOST_TEST(DecodePeerReport(EncodePeerReport(report)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(PeerReportsSurviveTheirEncoding)
 {
   PeerReport report;
