Answer requests that arrived behind another when a shutdown begins

Cause: an answer that begins in a shutdown said that the connection ends, without regard to requests that had arrived. Only answers begun before the shutdown were followed by them. Class of fault: a promise about a connection that is made without looking at what the connection holds.

Change: in a shutdown an answer keeps the connection if a further request has arrived. What can't end in time is refused as not run, as ever.

--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -439,6 +439,12 @@
     });
 }
 
+bool
+CallerConnection::MayKeepOpen() const
+{
+  return !mForwarder.IsStopping() || !mInput.empty();
+}
+
 void
 CallerConnection::FinishAnswer(bool aKeepOpen)
 {
@@ -450,8 +456,7 @@
   UpdateMemory();
   // The answer may have promised to keep the connection before the shutdown
   // began: a request that has arrived behind it gets an answer.
-  const bool isLast = mForwarder.IsStopping() && mInput.empty();
-  if (!aKeepOpen || isLast) {
+  if (!aKeepOpen || !MayKeepOpen()) {
     mTimer.cancel();
     mClosesAfterWrite = true;
     Write();
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -75,6 +75,10 @@
     return mExchange != nullptr || mHasBegun || !mInput.empty();
   }
 
+  /** @return Whether an answer that begins now may keep the connection. In a
+   * shutdown it may only if a further request has arrived. */
+  bool MayKeepOpen() const;
+
 private:
   using Error = boost::system::error_code;
 
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -328,7 +328,7 @@
                         const std::string& aReason,
                         std::optional<Milliseconds> aRetryAfter)
 {
-  mKeepOpen = mKeepOpen && !mForwarder.IsStopping();
+  mKeepOpen = mKeepOpen && mCaller->MayKeepOpen();
   OwnAnswer answer;
   answer.mStatus = aStatus;
   answer.mReason = aReason;
--- a/src/libmedlarkeelforward/exchange_answer.cpp
+++ b/src/libmedlarkeelforward/exchange_answer.cpp
@@ -420,7 +420,7 @@
       mBody.reset(); // No other server can go on with the stream.
     }
     mIsChunked = mHead.mVersion >= 11;
-    mKeepOpen = mKeepOpen && mIsChunked && !mForwarder.IsStopping();
+    mKeepOpen = mKeepOpen && mIsChunked && mCaller->MayKeepOpen();
     if (!mIsChunked) {
       mCaller->ResetUnlessFinished();
     }
@@ -542,7 +542,7 @@
 Exchange::PassWhole(const MessageHead& aHead, const std::string& aBody)
 {
   mHasAnswered = true;
-  mKeepOpen = mKeepOpen && !mForwarder.IsStopping();
+  mKeepOpen = mKeepOpen && mCaller->MayKeepOpen();
   mCaller->Send(WholeAnswer(aHead, aBody, IsHeadOnly(), mKeepOpen));
 }
 
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -670,6 +670,31 @@
   BOOST_TEST(backend.Requests().size() == 1U);
 }
 
+/** Guards against requests that were read behind the one that runs and are
+ * dropped when a shutdown begins. */
+BOOST_AUTO_TEST_CASE(EndingEntryAnswersRequestsThatArrivedBehindAnother)
+{
+  ForwardFixture fixture;
+  FakeBackend& backend =
+    fixture.AddBackend([](Socket& aSocket, const std::string& aRequest) {
+      std::this_thread::sleep_for(Milliseconds(100));
+      Answering(200, "yes")(aSocket, aRequest);
+    });
+  fixture.Start();
+  Caller caller(fixture.Port());
+  caller.Send(ForwardFixture::RequestText("/again/x") +
+              ForwardFixture::RequestText("/again/y") +
+              ForwardFixture::RequestText("/again/z"));
+  BOOST_REQUIRE(WaitUntil(Milliseconds(1000),
+                          [&]() { return !backend.Requests().empty(); }));
+  fixture.Run([](Forwarder& aForwarder) { aForwarder.Stop(); });
+  for (const char* const connection : { "", "", "close" }) {
+    const SeenAnswer answer = caller.Read();
+    BOOST_TEST(answer.Status() == 200);
+    BOOST_TEST(answer.Field("Connection") == connection);
+  }
+}
+
 // A request that arrives late in a shutdown is passed on and never answered
 // (review/3).
 BOOST_AUTO_TEST_CASE(EndingEntryRefusesWhatItMayNotFinish)
