--- a/tests/platform/test_callercrowds.cpp
+++ b/tests/platform/test_callercrowds.cpp
@@ -26,6 +26,10 @@
 /** Bodies of this number of callers are larger than the machine's memory. */
 constexpr std::size_t kCallers = 60;
 
+/** Unread bytes of this number of connections are larger than the machine's
+ * memory. */
+constexpr std::size_t kManyCallers = 1500;
+
 constexpr std::size_t kLargePiece = 262'144;
 constexpr std::size_t kSmallPiece = 4096;
 constexpr std::size_t kTinyChunk = 64;
@@ -160,6 +164,16 @@
   CheckCrowd(ChunkedBody(kHead, 2 * kBodyLimit, kLargePiece / 4));
 }
 
+BOOST_FIXTURE_TEST_CASE(ManyBodiesInLargeChunksThatLackTheirEnd, CrowdedEntry)
+{
+  CheckCrowd(ChunkedBody(kHead, kBodyLimit - 1, kLargePiece), kManyCallers);
+}
+
+BOOST_FIXTURE_TEST_CASE(ManyBodiesInTinyChunksThatLackTheirEnd, CrowdedEntry)
+{
+  CheckCrowd(ChunkedBody(kHead, kBodyLimit / 8, kTinyChunk), kManyCallers);
+}
+
 BOOST_FIXTURE_TEST_CASE(UnfinishedHeads, CrowdedEntry)
 {
   constexpr std::size_t kHeads = 800;
