Read a long list as the newest at the start

Cause: the first read of a process may be seconds old and is used only with the changes since then. While 3,000 servers are read through a small link, more changes follow a stale copy than the list has items; 300 processes that ask for them at once exceed the store's bandwidth, and their calls time out.

Change: if a list has more than one page, its first read is the newest and is used at once.

Evidence: storepages/LongListIsReadAsTheNewest and directoryfollower/NewestReadIsUsedAtOnce, new.

--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -130,7 +130,7 @@
       Apply(ZoneEvacuation{ zone, false, contents.mPosition }, aNow, update);
     }
   }
-  mMayBeStale = aFreshness == ReadFreshness::MayBeStale;
+  mMayBeStale = aFreshness == ReadFreshness::MayBeStale && !contents.mIsNewest;
   mHasRead = true;
   const Milliseconds pause = mMayBeStale ? Milliseconds(0) : mSettings.mPause;
   mNext = { DirectoryCall::Kind::Watch, pause, contents.mPosition };
--- a/src/libmedlarkeel/forwarding/directorysource.h
+++ b/src/libmedlarkeel/forwarding/directorysource.h
@@ -51,6 +51,9 @@
   /** Position up to which the changes are included; the next call for changes
    * starts from it. */
   DirectoryPosition mPosition;
+  /** Whether a full read is newer than was required: it includes all changes
+   * made before the call. */
+  bool mIsNewest = false;
 };
 
 enum class DirectoryError
@@ -80,7 +83,7 @@
   /** Includes all changes made before the call. */
   Newest,
   /** May be seconds old, which costs the directory less. The changes since then
-   * must be read before the result is used. */
+   * must be read before the result is used, unless the result is the newest. */
   MayBeStale
 };
 
--- a/tests/core/test_directoryfollower.cpp
+++ b/tests/core/test_directoryfollower.cpp
@@ -84,6 +84,16 @@
   BOOST_CHECK(follower.Freshness() == ReadFreshness::Newest);
 }
 
+BOOST_AUTO_TEST_CASE(NewestReadIsUsedAtOnce)
+{
+  DirectoryFollower follower{ FollowerSettings() };
+  DirectoryChanges contents = Changes(9, { Document(3), Entry("one", 5) });
+  contents.mIsNewest = true;
+  follower.RecordRead(contents, kStart, ReadFreshness::MayBeStale);
+  BOOST_TEST(follower.HasRead());
+  BOOST_TEST(follower.Document()->mVersion == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(StaleReadWithoutLaterChangesIsRepeated)
 {
   for (const bool isCompacted : { true, false }) {
--- a/tests/platform/test_storepages.cpp
+++ b/tests/platform/test_storepages.cpp
@@ -54,13 +54,14 @@
   }
 
   /** @return The contents, or nothing if there is no answer in time. */
-  std::optional<DirectoryResult> Read()
+  std::optional<DirectoryResult> Read(
+    ReadFreshness aFreshness = ReadFreshness::Newest)
   {
     constexpr std::chrono::seconds kLimit{ 5 };
     std::optional<DirectoryResult> result;
     const auto client =
       std::make_shared<StoreClient>(mContext, mStore.Address());
-    client->ReadAll(ReadFreshness::Newest, [&](DirectoryResult aResult) {
+    client->ReadAll(aFreshness, [&](DirectoryResult aResult) {
       result = std::move(aResult);
       mContext.stop();
     });
@@ -121,6 +122,17 @@
   }
 }
 
+/** Guards against a start that takes long, since more changes follow a stale
+ * copy of a long list than the list has items. */
+BOOST_AUTO_TEST_CASE(LongListIsReadAsTheNewest)
+{
+  StoreWithForeignEntry store("b");
+  const auto result = store.Read(ReadFreshness::MayBeStale);
+  BOOST_REQUIRE(result.has_value() && result->has_value());
+  BOOST_TEST(result->value().mIsNewest);
+  BOOST_TEST(ServerCount(result->value()) == 11U);
+}
+
 /** Guards against endless calls to a store whose pages don't advance. */
 BOOST_AUTO_TEST_CASE(PagesThatDoNotAdvanceAreAnError)
 {
