Bound the receive buffers of callers' connections by their sum

What callers saw: crowds of 1,500 callers with unfinished bodies ended a process for its memory, as bytes that the kernel holds unread count.

Cause: each connection had a receive buffer of 64 KB, of which the kernel holds up to twice the size, and nothing bounded their sum. Class of fault: a limit of one connection taken for a limit of the process.

Change: buffers of all callers together have an eighth of the machine's memory. A connection gets a 64th of what is left, 64 KB at most and 4 KB at least, so that some 300 connections on the smallest machine have the largest buffers.

--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -39,11 +39,13 @@
 
 CallerConnection::CallerConnection(Forwarder& aForwarder,
                                    boost::asio::ip::tcp::socket aSocket,
-                                   std::string aAddress)
+                                   std::string aAddress,
+                                   std::size_t aReceiveBufferBytes)
   : mForwarder(aForwarder)
   , mSocket(std::move(aSocket))
   , mTimer(aForwarder.Context())
   , mAddress(std::move(aAddress))
+  , mReceiveBufferBytes(aReceiveBufferBytes)
   , mId(aForwarder.Memory().Add(BootNow()))
 {
 }
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -20,15 +20,20 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  /** @param aAddress Address of the caller, under which it is counted. */
+  /**
+   * @param aAddress Address of the caller, under which it is counted.
+   * @param aReceiveBufferBytes Size of the connection's receive buffer.
+   */
   CallerConnection(Forwarder& aForwarder,
                    boost::asio::ip::tcp::socket aSocket,
-                   std::string aAddress);
+                   std::string aAddress,
+                   std::size_t aReceiveBufferBytes);
 
   void Start();
 
   CallerId Id() const { return mId; }
   const std::string& Address() const { return mAddress; }
+  std::size_t ReceiveBufferBytes() const { return mReceiveBufferBytes; }
 
   /** Records what the connection holds; call it when its request or answer
    * has changed. */
@@ -120,6 +125,7 @@
   boost::asio::ip::tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
   std::string mAddress;
+  std::size_t mReceiveBufferBytes;
   CallerId mId;
   RequestPriority mPriority;
   /** Bytes received and sent. */
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -86,10 +86,6 @@
 /** Released bytes above which freed memory is returned to the machine. */
 constexpr std::size_t kLeastTrim = 4U << 20U;
 
-/** Bytes that the kernel holds for a caller's connection that isn't read. A
- * body of the largest size still arrives in time over 30 ms of latency. */
-constexpr int kReceiveBuffer = 65'536;
-
 /** Shortest time between two log lines on refused connections, and between two
  * on a lack of memory. */
 constexpr Milliseconds kRefusalLogPause{ 1000 };
@@ -110,6 +106,14 @@
   return settings;
 }
 
+ReceiveBufferSettings
+ReceiveBufferSettingsFor(const ForwardSettings& aSettings)
+{
+  ReceiveBufferSettings settings;
+  settings.mBoundBytes = ReceiveBufferBoundFor(aSettings);
+  return settings;
+}
+
 /** Replaces the peers' load at the chooser until the end of a scope. */
 class PeerLoadScope
 {
@@ -174,6 +178,7 @@
   , mConnections(aContext, mCounters)
   , mMemory(MemorySettingsFor(aSettings))
   , mDescriptors(DescriptorSettingsFor(aSettings))
+  , mReceiveBuffers(ReceiveBufferSettingsFor(aSettings))
   , mPauseTimer(aContext)
   , mTrimTimer(aContext)
   , mAcceptor(aContext)
@@ -204,9 +209,7 @@
     mSettings.mCallers.mPort);
   mAcceptor.open(endpoint.protocol());
   mAcceptor.set_option(tcp::acceptor::reuse_address(true));
-  // Callers' connections inherit it; set later, it wouldn't bound the window.
-  mAcceptor.set_option(
-    boost::asio::socket_base::receive_buffer_size(kReceiveBuffer));
+  SizeNextReceiveBuffer();
   mAcceptor.bind(endpoint);
   mAcceptor.listen();
 }
@@ -248,12 +251,36 @@
     }
     return;
   }
-  auto caller =
-    std::make_shared<CallerConnection>(*this, std::move(aSocket), address);
+  const std::size_t bufferBytes = mReceiveBuffers.Next();
+  if (bufferBytes < ReceiveBufferSettings().mLargestBytes) {
+    // It may have waited with a larger buffer to be accepted.
+    aSocket.set_option(boost::asio::socket_base::receive_buffer_size(
+                         static_cast<int>(bufferBytes)),
+                       error);
+  }
+  auto caller = std::make_shared<CallerConnection>(
+    *this, std::move(aSocket), address, bufferBytes);
   mCallers.emplace(caller->Id(), caller);
+  mReceiveBuffers.Add(caller->ReceiveBufferBytes());
+  SizeNextReceiveBuffer();
   caller->Start();
 }
 
+void
+Forwarder::SizeNextReceiveBuffer()
+{
+  const std::size_t bytes = mReceiveBuffers.Next();
+  if (bytes == mNextReceiveBuffer) {
+    return;
+  }
+  mNextReceiveBuffer = bytes;
+  // Connections inherit it; set later, it wouldn't bound the window.
+  Error ignored; // Without the option the buffer of the last one applies.
+  mAcceptor.set_option(
+    boost::asio::socket_base::receive_buffer_size(static_cast<int>(bytes)),
+    ignored);
+}
+
 void
 Forwarder::LogMemoryPressure()
 {
@@ -479,6 +506,8 @@
   if (mCallers.erase(aConnection->Id()) > 0) {
     mMemory.Remove(aConnection->Id());
     mDescriptors.Remove(aConnection->Address());
+    mReceiveBuffers.Remove(aConnection->ReceiveBufferBytes());
+    SizeNextReceiveBuffer();
     if (mMemory.HasPaused()) {
       WatchPaused();
     }
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -7,6 +7,7 @@
 #include "../libmedlarkeel/forwarding/directoryfollower.h"
 #include "../libmedlarkeel/forwarding/documentfollower.h"
 #include "../libmedlarkeel/forwarding/placementexplanation.h"
+#include "../libmedlarkeel/forwarding/receivebuffers.h"
 #include "../libmedlarkeel/forwarding/recentmaximum.h"
 #include "../libmedlarkeel/forwarding/retryschedule.h"
 #include "../libmedlarkeel/forwarding/serverlimits.h"
@@ -147,6 +148,8 @@
   void Listen();
   void Accept();
   void TakeCaller(boost::asio::ip::tcp::socket aSocket);
+  /** Sets the receive buffer of connections that are yet to come. */
+  void SizeNextReceiveBuffer();
   void ResumeCallers();
   /** Returns freed memory to the machine after a load. */
   void TrimMemory();
@@ -193,6 +196,9 @@
   std::unordered_map<PoolName, RetrySchedule> mRetrySchedules;
   CallerMemory mMemory;
   CallerDescriptors mDescriptors;
+  ReceiveBuffers mReceiveBuffers;
+  /** Receive buffer of connections that are yet to come, in bytes. */
+  std::size_t mNextReceiveBuffer = 0;
   std::map<CallerId, std::shared_ptr<CallerConnection>> mCallers;
   boost::asio::steady_timer mPauseTimer;
   bool mIsWatchingPaused = false;
--- a/src/libmedlarkeelforward/forwardsettings.cpp
+++ b/src/libmedlarkeelforward/forwardsettings.cpp
@@ -2,6 +2,7 @@
 
 #include "../libmedlarkeel/forwarding/callerdescriptors.h"
 #include "../libmedlarkeel/forwarding/callermemory.h"
+#include "../libmedlarkeel/forwarding/receivebuffers.h"
 
 #include <charconv>
 
@@ -100,17 +101,29 @@
   }
 }
 
+std::size_t
+MachineBytes(const ForwardSettings& aSettings)
+{
+  constexpr std::int64_t kMegabyte = 1 << 20;
+  const std::int64_t megabytes = aSettings.mMemoryMb.value_or(kUnknownMemoryMb);
+  return static_cast<std::size_t>(megabytes * kMegabyte);
+}
+
 } // namespace
 
 std::size_t
 CallerMemoryBoundFor(const ForwardSettings& aSettings)
 {
-  constexpr std::int64_t kMegabyte = 1 << 20;
-  const std::int64_t megabytes = aSettings.mMemoryMb.value_or(kUnknownMemoryMb);
-  return CallerMemoryBound(static_cast<std::size_t>(megabytes * kMegabyte),
+  return CallerMemoryBound(MachineBytes(aSettings),
                            aSettings.mCallerMemoryShare);
 }
 
+std::size_t
+ReceiveBufferBoundFor(const ForwardSettings& aSettings)
+{
+  return ReceiveBufferBound(MachineBytes(aSettings));
+}
+
 std::size_t
 CallerDescriptorBoundFor(const ForwardSettings& aSettings)
 {
--- a/src/libmedlarkeelforward/forwardsettings.h
+++ b/src/libmedlarkeelforward/forwardsettings.h
@@ -51,6 +51,10 @@
 std::size_t
 CallerMemoryBoundFor(const ForwardSettings& aSettings);
 
+/** @return Most bytes in receive buffers of callers' connections. */
+std::size_t
+ReceiveBufferBoundFor(const ForwardSettings& aSettings);
+
 /** @return Most descriptors for connections to callers and servers. */
 std::size_t
 CallerDescriptorBoundFor(const ForwardSettings& aSettings);
--- a/tests/forward/test_callerlimits.cpp
+++ b/tests/forward/test_callerlimits.cpp
@@ -174,8 +174,11 @@
   fixture.AddBackend(AnswerShortly);
   fixture.Start();
   fixture.Run([](Forwarder& aForwarder) {
-    const auto caller = std::make_shared<CallerConnection>(
-      aForwarder, Socket(aForwarder.Context()), "127.0.0.1");
+    const auto caller =
+      std::make_shared<CallerConnection>(aForwarder,
+                                         Socket(aForwarder.Context()),
+                                         "127.0.0.1",
+                                         ReceiveBufferSettings().mLargestBytes);
     MessageHead head;
     head.mMethod = "POST";
     head.mTarget = "/once/x";
