Reset the connection of a request that is given up

Cause, in part: the entry closed the connection of an attempt that it gave up. The system then goes on sending what a partition held back, and delivers it when the partition ends. Class of fault: a close taken for the end of what was sent.

Change: a connection whose answer isn't complete is reset when it is given up, which discards what hasn't arrived.

Evidence, x86-64: forwarder/RequestThatIsGivenUpResetsItsConnection failed before and passes.

--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -339,6 +339,12 @@
         connection, KeepAliveTime(aAttempt->mParser->Head()));
     } else {
       Error ignored; // Nothing more is expected from this connection.
+      if (!aIsReusable) {
+        // Otherwise the system goes on sending a request that was given up, and
+        // delivers it when a network partition ends.
+        connection->mSocket.set_option(
+          boost::asio::socket_base::linger(true, 0), ignored);
+      }
       connection->mSocket.close(ignored);
     }
   }
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -670,6 +670,23 @@
   BOOST_TEST(backend.Requests().size() == 1U);
 }
 
+/** Guards against a request that reaches its server seconds after it was given
+ * up, because the system still sends what a network partition held back. */
+BOOST_AUTO_TEST_CASE(RequestThatIsGivenUpResetsItsConnection)
+{
+  ForwardFixture fixture;
+  std::promise<boost::system::error_code> ended;
+  fixture.AddBackend([&ended](Socket& aSocket, const std::string&) {
+    char byte = 0;
+    boost::system::error_code error;
+    aSocket.read_some(boost::asio::buffer(&byte, 1), error);
+    ended.set_value(error);
+  });
+  fixture.Start();
+  BOOST_TEST(fixture.Call("/once/x", "Time-Left: 300\r\n").Status() == 504);
+  BOOST_CHECK(ended.get_future().get() == boost::asio::error::connection_reset);
+}
+
 /** Guards against requests that were read behind the one that runs and are
  * dropped when a shutdown begins. */
 BOOST_AUTO_TEST_CASE(EndingEntryAnswersRequestsThatArrivedBehindAnother)
