--- a/src/libmedlarkeel/forwarding/directorysource.h
+++ b/src/libmedlarkeel/forwarding/directorysource.h
@@ -51,8 +51,8 @@
   /** Position up to which the changes are included; the next call for changes
    * starts from it. */
   DirectoryPosition mPosition;
-  /** Whether a full read is newer than was required: it includes all changes
-   * made before the call. */
+  /** Whether a full read includes all changes that were made before the call,
+   * also if a stale one was asked for. */
   bool mIsNewest = false;
 };
 
--- a/src/medlarkeelforward/main.cpp
+++ b/src/medlarkeelforward/main.cpp
@@ -12,8 +12,13 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <limits>
 #include <malloc.h>
 
+DEFINE_string(link_mbps,
+              "",
+              "bandwidth of the machine's link, in Mbit/s; replaces linkMbps "
+              "of the settings");
 DEFINE_string(settings,
               "",
               "settings file; MEDLARKEEL_CONFIG names it when empty");
@@ -151,7 +156,12 @@
     return medlarkeel::kSettingsRejected;
   }
   try {
-    return medlarkeel::Run(settings.value());
+    medlarkeel::ForwardSettings known = settings.value();
+    const double link = std::strtod(FLAGS_link_mbps.c_str(), nullptr);
+    if (link >= 1.0 && link < std::numeric_limits<std::uint32_t>::max()) {
+      known.mLinkMbps = static_cast<std::uint32_t>(link);
+    }
+    return medlarkeel::Run(known);
   } catch (const std::exception& error) {
     std::cerr << "the process can't run: " << error.what() << '\n';
     return 1;
