Call an entry ready once its buckets have filled for a moment

What callers saw: right after /readyz of an entry of medlarkeeld turned to 200, requests were refused with 429 "the team is at its rate".

Cause: readiness and the ownership of team limits began at the same moment. The buckets of a new owner start empty, as it can't know what was admitted before, so that requests of the first two milliseconds found no token. Class: a state is announced before what it promises is there.

Change: TeamLimiter::IsWithinReach() decides, from RangeOwnership::OwnedSince() on and 100 ms later.

Measured: teamlimiter/RequestsOfTheFirstMomentAreAdmitted refused 8 of 8 requests with 0 ms instead of 100 ms, and none with the change; the suite passes.

--- a/src/libmedlarkeel/rangeownership.cpp
+++ b/src/libmedlarkeel/rangeownership.cpp
@@ -520,6 +520,16 @@
   return found == mClearances.end() ? Timestamp::max() : found->mAt;
 }
 
+std::optional<Timestamp>
+RangeOwnership::OwnedSince() const
+{
+  const Timestamp cleared = ClearedAt(MembersRevision());
+  if (!HasReading() || cleared == Timestamp::max()) {
+    return std::nullopt;
+  }
+  return std::max(MembersSeenAt() + TakeoverWait(), cleared);
+}
+
 void
 RangeOwnership::ResumeAfterPause(Timestamp aNow)
 {
--- a/src/libmedlarkeel/rangeownership.h
+++ b/src/libmedlarkeel/rangeownership.h
@@ -196,6 +196,12 @@
   /** @return When the present members were first seen. */
   Timestamp MembersSeenAt() const;
 
+  /**
+   * @return Since when the present members own ranges without a handover, which
+   * may lie ahead; nothing without a reading or its clearance.
+   */
+  std::optional<Timestamp> OwnedSince() const;
+
   /** @return Since when every list has shown this instance. */
   std::optional<Timestamp> ListedSince() const { return mListedSince; }
 
--- a/src/libmedlarkeel/teamlimiter.cpp
+++ b/src/libmedlarkeel/teamlimiter.cpp
@@ -10,6 +10,9 @@
 /** Time between two searches for idle teams. */
 constexpr Microseconds kSweepInterval = Milliseconds(500);
 
+/** Time for which new buckets, which are empty, fill before requests come. */
+constexpr Microseconds kFirstFill = Milliseconds(100);
+
 OwnershipSettings
 OwnershipOf(const TeamLimiterSettings& aSettings)
 {
@@ -351,6 +354,13 @@
   }
 }
 
+bool
+TeamLimiter::IsWithinReach(Timestamp aNow) const
+{
+  const std::optional<Timestamp> since = mOwnership.OwnedSince();
+  return mStatistics.mAdmitted > 0 || (since && aNow >= *since + kFirstFill);
+}
+
 std::size_t
 TeamLimiter::OwnedSlices(const TeamName& aTeam, Timestamp aNow)
 {
--- a/src/libmedlarkeel/teamlimiter.h
+++ b/src/libmedlarkeel/teamlimiter.h
@@ -133,6 +133,12 @@
   /** Drops all that rested on evidence from before a pause. */
   void ResumeAfterPause(Timestamp aNow);
 
+  /**
+   * @return Whether requests can be admitted here: some were, or the wait for
+   * an ownership is over and its buckets have filled for a moment.
+   */
+  bool IsWithinReach(Timestamp aNow) const;
+
   const RangeOwnership& Ownership() const { return mOwnership; }
   TeamLimiterStatistics Statistics() const;
 
--- a/src/medlarkeeld/teamgate.cpp
+++ b/src/medlarkeeld/teamgate.cpp
@@ -106,13 +106,7 @@
 TeamGate::IsWithinReach()
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  if (mLimiter.Statistics().mAdmitted > 0) {
-    return true;
-  }
-  const RangeOwnership& ownership = mLimiter.Ownership();
-  return ownership.HasReading() &&
-         ownership.ClearedRevision() >= ownership.MembersRevision() &&
-         BootNow() >= ownership.MembersSeenAt() + ownership.TakeoverWait();
+  return mLimiter.IsWithinReach(BootNow());
 }
 
 } // namespace medlarkeel
--- a/src/medlarkeeld/teamgate.h
+++ b/src/medlarkeeld/teamgate.h
@@ -44,8 +44,7 @@
 
   void ResumeAfterPause();
 
-  /** @return Whether the fleet's tokens are within reach: tokens were owned or
-   *          lent here, or the wait for an ownership is over. */
+  /** See TeamLimiter::IsWithinReach(). */
   bool IsWithinReach();
 
 private:
--- a/tests/core/test_teamlimiter.cpp
+++ b/tests/core/test_teamlimiter.cpp
@@ -380,6 +380,25 @@
   BOOST_TEST(limiter.Admit(kTeam.mTeam, due).mAdmitted);
 }
 
+// An entry called itself ready at the moment at which its empty buckets began
+// to fill, and refused requests as over the team's rate.
+BOOST_AUTO_TEST_CASE(RequestsOfTheFirstMomentAreAdmitted)
+{
+  const TeamLimit team{ TeamName("market"), 5000.0, 10000.0 };
+  constexpr int kRequests = 8;
+  LimitFleet fleet(ShortSettings(), {}, kSeed);
+  fleet.SetTeams({ team });
+  TeamLimiter& limiter = *fleet.At(fleet.Start("a")).mLimiter;
+  const auto local = [&]() { return fleet.Now() + fleet.At(0).mClockOffset; };
+  const Timestamp limit = fleet.Now() + kSettled;
+  while (!limiter.IsWithinReach(local()) && fleet.Now() < limit) {
+    fleet.Run(Microseconds(200));
+  }
+  for (int count = 0; count < kRequests; ++count) {
+    BOOST_TEST(limiter.Admit(team.mTeam, local()).mAdmitted);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(WholeBurstIsWithinReachOfOneEntry)
 {
   LimitFleet fleet(ShortSettings(), {}, kSeed);
