Bound what connections hold before they are accepted

Cause: the sum of receive buffers counted accepted connections only. One that waits to be accepted has the buffer that the listening socket had by then, 64 KB, of which the kernel fills 127 KB, and up to 4,096 may wait. On a machine that accepts slowly, the whole crowd connected before the first was counted. Class: a limit that starts to count after the resource is taken.

Change: at most 512 connections wait, and their buffers share a quarter of the bound (10 KB on the smallest machine). A connection gets its larger buffer when it is accepted; tried apart, its window then grows at the next read. A buffer isn't made smaller any more, which stopped the transfer.

--- a/src/libmedlarkeel/forwarding/receivebuffers.cpp
+++ b/src/libmedlarkeel/forwarding/receivebuffers.cpp
@@ -12,6 +12,9 @@
 /** Part of the free bytes that one connection may get. */
 constexpr std::size_t kFreeParts = 64;
 
+/** Part of the bound that connections may fill before they are accepted. */
+constexpr std::size_t kQueueParts = 4;
+
 } // namespace
 
 std::size_t
@@ -34,4 +37,12 @@
     free / kFreeParts, mSettings.mSmallestBytes, mSettings.mLargestBytes);
 }
 
+std::size_t
+ReceiveBuffers::Queued() const
+{
+  const std::size_t part =
+    mSettings.mBoundBytes / kQueueParts / mSettings.mQueueLength;
+  return std::clamp(part, mSettings.mSmallestBytes, Next());
+}
+
 } // namespace medlarkeel
--- a/src/libmedlarkeel/forwarding/receivebuffers.h
+++ b/src/libmedlarkeel/forwarding/receivebuffers.h
@@ -13,6 +13,8 @@
    * largest size arrives in time with the largest one over 30 ms of latency. */
   std::size_t mLargestBytes = 65'536;
   std::size_t mSmallestBytes = 4096;
+  /** Connections that may wait to be accepted. */
+  std::size_t mQueueLength = 512;
 };
 
 /**
@@ -33,9 +35,13 @@
 public:
   explicit ReceiveBuffers(const ReceiveBufferSettings& aSettings);
 
-  /** @return Size of the buffer of the next connection, in bytes. */
+  /** @return Size of the buffer of the next accepted connection, in bytes. */
   std::size_t Next() const;
 
+  /** @return Size of the buffer of a connection that waits to be accepted, in
+   * bytes: a part of the bound that all of the queue share. */
+  std::size_t Queued() const;
+
   /** Records that a connection has a buffer, or no longer has it. */
   void Add(std::size_t aBytes) { mTotalBytes += aBytes; }
   void Remove(std::size_t aBytes) { mTotalBytes -= aBytes; }
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -209,9 +209,9 @@
     mSettings.mCallers.mPort);
   mAcceptor.open(endpoint.protocol());
   mAcceptor.set_option(tcp::acceptor::reuse_address(true));
-  SizeNextReceiveBuffer();
+  SizeQueuedReceiveBuffers();
   mAcceptor.bind(endpoint);
-  mAcceptor.listen();
+  mAcceptor.listen(static_cast<int>(ReceiveBufferSettings().mQueueLength));
 }
 
 void
@@ -252,8 +252,7 @@
     return;
   }
   const std::size_t bufferBytes = mReceiveBuffers.Next();
-  if (bufferBytes < ReceiveBufferSettings().mLargestBytes) {
-    // It may have waited with a larger buffer to be accepted.
+  if (bufferBytes > mQueuedReceiveBuffer) {
     aSocket.set_option(boost::asio::socket_base::receive_buffer_size(
                          static_cast<int>(bufferBytes)),
                        error);
@@ -262,19 +261,19 @@
     *this, std::move(aSocket), address, bufferBytes);
   mCallers.emplace(caller->Id(), caller);
   mReceiveBuffers.Add(caller->ReceiveBufferBytes());
-  SizeNextReceiveBuffer();
+  SizeQueuedReceiveBuffers();
   caller->Start();
 }
 
 void
-Forwarder::SizeNextReceiveBuffer()
+Forwarder::SizeQueuedReceiveBuffers()
 {
-  const std::size_t bytes = mReceiveBuffers.Next();
-  if (bytes == mNextReceiveBuffer) {
+  const std::size_t bytes = mReceiveBuffers.Queued();
+  if (bytes == mQueuedReceiveBuffer) {
     return;
   }
-  mNextReceiveBuffer = bytes;
-  // Connections inherit it; set later, it wouldn't bound the window.
+  mQueuedReceiveBuffer = bytes;
+  // Connections inherit it. Made smaller later, it wouldn't bound the window.
   Error ignored; // Without the option the buffer of the last one applies.
   mAcceptor.set_option(
     boost::asio::socket_base::receive_buffer_size(static_cast<int>(bytes)),
@@ -507,7 +506,7 @@
     mMemory.Remove(aConnection->Id());
     mDescriptors.Remove(aConnection->Address());
     mReceiveBuffers.Remove(aConnection->ReceiveBufferBytes());
-    SizeNextReceiveBuffer();
+    SizeQueuedReceiveBuffers();
     if (mMemory.HasPaused()) {
       WatchPaused();
     }
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -149,7 +149,7 @@
   void Accept();
   void TakeCaller(boost::asio::ip::tcp::socket aSocket);
   /** Sets the receive buffer of connections that are yet to come. */
-  void SizeNextReceiveBuffer();
+  void SizeQueuedReceiveBuffers();
   void ResumeCallers();
   /** Returns freed memory to the machine after a load. */
   void TrimMemory();
@@ -198,7 +198,7 @@
   CallerDescriptors mDescriptors;
   ReceiveBuffers mReceiveBuffers;
   /** Receive buffer of connections that are yet to come, in bytes. */
-  std::size_t mNextReceiveBuffer = 0;
+  std::size_t mQueuedReceiveBuffer = 0;
   std::map<CallerId, std::shared_ptr<CallerConnection>> mCallers;
   boost::asio::steady_timer mPauseTimer;
   bool mIsWatchingPaused = false;
--- a/tests/core/test_receivebuffers.cpp
+++ b/tests/core/test_receivebuffers.cpp
@@ -24,6 +24,23 @@
              settings.mBoundBytes + kConnections * settings.mSmallestBytes);
 }
 
+/** Guards against connections that fill the machine's memory before they are
+ * accepted. */
+BOOST_AUTO_TEST_CASE(SumOfQueuedBuffersIsBounded)
+{
+  for (const std::size_t megabytes : { 160U, 512U, 4096U }) {
+    ReceiveBufferSettings settings;
+    settings.mBoundBytes = ReceiveBufferBound(megabytes << 20U);
+    ReceiveBuffers buffers(settings);
+    BOOST_TEST(buffers.Queued() * settings.mQueueLength <=
+               settings.mBoundBytes / 4);
+    BOOST_TEST(buffers.Queued() >= 2 * settings.mSmallestBytes);
+    BOOST_TEST(buffers.Queued() <= buffers.Next());
+    buffers.Add(settings.mBoundBytes);
+    BOOST_TEST(buffers.Queued() == settings.mSmallestBytes);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RemovedBuffersAreUsedAgain)
 {
   ReceiveBufferSettings settings;
--- a/tests/platform/test_callercrowds.cpp
+++ b/tests/platform/test_callercrowds.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
 #include <cstdlib>
+#include <future>
 
 namespace medlarkeel {
 
@@ -174,6 +176,18 @@
   CheckCrowd(ChunkedBody(kHead, kBodyLimit / 8, kTinyChunk), kManyCallers);
 }
 
+// Connections that a stopped process hasn't accepted hold memory as well.
+BOOST_FIXTURE_TEST_CASE(ManyBodiesThatWaitToBeAccepted, CrowdedEntry)
+{
+  constexpr auto kStopTime = std::chrono::seconds(2);
+  mEntry->mProcess->Signal(SIGSTOP);
+  const auto resumption = std::async(std::launch::async, [&]() {
+    std::this_thread::sleep_for(kStopTime);
+    mEntry->mProcess->Signal(SIGCONT);
+  });
+  CheckCrowd(ChunkedBody(kHead, kBodyLimit / 8, kTinyChunk), kManyCallers);
+}
+
 BOOST_FIXTURE_TEST_CASE(UnfinishedHeads, CrowdedEntry)
 {
   constexpr std::size_t kHeads = 800;
