Let unfinished connections give way to new ones

What callers saw: with as many connections as one address may have, all of them silent or with an unfinished head, an ordinary caller of the same address found its connection closed, until the others timed out.

Cause: beyond the bound the new connection was closed, whatever the ones before did. Class: a bound that serves first come, first kept, for those that don't use what they hold.

Change: a new connection replaces the oldest one whose request's head has been missing for a second, of the same address if that is what keeps it out. A connection that is idle after an answer isn't replaced, as a request may be on its way.

--- a/src/libmedlarkeel/forwarding/callerdescriptors.cpp
+++ b/src/libmedlarkeel/forwarding/callerdescriptors.cpp
@@ -45,9 +45,7 @@
 CallerDescriptors::Add(const std::string& aAddress,
                        std::size_t aServerConnections)
 {
-  const auto place = mOfAddress.find(aAddress);
-  const std::size_t ofAddress = place == mOfAddress.end() ? 0 : place->second;
-  if (mCallers >= mMostCallers || ofAddress >= mMostOfAddress ||
+  if (mCallers >= mMostCallers || IsFull(aAddress) ||
       !MayOpen(aServerConnections)) {
     return false;
   }
@@ -56,6 +54,13 @@
   return true;
 }
 
+bool
+CallerDescriptors::IsFull(const std::string& aAddress) const
+{
+  const auto place = mOfAddress.find(aAddress);
+  return place != mOfAddress.end() && place->second >= mMostOfAddress;
+}
+
 void
 CallerDescriptors::Remove(const std::string& aAddress)
 {
--- a/src/libmedlarkeel/forwarding/callerdescriptors.h
+++ b/src/libmedlarkeel/forwarding/callerdescriptors.h
@@ -36,6 +36,10 @@
    */
   bool Add(const std::string& aAddress, std::size_t aServerConnections);
 
+  /** @return Whether the bound on connections of one address keeps further
+   * ones of this address out. */
+  bool IsFull(const std::string& aAddress) const;
+
   /** Removes a connection that was added. */
   void Remove(const std::string& aAddress);
 
--- a/src/libmedlarkeelforward/callerconnection.cpp
+++ b/src/libmedlarkeelforward/callerconnection.cpp
@@ -47,6 +47,7 @@
   , mAddress(std::move(aAddress))
   , mReceiveBufferBytes(aReceiveBufferBytes)
   , mId(aForwarder.Memory().Add(BootNow()))
+  , mHeadMissingSince(BootNow())
 {
 }
 
@@ -239,6 +240,7 @@
   }
   if (!mHasBegun) {
     mHasBegun = true;
+    mHeadMissingSince = mHeadMissingSince.value_or(BootNow());
     StartTimer(Limits().mHeaderTimeout);
   }
   if (!mParser && !ProcessHead()) {
@@ -279,6 +281,7 @@
     Send("HTTP/1.1 100 Continue\r\n\r\n");
   }
   mParser = std::move(parser);
+  mHeadMissingSince.reset();
   return true;
 }
 
--- a/src/libmedlarkeelforward/callerconnection.h
+++ b/src/libmedlarkeelforward/callerconnection.h
@@ -80,6 +80,13 @@
     return mExchange != nullptr || mHasBegun || !mInput.empty();
   }
 
+  /** @return Since when the head of a request is missing; nothing if it is
+   * complete, or if the connection is idle after an answer. */
+  std::optional<Timestamp> HeadMissingSince() const
+  {
+    return mHeadMissingSince;
+  }
+
   /** @return Whether an answer that begins now may keep the connection. In a
    * shutdown it may only if a further request has arrived. */
   bool MayKeepOpen() const;
@@ -135,6 +142,7 @@
   std::shared_ptr<Exchange> mExchange;
   std::deque<std::string> mOutput;
   std::size_t mPendingBytes = 0;
+  std::optional<Timestamp> mHeadMissingSince;
   /** Bytes of a request have arrived whose answer hasn't begun. */
   bool mHasBegun = false;
   /** Whether the request that has begun is a HEAD. */
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -90,6 +90,10 @@
  * on a lack of memory. */
 constexpr Milliseconds kRefusalLogPause{ 1000 };
 
+/** Time for the head of a request, after which its connection is closed if
+ * others need the descriptor. */
+constexpr Milliseconds kHeadTime{ 1000 };
+
 CallerMemorySettings
 MemorySettingsFor(const ForwardSettings& aSettings)
 {
@@ -239,16 +243,7 @@
     return; // It has ended.
   }
   const std::string address = remote.address().to_string();
-  if (!mDescriptors.Add(address, mConnections.Count())) {
-    mCounters.mRefusedForDescriptors += 1;
-    const Timestamp now = BootNow();
-    if (!mRefusalLoggedAt || now - *mRefusalLoggedAt >= kRefusalLogPause) {
-      mRefusalLoggedAt = now;
-      mLog.Write(Event::CallerRefused,
-                 { { "address", address },
-                   { "connections", mCallers.size() },
-                   { "refusedInAll", mCounters.mRefusedForDescriptors } });
-    }
+  if (!AddDescriptor(address)) {
     return;
   }
   const std::size_t bufferBytes = mReceiveBuffers.Next();
@@ -265,6 +260,45 @@
   caller->Start();
 }
 
+bool
+Forwarder::AddDescriptor(const std::string& aAddress)
+{
+  if (mDescriptors.Add(aAddress, mConnections.Count())) {
+    return true;
+  }
+  mCounters.mRefusedForDescriptors += 1;
+  const Timestamp now = BootNow();
+  if (!mRefusalLoggedAt || now - *mRefusalLoggedAt >= kRefusalLogPause) {
+    mRefusalLoggedAt = now;
+    mLog.Write(Event::CallerRefused,
+               { { "address", aAddress },
+                 { "connections", mCallers.size() },
+                 { "refusedInAll", mCounters.mRefusedForDescriptors } });
+  }
+  return CloseUnfinishedCaller(aAddress) &&
+         mDescriptors.Add(aAddress, mConnections.Count());
+}
+
+bool
+Forwarder::CloseUnfinishedCaller(const std::string& aAddress)
+{
+  const Timestamp latest = BootNow() - kHeadTime;
+  const bool isAddressFull = mDescriptors.IsFull(aAddress);
+  const auto oldest =
+    std::find_if(mCallers.begin(), mCallers.end(), [&](const auto& aCaller) {
+      const std::shared_ptr<CallerConnection>& caller = aCaller.second;
+      const std::optional<Timestamp> since = caller->HeadMissingSince();
+      return since && *since <= latest &&
+             (!isAddressFull || caller->Address() == aAddress);
+    });
+  if (oldest == mCallers.end()) {
+    return false;
+  }
+  const std::shared_ptr<CallerConnection> caller = oldest->second;
+  caller->Abort();
+  return true;
+}
+
 void
 Forwarder::SizeQueuedReceiveBuffers()
 {
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -149,6 +149,12 @@
   void Accept();
   void TakeCaller(boost::asio::ip::tcp::socket aSocket);
   /** Sets the receive buffer of connections that are yet to come. */
+  /** @return Whether a connection from an address may be kept. */
+  bool AddDescriptor(const std::string& aAddress);
+  /** Closes the oldest connection that keeps one from an address out and whose
+   * request's head has been missing for a second.
+   * @return Whether there was one. */
+  bool CloseUnfinishedCaller(const std::string& aAddress);
   void SizeQueuedReceiveBuffers();
   void ResumeCallers();
   /** Returns freed memory to the machine after a load. */
--- a/tests/core/test_callerdescriptors.cpp
+++ b/tests/core/test_callerdescriptors.cpp
@@ -28,7 +28,9 @@
   settings.mBound = 800;
   CallerDescriptors descriptors(settings);
   BOOST_TEST(AddAll(descriptors, "10.0.0.1") == 525U);
+  BOOST_TEST(descriptors.IsFull("10.0.0.1"));
   BOOST_TEST(AddAll(descriptors, "10.0.0.2") == 175U);
+  BOOST_TEST(!descriptors.IsFull("10.0.0.2"));
   BOOST_TEST(descriptors.Callers() == 700U);
   descriptors.Remove("10.0.0.1");
   BOOST_TEST(AddAll(descriptors, "10.0.0.3") == 1U);
--- a/tests/platform/test_callercrowds.cpp
+++ b/tests/platform/test_callercrowds.cpp
@@ -246,6 +246,26 @@
   BOOST_TEST(monitor.MostDescriptors() <= std::size_t(kMostDescriptors));
 }
 
+// Unfinished connections must not keep ordinary callers of their address out.
+BOOST_FIXTURE_TEST_CASE(OrdinaryCallerOfTheCrowdsAddress,
+                        EntryWithFewDescriptors)
+{
+  constexpr std::size_t kConnections = 600;
+  CrowdRequest unfinishedHead;
+  unfinishedHead.mFirst = std::string(kHead) + "X-Long: ";
+  const CallerCrowd silent(
+    mEntry->mAddress, mEntry->mCallers, kConnections / 2, {}, "127.0.0.1");
+  const CallerCrowd sending(mEntry->mAddress,
+                            mEntry->mCallers,
+                            kConnections / 2,
+                            unfinishedHead,
+                            "127.0.0.1");
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  for (const char* id : { "r-1", "r-2", "r-3" }) {
+    RequireAnswer(id);
+  }
+}
+
 // Stalled bodies that fill the bound must lose their memory to a request that
 // makes progress, however large it is.
 BOOST_FIXTURE_TEST_CASE(LargestBodyIsServedBesideStalledBodies, CrowdedEntry)
