Relay an answer with many changes in parts

What callers saw: at 300 machines requests reached some leaving servers up to 2.0 s after they had said so.

A reader relayed at most 40 changes, and none at all of an answer with more, so that all entries of its zone called the store at once, each for all renewals since its position. Class: a fast path that gives up where the load is highest.

Change: an answer with more than 40 changes is split by position into deltas that continue each other. All but the last go out at once as datagrams of their own, the last one with the reports as before. One that is lost leaves a gap, and the entry calls the store as before.

--- a/src/libmedlarkeel/forwarding/directorydelta.h
+++ b/src/libmedlarkeel/forwarding/directorydelta.h
@@ -28,6 +28,10 @@
   std::vector<RelayedChange> mChanges;
 };
 
+/** @return Position of a relayed change. */
+DirectoryPosition
+PositionOf(const RelayedChange& aChange);
+
 /**
  * Keeps the recent changes that a directory reader has received, to relay them
  * to entries that don't call the directory themselves.
@@ -45,27 +49,28 @@
    *
    * @param aFrom Position that was known before the answer.
    * @param aTo Position that is known after it.
-   * @param aChanges Changes of the answer that are to be relayed.
+   * @param aChanges Changes of the answer that are to be relayed, in the order
+   * in which they were made.
+   * @return Parts of the answer that are too much for RecentDelta(), oldest
+   * first, of at most 40 changes each.
    */
-  void Add(const DirectoryPosition& aFrom,
-           const DirectoryPosition& aTo,
-           std::vector<RelayedChange> aChanges,
-           Timestamp aNow);
+  std::vector<DirectoryDelta> Add(const DirectoryPosition& aFrom,
+                                  const DirectoryPosition& aTo,
+                                  std::vector<RelayedChange> aChanges,
+                                  Timestamp aNow);
 
   /**
-   * @return The changes of the last 3 seconds, or nothing if there was no
-   * answer of the directory in this time or an answer had more than 40 changes.
-   * A result without changes still advances other entries to the last position,
-   * so that later changes continue what they know.
+   * @return The latest changes of the last 3 seconds, at most 40, or nothing if
+   * there was no answer of the directory in this time. A result without changes
+   * still advances other entries to the last position, so that later changes
+   * continue what they know.
    */
   std::optional<DirectoryDelta> RecentDelta(Timestamp aNow) const;
 
 private:
   struct Batch
   {
-    DirectoryPosition mFrom;
-    DirectoryPosition mTo;
-    std::vector<RelayedChange> mChanges;
+    DirectoryDelta mDelta;
     Timestamp mReceivedAt;
   };
 
--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -186,7 +186,8 @@
     // Peers have to call the directory for a delayed removal.
     mDeltaLog.Restart(position);
   } else {
-    mDeltaLog.Add(known, position, std::move(relayedChanges), aNow);
+    update.mDeltaParts =
+      mDeltaLog.Add(known, position, std::move(relayedChanges), aNow);
   }
   mNext = { DirectoryCall::Kind::Watch, mSettings.mPause, position };
   mPositionAt = aNow;
@@ -250,10 +251,7 @@
     return std::nullopt;
   }
   for (const RelayedChange& change : aDelta.mChanges) {
-    const DirectoryPosition position = std::visit(
-      Overloaded{ [](const auto& aChange) { return aChange.mPosition; } },
-      change);
-    if (position.IsAfter(known)) {
+    if (PositionOf(change).IsAfter(known)) {
       std::visit(Overloaded{ [&](const auto& aChange) {
                    Apply(DirectoryChange(aChange), aNow, update);
                  } },
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -100,6 +100,8 @@
   std::vector<std::pair<InstanceId, BackendChange>> mBackends;
   std::vector<ZoneEvacuation> mZones;
   std::vector<UnreadableItem> mUnreadable;
+  /** Changes to relay that are too many for a report, oldest first. */
+  std::vector<DirectoryDelta> mDeltaParts;
   /** Cause of the lost contact. */
   DirectoryError mError = DirectoryError::Unreachable;
   std::optional<EraChange> mNewEra;
--- a/src/libmedlarkeel/forwarding/peerview.cpp
+++ b/src/libmedlarkeel/forwarding/peerview.cpp
@@ -166,6 +166,12 @@
   return { targets.begin(), targets.end() };
 }
 
+std::vector<std::string>
+PeerView::DeltaTargets(Timestamp aNow) const
+{
+  return IsMesh(aNow) ? Targets(aNow) : ZoneMembers(aNow);
+}
+
 Milliseconds
 PeerView::Interval(Timestamp aNow) const
 {
--- a/src/libmedlarkeel/forwarding/peerview.h
+++ b/src/libmedlarkeel/forwarding/peerview.h
@@ -198,6 +198,10 @@
   /** @return IP addresses of all known entries except this one. */
   std::vector<std::string> Targets(Timestamp aNow) const;
 
+  /** @return IP addresses of the entries that rely on the directory readers
+   * among which this entry is. */
+  std::vector<std::string> DeltaTargets(Timestamp aNow) const;
+
   /**
    * Builds the reports of the next round. Each prompt part in a load sum is
    * included in one round only.
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -168,6 +168,7 @@
       mLog,
       [this](PeerReport& aReport) { FillReport(aReport); },
       [this](const PeerReport& aReport) { TakeReport(aReport); },
+      [this](const DirectoryDelta& aDelta) { TakeDelta(aDelta); },
       [this](const std::string& aSender, const PermitMessage& aMessage) {
         mPermits.HandleMessage(aSender, aMessage);
       })
@@ -604,13 +605,18 @@
   if (!aReport.mRecentDelta) {
     return;
   }
-  if (const auto news =
-        mFollower.RecordRelayedDelta(*aReport.mRecentDelta, now)) {
+  TakeDelta(*aReport.mRecentDelta);
+  mFollower.RecordPeerState(
+    aReport.mDirectoryPosition, aReport.mDirectoryDigest, now);
+}
+
+void
+Forwarder::TakeDelta(const DirectoryDelta& aDelta)
+{
+  if (const auto news = mFollower.RecordRelayedDelta(aDelta, BootNow())) {
     mCounters.mDirectoryNewsTold += 1;
     TakeNews(*news);
   }
-  mFollower.RecordPeerState(
-    aReport.mDirectoryPosition, aReport.mDirectoryDigest, now);
 }
 
 void
@@ -764,6 +770,7 @@
   // The other entries rely on a reader only while they know its answer is new.
   const bool isReportLate = mPeers.Interval(now) > kMaximumReaderInterval;
   if ((isForOthers || isReportLate) && mPeers.IsReader(now)) {
+    mPeerChannel.SendDeltas(aNews.mDeltaParts);
     mPeerChannel.SendSoon();
   }
   CallDirectory();
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -173,6 +173,7 @@
   void TakeChanges(const DirectoryResult& aResult);
   void TakeAnswer(const DirectoryResult& aResult, const FollowerUpdate& aNews);
   void TakeReport(const PeerReport& aReport);
+  void TakeDelta(const DirectoryDelta& aDelta);
   void RecordPeerLimits(const PeerReport& aReport);
   void FillReport(PeerReport& aReport);
   void TakeNews(const FollowerUpdate& aNews);
--- a/src/libmedlarkeelforward/peerchannel.cpp
+++ b/src/libmedlarkeelforward/peerchannel.cpp
@@ -19,6 +19,7 @@
   EventLog& aLog,
   std::function<void(PeerReport&)> aFill,
   std::function<void(const PeerReport&)> aTake,
+  std::function<void(const DirectoryDelta&)> aTakeDelta,
   std::function<void(const std::string&, const PermitMessage&)>
     aHandlePermitMessage)
   : mSocket(
@@ -31,6 +32,7 @@
   , mLog(aLog)
   , mFill(std::move(aFill))
   , mTake(std::move(aTake))
+  , mTakeDelta(std::move(aTakeDelta))
   , mHandlePermitMessage(std::move(aHandlePermitMessage))
   , mSequence(NewIncarnation().mValue)
 {
@@ -73,6 +75,14 @@
     }
     return;
   }
+  if (IsDirectoryDelta(aBytes)) {
+    if (const auto delta = DecodeDirectoryDelta(aBytes)) {
+      mTakeDelta(*delta);
+    } else {
+      RecordUnreadable(aSender);
+    }
+    return;
+  }
   const auto report = DecodePeerReport(aBytes);
   // A report counts only when it comes from the address it names.
   if (!report || report->mAddress != aSender) {
@@ -115,6 +125,15 @@
   });
 }
 
+void
+PeerChannel::SendDeltas(const std::vector<DirectoryDelta>& aDeltas)
+{
+  const std::vector<std::string> targets = mView.DeltaTargets(BootNow());
+  for (const DirectoryDelta& delta : aDeltas) {
+    SendTo(targets, EncodeDirectoryDelta(delta));
+  }
+}
+
 void
 PeerChannel::SendTo(const std::vector<std::string>& aTargets,
                     const std::string& aBytes)
--- a/src/libmedlarkeelforward/peerchannel.h
+++ b/src/libmedlarkeelforward/peerchannel.h
@@ -29,6 +29,7 @@
    * @param aOwn Where reports arrive; the port is the same at all entries.
    * @param aFill Adds what this entry does to a report.
    * @param aTake Gets each new report.
+   * @param aTakeDelta Gets each delta that wasn't part of a report.
    * @param aHandlePermitMessage Gets each permit message with its sender's IP
    * address.
    */
@@ -39,6 +40,7 @@
               EventLog& aLog,
               std::function<void(PeerReport&)> aFill,
               std::function<void(const PeerReport&)> aTake,
+              std::function<void(const DirectoryDelta&)> aTakeDelta,
               std::function<void(const std::string&, const PermitMessage&)>
                 aHandlePermitMessage);
 
@@ -48,6 +50,10 @@
    * after the last one. */
   void SendSoon();
 
+  /** Sends deltas that are too large for a report to the entries that rely on
+   * this one. */
+  void SendDeltas(const std::vector<DirectoryDelta>& aDeltas);
+
   /** Sends bytes to the entries with these IP addresses. */
   void SendTo(const std::vector<std::string>& aTargets,
               const std::string& aBytes);
@@ -71,6 +77,7 @@
   EventLog& mLog;
   std::function<void(PeerReport&)> mFill;
   std::function<void(const PeerReport&)> mTake;
+  std::function<void(const DirectoryDelta&)> mTakeDelta;
   std::function<void(const std::string&, const PermitMessage&)>
     mHandlePermitMessage;
   std::uint64_t mSequence;
--- a/src/libmedlarkeelforward/peerreportcodec.cpp
+++ b/src/libmedlarkeelforward/peerreportcodec.cpp
@@ -343,4 +343,31 @@
   }
 }
 
+std::string
+EncodeDirectoryDelta(const DirectoryDelta& aDelta)
+{
+  std::string bytes;
+  Json::to_cbor({ { "n", EncodeNews(aDelta) } }, bytes);
+  return bytes;
+}
+
+bool
+IsDirectoryDelta(std::string_view aBytes)
+{
+  /** First byte of a CBOR map with one entry; reports have more. */
+  constexpr unsigned char kSingleEntryMap = 0xa1;
+  return !aBytes.empty() &&
+         static_cast<unsigned char>(aBytes[0]) == kSingleEntryMap;
+}
+
+std::optional<DirectoryDelta>
+DecodeDirectoryDelta(std::string_view aBytes)
+{
+  try {
+    return DecodeNews(Json::from_cbor(aBytes).at("n"));
+  } catch (const std::exception&) {
+    return std::nullopt; // Counted by the caller.
+  }
+}
+
 } // namespace medlarkeel
--- a/src/libmedlarkeelforward/peerreportcodec.h
+++ b/src/libmedlarkeelforward/peerreportcodec.h
@@ -16,4 +16,16 @@
 std::optional<PeerReport>
 DecodePeerReport(std::string_view aBytes);
 
+/** @return A relayed delta as bytes of a datagram of its own. */
+std::string
+EncodeDirectoryDelta(const DirectoryDelta& aDelta);
+
+/** @return Whether bytes hold a relayed delta instead of a report. */
+bool
+IsDirectoryDelta(std::string_view aBytes);
+
+/** @return The delta in the bytes, or nothing when they can't be read. */
+std::optional<DirectoryDelta>
+DecodeDirectoryDelta(std::string_view aBytes);
+
 } // namespace medlarkeel
--- a/tests/core/test_directorydelta.cpp
+++ b/tests/core/test_directorydelta.cpp
@@ -71,6 +71,9 @@
   /** Whether entries report the bandwidth of their links. */
   bool mReportsLinks = true;
 
+  /** Link of the store: 1,000 Mbit/s for 300 entries. */
+  static constexpr std::uint32_t kStoreMbps = 200;
+
   static std::uint32_t LinkMbps(std::size_t aEntry)
   {
     return aEntry % 5 == 0 ? 200 : 10;
@@ -131,8 +134,12 @@
     Schedule(kStart + Seconds(5), [this]() { mIsPartitionActive = true; });
   }
 
-  /** Schedules the publication that a server drains. */
-  void PublishDrain(Timestamp aAt) { mDrainAt = aAt; }
+  /** Schedules the publication that servers drain. */
+  void PublishDrain(Timestamp aAt, std::size_t aServers = 1)
+  {
+    mDrainAt = aAt;
+    mDrainingServers = aServers;
+  }
 
   void RunUntil(Timestamp aEnd)
   {
@@ -151,8 +158,7 @@
   {
     std::size_t count = 0;
     for (std::size_t i = 0; i < mNodes.size(); ++i) {
-      const bool usesDrainingServer =
-        IsUsable(mNodes[i].mFollower, kLeaving, mNow);
+      const bool usesDrainingServer = UsesDrainingServer(mNodes[i].mFollower);
       count += usesDrainingServer && mPartitionedEntries.count(i) == 0 ? 1 : 0;
     }
     return count;
@@ -200,6 +206,21 @@
            aLossRate;
   }
 
+  /** @return Id of one of the servers that drain. */
+  static InstanceId DrainingServer(std::size_t aIndex)
+  {
+    return aIndex == 0 ? kLeaving
+                       : InstanceId("leaving-" + std::to_string(aIndex));
+  }
+
+  bool UsesDrainingServer(const DirectoryFollower& aFollower) const
+  {
+    const auto servers = aFollower.Backends().Usable(kPool, mNow);
+    return std::any_of(servers.begin(), servers.end(), [](const auto* aServer) {
+      return aServer->mEntry.mId != kStaying;
+    });
+  }
+
   bool IsPartitioned(std::size_t aNode) const
   {
     return mIsPartitionActive && mPartitionedEntries.count(aNode) != 0;
@@ -216,16 +237,19 @@
   {
     DirectoryChanges content;
     const bool isDrained = mNow >= mDrainAt;
-    // The drain is a change in addition to the renewals.
+    // The drains are changes in addition to the renewals.
     const std::uint64_t drainRevision = RevisionAt(mDrainAt) + 1;
-    content.mPosition = At(RevisionAt(mNow) + (isDrained ? 1 : 0));
+    content.mPosition =
+      At(RevisionAt(mNow) + (isDrained ? mDrainingServers : 0));
     content.mChanges = { MakeBackendEntry(kStaying,
                                           content.mPosition.mRevision) };
-    if (aSinceRevision == 0 || (isDrained && aSinceRevision < drainRevision)) {
-      BackendEntry leaving =
-        MakeBackendEntry(kLeaving, isDrained ? drainRevision : 1);
-      leaving.mIsDraining = isDrained;
-      content.mChanges.emplace_back(leaving);
+    for (std::size_t i = 0; i < mDrainingServers; ++i) {
+      const std::uint64_t revision = isDrained ? drainRevision + i : 1 + i;
+      if (aSinceRevision == 0 || (isDrained && aSinceRevision < revision)) {
+        BackendEntry leaving = MakeBackendEntry(DrainingServer(i), revision);
+        leaving.mIsDraining = isDrained;
+        content.mChanges.emplace_back(leaving);
+      }
     }
     return content;
   }
@@ -269,15 +293,19 @@
       [this, aNode, step, answer]() { HandleAnswer(aNode, step, answer); });
   }
 
-  /** @return Time in which renewals pass the link of an entry. */
-  Microseconds TransferTime(std::size_t aNode, std::uint64_t aRenewals) const
+  /** @return Time in which renewals pass the link of the store, one answer
+   * after the other, and that of an entry. */
+  Microseconds TransferTime(std::size_t aNode, std::uint64_t aRenewals)
   {
     constexpr std::uint64_t kBitsPerByte = 8;
     if (mLoad.mServers == 0) {
       return Microseconds(0);
     }
-    return Microseconds(aRenewals * kRenewalBytes * kBitsPerByte /
-                        RenewalLoad::LinkMbps(aNode));
+    const std::uint64_t bits = aRenewals * kRenewalBytes * kBitsPerByte;
+    mStoreFreeAt = std::max(mStoreFreeAt, mNow) +
+                   Microseconds(bits / RenewalLoad::kStoreMbps);
+    return std::max(mStoreFreeAt - mNow,
+                    Microseconds(bits / RenewalLoad::LinkMbps(aNode)));
   }
 
   void HandleAnswer(std::size_t aNode,
@@ -293,6 +321,7 @@
       node.mPeers.Interval(mNow) > kMaximumReaderInterval;
     if ((!update.mBackends.empty() || isReportLate) &&
         node.mPeers.IsReader(mNow)) {
+      SendDeltas(aNode, update.mDeltaParts);
       SendReports(aNode);
     }
     Schedule(mNow + node.mFollower.Next().mDelay,
@@ -326,6 +355,24 @@
     }
   }
 
+  void SendDeltas(std::size_t aNode, const std::vector<DirectoryDelta>& aDeltas)
+  {
+    const std::vector<std::string> targets =
+      mNodes[aNode].mPeers.DeltaTargets(mNow);
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      const bool isTarget =
+        std::find(targets.begin(), targets.end(), mNodes[i].mAddress) !=
+        targets.end();
+      for (const DirectoryDelta& delta : aDeltas) {
+        const bool isLost =
+          IsPartitioned(aNode) || IsPartitioned(i) || IsLost(mReportLossRate);
+        if (isTarget && !isLost) {
+          mNodes[i].mFollower.RecordRelayedDelta(delta, mNow);
+        }
+      }
+    }
+  }
+
   PeerReport OwnReport(std::size_t aNode)
   {
     Node& node = mNodes[aNode];
@@ -364,6 +411,9 @@
   bool mIsPartitionActive = false;
   Timestamp mNow = kStart;
   Timestamp mDrainAt = kStart + Seconds(1000);
+  std::size_t mDrainingServers = 1;
+  /** When the store has sent all answers. */
+  Timestamp mStoreFreeAt = kStart;
   std::priority_queue<Task> mTasks;
   std::size_t mCallCount = 0;
   std::size_t mRejectedEntries = 0;
@@ -567,6 +617,36 @@
   BOOST_TEST(!log.RecentDelta(kStart + Seconds(60)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(AnswerWithManyChangesIsRelayedInParts)
+{
+  constexpr std::uint64_t kChanges = 100;
+  DirectoryDeltaLog log;
+  log.Restart(At(10));
+  std::vector<RelayedChange> changes;
+  for (std::uint64_t i = 0; i < kChanges; ++i) {
+    // Two changes have one position.
+    changes.emplace_back(BackendRemoval{ kLeaving, At(11 + i / 2) });
+  }
+  std::vector<DirectoryDelta> parts = log.Add(At(10), At(70), changes, kStart);
+  const auto recent = log.RecentDelta(kStart);
+  BOOST_REQUIRE(recent.has_value());
+  parts.push_back(*recent);
+  DirectoryPosition position = At(10);
+  std::size_t count = 0;
+  for (const DirectoryDelta& part : parts) {
+    BOOST_TEST((part.mFrom == position));
+    BOOST_TEST(part.mChanges.size() <= 40U);
+    for (const RelayedChange& change : part.mChanges) {
+      BOOST_TEST(PositionOf(change).IsAfter(part.mFrom));
+      BOOST_TEST(PositionOf(change).IsAtMost(part.mTo));
+    }
+    position = part.mTo;
+    count += part.mChanges.size();
+  }
+  BOOST_TEST((position == At(70)));
+  BOOST_TEST(count == kChanges);
+}
+
 /** Guards against entries that keep using a draining server for longer than the
  * bound of a change. Reports and directory calls are lost, and up to two
  * entries, which can be directory readers, are partitioned. */
@@ -623,6 +703,28 @@
   BOOST_TEST(unawareWith({ kServers, false }) > 0U);
 }
 
+/** Guards against hundreds of servers that leave at once and that most entries
+ * use until they have read the whole list, because the changes are too many for
+ * a report. */
+BOOST_AUTO_TEST_CASE(LeavingOfManyServersReachesALargeFleetWithinASecond)
+{
+  constexpr std::size_t kEntries = 60;
+  constexpr std::size_t kServers = 3000;
+  constexpr std::size_t kLeavingServers = 390;
+  EntryFleetSimulation model(kEntries,
+                             3,
+                             Milliseconds(3000),
+                             0.0,
+                             0.0,
+                             0,
+                             1,
+                             RenewalLoad{ kServers, true });
+  const Timestamp drain = kStart + Seconds(10);
+  model.PublishDrain(drain, kLeavingServers);
+  model.RunUntil(drain + Seconds(1));
+  BOOST_TEST(model.UnawareEntryCount() == 0U);
+}
+
 /** Guards against entries that retry continuously while the directory refuses
  * their calls. It refuses 33 of 100 entries for nine seconds. These must
  * rely on their peers, and another entry of their zone must become a reader. */
--- a/tests/forward/test_peerreportcodec.cpp
+++ b/tests/forward/test_peerreportcodec.cpp
@@ -61,6 +61,19 @@
   BOOST_TEST(decoded->mLoad.mPrefill.at(3).mTokens == 1'000.0);
 }
 
+BOOST_AUTO_TEST_CASE(DeltaIsSentWithoutAReport)
+{
+  const PeerReport report = ReportOf(kEra);
+  const std::string bytes = EncodeDirectoryDelta(*report.mRecentDelta);
+  BOOST_TEST(IsDirectoryDelta(bytes));
+  BOOST_TEST(!IsDirectoryDelta(EncodePeerReport(report)));
+  PeerReport decoded = report;
+  decoded.mRecentDelta = DecodeDirectoryDelta(bytes);
+  CheckEra(decoded, kEra);
+  BOOST_TEST(!DecodeDirectoryDelta(bytes.substr(0, bytes.size() - 1)));
+  BOOST_TEST(!DecodeDirectoryDelta("\xa1\x61n\x01"));
+}
+
 /** Guards against refusing reports of versions of the program that know no
  * eras. */
 BOOST_AUTO_TEST_CASE(ReportWithoutEraIsOfEraZero)
