Reset a request that isn't acknowledged

Cause: TCP_USER_TIMEOUT ends a connection without a reset, so that the entry's own reset of a request that it gives up comes too late. Class: giving something up without telling those who still hold it.

Change: a request that has bytes without an acknowledgement, none of which is acknowledged for 1.0 to 1.4 s, is ended by the entry, whose close is a reset. A large body that makes progress isn't. Requests that have arrived aren't affected, and connections that are silent after them end as before.

--- a/src/libmedlarkeelforward/connectionend.h
+++ b/src/libmedlarkeelforward/connectionend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 namespace medlarkeel {
 
@@ -16,4 +17,21 @@
 bool
 IsClosedInOrder(int aDescriptor, std::uint64_t aBytesRead);
 
+/** How much of what was written to a connection has arrived. */
+struct DeliveryState
+{
+  /** Bytes that the peer's system has acknowledged since the connection was
+   * opened. */
+  std::uint64_t mAcknowledged = 0;
+  /** Whether nothing that was written is without acknowledgement. */
+  bool mIsComplete = false;
+};
+
+/**
+ * @param aDescriptor A TCP socket.
+ * @return What the peer has acknowledged; nothing if the system doesn't tell.
+ */
+std::optional<DeliveryState>
+DeliveryOf(int aDescriptor);
+
 } // namespace medlarkeel
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -3,6 +3,7 @@
 #include "../libmedlarkeel/forwarding/answerbody.h"
 #include "../libmedlarkeel/forwarding/attemptdecision.h"
 #include "answertext.h"
+#include "deliverywatch.h"
 #include "forwarder.h"
 #include "messageparser.h"
 #include "processwatch.h"
@@ -86,6 +87,8 @@
     /** Observes the process while it sends an answer that ends with its
      * connection. */
     std::shared_ptr<ProcessWatch> mWatch;
+    /** Observes whether the request arrives. */
+    std::shared_ptr<DeliveryWatch> mDelivery;
     Timestamp mBegunAt;
     /** When the request was written to the connection. */
     Timestamp mSentAt;
--- a/src/libmedlarkeelforward/exchange_attempt.cpp
+++ b/src/libmedlarkeelforward/exchange_attempt.cpp
@@ -319,6 +319,13 @@
                                self->mCaller->UpdateMemory();
                              }
                            });
+  aAttempt->mDelivery = std::make_shared<DeliveryWatch>(mForwarder.Context(),
+                                                        aAttempt->mConnection);
+  aAttempt->mDelivery->Start([self = shared_from_this(), aAttempt]() {
+    if (!self->mIsDone && self->mAttempt == aAttempt) {
+      self->HandleConnectionEnd(aAttempt, false);
+    }
+  });
   ReadAnswer(aAttempt);
 }
 
@@ -329,6 +336,9 @@
   if (aAttempt->mWatch) {
     aAttempt->mWatch->Stop();
   }
+  if (aAttempt->mDelivery) {
+    aAttempt->mDelivery->Stop();
+  }
   const BackendConnectionPointer connection = aAttempt->mConnection;
   if (connection) {
     const bool isReusable = aIsReusable && aAttempt->mIsRequestWritten &&
--- a/tests/forward/forwardfixture.cpp
+++ b/tests/forward/forwardfixture.cpp
@@ -54,11 +54,13 @@
                         Route("/again/", RepeatRule::Repeatable, 2),
                         Route("/stream/", RepeatRule::AtMostOnce, 1),
                         Route("/resume/", RepeatRule::AtMostOnce, 2),
-                        Route("/open/", RepeatRule::AtMostOnce, 1) };
+                        Route("/open/", RepeatRule::AtMostOnce, 1),
+                        Route("/long/", RepeatRule::AtMostOnce, 1) };
   document->mRoutes[2].mIsStream = true;
   document->mRoutes[3].mIsStream = true;
   document->mRoutes[3].mIsResumable = true;
   document->mRoutes[4].mIsPublic = true;
+  document->mRoutes[5].mTimeout = ForwardFixture::kLongRouteTimeout;
   document->mPools[PoolName("pool")].mName = PoolName("pool");
   document->mPools[PoolName("pool")].mIsModel = aHasModelServers;
   document->mTeams = { { TeamName("team-1"), std::nullopt } };
--- a/tests/forward/forwardfixture.h
+++ b/tests/forward/forwardfixture.h
@@ -38,7 +38,7 @@
  * A forwarder on loopback before fake backend servers. Routes of the host
  * "host": /once/ (one attempt, at most once), /again/ (repeatable, two
  * attempts), /stream/ (at most once), /resume/ (resumable, two attempts),
- * /open/ (public, at most once).
+ * /open/ (public, at most once), /long/ (at most once, with a long time-out).
  */
 class ForwardFixture
 {
@@ -81,6 +81,7 @@
   std::uint16_t Port() const { return mSettings.mCallers.mPort; }
 
   static constexpr Milliseconds kRouteTimeout{ 1000 };
+  static constexpr Milliseconds kLongRouteTimeout{ 5000 };
 
 private:
   ForwardSettings mSettings;
--- a/tests/forward/test_forwarder.cpp
+++ b/tests/forward/test_forwarder.cpp
@@ -687,6 +687,34 @@
   BOOST_CHECK(ended.get_future().get() == boost::asio::error::connection_reset);
 }
 
+/** Guards against a request that reaches its server seconds later, because the
+ * system gave its connection up without a reset (review/7). */
+BOOST_AUTO_TEST_CASE(RequestThatIsNotAcknowledgedResetsItsConnection)
+{
+  constexpr std::size_t kEarlyBytes = 1000;
+  constexpr int kReceiveBuffer = 8192;
+  ForwardFixture fixture;
+  std::promise<int> ended;
+  FakeBackend& backend = fixture.AddBackend(
+    [&ended](Socket& aSocket, const std::string&) {
+      // The error of the connection, without reading from it.
+      int error = 0;
+      WaitUntil(Milliseconds(4000), [&]() {
+        socklen_t size = sizeof error;
+        getsockopt(
+          aSocket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+        return error != 0;
+      });
+      ended.set_value(error);
+    },
+    kEarlyBytes);
+  backend.LimitReceiveBuffer(kReceiveBuffer);
+  fixture.Start();
+  const std::string body(1U << 20U, 'b');
+  BOOST_TEST(fixture.Call("/long/x", "", body).Status() == 502);
+  BOOST_TEST(ended.get_future().get() == ECONNRESET);
+}
+
 /** Guards against requests that were read behind the one that runs and are
  * dropped when a shutdown begins. */
 BOOST_AUTO_TEST_CASE(EndingEntryAnswersRequestsThatArrivedBehindAnother)
