--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -3,6 +3,7 @@
 #include "../../src/libmedlarkeelforward/answertext.h"
 #include "../../src/libmedlarkeelforward/percentencoding.h"
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/detail/base64.hpp>
@@ -29,11 +30,9 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 
-/** Time that an answer takes while the store is slow. */
-constexpr Milliseconds kSlowAnswer{ 250 };
-
 std::string
 EncodeBase64(const std::string& aBytes)
 {
@@ -58,6 +57,37 @@
   return DecodePercent(aText);
 }
 
+/** @return The fields of an item except its key. */
+Json
+FieldsOf(const std::string& aBytes,
+         std::uint64_t aRevision,
+         std::uint64_t aCreated)
+{
+  return { { "value", EncodeBase64(aBytes) },
+           { "revision", aRevision },
+           { "created", aCreated },
+           { "lease", 0 } };
+}
+
+/** @return The character of a key in a JSON text. Bytes that are no ASCII stay
+ * as they are, or become single surrogates. */
+std::string
+CharacterText(char aCharacter, bool aEscapesBytes)
+{
+  constexpr unsigned char kAsciiEnd = 0x80;
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr unsigned kDigitBits = 4;
+  constexpr unsigned kDigitMask = 0xF;
+  const auto byte = static_cast<unsigned char>(aCharacter);
+  if (byte < kAsciiEnd) {
+    const std::string text = Json(std::string(1, aCharacter)).dump();
+    return text.substr(1, text.size() - 2);
+  }
+  return aEscapesBytes ? std::string("\\udc") + kDigits[byte >> kDigitBits] +
+                           kDigits[byte & kDigitMask]
+                       : std::string(1, aCharacter);
+}
+
 /** @return Values in a query, by name, of which the first one counts; nothing
  * if the query is malformed. */
 std::optional<std::map<std::string, std::string>>
@@ -134,6 +164,9 @@
       case StoreTrouble::Refusing:
         Answer({ kUnavailable, Json::object() });
         return;
+      case StoreTrouble::Limiting:
+        Answer({ kTooManyRequests, Json::object() });
+        return;
       case StoreTrouble::Silent:
         mStore.mSilent.insert(shared_from_this());
         return;
@@ -179,14 +212,25 @@
       ParseWholeNumber(aQuery["wait-ms"]).value_or(0))));
     mTimer.async_wait([self = shared_from_this()](const Error& aError) {
       if (!aError && self->mStore.mWaiting.erase(self) > 0) {
-        self->Answer(
-          { kOk,
-            { { "events", Json::array() },
-              { "current-rev", self->mStore.mContent.mRevision } } });
+        self->Answer({ kOk,
+                       { { "current-rev", self->mStore.mContent.mRevision } },
+                       "events" });
       }
     });
   }
 
+  static std::string BodyText(const Reply& aReply)
+  {
+    std::string text = aReply.mBody.dump();
+    if (aReply.mListName != nullptr) {
+      const std::string list =
+        boost::algorithm::join(aReply.mList, std::string(","));
+      text.pop_back();
+      text += ",\"" + std::string(aReply.mListName) + "\":[" + list + "]}";
+    }
+    return text;
+  }
+
   void Answer(const Reply& aReply)
   {
     if (mStore.mTrouble == StoreTrouble::Silent) {
@@ -201,11 +245,11 @@
     if (mStore.mEra > 0) {
       mResponse.set("Store-Era", std::to_string(mStore.mEra));
     }
-    mResponse.body() = aReply.mBody.dump();
+    mResponse.body() = BodyText(aReply);
     mResponse.prepare_payload();
     const bool isSlow = mStore.mTrouble == StoreTrouble::Slow;
     mDelay = std::make_unique<boost::asio::steady_timer>(
-      mStore.mContext, isSlow ? kSlowAnswer : Milliseconds(0));
+      mStore.mContext, isSlow ? mStore.mSlowAnswer : Milliseconds(0));
     mDelay->async_wait([self = shared_from_this()](const Error&) {
       http::async_write(self->mSocket,
                         self->mResponse,
@@ -326,6 +370,24 @@
   Run([&]() { mTrouble = aTrouble; });
 }
 
+void
+FakeStore::SetItemsPerPage(std::size_t aItems)
+{
+  Run([&]() { mItemsPerPage = aItems; });
+}
+
+void
+FakeStore::SetSlowAnswer(Milliseconds aTime)
+{
+  Run([&]() { mSlowAnswer = aTime; });
+}
+
+void
+FakeStore::EscapeKeyBytes()
+{
+  Run([&]() { mEscapesKeyBytes = true; });
+}
+
 void
 FakeStore::SetEra(std::uint64_t aEra)
 {
@@ -354,11 +416,19 @@
           std::uint64_t aRevision,
           std::uint64_t aCreated)
 {
-  return { { "key", aKey },
-           { "value", EncodeBase64(aBytes) },
-           { "revision", aRevision },
-           { "created", aCreated },
-           { "lease", 0 } };
+  Json item = FieldsOf(aBytes, aRevision, aCreated);
+  item["key"] = aKey;
+  return item;
+}
+
+std::string
+FakeStore::ObjectText(const std::string& aKey, const Json& aFields) const
+{
+  std::string text = R"({"key":")";
+  for (const char character : aKey) {
+    text += CharacterText(character, mEscapesKeyBytes);
+  }
+  return text + "\"," + aFields.dump().substr(1);
 }
 
 FakeStore::Reply
@@ -378,7 +448,7 @@
 FakeStore::ReadRange(const std::string& aPrefix,
                      const std::string& aAfter) const
 {
-  Json items = Json::array();
+  std::vector<std::string> items;
   bool hasMore = false;
   for (const auto& [key, item] : mContent.mItems) {
     const bool isBefore = !aAfter.empty() && key <= aAfter &&
@@ -386,16 +456,17 @@
     if (!StartsWith(key, aPrefix) || isBefore) {
       continue;
     }
-    if (items.size() == kItemsPerPage || mTrouble == StoreTrouble::EmptyPages) {
+    if (items.size() == mItemsPerPage || mTrouble == StoreTrouble::EmptyPages) {
       hasMore = true;
       break;
     }
-    items.push_back(StoreItem(key, item.mBytes, item.mRevision, item.mCreated));
+    items.push_back(
+      ObjectText(key, FieldsOf(item.mBytes, item.mRevision, item.mCreated)));
   }
   return { kOk,
-           { { "items", items },
-             { "has-more", hasMore },
-             { "current-rev", mContent.mRevision } } };
+           { { "has-more", hasMore }, { "current-rev", mContent.mRevision } },
+           "items",
+           std::move(items) };
 }
 
 std::optional<FakeStore::Reply>
@@ -403,28 +474,30 @@
 {
   if (aAfter < mContent.mForgotten || aAfter > mContent.mRevision) {
     mLostHistory += 1;
-    return Reply{ kGone, { { "current-rev", mContent.mRevision } } };
+    return Reply{
+      kGone, { { "current-rev", mContent.mRevision } }, nullptr, {}
+    };
   }
-  Json events = Json::array();
+  std::vector<std::string> events;
   for (const Change& change : mContent.mHistory) {
     if (change.mRevision <= aAfter || !StartsWith(change.mKey, aPrefix)) {
       continue;
     }
     if (change.mItem) {
       const Item& item = *change.mItem;
-      events.push_back(
-        StoreItem(change.mKey, item.mBytes, item.mRevision, item.mCreated));
+      events.push_back(ObjectText(
+        change.mKey, FieldsOf(item.mBytes, item.mRevision, item.mCreated)));
     } else {
-      events.push_back({ { "key", change.mKey },
-                         { "revision", change.mRevision },
-                         { "tombstone", true } });
+      events.push_back(ObjectText(
+        change.mKey,
+        { { "revision", change.mRevision }, { "tombstone", true } }));
     }
   }
   if (events.empty()) {
     return std::nullopt;
   }
   return Reply{
-    kOk, { { "events", events }, { "current-rev", mContent.mRevision } }
+    kOk, { { "current-rev", mContent.mRevision } }, "events", std::move(events)
   };
 }
 
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace medlarkeel {
 
@@ -31,6 +32,8 @@
   None,
   /** Every call gets 503. */
   Refusing,
+  /** Every call gets 429. */
+  Limiting,
   /** Calls are read; their connections stay open and silent for good. */
   Silent,
   /** Connections are reset as soon as a call arrives. */
@@ -53,7 +56,7 @@
 class FakeStore
 {
 public:
-  /** Small, so that a few servers already need further pages. */
+  /** Default; small, so that a few servers already need further pages. */
   static constexpr std::size_t kItemsPerPage = 4;
 
   FakeStore();
@@ -70,6 +73,14 @@
   /** Drops the history, so that watches of older revisions get 410. */
   void ForgetHistory();
   void SetTrouble(StoreTrouble aTrouble);
+  void SetItemsPerPage(std::size_t aItems);
+
+  /** Sets the time that an answer takes while the store is slow. */
+  void SetSlowAnswer(Milliseconds aTime);
+
+  /** Writes bytes of keys outside ASCII as escapes of single surrogates, as
+   * Python does, instead of as they are. */
+  void EscapeKeyBytes();
 
   /** Sets the era that answers state; with 0 they state none. */
   void SetEra(std::uint64_t aEra);
@@ -118,10 +129,16 @@
   {
     int mStatus = 0;
     nlohmann::json mBody;
+    /** Items or changes, under this name beside the fields of the body. */
+    const char* mListName = nullptr;
+    /** Their texts; keys are any bytes. */
+    std::vector<std::string> mList{};
   };
 
   void Accept();
   void Run(const std::function<void()>& aTask);
+  std::string ObjectText(const std::string& aKey,
+                         const nlohmann::json& aFields) const;
   void Record(const std::string& aKey, std::optional<Item> aItem);
   void RecheckWaiting();
   Reply ReadKey(const std::string& aKey) const;
@@ -137,6 +154,9 @@
   Content mCopy;
   std::uint64_t mEra = 0;
   StoreTrouble mTrouble = StoreTrouble::None;
+  std::size_t mItemsPerPage = kItemsPerPage;
+  Milliseconds mSlowAnswer{ 250 };
+  bool mEscapesKeyBytes = false;
   std::set<std::shared_ptr<Session>> mWaiting;
   /** Open connections that give nothing any more. */
   std::set<std::shared_ptr<Session>> mSilent;
--- a/tests/platform/loopbackplatform.cpp
+++ b/tests/platform/loopbackplatform.cpp
@@ -184,15 +184,19 @@
     return aEntry.mAddress + ":" + std::to_string(aPort);
   };
   const Endpoint& store = mStore.Address();
+  Json seeds = Json::array();
+  for (std::size_t i = 0; i < mSeeds; ++i) {
+    seeds.push_back(EntryAddress(i) + ":1");
+  }
   const Json values{
     { "node-name", aEntry.mName },
-    { "zone", "zone-0" },
+    { "zone", aEntry.mZone },
     { "ip", aEntry.mAddress },
     { "listen",
       { { "front", at(aEntry.mCallers) },
         { "ready", at(aEntry.mReadiness) } } },
     { "internal-port-range", { kInternal, kInternal } },
-    { "seeds", { EntryAddress(0) + ":1" } },
+    { "seeds", seeds },
     { "platform",
       { { "address", store.mAddress + ":" + std::to_string(store.mPort) } } },
     { "heartbeat-ms", 1200 },
@@ -210,10 +214,11 @@
 }
 
 EntryProcess&
-LoopbackPlatform::StartEntry()
+LoopbackPlatform::StartEntry(const std::string& aZone)
 {
   auto entry = std::make_unique<EntryProcess>();
   entry->mName = "entry-" + std::to_string(mEntries.size() + 1);
+  entry->mZone = aZone;
   entry->mAddress = EntryAddress(mEntries.size());
   entry->mCallers = kCallers;
   entry->mReadiness = kReadiness;
--- a/tests/platform/loopbackplatform.h
+++ b/tests/platform/loopbackplatform.h
@@ -17,6 +17,7 @@
 struct EntryProcess
 {
   std::string mName;
+  std::string mZone;
   /** Loopback address of the instance. */
   std::string mAddress;
   std::uint16_t mCallers = 0;
@@ -55,8 +56,11 @@
     mMostDescriptors = aMostDescriptors;
   }
 
+  /** Sets how many entries, from the first one, the settings name as seeds. */
+  void SetSeeds(std::size_t aSeeds) { mSeeds = aSeeds; }
+
   /** Starts an entry; WaitReady tells when it takes requests. */
-  EntryProcess& StartEntry();
+  EntryProcess& StartEntry(const std::string& aZone = "zone-0");
 
   /** Starts an ended entry again at its address. */
   void Restart(EntryProcess& aEntry) const;
@@ -99,6 +103,7 @@
   std::vector<std::unique_ptr<FakeServer>> mServers;
   std::vector<std::unique_ptr<EntryProcess>> mEntries;
   nlohmann::json mDocument;
+  std::size_t mSeeds = 1;
   int mMemoryMb = 512;
   int mMostDescriptors = 8192;
 };
--- a/tests/platform/test_storepages.cpp
+++ b/tests/platform/test_storepages.cpp
@@ -19,6 +19,12 @@
   "b\r\nc: d", "b\tc", "b\177c", "b\u00e9", "b HTTP/1.1", "b;c"
 };
 
+/** Names with bytes that are no UTF-8, before and behind those of servers. */
+const std::vector<std::string> kForeignBytes = {
+  "b\xff",     "b\xc3(", "b\xed\xa0\x80", "b\xf0\x9f\x92",
+  "b\xc0\xaf", "\x80",   "b\x01\xfe",     "b\xf4\x8f\xbf\xbf\xfe"
+};
+
 /** A store in which an entry of another writer ends a page. */
 struct StoreWithForeignEntry
 {
@@ -122,6 +128,70 @@
   }
 }
 
+/** Guards against a list that can't be read at all, because the name of one
+ * entry holds bytes that are no UTF-8. */
+BOOST_AUTO_TEST_CASE(NameThatIsNoTextLeavesTheOtherEntries)
+{
+  for (const bool escapes : { false, true }) {
+    for (const std::string& name : kForeignBytes) {
+      BOOST_TEST_CONTEXT("escaped " << escapes << ", " << name)
+      {
+        StoreWithForeignEntry store(name);
+        if (escapes) {
+          store.mStore.EscapeKeyBytes();
+        }
+        const auto result = store.Read();
+        BOOST_REQUIRE(result.has_value() && result->has_value());
+        BOOST_TEST(ServerCount(result->value()) == 11U);
+      }
+    }
+  }
+}
+
+/** Guards against a list that ends at several pages of such names. */
+BOOST_AUTO_TEST_CASE(PagesOfNamesThatAreNoTextLeaveTheOtherEntries)
+{
+  StoreWithForeignEntry store("b\xff");
+  for (std::size_t i = 0; i < 3 * FakeStore::kItemsPerPage; ++i) {
+    store.mStore.PutBytes("servers/b\xfe" + std::to_string(i), "not an entry");
+  }
+  const auto result = store.Read();
+  BOOST_REQUIRE(result.has_value() && result->has_value());
+  BOOST_TEST(ServerCount(result->value()) == 11U);
+}
+
+/** Guards against changes that are missed while an entry with such a name is
+ * renewed. */
+BOOST_AUTO_TEST_CASE(ChangesFollowANameThatIsNoText)
+{
+  LoopbackPlatform platform;
+  platform.AddDesk("a-1");
+  EntryProcess& entry = platform.StartEntry();
+  BOOST_REQUIRE(LoopbackPlatform::WaitReady(entry));
+  platform.Store().PutBytes("servers/b\xff", "not an entry");
+  const FakeServer& added = platform.AddServer(
+    { "m-1", "model", "zone-0", 64, Milliseconds(5), 5, Milliseconds(20) });
+  const bool isServed = WaitUntil(std::chrono::seconds(5), [&]() {
+    return LoopbackPlatform::Call(entry, "r-1", "/stream/a").Status() == kOk;
+  });
+  BOOST_TEST(isServed, entry.mProcess->Log());
+  BOOST_TEST(!added.Requests().empty());
+}
+
+/** Guards against entries that are never ready while each answer of the store
+ * takes longer than the time-out of a call. */
+BOOST_AUTO_TEST_CASE(EntryStartsWhileAnswersTakeLong)
+{
+  LoopbackPlatform platform;
+  platform.AddDesk("a-1");
+  platform.Store().SetSlowAnswer(std::chrono::seconds(1));
+  platform.Store().SetTrouble(StoreTrouble::Slow);
+  EntryProcess& entry = platform.StartEntry();
+  BOOST_TEST(LoopbackPlatform::WaitReady(entry, std::chrono::seconds(12)),
+             entry.mProcess->Log());
+  BOOST_TEST(LoopbackPlatform::Call(entry, "r-1", "/again/a").Status() == kOk);
+}
+
 /** Guards against a start that takes long, since more changes follow a stale
  * copy of a long list than the list has items. */
 BOOST_AUTO_TEST_CASE(LongListIsReadAsTheNewest)
--- a/tests/platform/test_streamsoak.cpp
+++ b/tests/platform/test_streamsoak.cpp
@@ -1,3 +1,4 @@
+#include "dice.h"
 #include "serverprocess.h"
 #include "streamcaller.h"
 
@@ -6,9 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
-#include <cstdlib>
 #include <mutex>
-#include <random>
 #include <sstream>
 #include <thread>
 
@@ -66,47 +65,6 @@
   int mCallers;
 };
 
-/** @return The value of an environment variable, or the default. */
-int
-EnvironmentNumber(const char* aName, int aDefault)
-{
-  const char* value = std::getenv(aName);
-  return value == nullptr ? aDefault : std::atoi(value);
-}
-
-/** Draws numbers and choices from a seed. */
-class Dice
-{
-public:
-  explicit Dice(std::uint64_t aSeed)
-    : mGenerator(aSeed)
-  {
-  }
-
-  /** @return A number from aLow to aHigh, which may be the result. */
-  int Between(int aLow, int aHigh)
-  {
-    return std::uniform_int_distribution<int>(aLow, aHigh)(mGenerator);
-  }
-
-  bool Chance(double aShare) { return Between(0, 999) < aShare * 1000; }
-
-  Milliseconds Pause(int aLow, int aHigh)
-  {
-    return Milliseconds(Between(aLow, aHigh));
-  }
-
-  template<typename Values>
-  auto& Pick(Values& aValues)
-  {
-    const int last = static_cast<int>(std::size(aValues)) - 1;
-    return aValues[static_cast<std::size_t>(Between(0, last))];
-  }
-
-private:
-  std::mt19937_64 mGenerator;
-};
-
 /** What all callers have seen. */
 struct SoakCounts
 {
