Say what an entry that isn't ready waits for

Now it logs each second what is missing and the last error, and the time to readiness; the readiness page names what is missing; metrics have readiness, usable servers of each pool and failed calls by cause. directory-lost has no age before the first reading.

readiness/EntryThatIsNotReadySaysWhatIsMissing passes; without the lines there is nothing that it could find.

--- a/src/libmedlarkeel/eventcatalogue.cpp
+++ b/src/libmedlarkeel/eventcatalogue.cpp
@@ -42,6 +42,16 @@
     Level::Warning,
     "A caller's connection was closed at once, as its address or all callers "
     "have as many as are allowed; at most one line a second." },
+  { Event::Ready,
+    "ready",
+    Level::Info,
+    "The process takes requests for the first time; the time since its "
+    "start." },
+  { Event::NotReady,
+    "not-ready",
+    Level::Warning,
+    "The process has started and can't take requests yet; what it waits for, "
+    "and why the directory couldn't be read last; one line a second." },
   { Event::DocumentAccepted,
     "document-accepted",
     Level::Info,
--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -20,6 +20,8 @@
   AcceptFailed = 106,
   CallerMemoryShort = 107,
   CallerRefused = 108,
+  Ready = 109,
+  NotReady = 110,
 
   DocumentAccepted = 200,
   DocumentRejected = 201,
--- a/src/libmedlarkeel/forwarding/directorysource.h
+++ b/src/libmedlarkeel/forwarding/directorysource.h
@@ -68,6 +68,9 @@
   EarlierEra
 };
 
+constexpr std::size_t kDirectoryErrorCount =
+  static_cast<std::size_t>(DirectoryError::EarlierEra) + 1;
+
 /** @return A name for logs. */
 const char*
 DirectoryErrorText(DirectoryError aError);
--- a/src/libmedlarkeelforward/forwardcounters.cpp
+++ b/src/libmedlarkeelforward/forwardcounters.cpp
@@ -141,6 +141,19 @@
                "broken_answers_total{fault=\"" + fault + "\"}",
                static_cast<double>(aCounters.mBrokenAnswers[i]));
   }
+  for (std::size_t i = 0; i < kDirectoryErrorCount; ++i) {
+    const std::string error =
+      DirectoryErrorText(static_cast<DirectoryError>(i));
+    AppendLine(text,
+               "directory_errors_total{error=\"" + error + "\"}",
+               static_cast<double>(aCounters.mDirectoryErrors[i]));
+  }
+  AppendLine(text, "ready", aCounters.mIsReady ? 1.0 : 0.0);
+  for (const auto& [pool, servers] : aCounters.mUsableServers) {
+    AppendLine(text,
+               "usable_servers{" + LabelText("pool", pool) + "}",
+               static_cast<double>(servers));
+  }
   for (const auto& [pool, gauge] : aCounters.mPoolLoads) {
     const std::string label = "{" + LabelText("pool", pool) + "}";
     AppendLine(text, "admission_load" + label, gauge.mLoad);
--- a/src/libmedlarkeelforward/forwardcounters.h
+++ b/src/libmedlarkeelforward/forwardcounters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../libmedlarkeel/forwarding/answerend.h"
+#include "../libmedlarkeel/forwarding/directorysource.h"
 #include "../libmedlarkeel/forwarding/forecasterror.h"
 
 #include <array>
@@ -90,6 +91,8 @@
   std::uint64_t mConnectionsReused = 0;
   std::uint64_t mDirectoryCalls = 0;
   std::uint64_t mDirectoryFailures = 0;
+  /** Of those, by DirectoryError. */
+  std::array<std::uint64_t, kDirectoryErrorCount> mDirectoryErrors{};
   /** Reports whose news of the directory saved a call. */
   std::uint64_t mDirectoryNewsTold = 0;
   std::uint64_t mUnreadableItems = 0;
@@ -105,11 +108,21 @@
   /** Bytes held for callers, and their bound. */
   std::size_t mHeldBytes = 0;
   std::size_t mHeldBytesBound = 0;
+  /** Whether the entry takes requests. */
+  bool mIsReady = false;
+  /** Servers that may get requests, by the name of the pool. */
+  std::map<std::string, std::size_t> mUsableServers;
   /** At the last decision on admission, by the name of the pool. */
   std::map<std::string, PoolLoadGauge> mPoolLoads;
   /** By the name of the pool. */
   std::map<std::string, PoolForecastErrors> mForecastErrors;
 
+  void RecordDirectoryFailure(DirectoryError aError)
+  {
+    mDirectoryFailures += 1;
+    mDirectoryErrors[static_cast<std::size_t>(aError)] += 1;
+  }
+
   void RecordBrokenAnswer(AnswerFault aFault)
   {
     mBrokenAnswers[static_cast<std::size_t>(aFault)] += 1;
--- a/src/libmedlarkeelforward/forwarder.cpp
+++ b/src/libmedlarkeelforward/forwarder.cpp
@@ -80,6 +80,9 @@
  * time after which a body counts as stalled. */
 constexpr Milliseconds kPauseCheck{ 50 };
 
+/** Interval of log lines while an entry isn't ready after its start. */
+constexpr Milliseconds kNotReadyLogPause{ 1000 };
+
 /** Interval of checks whether freed memory is to be returned. */
 constexpr Milliseconds kTrimCheck{ 500 };
 
@@ -187,10 +190,12 @@
   , mPauseTimer(aContext)
   , mTrimTimer(aContext)
   , mAcceptor(aContext)
+  , mReadinessTimer(aContext)
   , mDirectoryTimer(aContext)
   , mDocumentTimer(aContext)
   , mStopTimer(aContext)
   , mRandom(NewIncarnation().mValue)
+  , mStartedAt(BootNow())
 {
   mChooser.SetLimits(&mLimits);
 }
@@ -204,6 +209,7 @@
   mPeerChannel.Start();
   CallDirectory();
   FollowDocuments();
+  LogMissingReadiness();
 }
 
 void
@@ -337,6 +343,14 @@
   mCounters.mHeldBytes = mMemory.TotalBytes();
   mCounters.mHeldBytesBound = mMemory.BoundBytes();
   const Timestamp now = BootNow();
+  mCounters.mIsReady = IsReady();
+  mCounters.mUsableServers.clear();
+  if (const ForwardingDocumentPointer document = Document()) {
+    for (const auto& [name, pool] : document->mPools) {
+      mCounters.mUsableServers[name.Text()] =
+        mFollower.Backends().Usable(name, now).size();
+    }
+  }
   for (const auto& [pool, admission] : mAdmissions) {
     const ForecastError& errors = admission.ForecastErrors();
     mCounters.mForecastErrors[pool.Text()] = { errors.Summary(true, now),
@@ -407,10 +421,58 @@
   });
 }
 
-bool
-Forwarder::IsReady() const
+std::string
+Forwarder::MissingForReadiness() const
 {
-  return !mIsStopping && mFollower.HasRead() && mFollower.Document();
+  if (mIsStopping) {
+    return "the process ends";
+  }
+  if (!mFollower.HasRead()) {
+    return "the list of backend servers";
+  }
+  return mFollower.Document() ? "" : "a document";
+}
+
+Milliseconds
+Forwarder::TimeSinceStart() const
+{
+  return std::chrono::duration_cast<Milliseconds>(BootNow() - mStartedAt);
+}
+
+void
+Forwarder::RecordReadiness()
+{
+  if (!mHasBeenReady && IsReady()) {
+    mHasBeenReady = true;
+    mReadinessTimer.cancel();
+    mLog.Write(Event::Ready, { { "afterMs", TimeSinceStart().count() } });
+  }
+}
+
+void
+Forwarder::LogMissingReadiness()
+{
+  mReadinessTimer.expires_after(kNotReadyLogPause);
+  mReadinessTimer.async_wait([this](const Error& aError) {
+    if (aError || mHasBeenReady) {
+      return;
+    }
+    EventFields fields{ { "missing", MissingForReadiness() },
+                        { "sinceStartMs", TimeSinceStart().count() },
+                        { "failedCalls", mCounters.mDirectoryFailures } };
+    if (mLastDirectoryError) {
+      fields["error"] = DirectoryErrorText(*mLastDirectoryError);
+    }
+    mLog.Write(Event::NotReady, fields);
+    LogMissingReadiness();
+  });
+}
+
+void
+Forwarder::RecordDirectoryFailure(DirectoryError aError)
+{
+  mCounters.RecordDirectoryFailure(aError);
+  mLastDirectoryError = aError;
 }
 
 Milliseconds
@@ -706,7 +768,7 @@
 Forwarder::TakeDocuments(const DirectoryResult& aResult)
 {
   if (!aResult) {
-    mCounters.mDirectoryFailures += 1;
+    RecordDirectoryFailure(aResult.error());
     return;
   }
   TakeNews(mFollower.RecordDocuments(aResult.value(), BootNow()));
@@ -756,12 +818,16 @@
 Forwarder::TakeAnswer(const DirectoryResult& aResult,
                       const FollowerUpdate& aNews)
 {
-  mCounters.mDirectoryFailures += aResult ? 0 : 1;
+  if (!aResult) {
+    RecordDirectoryFailure(aResult.error());
+  }
   mPeers.SetHasLostDirectoryContact(mFollower.HasLostContact());
   if (aNews.mHasLostContact) {
-    mLog.Write(Event::DirectoryLost,
-               { { "error", DirectoryErrorText(aNews.mError) },
-                 { "listAgeMs", DirectoryAge().count() } });
+    EventFields fields{ { "error", DirectoryErrorText(aNews.mError) } };
+    if (mFollower.HasRead()) {
+      fields["listAgeMs"] = DirectoryAge().count();
+    }
+    mLog.Write(Event::DirectoryLost, fields);
   }
   TakeNews(aNews);
   const bool isForOthers =
@@ -829,6 +895,7 @@
     mLog.Write(Event::ItemUnreadable,
                { { "item", item.mKey }, { "reason", item.mReason } });
   }
+  RecordReadiness();
 }
 
 bool
--- a/src/libmedlarkeelforward/forwarder.h
+++ b/src/libmedlarkeelforward/forwarder.h
@@ -65,7 +65,11 @@
   void RecordDuration(const ForwardRoute& aRoute, Milliseconds aDuration);
 
   /** @return Whether the balancer may send new connections. */
-  bool IsReady() const;
+  bool IsReady() const { return MissingForReadiness().empty(); }
+
+  /** @return What an entry that isn't ready waits for, or that it ends; empty
+   * if it is ready. */
+  std::string MissingForReadiness() const;
 
   /** @return Whether the process ends, so that connections are closed. */
   bool IsStopping() const { return mIsStopping; }
@@ -159,6 +163,12 @@
   void ResumeCallers();
   /** Returns freed memory to the machine after a load. */
   void TrimMemory();
+  Milliseconds TimeSinceStart() const;
+  /** Logs when the entry is ready for the first time. */
+  void RecordReadiness();
+  /** Logs each second what is missing until then. */
+  void LogMissingReadiness();
+  void RecordDirectoryFailure(DirectoryError aError);
   void CallDirectory();
   void CallDirectoryLater(Milliseconds aDelay);
   /** Follows the documents and evacuations. */
@@ -217,6 +227,7 @@
   std::size_t mMostHeld = 0;
   boost::asio::steady_timer mTrimTimer;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mReadinessTimer;
   boost::asio::steady_timer mDirectoryTimer;
   boost::asio::steady_timer mDocumentTimer;
   boost::asio::steady_timer mStopTimer;
@@ -225,6 +236,10 @@
   Timestamp mRefreshedAt;
   /** Durations of requests, by the name of their route. */
   std::unordered_map<std::string, RecentMaximum> mDurations;
+  Timestamp mStartedAt;
+  bool mHasBeenReady = false;
+  /** Why the last failed call to the directory failed. */
+  std::optional<DirectoryError> mLastDirectoryError;
   /** Whether the documents are being read. */
   bool mIsReadingDocuments = false;
   bool mIsStopping = false;
--- a/src/medlarkeelforward/main.cpp
+++ b/src/medlarkeelforward/main.cpp
@@ -53,8 +53,10 @@
 StatusPage
 ReadinessPage(const Forwarder& aForwarder)
 {
-  return aForwarder.IsReady() ? StatusPage{ 200, "ready\n" }
-                              : StatusPage{ kUnavailable, "not ready\n" };
+  const std::string missing = aForwarder.MissingForReadiness();
+  return missing.empty()
+           ? StatusPage{ 200, "ready\n" }
+           : StatusPage{ kUnavailable, "not ready: " + missing + "\n" };
 }
 
 /** Answers monitoring and operators. */
