Read pages of the directory whose keys hold any bytes

What callers saw: after a restart of all entries nothing was served for as long as one entry of another writer stood in the list of servers whose key holds bytes that are no UTF-8; running entries missed all later changes.

Cause: a page was parsed as a whole, and the parser refuses a text that isn't valid Unicode, so that one key made the reading of all servers fail, again and again. Class: one unusable item makes all others unusable.

--- a/tests/platform/test_storepages.cpp
+++ b/tests/platform/test_storepages.cpp
@@ -151,13 +151,19 @@
 /** Guards against a list that ends at several pages of such names. */
 BOOST_AUTO_TEST_CASE(PagesOfNamesThatAreNoTextLeaveTheOtherEntries)
 {
-  StoreWithForeignEntry store("b\xff");
-  for (std::size_t i = 0; i < 3 * FakeStore::kItemsPerPage; ++i) {
-    store.mStore.PutBytes("servers/b\xfe" + std::to_string(i), "not an entry");
+  for (const bool escapes : { false, true }) {
+    StoreWithForeignEntry store("b\xff");
+    if (escapes) {
+      store.mStore.EscapeKeyBytes();
+    }
+    for (std::size_t i = 0; i < 3 * FakeStore::kItemsPerPage; ++i) {
+      store.mStore.PutBytes("servers/b\xfe" + std::to_string(i),
+                            "not an entry");
+    }
+    const auto result = store.Read();
+    BOOST_REQUIRE(result.has_value() && result->has_value());
+    BOOST_TEST(ServerCount(result->value()) == 11U);
   }
-  const auto result = store.Read();
-  BOOST_REQUIRE(result.has_value() && result->has_value());
-  BOOST_TEST(ServerCount(result->value()) == 11U);
 }
 
 /** Guards against changes that are missed while an entry with such a name is
