--- a/src/libmedlarkeelforward/httpcaller.cpp
+++ b/src/libmedlarkeelforward/httpcaller.cpp
@@ -37,6 +37,8 @@
   mRequest.set(http::field::host, EndpointText(mEndpoint));
   mTimeout = aTimeout;
   mHandler = std::move(aHandler);
+  mCalledAt = std::chrono::steady_clock::now();
+  mHasTimedOut = false;
   mIsReused = mStream != nullptr;
   if (mIsReused) {
     mStream->expires_after(mTimeout);
@@ -89,6 +91,7 @@
   mParser = std::make_unique<Parser>();
   mParser->body_limit(kMostBodyBytes);
   mParser->eager(true);
+  mAnswerTime.reset();
   mReadUntil = std::chrono::steady_clock::now() + mTimeout + kMaximumReadTime;
   ReadMore();
 }
@@ -105,6 +108,10 @@
         self->Fail(aError);
         return;
       }
+      if (!self->mAnswerTime) {
+        self->mAnswerTime = std::chrono::duration_cast<Milliseconds>(
+          std::chrono::steady_clock::now() - self->mCalledAt);
+      }
       if (!self->mParser->is_done()) {
         self->mStream->expires_at(std::min(
           self->mReadUntil, std::chrono::steady_clock::now() + self->mTimeout));
@@ -117,7 +124,8 @@
       }
       self->Finish(CallAnswer{ static_cast<int>(answer.result_int()),
                                std::move(answer.body()),
-                               std::move(answer.base()) });
+                               std::move(answer.base()),
+                               *self->mAnswerTime });
     });
 }
 
@@ -130,6 +138,7 @@
     Connect();
     return;
   }
+  mHasTimedOut = isTimeout;
   Finish(std::nullopt);
 }
 
--- a/src/libmedlarkeelforward/httpcaller.h
+++ b/src/libmedlarkeelforward/httpcaller.h
@@ -25,6 +25,8 @@
   int mStatus = 0;
   std::string mBody;
   boost::beast::http::fields mFields;
+  /** Time from the call until the answer began. */
+  Milliseconds mAnswerTime{ 0 };
 };
 
 /**
@@ -47,6 +49,9 @@
    */
   void Get(const std::string& aTarget, Milliseconds aTimeout, Handler aHandler);
 
+  /** @return Whether the last call was given up because of its time-out. */
+  bool HasTimedOut() const { return mHasTimedOut; }
+
 private:
   using Error = boost::beast::error_code;
   using Parser =
@@ -66,10 +71,14 @@
   boost::beast::http::request<boost::beast::http::empty_body> mRequest;
   std::unique_ptr<Parser> mParser;
   Milliseconds mTimeout{ 0 };
+  std::chrono::steady_clock::time_point mCalledAt;
+  /** Time from the call until the answer began, once it has. */
+  std::optional<Milliseconds> mAnswerTime;
   /** End of the time for the whole answer. */
   std::chrono::steady_clock::time_point mReadUntil;
   Handler mHandler;
   bool mIsReused = false;
+  bool mHasTimedOut = false;
 };
 
 } // namespace medlarkeel
