Wait for ports that another process still holds

What callers saw: none of them reached an entry whose port was taken at its start, as by the process before it or by another one; the process ended with exit code 1, and its return depended on what restarts it.

Cause: a start was one try. Class: a condition that passes by itself ends a process.

Change: the start is tried again for ten seconds, with one log line (port-taken). Other errors still end the process at once.

Evidence: readiness/StartWaitsForPortsThatAreTaken, for the ports of callers, readiness and status, failed with the program before (the process had ended) and passes.

--- a/src/libmedlarkeel/eventcatalogue.cpp
+++ b/src/libmedlarkeel/eventcatalogue.cpp
@@ -52,6 +52,12 @@
     Level::Warning,
     "The process has started and can't take requests yet; what it waits for, "
     "and why the directory couldn't be read last; one line a second." },
+  { Event::PortTaken,
+    "port-taken",
+    Level::Warning,
+    "Another process holds a port of the settings; the start is tried again "
+    "for ten seconds." },
+
   { Event::DocumentAccepted,
     "document-accepted",
     Level::Info,
--- a/src/libmedlarkeel/eventcatalogue.h
+++ b/src/libmedlarkeel/eventcatalogue.h
@@ -22,6 +22,7 @@
   CallerRefused = 108,
   Ready = 109,
   NotReady = 110,
+  PortTaken = 111,
 
   DocumentAccepted = 200,
   DocumentRejected = 201,
--- a/src/medlarkeelforward/main.cpp
+++ b/src/medlarkeelforward/main.cpp
@@ -14,6 +14,7 @@
 #include <iterator>
 #include <limits>
 #include <malloc.h>
+#include <thread>
 
 DEFINE_string(link_mbps,
               "",
@@ -109,14 +110,13 @@
 #endif
 }
 
-int
-Run(const ForwardSettings& aSettings)
+/** Serves until the process is asked to end.
+ *
+ * @throws boost::system::system_error if an address can't be listened on. */
+void
+Serve(const ForwardSettings& aSettings, EventLog& aLog)
 {
-  ReturnLargeBlocks();
-  std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context context(1);
-  EventLog log(aSettings.mNode.Text(),
-               std::make_shared<spdlog::sinks::stdout_sink_mt>());
   boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
   const DirectorySources directories{
     std::make_shared<platform::StoreClient>(context, aSettings.mDirectory),
@@ -124,7 +124,7 @@
       context, aSettings.mDirectory, platform::kDocumentKeys)
   };
   Forwarder forwarder(
-    context, aSettings, platform::PlatformProtocol(), directories, log);
+    context, aSettings, platform::PlatformProtocol(), directories, aLog);
   const StatusServer readiness(
     context, aSettings.mReadiness, [&](const std::string&) {
       return ReadinessPage(forwarder);
@@ -133,11 +133,47 @@
     context, aSettings.mMetrics, [&](const std::string& aPath) {
       return MetricsPage(forwarder, aPath);
     });
-  WaitForSignal(signals, forwarder, log);
+  WaitForSignal(signals, forwarder, aLog);
   forwarder.Start();
-  log.Write(Event::Started, { { "zone", aSettings.mZone.Text() } });
+  aLog.Write(Event::Started, { { "zone", aSettings.mZone.Text() } });
   context.run();
-  log.Write(Event::Stopped);
+  aLog.Write(Event::Stopped);
+}
+
+/** Waits for ports that the process before still holds. */
+void
+ServeOncePortsAreFree(const ForwardSettings& aSettings, EventLog& aLog)
+{
+  constexpr std::chrono::seconds kMaximumWait{ 10 };
+  constexpr Milliseconds kPause{ 100 };
+  const auto end = std::chrono::steady_clock::now() + kMaximumWait;
+  bool hasLogged = false;
+  while (true) {
+    try {
+      Serve(aSettings, aLog);
+      return;
+    } catch (const boost::system::system_error& error) {
+      if (error.code() != boost::asio::error::address_in_use ||
+          std::chrono::steady_clock::now() >= end) {
+        throw;
+      }
+      if (!hasLogged) {
+        aLog.Write(Event::PortTaken, { { "error", error.what() } });
+        hasLogged = true;
+      }
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+int
+Run(const ForwardSettings& aSettings)
+{
+  ReturnLargeBlocks();
+  std::signal(SIGPIPE, SIG_IGN);
+  EventLog log(aSettings.mNode.Text(),
+               std::make_shared<spdlog::sinks::stdout_sink_mt>());
+  ServeOncePortsAreFree(aSettings, log);
   return 0;
 }
 
--- a/tests/platform/test_readiness.cpp
+++ b/tests/platform/test_readiness.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+
 namespace medlarkeel {
 
 namespace {
@@ -49,6 +51,35 @@
              std::string::npos);
 }
 
+/** Guards against a process that ends, because the one before it or another one
+ * still holds a port of its own. */
+BOOST_AUTO_TEST_CASE(StartWaitsForPortsThatAreTaken)
+{
+  using boost::asio::ip::tcp;
+  LoopbackPlatform platform;
+  platform.AddDesk("desk-1");
+  EntryProcess& entry = platform.StartEntry();
+  BOOST_REQUIRE(LoopbackPlatform::WaitReady(entry));
+  for (const std::uint16_t port :
+       { entry.mCallers, entry.mReadiness, entry.mStatus }) {
+    BOOST_TEST_CONTEXT("port " << port)
+    {
+      entry.mProcess->Kill();
+      boost::asio::io_context context;
+      std::optional<tcp::acceptor> holder;
+      holder.emplace(
+        context,
+        tcp::endpoint(boost::asio::ip::make_address(entry.mAddress), port));
+      platform.Restart(entry);
+      BOOST_TEST(WaitForLog(entry, R"("name":"port-taken")"));
+      holder.reset();
+      BOOST_TEST(LoopbackPlatform::WaitReady(entry));
+      BOOST_TEST(entry.mProcess->IsRunning());
+      std::filesystem::remove(platform.Folder() / (entry.mName + ".log"));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
