Keep the usable instances of a list in the loopback daemon

Change: such an instance is left out and counted in the list-observed line (unusable). A text with instances of which none can be used is still an error, as the existing test asks. The escaping of bytes moves to the core, which both programs share.

--- a/src/libmedlarkeel/instancelist.h
+++ b/src/libmedlarkeel/instancelist.h
@@ -2,6 +2,7 @@
 
 #include "types.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -39,6 +40,8 @@
 {
   std::uint64_t mRevision = 0;
   std::vector<InstanceRecord> mInstances;
+  /** Listed instances that could not be used. */
+  std::size_t mUnusable = 0;
 };
 
 } // namespace medlarkeel
--- a/src/libmedlarkeel/instancelistparser.cpp
+++ b/src/libmedlarkeel/instancelistparser.cpp
@@ -1,5 +1,7 @@
 #include "instancelistparser.h"
 
+#include "jsonbytes.h"
+
 #include <nlohmann/json.hpp>
 
 namespace medlarkeel {
@@ -36,11 +38,28 @@
 ParseInstanceList(std::string_view aText)
 {
   try {
-    const json document = json::parse(aText);
+    json document = json::parse(aText, nullptr, false);
+    const bool isEscaped = document.is_discarded();
+    if (isEscaped) {
+      document = json::parse(EscapeInvalidBytes(aText));
+    }
     InstanceList list;
     list.mRevision = document.at("revision").get<std::uint64_t>();
+    std::string problem;
     for (const json& instance : document.at("instances")) {
-      list.mInstances.push_back(ParseRecord(instance));
+      try {
+        const std::string text = isEscaped ? instance.dump() : std::string();
+        if (RestoreBytes(text) != text) {
+          throw std::invalid_argument("an instance isn't UTF-8 text");
+        }
+        list.mInstances.push_back(ParseRecord(instance));
+      } catch (const std::exception& error) {
+        list.mUnusable += 1;
+        problem = error.what();
+      }
+    }
+    if (list.mInstances.empty() && list.mUnusable > 0) {
+      return InstanceListError{ problem };
     }
     return list;
   } catch (const json::exception& problem) {
--- a/src/medlarkeeld/node.cpp
+++ b/src/medlarkeeld/node.cpp
@@ -248,7 +248,8 @@
     mLoggedRevision = aList.mRevision;
     mLog.Write(Event::ListObserved,
                { { "revision", aList.mRevision },
-                 { "instances", aList.mInstances.size() } });
+                 { "instances", aList.mInstances.size() },
+                 { "unusable", aList.mUnusable } });
   }
 }
 
--- a/tests/core/test_instancelistparser.cpp
+++ b/tests/core/test_instancelistparser.cpp
@@ -35,6 +35,28 @@
     !ParseInstanceList(R"({"revision":1,"instances":[{"id":3}]})").has_value());
 }
 
+/** Guards against a daemon that knows no instance after a restart, because one
+ * of them can't be read. */
+BOOST_AUTO_TEST_CASE(UnusableInstanceLeavesTheOthers)
+{
+  const std::string usable = R"({"id":"a1","role":"agent","zone":"z",
+    "region":"r","address":"127.0.0.1:9001"})";
+  for (const std::string unusable : { R"({"id":3})",
+                                      R"({})",
+                                      "7",
+                                      "{\"id\":\"\xff\",\"role\":\"agent\","
+                                      "\"zone\":\"z\",\"region\":\"r\","
+                                      "\"address\":\"127.0.0.1:9002\"}" }) {
+    std::string list = R"({"revision":7,"instances":[)";
+    list.append(unusable).append(",").append(usable).append("]}");
+    const auto parsed = ParseInstanceList(list);
+    BOOST_REQUIRE(parsed);
+    BOOST_REQUIRE(parsed.value().mInstances.size() == 1U);
+    BOOST_TEST(parsed.value().mInstances.front().mId == InstanceId("a1"));
+    BOOST_TEST(parsed.value().mUnusable == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/forward/test_jsonbytes.cpp
+++ b/tests/core/test_jsonbytes.cpp
@@ -1,4 +1,4 @@
-#include "../../src/libmedlarkeelforward/jsonbytes.h"
+#include "jsonbytes.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
