Pause between full reads that the directory refuses as compacted

All entries together would exceed its limit, so that others are refused.

Change: such a read counts as failed, with the usual growing pause; a call for changes that gets 410 is still followed by a full read at once.

Evidence: directoryfollower/FailedReadsFollowEachOtherWithPauses failed in a trial without the change and passes. Not seen with real processes.

--- a/src/libmedlarkeel/forwarding/directoryfollower.cpp
+++ b/src/libmedlarkeel/forwarding/directoryfollower.cpp
@@ -96,7 +96,7 @@
 {
   FollowerUpdate update;
   if (!aResult) {
-    RecordFailure(update, aResult.error(), aNow);
+    RecordFailedRead(update, aResult.error(), aNow);
     return update;
   }
   const DirectoryChanges& contents = aResult.value();
@@ -381,6 +381,19 @@
   mRetryDelay = std::min(mRetryDelay * 2, mSettings.mMaximumRetryDelay);
 }
 
+void
+DirectoryFollower::RecordFailedRead(FollowerUpdate& aUpdate,
+                                    DirectoryError aError,
+                                    Timestamp aNow)
+{
+  RecordFailure(aUpdate, aError, aNow);
+  if (aError == DirectoryError::HistoryCompacted) {
+    // Another full read is no answer to one that failed.
+    mNext.mDelay = mRetryDelay;
+    mRetryDelay = std::min(mRetryDelay * 2, mSettings.mMaximumRetryDelay);
+  }
+}
+
 void
 DirectoryFollower::RecordContact(FollowerUpdate& aUpdate, Timestamp aNow)
 {
--- a/src/libmedlarkeel/forwarding/directoryfollower.h
+++ b/src/libmedlarkeel/forwarding/directoryfollower.h
@@ -268,6 +268,10 @@
   void RecordFailure(FollowerUpdate& aUpdate,
                      DirectoryError aError,
                      Timestamp aNow);
+  /** Records that a full read failed; the next one follows a pause. */
+  void RecordFailedRead(FollowerUpdate& aUpdate,
+                        DirectoryError aError,
+                        Timestamp aNow);
   void RecordContact(FollowerUpdate& aUpdate, Timestamp aNow);
   /** Makes a newer era the current one, and a full read the next call.
    * @return Whether the era is newer. */
--- a/tests/core/test_directoryfollower.cpp
+++ b/tests/core/test_directoryfollower.cpp
@@ -137,6 +137,23 @@
   BOOST_TEST(!follower.CanSkipCall(failedAt));
 }
 
+/** Guards against thousands of calls a second to a directory that answers each
+ * full read like a call from a lost position. */
+BOOST_AUTO_TEST_CASE(FailedReadsFollowEachOtherWithPauses)
+{
+  const FollowerSettings settings;
+  DirectoryFollower follower{ settings };
+  follower.RecordRead(DirectoryError::HistoryCompacted, kStart);
+  BOOST_CHECK(follower.Next().mDelay == settings.mFirstRetryDelay);
+  for (int i = 0; i < 10; ++i) {
+    follower.RecordRead(DirectoryError::HistoryCompacted, kStart);
+  }
+  BOOST_CHECK(follower.Next().mDelay == settings.mMaximumRetryDelay);
+  follower.RecordRead(Changes(9, { Entry("one", 5) }), kStart);
+  follower.RecordWatch(DirectoryError::HistoryCompacted, kStart);
+  BOOST_TEST(follower.Next().mDelay.count() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(DocumentVersionNeverDecreases)
 {
   DirectoryFollower follower{ FollowerSettings() };
