--- a/src/libmedlarkeel/forwarding/calltimeout.h
+++ b/src/libmedlarkeel/forwarding/calltimeout.h
@@ -14,13 +14,13 @@
    * to notice soon that the service is back. */
   int mMaximumDoublingsAtStart = 2;
   int mMaximumDoublings = 1;
-  /** Factor of the time of recent answers below which no call is given up. */
+  /** No call is given up before the time of recent answers times this. */
   int mAnswerTimeFactor = 2;
 };
 
 /**
- * Time-out of calls to a service whose answers may take longer than expected
- * for as long as a process runs. A fixed one would end each of them.
+ * Time-out of calls to a service whose answers may all take longer than
+ * expected. With a fixed time-out, no call would ever succeed there.
  */
 class CallTimeout
 {
--- a/src/libmedlarkeel/jsonbytes.cpp
+++ b/src/libmedlarkeel/jsonbytes.cpp
@@ -35,8 +35,7 @@
   return aCharacter == utf::illegal || aCharacter == utf::incomplete;
 }
 
-/** @return The UTF-16 unit of an escape at the begin of a text, if there is
- * one. */
+/** @return The UTF-16 unit of the escape that a text starts with, if any. */
 std::optional<std::uint16_t>
 EscapedUnit(std::string_view aText)
 {
@@ -54,7 +53,7 @@
            : std::nullopt;
 }
 
-/** Copies JSON from the begin to the end and replaces what isn't allowed. */
+/** Copies JSON and replaces what isn't allowed. */
 class ByteEscaper
 {
 public:
--- a/tests/platform/test_fleetrestart.cpp
+++ b/tests/platform/test_fleetrestart.cpp
@@ -41,6 +41,9 @@
 /** Time after which a process that has ended by itself is started again. */
 constexpr Milliseconds kRestartDelay{ 300 };
 
+/** Time from the signal to the kill where they differ. */
+constexpr Milliseconds kSignalTime{ 300 };
+
 /** A kind of request of a deployment with 39 requests a second. */
 struct RequestKind
 {
@@ -63,8 +66,8 @@
   { "/lookup/", "desk", "idempotent", 800, 150, 2, 2, 0, 6 }
 };
 
-/** Names of entries that other programs may write, and of the same with bytes
- * that are no UTF-8. */
+/** Names that other programs may write into the list, and such with bytes that
+ * are no UTF-8. */
 const std::vector<std::string> kForeignNames = { "a&b", "a+b", "a%zz",
                                                  "a b", "z#",  "z%41" };
 const std::vector<std::string> kForeignBytes = { "a\xff",
@@ -76,6 +79,7 @@
 {
   /** How often all entries are killed. */
   int mRounds = 1;
+  /** What the entries get first; those that don't end by it are killed. */
   int mSignal = SIGKILL;
   Milliseconds mDownTime{ 0 };
   /** Longest time between the starts of two entries. */
@@ -350,7 +354,7 @@
       entry.mEntry->mProcess->Signal(aSignal);
     }
     if (aSignal != SIGKILL) {
-      std::this_thread::sleep_for(kRestartDelay);
+      std::this_thread::sleep_for(kSignalTime);
     }
     for (Started& entry : mStarted) {
       entry.mEntry->mProcess->Kill();
