--- a/tests/platform/test_storepages.cpp
+++ b/tests/platform/test_storepages.cpp
@@ -166,6 +166,24 @@
   }
 }
 
+/** Guards against an entry that has no document or no list after a restart,
+ * whatever stands beside them. */
+BOOST_AUTO_TEST_CASE(EntriesStartWhileAnyKeyIsNoText)
+{
+  for (const std::string key :
+       { "op/\xff", "op/evacuate/\xff", "servers/\xff", "\xff", "\xc3(" }) {
+    LoopbackPlatform platform;
+    platform.AddDesk("a-1");
+    platform.Store().PutBytes(key, "not an entry");
+    EntryProcess& entry = platform.StartEntry();
+    BOOST_TEST_REQUIRE(LoopbackPlatform::WaitReady(entry));
+    platform.Restart(entry);
+    BOOST_TEST(LoopbackPlatform::WaitReady(entry));
+    BOOST_TEST(LoopbackPlatform::Call(entry, "r-1", "/again/a").Status() ==
+               kOk);
+  }
+}
+
 /** Guards against changes that are missed while an entry with such a name is
  * renewed. */
 BOOST_AUTO_TEST_CASE(ChangesFollowANameThatIsNoText)
