--- a/src/libmedlarkeel/jsonbytes.h
+++ b/src/libmedlarkeel/jsonbytes.h
@@ -13,8 +13,8 @@
  * of JSON escape so (Python's PEP 383).
  *
  * @param aJson Any bytes.
- * @return The JSON with characters in their place from which RestoreBytes()
- * makes them again.
+ * @return The JSON with these contents replaced by characters that
+ * RestoreBytes() turns back.
  */
 std::string
 EscapeInvalidBytes(std::string_view aJson);
--- a/src/medlarkeelforward/main.cpp
+++ b/src/medlarkeelforward/main.cpp
@@ -140,7 +140,8 @@
   aLog.Write(Event::Stopped);
 }
 
-/** Waits for ports that the process before still holds. */
+/** Serves as soon as its ports are free, which the entry's previous process may
+ * still hold. */
 void
 ServeOncePortsAreFree(const ForwardSettings& aSettings, EventLog& aLog)
 {
--- a/tests/platform/test_fleetrestart.cpp
+++ b/tests/platform/test_fleetrestart.cpp
@@ -21,7 +21,7 @@
 
 constexpr int kOk = 200;
 
-/** Zones of the entries; they have a server of each service in each zone. */
+/** Zones of the entries. Each zone has servers of each service. */
 constexpr const char* kEntryZones[] = { "zone-0",
                                         "zone-0",
                                         "zone-1",
@@ -31,7 +31,7 @@
 constexpr int kCallers = 40;
 constexpr std::size_t kItemsPerPage = 50;
 
-/** Time after the return of all machines from which requests are served. */
+/** Time after the return of all processes within which service is back. */
 constexpr Milliseconds kRecoveryTime{ 12'000 };
 
 /** Time for which requests are counted before the fault and after the
@@ -44,7 +44,7 @@
 /** Time from the signal to the kill where they differ. */
 constexpr Milliseconds kSignalTime{ 300 };
 
-/** A kind of request of a deployment with 39 requests a second. */
+/** A kind of request; the callers send each in proportion to its weight. */
 struct RequestKind
 {
   const char* mRoute;
