--- a/src/libmedlarkeelforward/answertext.cpp
+++ b/src/libmedlarkeelforward/answertext.cpp
@@ -78,6 +78,20 @@
   return value;
 }
 
+bool
+IsFieldValue(const std::string& aText)
+{
+  constexpr unsigned char kFirstVisible = 0x20;
+  constexpr unsigned char kDelete = 0x7F;
+  const bool hasControls =
+    std::any_of(aText.begin(), aText.end(), [](char aCharacter) {
+      const auto byte = static_cast<unsigned char>(aCharacter);
+      return byte < kFirstVisible || byte == kDelete;
+    });
+  return !hasControls && !aText.empty() && aText.front() != ' ' &&
+         aText.back() != ' ';
+}
+
 bool
 IsConnectionField(std::string_view aName)
 {
--- a/src/libmedlarkeelforward/answertext.h
+++ b/src/libmedlarkeelforward/answertext.h
@@ -77,6 +77,11 @@
 std::optional<std::int64_t>
 ParseWholeNumber(std::string_view aText);
 
+/** @return Whether a server reads the text unchanged as the value of a header
+ * field. */
+bool
+IsFieldValue(const std::string& aText);
+
 /** @return Whether a field concerns one connection only. */
 bool
 IsConnectionField(std::string_view aName);
