Keep the usable parts of a document

Callers saw: with one further team in the document whose name no header field carries (empty, a blank at either end, a tab, a line break, a zero byte, a delete character), no entry was ready after a restart, and the requests of all teams got 503. Running entries kept the document before, so that a route added beside such a team wasn't served. The same held for a route, a service or a limit with a missing field or one of another type.

Cause: the document was decoded in one go, and any part that couldn't be used made the decoding fail as a whole.

Now each part stands for itself. Requests of an unusable team or route get 503 with a time to come back (1.5 to 5 s, as only a new document helps) and are sent to no server; an unusable route still takes the requests of its prefix, so that no shorter prefix does. Each part is logged as item-unreadable with its JSON pointer and without its value. A document without version or lists, or with routes of which none can be used, is refused as before, and the one in force stays.

--- a/src/libmedlarkeel/eventcatalogue.cpp
+++ b/src/libmedlarkeel/eventcatalogue.cpp
@@ -93,7 +93,8 @@
   { Event::ItemUnreadable,
     "item-unreadable",
     Level::Warning,
-    "A published item can't be used; the last good one stays in use." },
+    "A published item can't be used, and the last good one stays in use; or a "
+    "part of the document can't, and the other parts are in force." },
   { Event::PeerReportLost,
     "peer-report-lost",
     Level::Warning,
--- a/src/libmedlarkeel/forwarding/directorysource.h
+++ b/src/libmedlarkeel/forwarding/directorysource.h
@@ -30,9 +30,11 @@
   DirectoryPosition mPosition;
 };
 
-/** An item that can't be parsed. Its last valid version stays in force. */
+/** An item that can't be parsed, of which the last valid version stays in
+ * force, or a part of a document that can't be used. */
 struct UnreadableItem
 {
+  /** Key of the item; for a part, "#" and its JSON pointer follow. */
   std::string mKey;
   std::string mReason;
 };
--- a/src/libmedlarkeel/forwarding/forwardingdocument.cpp
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.cpp
@@ -47,7 +47,9 @@
 {
   std::set<std::optional<TierRank>> teamTiers;
   for (const ForwardTeam& team : mTeams) {
-    teamTiers.insert(team.mTier);
+    if (team.mIsUsable) {
+      teamTiers.insert(team.mTier);
+    }
   }
   for (auto& [name, pool] : mPools) {
     std::set<RequestPriority> priorities;
--- a/src/libmedlarkeel/forwarding/forwardingdocument.h
+++ b/src/libmedlarkeel/forwarding/forwardingdocument.h
@@ -58,6 +58,9 @@
   /** Maximum number of backend servers that one request is sent to. */
   int mMaximumAttempts = 1;
   std::vector<PoolShare> mPools;
+  /** Whether its settings could be read. Requests of a route that isn't usable
+   * are refused. */
+  bool mIsUsable = true;
 
   /** @return Whether a request may be sent again although an earlier attempt
    * may have run it. */
@@ -105,6 +108,9 @@
   TeamName mName;
   /** Takes precedence over the tier of the route if set. */
   std::optional<TierRank> mTier;
+  /** Whether backend servers can be told the team. Requests of a team that
+   * isn't usable are refused. */
+  bool mIsUsable = true;
 };
 
 /** @param aTeam Team that the request belongs to, or null. */
--- a/src/libmedlarkeel/forwarding/placementexplanation.cpp
+++ b/src/libmedlarkeel/forwarding/placementexplanation.cpp
@@ -72,11 +72,16 @@
     return PlacementError{ "no route for host \"" + *host + "\" and path \"" +
                            aQuery.mPath + "\"" };
   }
+  if (!target.mRoute->mIsUsable) {
+    return PlacementError{ "the route's configuration can't be used", false };
+  }
   if (aQuery.mTeam) {
-    const auto team = std::find_if(
-      aDocument.mTeams.begin(),
-      aDocument.mTeams.end(),
-      [&](const ForwardTeam& aTeam) { return aTeam.mName == *aQuery.mTeam; });
+    const auto team =
+      std::find_if(aDocument.mTeams.begin(),
+                   aDocument.mTeams.end(),
+                   [&](const ForwardTeam& aTeam) {
+                     return aTeam.mIsUsable && aTeam.mName == *aQuery.mTeam;
+                   });
     if (team == aDocument.mTeams.end()) {
       return PlacementError{ "unknown team \"" + aQuery.mTeam->Text() + "\"" };
     }
--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -17,11 +17,15 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-/** Times to come back: a share of the latency target, spread by chance. */
+/** Times to come back: a share of the latency target or of another time, spread
+ * by chance. */
 constexpr double kRetryLeastShare = 0.3;
 constexpr double kRetrySpreadShare = 0.7;
 constexpr Milliseconds kRetryWithoutRoute{ 500 };
 
+/** Longest time to come back after a refusal that only a new document ends. */
+constexpr Milliseconds kRetryWithNewDocument{ 5000 };
+
 /** Characters of an event's id that are logged. */
 constexpr std::size_t kLoggedIdSize = 40;
 
@@ -111,7 +115,10 @@
     Reject(kNotFound, "no route for this host and path");
     return false;
   }
-  return true;
+  if (!mRoute->mIsUsable) {
+    RefuseForDocument("the route's configuration can't be used");
+  }
+  return mRoute->mIsUsable;
 }
 
 bool
@@ -122,8 +129,13 @@
     mTeam != nullptr || mRoute->mIsPublic || !mDocument->mRequiresKeys;
   if (!isAllowed) {
     Reject(kUnauthorized, "the key is missing or unknown");
+    return false;
   }
-  return isAllowed;
+  const bool isUsable = mTeam == nullptr || mTeam->mIsUsable;
+  if (!isUsable) {
+    RefuseForDocument("the team's configuration can't be used");
+  }
+  return isUsable;
 }
 
 bool
@@ -265,6 +277,13 @@
   Refuse(kUnavailable, kShutdownReason);
 }
 
+void
+Exchange::RefuseForDocument(const std::string& aReason)
+{
+  mRetryDelay = SpreadDelay(kRetryWithNewDocument);
+  Refuse(kUnavailable, aReason);
+}
+
 void
 Exchange::EndForShutdown()
 {
@@ -350,12 +369,17 @@
   if (mRetryDelay) {
     return *mRetryDelay;
   }
-  const Milliseconds target =
-    mRoute == nullptr ? kRetryWithoutRoute : mRoute->mLatencyTarget;
+  return SpreadDelay(mRoute == nullptr ? kRetryWithoutRoute
+                                       : mRoute->mLatencyTarget);
+}
+
+Milliseconds
+Exchange::SpreadDelay(Milliseconds aLongest)
+{
   const double share =
     kRetryLeastShare + kRetrySpreadShare * mForwarder.Random();
   return Milliseconds(
-    static_cast<std::int64_t>(share * static_cast<double>(target.count())));
+    static_cast<std::int64_t>(share * static_cast<double>(aLongest.count())));
 }
 
 void
--- a/src/libmedlarkeelforward/exchange.h
+++ b/src/libmedlarkeelforward/exchange.h
@@ -198,7 +198,11 @@
   Milliseconds TimeLeft() const;
   /** Refuses a request that can't end before the process does. */
   void RefuseForShutdown();
+  /** Refuses a request that can't be served before the next document. */
+  void RefuseForDocument(const std::string& aReason);
   Milliseconds RetryTime();
+  /** @return A random time up to the one given. */
+  Milliseconds SpreadDelay(Milliseconds aLongest);
   /** Notes at the chooser how an attempt has failed. */
   void RecordFailure(const Attempt& aAttempt, AttemptOutcome aOutcome);
   bool TakesRetry();
--- a/tests/core/test_forwardingdocument.cpp
+++ b/tests/core/test_forwardingdocument.cpp
@@ -35,6 +35,24 @@
   BOOST_TEST(document.FindTeam("other") == nullptr);
 }
 
+/** Guards against ranks at backend servers that are shifted by a team whose
+ * requests are all refused. */
+BOOST_AUTO_TEST_CASE(UnusableTeamAddsNoPriority)
+{
+  ForwardingDocument document;
+  document.mRoutes.resize(1);
+  document.mRoutes[0].mTier = TierRank{ 2 };
+  document.mRoutes[0].mPools = { { PoolName("models"), 1 } };
+  document.mTeams = { { TeamName("one"), TierRank{ 1 } },
+                      { TeamName(), TierRank{ 9 }, false } };
+  document.mRequiresKeys = true;
+  document.mPools[PoolName("models")].mName = PoolName("models");
+  document.DerivePoolValues();
+  const std::vector<RequestPriority> expected{ { TierRank{ 1 },
+                                                 TierRank{ 2 } } };
+  BOOST_CHECK(document.mPools.at(PoolName("models")).mPriorities == expected);
+}
+
 BOOST_AUTO_TEST_CASE(PoolHasThePrioritiesThatItsRequestsCanHave)
 {
   ForwardingDocument document;
--- a/tests/core/test_placementexplanation.cpp
+++ b/tests/core/test_placementexplanation.cpp
@@ -287,6 +287,22 @@
   BOOST_TEST(FindPlacementTarget(document, query).error().mIsInvalidQuery);
 }
 
+// Guards against explanations of requests that are all refused.
+BOOST_AUTO_TEST_CASE(UnusableRouteOrTeamIsNotExplained)
+{
+  ForwardingDocument document = TwoHosts();
+  document.mTeams.push_back({ TeamName(), std::nullopt, false });
+  PlacementQuery query;
+  query.mPath = "/chat/a";
+  query.mHost = "two";
+  query.mTeam = TeamName();
+  BOOST_TEST(FindPlacementTarget(document, query).error().mIsInvalidQuery);
+  query.mTeam.reset();
+  BOOST_CHECK(FindPlacementTarget(document, query).has_value());
+  document.mRoutes[1].mIsUsable = false;
+  BOOST_TEST(!FindPlacementTarget(document, query).error().mIsInvalidQuery);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
