--- a/tests/platform/test_foreignentries.cpp
+++ b/tests/platform/test_foreignentries.cpp
@@ -303,6 +303,29 @@
   }
 }
 
+/** Guards against reports between entries that can't be sent, because the names
+ * in one entry of the list are longer than a datagram. */
+BOOST_AUTO_TEST_CASE(LongNamesInAnEntryLeaveTheReportsOfOthers)
+{
+  constexpr std::size_t kLength = 100'000;
+  constexpr std::chrono::milliseconds kReports{ 1500 };
+  for (const char* const field : { "service", "zone" }) {
+    BOOST_TEST_CONTEXT("field " << field)
+    {
+      EntriesBesideForeignOnes platform;
+      nlohmann::json value = nlohmann::json::parse(ServerValue());
+      value[field] = std::string(kLength, 'n');
+      platform.Store().Put("servers/b1", value);
+      std::this_thread::sleep_for(kReports);
+      for (const EntryProcess* entry : platform.Entries()) {
+        const std::string log = entry->mProcess->Log();
+        BOOST_TEST(log.find("peer-report-lost") == std::string::npos, log);
+      }
+      platform.CheckService();
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace medlarkeel
--- a/tests/platform/test_storeitems.cpp
+++ b/tests/platform/test_storeitems.cpp
@@ -77,6 +77,11 @@
              "cold-remaining-ms":0,"sequence":"x"})" }) {
     items.push_back(Item("servers/forged", value, 6));
   }
+  for (const char* const field : { "service", "zone" }) {
+    Json value = Json::parse(kServer);
+    value[field] = std::string(257, 'n');
+    items.push_back(Item("servers/forged", value.dump(), 6));
+  }
   items.push_back({ { "key", "servers/raw" },
                     { "value", "%%%" },
                     { "revision", 7 },
