--- a/src/libmedlarkeelforward/exchange.cpp
+++ b/src/libmedlarkeelforward/exchange.cpp
@@ -24,7 +24,7 @@
 constexpr Milliseconds kRetryWithoutRoute{ 500 };
 
 /** Longest time to come back after a refusal that only a new document ends. */
-constexpr Milliseconds kRetryWithNewDocument{ 5000 };
+constexpr Milliseconds kDocumentRetryDelay{ 5000 };
 
 /** Characters of an event's id that are logged. */
 constexpr std::size_t kLoggedIdSize = 40;
@@ -280,7 +280,7 @@
 void
 Exchange::RefuseForDocument(const std::string& aReason)
 {
-  mRetryDelay = SpreadDelay(kRetryWithNewDocument);
+  mRetryDelay = SpreadDelay(kDocumentRetryDelay);
   Refuse(kUnavailable, aReason);
 }
 
